--- /dev/null
+++ b/crates/heatherfall-platform-api/src/store.rs
@@ -0,0 +1,83 @@
+//! The interface of the object API.
+
+use std::future::Future;
+use std::time::Duration;
+
+use crate::error::StoreError;
+use crate::object::{ObjectDraft, ObjectEnvelope, ObjectList, Revision, VmList, WatchBatch};
+
+/// Largest serialized spec or status that the platform takes, in bytes.
+pub const MAX_VALUE_BYTES: usize = 1 << 20;
+
+/// Condition of a write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Precondition {
+    /// The object must not exist.
+    Absent,
+    /// The object's spec version must be this one.
+    SpecVersion(Revision),
+}
+
+/// Parameters of a waiting watch.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WatchRequest {
+    /// Kinds to report.
+    pub kinds: Vec<String>,
+    /// Report changes after this revision.
+    pub since: Revision,
+    /// Return an empty batch after this long without a change.
+    pub wait: Duration,
+}
+
+/// The platform's object API and VM list.
+///
+/// A write that ends with an error for which [`StoreError::is_effect_unknown`] holds may have
+/// taken effect; its writer has to read back and compare `change_id` before deciding.
+pub trait PlatformStore: Send + Sync + 'static {
+    /// Reads one object.
+    fn get(
+        &self,
+        kind: &str,
+        name: &str,
+    ) -> impl Future<Output = Result<ObjectEnvelope, StoreError>> + Send;
+
+    /// Lists the objects of `kind` whose names start with `prefix`.
+    fn list(
+        &self,
+        kind: &str,
+        prefix: &str,
+    ) -> impl Future<Output = Result<ObjectList, StoreError>> + Send;
+
+    /// Writes labels and spec if `precondition` holds.
+    fn put(
+        &self,
+        draft: ObjectDraft,
+        precondition: Precondition,
+    ) -> impl Future<Output = Result<ObjectEnvelope, StoreError>> + Send;
+
+    /// Writes the status if the object's spec version is still `spec_version`.
+    fn put_status(
+        &self,
+        kind: &str,
+        name: &str,
+        spec_version: Revision,
+        status: serde_json::Value,
+    ) -> impl Future<Output = Result<ObjectEnvelope, StoreError>> + Send;
+
+    /// Deletes the object if its spec version is still `spec_version`.
+    fn delete(
+        &self,
+        kind: &str,
+        name: &str,
+        spec_version: Revision,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Waits for changes.
+    fn watch(
+        &self,
+        request: WatchRequest,
+    ) -> impl Future<Output = Result<WatchBatch, StoreError>> + Send;
+
+    /// Reads the VM list.
+    fn vms(&self) -> impl Future<Output = Result<VmList, StoreError>> + Send;
+}
--- /dev/null
+++ b/crates/heatherfall-platform-api/src/wire.rs
@@ -0,0 +1,32 @@
+//! Paths, headers and bodies of the HTTP/JSON form of the API.
+//!
+//! ```text
+//! GET    /v1/objects/{kind}?prefix=P              -> ObjectList
+//! GET    /v1/objects/{kind}/{name}                -> ObjectEnvelope
+//! PUT    /v1/objects/{kind}/{name}                ObjectDraft -> ObjectEnvelope
+//! PUT    /v1/objects/{kind}/{name}/status         StatusBody  -> ObjectEnvelope
+//! DELETE /v1/objects/{kind}/{name}
+//! GET    /v1/watch?kinds=A,B&since=R&wait_ms=N    -> WatchBatch
+//! GET    /v1/vms                                  -> VmList
+//! ```
+//!
+//! Writes carry `If-None-Match: *` or `If-Match: <spec version>`. A failed precondition is 412
+//! with the current object, a missing object 404, a compacted watch 410, an oversized value 413,
+//! and 503 promises that nothing was done.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// Path prefix of objects.
+pub const OBJECTS_PATH: &str = "/v1/objects/";
+/// Path of the waiting watch.
+pub const WATCH_PATH: &str = "/v1/watch";
+/// Path of the VM list.
+pub const VMS_PATH: &str = "/v1/vms";
+
+/// Body of a status write.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct StatusBody {
+    /// The status to store.
+    pub status: Value,
+}
--- /dev/null
+++ b/crates/heatherfall-standins/src/platform/mod.rs
@@ -0,0 +1,11 @@
+//! Stand-in for the platform: an in-memory object store with versions, watches, a VM list and
+//! faults, usable in process or served over HTTP.
+
+mod faults;
+mod http_api;
+mod state;
+mod store;
+
+pub use self::faults::{CallCounts, FaultSettings};
+pub use self::http_api::serve;
+pub use self::store::StandinPlatform;
--- /dev/null
+++ b/crates/heatherfall-standins/src/platform/state.rs
@@ -0,0 +1,202 @@
+//! The store itself, without faults, clocks or sockets.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use heatherfall_platform_api::{
+    MAX_VALUE_BYTES, ObjectDraft, ObjectEnvelope, ObjectList, Precondition, Revision, StoreError,
+    WatchBatch, WatchEvent,
+};
+use serde_json::Value;
+
+/// Changes kept for watches; older watches have to list again.
+const MAX_LOG_EVENTS: usize = 10_000;
+
+/// Identity of an object within the store.
+type ObjectKey = (String, String);
+
+/// One past write, kept so that stale reads and watches can be answered.
+#[derive(Clone, Debug)]
+struct LogRecord {
+    revision: Revision,
+    event: WatchEvent,
+    /// The object before the write, for stale reads.
+    before: Option<ObjectEnvelope>,
+}
+
+/// Objects by kind and name, and the log of their changes.
+#[derive(Debug, Default)]
+pub(super) struct StoreState {
+    objects: BTreeMap<ObjectKey, ObjectEnvelope>,
+    log: VecDeque<LogRecord>,
+    revision: Revision,
+    compacted: Revision,
+}
+
+impl StoreState {
+    pub(super) fn get(
+        &self,
+        kind: &str,
+        name: &str,
+        stale: u64,
+    ) -> Result<ObjectEnvelope, StoreError> {
+        let objects = self.objects_before(stale);
+        let key = (kind.to_owned(), name.to_owned());
+        objects.get(&key).cloned().ok_or(StoreError::NotFound)
+    }
+
+    pub(super) fn list(&self, kind: &str, prefix: &str, stale: u64) -> ObjectList {
+        let objects = self.objects_before(stale);
+        let first = (kind.to_owned(), prefix.to_owned());
+        let mut items = Vec::new();
+        for ((item_kind, name), object) in objects.range(first..) {
+            if item_kind != kind || !name.starts_with(prefix) {
+                break;
+            }
+            items.push(object.clone());
+        }
+        ObjectList { revision: self.revision.saturating_sub(stale), items }
+    }
+
+    pub(super) fn put(
+        &mut self,
+        draft: ObjectDraft,
+        precondition: Precondition,
+    ) -> Result<ObjectEnvelope, StoreError> {
+        check_size(&draft.spec)?;
+        let key = (draft.kind.clone(), draft.name.clone());
+        let current = self.objects.get(&key);
+        let holds = match (precondition, current) {
+            (Precondition::Absent, None) => true,
+            (Precondition::SpecVersion(version), Some(current)) => current.spec_version == version,
+            _ => false,
+        };
+        if !holds {
+            return Err(StoreError::Conflict(current.cloned().map(Box::new)));
+        }
+        let status = current.map_or(Value::Null, |current| current.status.clone());
+        let version = self.revision + 1;
+        let object = ObjectEnvelope {
+            kind: draft.kind,
+            name: draft.name,
+            labels: draft.labels,
+            spec: draft.spec,
+            status,
+            version,
+            spec_version: version,
+            change_id: draft.change_id,
+        };
+        self.record_put(object.clone());
+        Ok(object)
+    }
+
+    pub(super) fn put_status(
+        &mut self,
+        kind: &str,
+        name: &str,
+        spec_version: Revision,
+        status: Value,
+    ) -> Result<ObjectEnvelope, StoreError> {
+        check_size(&status)?;
+        let mut object = self.get(kind, name, 0)?;
+        if object.spec_version != spec_version {
+            return Err(StoreError::Conflict(Some(Box::new(object))));
+        }
+        object.status = status;
+        object.version = self.revision + 1;
+        self.record_put(object.clone());
+        Ok(object)
+    }
+
+    pub(super) fn delete(
+        &mut self,
+        kind: &str,
+        name: &str,
+        spec_version: Revision,
+    ) -> Result<(), StoreError> {
+        let object = self.get(kind, name, 0)?;
+        if object.spec_version != spec_version {
+            return Err(StoreError::Conflict(Some(Box::new(object))));
+        }
+        self.objects.remove(&(kind.to_owned(), name.to_owned()));
+        let revision = self.revision + 1;
+        let event = WatchEvent::Delete { kind: kind.to_owned(), name: name.to_owned(), revision };
+        self.append(revision, event, Some(object));
+        Ok(())
+    }
+
+    /// Returns the changes of `kinds` after `since`.
+    pub(super) fn changes(
+        &self,
+        kinds: &[String],
+        since: Revision,
+    ) -> Result<WatchBatch, StoreError> {
+        if since < self.compacted {
+            return Err(StoreError::Compacted);
+        }
+        let mut events = Vec::new();
+        for record in &self.log {
+            if record.revision <= since {
+                continue;
+            }
+            let kind = match &record.event {
+                WatchEvent::Put { object } => &object.kind,
+                WatchEvent::Delete { kind, .. } => kind,
+            };
+            if kinds.contains(kind) {
+                events.push(record.event.clone());
+            }
+        }
+        Ok(WatchBatch { revision: self.revision, events })
+    }
+
+    fn record_put(&mut self, object: ObjectEnvelope) {
+        let key = (object.kind.clone(), object.name.clone());
+        let revision = object.version;
+        let before = self.objects.insert(key, object.clone());
+        self.append(revision, WatchEvent::Put { object }, before);
+    }
+
+    fn append(&mut self, revision: Revision, event: WatchEvent, before: Option<ObjectEnvelope>) {
+        self.revision = revision;
+        self.log.push_back(LogRecord { revision, event, before });
+        if self.log.len() > MAX_LOG_EVENTS
+            && let Some(dropped) = self.log.pop_front()
+        {
+            self.compacted = dropped.revision;
+        }
+    }
+
+    /// The objects as they were `stale` revisions ago, as far as the log reaches.
+    fn objects_before(
+        &self,
+        stale: u64,
+    ) -> std::borrow::Cow<'_, BTreeMap<ObjectKey, ObjectEnvelope>> {
+        if stale == 0 {
+            return std::borrow::Cow::Borrowed(&self.objects);
+        }
+        let horizon = self.revision.saturating_sub(stale);
+        let mut objects = self.objects.clone();
+        for record in self.log.iter().rev() {
+            if record.revision <= horizon {
+                break;
+            }
+            let key = match &record.event {
+                WatchEvent::Put { object } => (object.kind.clone(), object.name.clone()),
+                WatchEvent::Delete { kind, name, .. } => (kind.clone(), name.clone()),
+            };
+            match &record.before {
+                Some(before) => objects.insert(key, before.clone()),
+                None => objects.remove(&key),
+            };
+        }
+        std::borrow::Cow::Owned(objects)
+    }
+}
+
+fn check_size(value: &Value) -> Result<(), StoreError> {
+    let bytes = value.to_string().len();
+    if bytes > MAX_VALUE_BYTES {
+        return Err(StoreError::TooLarge(bytes));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/heatherfall-standins/src/platform/store.rs
@@ -0,0 +1,205 @@
+//! The stand-in with its faults, as a [`PlatformStore`].
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use heatherfall_platform_api::{
+    ObjectDraft, ObjectEnvelope, ObjectList, PlatformStore, Precondition, Revision, StoreError,
+    VmList, VmRecord, VmState, WatchBatch, WatchRequest,
+};
+use serde_json::Value;
+use tokio::sync::watch;
+
+use super::faults::{CallCounts, FaultSettings};
+use super::state::StoreState;
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: StoreState,
+    faults: FaultSettings,
+    counts: CallCounts,
+    vms: VmList,
+    frozen_vms: VmList,
+}
+
+/// In-memory platform; clones share one store.
+#[derive(Clone, Debug)]
+pub struct StandinPlatform {
+    shared: Arc<Mutex<Shared>>,
+    changed: watch::Sender<u64>,
+}
+
+impl Default for StandinPlatform {
+    fn default() -> Self {
+        Self { shared: Arc::default(), changed: watch::Sender::new(0) }
+    }
+}
+
+impl StandinPlatform {
+    /// Sets the faults shown from now on.
+    pub fn set_faults(&self, faults: FaultSettings) {
+        let mut shared = self.lock();
+        if faults.freeze_vm_list && !shared.faults.freeze_vm_list {
+            shared.frozen_vms = shared.vms.clone();
+        }
+        shared.faults = faults;
+        drop(shared);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// The faults shown now.
+    pub fn faults(&self) -> FaultSettings {
+        self.lock().faults.clone()
+    }
+
+    /// Calls served so far.
+    pub fn counts(&self) -> CallCounts {
+        self.lock().counts
+    }
+
+    /// Adds a VM to the list or replaces its record.
+    pub fn put_vm(&self, record: VmRecord) {
+        let mut shared = self.lock();
+        shared.vms.vms.retain(|vm| vm.id != record.id);
+        shared.vms.vms.push(record);
+        shared.vms.vms.sort_by(|a, b| a.id.cmp(&b.id));
+    }
+
+    /// Marks a VM as leaving.
+    pub fn set_vm_state(&self, id: &str, state: VmState) {
+        for vm in &mut self.lock().vms.vms {
+            if vm.id == id {
+                vm.state = state;
+            }
+        }
+    }
+
+    /// Removes a VM from the list.
+    pub fn remove_vm(&self, id: &str) {
+        self.lock().vms.vms.retain(|vm| vm.id != id);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Shared> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn enter(&self, count: impl FnOnce(&mut CallCounts)) -> Result<(), StoreError> {
+        let faults = {
+            let mut shared = self.lock();
+            count(&mut shared.counts);
+            shared.faults.clone()
+        };
+        if faults.down {
+            return Err(StoreError::Unavailable("stand-in is down".to_owned()));
+        }
+        if faults.delay > Duration::ZERO {
+            tokio::time::sleep(faults.delay).await;
+        }
+        Ok(())
+    }
+
+    /// Runs a write and, if the faults say so, loses its answer after the effect.
+    async fn write<T>(
+        &self,
+        bytes: usize,
+        apply: impl FnOnce(&mut StoreState) -> Result<T, StoreError>,
+    ) -> Result<T, StoreError> {
+        self.enter(|counts| {
+            counts.writes += 1;
+            counts.bytes_written += bytes as u64;
+        })
+        .await?;
+        let result = {
+            let mut shared = self.lock();
+            let result = apply(&mut shared.state);
+            if shared.faults.lose_write_answers > 0 {
+                shared.faults.lose_write_answers -= 1;
+                Err(StoreError::AnswerLost("stand-in lost the answer".to_owned()))
+            } else {
+                result
+            }
+        };
+        self.changed.send_modify(|count| *count += 1);
+        result
+    }
+}
+
+impl PlatformStore for StandinPlatform {
+    async fn get(&self, kind: &str, name: &str) -> Result<ObjectEnvelope, StoreError> {
+        self.enter(|counts| counts.gets += 1).await?;
+        let shared = self.lock();
+        shared.state.get(kind, name, shared.faults.stale_revisions)
+    }
+
+    async fn list(&self, kind: &str, prefix: &str) -> Result<ObjectList, StoreError> {
+        self.enter(|counts| counts.lists += 1).await?;
+        let shared = self.lock();
+        Ok(shared.state.list(kind, prefix, shared.faults.stale_revisions))
+    }
+
+    async fn put(
+        &self,
+        draft: ObjectDraft,
+        precondition: Precondition,
+    ) -> Result<ObjectEnvelope, StoreError> {
+        let bytes = draft.spec.to_string().len();
+        self.write(bytes, |state| state.put(draft, precondition)).await
+    }
+
+    async fn put_status(
+        &self,
+        kind: &str,
+        name: &str,
+        spec_version: Revision,
+        status: Value,
+    ) -> Result<ObjectEnvelope, StoreError> {
+        let bytes = status.to_string().len();
+        self.write(bytes, |state| state.put_status(kind, name, spec_version, status)).await
+    }
+
+    async fn delete(
+        &self,
+        kind: &str,
+        name: &str,
+        spec_version: Revision,
+    ) -> Result<(), StoreError> {
+        self.write(0, |state| state.delete(kind, name, spec_version)).await
+    }
+
+    async fn watch(&self, request: WatchRequest) -> Result<WatchBatch, StoreError> {
+        self.enter(|counts| counts.watches += 1).await?;
+        let deadline = tokio::time::Instant::now() + request.wait;
+        let mut changed = self.changed.subscribe();
+        loop {
+            let batch = {
+                let shared = self.lock();
+                if shared.faults.down {
+                    return Err(StoreError::Unavailable("stand-in is down".to_owned()));
+                }
+                if shared.faults.silent_watches {
+                    None
+                } else {
+                    Some(shared.state.changes(&request.kinds, request.since)?)
+                }
+            };
+            match batch {
+                Some(batch) if !batch.events.is_empty() => return Ok(batch),
+                Some(batch) => {
+                    if tokio::time::timeout_at(deadline, changed.changed()).await.is_err() {
+                        return Ok(batch);
+                    }
+                }
+                None => {
+                    let _ = changed.changed().await;
+                }
+            }
+        }
+    }
+
+    async fn vms(&self) -> Result<VmList, StoreError> {
+        self.enter(|counts| counts.vm_lists += 1).await?;
+        let shared = self.lock();
+        let vms = if shared.faults.freeze_vm_list { &shared.frozen_vms } else { &shared.vms };
+        Ok(vms.clone())
+    }
+}
--- /dev/null
+++ b/src/bin/heatherfall/commands/mod.rs
@@ -0,0 +1,37 @@
+//! One file a subcommand.
+
+mod apply;
+mod delete;
+mod dev;
+mod get;
+mod status;
+mod watch;
+
+use std::process::ExitCode;
+
+use clap::Subcommand;
+use heatherfall::ops::GlobalContext;
+
+/// The subcommands.
+#[derive(Debug, Subcommand)]
+pub(crate) enum Command {
+    Apply(apply::ApplyArgs),
+    Delete(delete::DeleteArgs),
+    Dev(dev::DevArgs),
+    Get(get::GetArgs),
+    Status(status::StatusArgs),
+    Watch(watch::WatchArgs),
+}
+
+impl Command {
+    pub(crate) async fn exec(self, ctx: &GlobalContext) -> miette::Result<ExitCode> {
+        match self {
+            Self::Apply(args) => args.exec(ctx).await,
+            Self::Delete(args) => args.exec(ctx).await,
+            Self::Dev(args) => args.exec().await,
+            Self::Get(args) => args.exec(ctx).await,
+            Self::Status(args) => args.exec().await,
+            Self::Watch(args) => args.exec(ctx).await,
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/heatherfall/main.rs
@@ -0,0 +1,10 @@
+//! The operators' client.
+
+mod cli;
+mod commands;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::main()
+}
--- /dev/null
+++ b/src/config/compile.rs
@@ -0,0 +1,206 @@
+//! The compiler: objects in, snapshot and faults out.
+//!
+//! A faulty object is left out of the snapshot and reported with its code; whether a snapshot
+//! with faults may replace the last good one is the caller's decision. Precedence is total:
+//! higher `priority` first, then object name.
+
+use std::sync::Arc;
+
+use heatherfall_platform_api::ObjectEnvelope;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::config::object_set::ObjectSet;
+use crate::core::{
+    BudgetSpec, ConfigSnapshot, GenerationNumber, IdempotenceRule, IdempotenceSpec, LabelSet,
+    ObjectKind, RequestLabelSpec, RequestRule, ResultCode, RouteRecord, RouteSpec, TenantId,
+    UpstreamArena, UpstreamKey, UpstreamSpec, UpstreamState,
+};
+
+/// Name of the one `Budget` object that is in force.
+const BUDGET_NAME: &str = "default";
+
+/// An object that could not be compiled.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ObjectFault {
+    /// Kind of the object.
+    pub kind: ObjectKind,
+    /// Name of the object.
+    pub name: String,
+    /// Result code.
+    pub code: ResultCode,
+    /// What is wrong, with the path of the field.
+    pub message: String,
+}
+
+/// What the compiler made of a set of objects.
+#[derive(Debug)]
+pub struct CompileOutcome {
+    /// The snapshot of the faultless objects.
+    pub snapshot: ConfigSnapshot,
+    /// The others.
+    pub faults: Vec<ObjectFault>,
+}
+
+/// Compiles `objects`; upstreams that `previous` knows by the same name and address keep their
+/// key and counters.
+pub fn compile(
+    objects: &ObjectSet,
+    generation: GenerationNumber,
+    previous: Option<&ConfigSnapshot>,
+) -> CompileOutcome {
+    let mut faults = Vec::new();
+    let upstreams = compile_upstreams(objects, previous, &mut faults);
+    let snapshot = ConfigSnapshot {
+        generation,
+        request_rules: compile_request_rules(objects, &mut faults),
+        routes: compile_routes(objects, &upstreams, &mut faults),
+        idempotence_rules: compile_idempotence(objects, &mut faults),
+        budget: compile_budget(objects, &mut faults),
+        upstreams,
+    };
+    CompileOutcome { snapshot, faults }
+}
+
+fn read_spec<T: DeserializeOwned>(
+    kind: ObjectKind,
+    object: &ObjectEnvelope,
+) -> Result<T, ObjectFault> {
+    parse_spec(kind, &object.name, &object.spec)
+}
+
+fn parse_spec<T: DeserializeOwned>(
+    kind: ObjectKind,
+    name: &str,
+    spec: &Value,
+) -> Result<T, ObjectFault> {
+    serde_path_to_error::deserialize(spec).map_err(|error| ObjectFault {
+        kind,
+        name: name.to_owned(),
+        code: ResultCode::SpecMalformed,
+        message: format!("spec.{}: {}", error.path(), error.inner()),
+    })
+}
+
+/// Checks a spec before it is written.
+///
+/// # Errors
+///
+/// Returns HF-2001 with the path of the field that does not fit.
+pub fn check_object(kind: ObjectKind, name: &str, spec: &Value) -> Result<(), ObjectFault> {
+    match kind {
+        ObjectKind::Budget => parse_spec::<BudgetSpec>(kind, name, spec).map(drop),
+        ObjectKind::Idempotence => parse_spec::<IdempotenceSpec>(kind, name, spec).map(drop),
+        ObjectKind::RequestLabel => parse_spec::<RequestLabelSpec>(kind, name, spec).map(drop),
+        ObjectKind::Route => parse_spec::<RouteSpec>(kind, name, spec).map(drop),
+        ObjectKind::Upstream => parse_spec::<UpstreamSpec>(kind, name, spec).map(drop),
+    }
+}
+
+fn read_specs<T: DeserializeOwned>(
+    objects: &ObjectSet,
+    kind: ObjectKind,
+    faults: &mut Vec<ObjectFault>,
+) -> Vec<(String, T)> {
+    let mut specs = Vec::new();
+    for object in objects.of_kind(kind.as_str()) {
+        match read_spec(kind, object) {
+            Ok(spec) => specs.push((object.name.clone(), spec)),
+            Err(fault) => faults.push(fault),
+        }
+    }
+    specs
+}
+
+fn compile_upstreams(
+    objects: &ObjectSet,
+    previous: Option<&ConfigSnapshot>,
+    faults: &mut Vec<ObjectFault>,
+) -> UpstreamArena {
+    let mut arena = previous.map(|snapshot| snapshot.upstreams.clone()).unwrap_or_default();
+    let mut kept = Vec::new();
+    for object in objects.of_kind(ObjectKind::Upstream.as_str()) {
+        let spec: UpstreamSpec = match read_spec(ObjectKind::Upstream, object) {
+            Ok(spec) => spec,
+            Err(fault) => {
+                faults.push(fault);
+                continue;
+            }
+        };
+        let labels = LabelSet::new(object.labels.clone());
+        kept.push(place_upstream(&mut arena, &object.name, spec, labels));
+    }
+    arena.retain(|key, _| kept.contains(&key));
+    arena
+}
+
+fn place_upstream(
+    arena: &mut UpstreamArena,
+    name: &str,
+    spec: UpstreamSpec,
+    labels: LabelSet,
+) -> UpstreamKey {
+    let known = arena.iter().find(|(_, upstream)| upstream.name == name);
+    if let Some((key, upstream)) = known
+        && upstream.spec == spec
+        && upstream.labels == labels
+    {
+        return key;
+    }
+    arena.insert(Arc::new(UpstreamState::new(name, spec, labels)))
+}
+
+fn compile_request_rules(objects: &ObjectSet, faults: &mut Vec<ObjectFault>) -> Vec<RequestRule> {
+    let mut specs: Vec<(String, RequestLabelSpec)> =
+        read_specs(objects, ObjectKind::RequestLabel, faults);
+    specs.sort_by(|a, b| b.1.priority.cmp(&a.1.priority).then_with(|| a.0.cmp(&b.0)));
+    let mut rules = Vec::with_capacity(specs.len());
+    for (name, spec) in specs {
+        rules.push(RequestRule {
+            name,
+            matcher: spec.matcher,
+            labels: spec.labels,
+            tenant: spec.tenant.as_deref().map(TenantId::new),
+            class: spec.class.as_deref().map(Arc::from),
+        });
+    }
+    rules
+}
+
+fn compile_routes(
+    objects: &ObjectSet,
+    upstreams: &UpstreamArena,
+    faults: &mut Vec<ObjectFault>,
+) -> Vec<RouteRecord> {
+    let mut specs: Vec<(String, RouteSpec)> = read_specs(objects, ObjectKind::Route, faults);
+    specs.sort_by(|a, b| b.1.priority.cmp(&a.1.priority).then_with(|| a.0.cmp(&b.0)));
+    let mut by_name: Vec<(UpstreamKey, &Arc<UpstreamState>)> = upstreams.iter().collect();
+    by_name.sort_by(|a, b| a.1.name.cmp(&b.1.name));
+    let mut routes = Vec::with_capacity(specs.len());
+    for (name, spec) in specs {
+        let mut selected = Vec::new();
+        for (key, upstream) in &by_name {
+            if spec.upstreams.matches(&upstream.labels) {
+                selected.push(*key);
+            }
+        }
+        routes.push(RouteRecord { name, spec, upstreams: selected });
+    }
+    routes
+}
+
+fn compile_idempotence(objects: &ObjectSet, faults: &mut Vec<ObjectFault>) -> Vec<IdempotenceRule> {
+    let specs: Vec<(String, IdempotenceSpec)> =
+        read_specs(objects, ObjectKind::Idempotence, faults);
+    let mut rules = Vec::with_capacity(specs.len());
+    for (name, spec) in specs {
+        rules.push(IdempotenceRule { name, requests: spec.requests, mode: spec.mode });
+    }
+    rules
+}
+
+fn compile_budget(objects: &ObjectSet, faults: &mut Vec<ObjectFault>) -> BudgetSpec {
+    let specs: Vec<(String, BudgetSpec)> = read_specs(objects, ObjectKind::Budget, faults);
+    let named = specs.into_iter().find(|(name, _)| name == BUDGET_NAME);
+    named.map(|(_, spec)| spec).unwrap_or_default()
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,29 @@
+//! Domain types: labels, selectors, objects, keys, result codes and the configuration snapshot.
+//!
+//! Nothing here does I/O or knows the time.
+
+mod header;
+mod identity;
+mod label;
+mod object;
+mod result_code;
+mod selector;
+mod snapshot;
+mod upstream;
+
+pub use self::header::{
+    DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, LOAD_METRICS_HEADER, NOT_RUN_HEADER,
+    REQUEST_ID_HEADER, RESULT_CODE_HEADER, UPSTREAM_DRAIN_HEADER, UPSTREAM_NOT_RUN_HEADER,
+};
+pub use self::identity::{FailureDomain, GenerationNumber, TenantId, VmId};
+pub use self::label::{LabelSet, is_label_key, is_label_value};
+pub use self::object::{
+    BudgetSpec, CONFIG_KINDS, Criticality, HedgePolicy, IdempotenceMode, IdempotenceSpec,
+    ObjectKind, RequestLabelSpec, RequestMatcher, RetryPolicy, RouteSpec, UpstreamSpec,
+};
+pub use self::result_code::ResultCode;
+pub use self::selector::{LabelSelector, SelectorError};
+pub use self::snapshot::{
+    ConfigSnapshot, IdempotenceRule, RequestRule, RouteKey, RouteRecord, SharedSnapshot,
+};
+pub use self::upstream::{InflightGuard, UpstreamArena, UpstreamKey, UpstreamState};
--- /dev/null
+++ b/src/core/snapshot.rs
@@ -0,0 +1,87 @@
+//! The compiled configuration that the request plane reads.
+//!
+//! A snapshot never changes. The control plane compiles a new one and swaps the pointer; a
+//! request keeps the snapshot it was admitted under through all of its attempts.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwapOption;
+
+use crate::core::identity::{GenerationNumber, TenantId};
+use crate::core::label::LabelSet;
+use crate::core::object::{BudgetSpec, IdempotenceMode, RequestMatcher, RouteSpec};
+use crate::core::selector::LabelSelector;
+use crate::core::upstream::{UpstreamArena, UpstreamKey};
+
+/// Pointer to the present snapshot; empty until the first configuration has arrived.
+pub type SharedSnapshot = Arc<ArcSwapOption<ConfigSnapshot>>;
+
+/// Index of a route within its snapshot.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RouteKey(pub u32);
+
+/// One compiled configuration.
+#[derive(Debug, Default)]
+pub struct ConfigSnapshot {
+    /// Its number.
+    pub generation: GenerationNumber,
+    /// Upstreams by key.
+    pub upstreams: UpstreamArena,
+    /// Request rules in order of precedence.
+    pub request_rules: Vec<RequestRule>,
+    /// Routes in order of precedence; [`RouteKey`] is the index.
+    pub routes: Vec<RouteRecord>,
+    /// Idempotence rules in name order.
+    pub idempotence_rules: Vec<IdempotenceRule>,
+    /// Deployment-wide budgets.
+    pub budget: BudgetSpec,
+}
+
+/// A compiled `RequestLabel`.
+#[derive(Clone, Debug)]
+pub struct RequestRule {
+    /// Object name.
+    pub name: String,
+    /// Which requests.
+    pub matcher: RequestMatcher,
+    /// Labels that they get.
+    pub labels: LabelSet,
+    /// Tenant that they belong to.
+    pub tenant: Option<TenantId>,
+    /// Class in histograms and limits.
+    pub class: Option<Arc<str>>,
+}
+
+/// A compiled `Route`.
+#[derive(Clone, Debug)]
+pub struct RouteRecord {
+    /// Object name.
+    pub name: String,
+    /// The spec.
+    pub spec: RouteSpec,
+    /// Upstreams that the route selects, in name order.
+    pub upstreams: Vec<UpstreamKey>,
+}
+
+/// A compiled `Idempotence`.
+#[derive(Clone, Debug)]
+pub struct IdempotenceRule {
+    /// Object name.
+    pub name: String,
+    /// Selects requests by their labels.
+    pub requests: LabelSelector,
+    /// The mark.
+    pub mode: IdempotenceMode,
+}
+
+impl ConfigSnapshot {
+    /// The route with this key.
+    pub fn route(&self, key: RouteKey) -> Option<&RouteRecord> {
+        self.routes.get(key.0 as usize)
+    }
+
+    /// The route with this name.
+    pub fn route_named(&self, name: &str) -> Option<&RouteRecord> {
+        self.routes.iter().find(|route| route.name == name)
+    }
+}
--- /dev/null
+++ b/src/kernel/mod.rs
@@ -0,0 +1,13 @@
+//! The micro-kernel of the control plane.
+//!
+//! A service is an actor registered under a name. Services find each other by name and talk by
+//! messages; the kernel starts them, and stops them in reverse order. The request plane has no
+//! mailbox on its way: services publish snapshots that it reads.
+
+mod config_service;
+mod membership_service;
+mod service_kernel;
+
+pub use self::config_service::{ConfigService, ConfigServiceArgs};
+pub use self::membership_service::{MembershipService, MembershipServiceArgs};
+pub use self::service_kernel::{ServiceKernel, ServiceName};
--- /dev/null
+++ b/src/ops/mod.rs
@@ -0,0 +1,14 @@
+//! What the commands do, without their arguments.
+
+pub mod dev;
+pub mod load;
+pub mod log_output;
+pub mod node;
+pub mod node_settings;
+pub mod node_status;
+pub mod objects;
+pub mod smoke;
+
+mod global_context;
+
+pub use self::global_context::GlobalContext;
--- /dev/null
+++ b/src/ops/node_settings.rs
@@ -0,0 +1,172 @@
+//! Settings of `heatherfalld`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::util::duration_text;
+use crate::util::settings_file::{CheckedSettings, FieldFault};
+
+/// Settings of one node, from its settings file.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Identity of the VM, as in the platform's VM list.
+    pub vm: String,
+    /// Failure domain of the VM.
+    pub failure_domain: String,
+    /// Addresses to listen on.
+    pub listen: ListenSettings,
+    /// The platform.
+    pub platform: PlatformSettings,
+    /// Limits on callers.
+    #[serde(default)]
+    pub limits: LimitSettings,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// Graceful shutdown.
+    #[serde(default)]
+    pub shutdown: ShutdownSettings,
+}
+
+/// Addresses to listen on.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenSettings {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators and metrics.
+    pub admin: SocketAddr,
+}
+
+/// The platform.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Address of the object API.
+    pub address: SocketAddr,
+    /// Time for one call.
+    #[serde(default = "default_platform_timeout", with = "duration_text")]
+    pub timeout: Duration,
+}
+
+fn default_platform_timeout() -> Duration {
+    Duration::from_secs(2)
+}
+
+/// Limits on callers.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LimitSettings {
+    /// Largest request body, in bytes.
+    pub max_body_bytes: usize,
+    /// Longest request head, in bytes.
+    pub max_head_bytes: usize,
+    /// Time for a request head to arrive.
+    #[serde(with = "duration_text")]
+    pub header_timeout: Duration,
+    /// Time for a request body to arrive.
+    #[serde(with = "duration_text")]
+    pub body_timeout: Duration,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 8 << 20,
+            max_head_bytes: 64 << 10,
+            header_timeout: Duration::from_secs(10),
+            body_timeout: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Form of log lines.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// `time level part: sentence key=value`.
+    #[default]
+    Plain,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Logs.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogSettings {
+    /// Form of log lines.
+    pub format: LogFormat,
+    /// Least severe level that is written: error, warn, info, debug or trace.
+    pub level: log::LevelFilter,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self { format: LogFormat::Plain, level: log::LevelFilter::Info }
+    }
+}
+
+/// Graceful shutdown.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ShutdownSettings {
+    /// Time during which a leaving node keeps accepting, for callers with an old address answer.
+    #[serde(with = "duration_text")]
+    pub announce: Duration,
+    /// Longest time for requests in flight to finish after that.
+    #[serde(with = "duration_text")]
+    pub drain: Duration,
+}
+
+impl Default for ShutdownSettings {
+    fn default() -> Self {
+        Self { announce: Duration::from_secs(12), drain: Duration::from_secs(30) }
+    }
+}
+
+impl CheckedSettings for NodeSettings {
+    fn check(&self) -> Result<(), FieldFault> {
+        check_name("vm", &self.vm)?;
+        check_name("failure_domain", &self.failure_domain)?;
+        if self.listen.callers == self.listen.admin && self.listen.admin.port() != 0 {
+            return Err(FieldFault {
+                field: "admin",
+                message: format!("{} is also the address for callers", self.listen.admin),
+                help: "give each listener an address of its own".to_owned(),
+            });
+        }
+        if self.limits.max_head_bytes < MIN_HEAD_BYTES {
+            return Err(FieldFault {
+                field: "max_head_bytes",
+                message: format!("{} bytes cannot hold a request head", self.limits.max_head_bytes),
+                help: format!("set at least {MIN_HEAD_BYTES}"),
+            });
+        }
+        if self.platform.timeout.is_zero() {
+            return Err(FieldFault {
+                field: "timeout",
+                message: "no call can be answered in no time".to_owned(),
+                help: "set a time such as \"2s\"".to_owned(),
+            });
+        }
+        Ok(())
+    }
+}
+
+/// Smallest buffer that the HTTP server can read a head into, in bytes.
+const MIN_HEAD_BYTES: usize = 8 << 10;
+
+fn check_name(field: &'static str, text: &str) -> Result<(), FieldFault> {
+    if crate::core::is_label_key(text) {
+        return Ok(());
+    }
+    Err(FieldFault {
+        field,
+        message: format!("{text:?} is not a name"),
+        help: "use letters, digits, '-', '_' and '.', beginning with a letter or digit".to_owned(),
+    })
+}
--- /dev/null
+++ b/src/ops/node_status.rs
@@ -0,0 +1,95 @@
+//! The status that a node reports on its admin port.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use miette::{IntoDiagnostic, WrapErr};
+use serde::Serialize;
+
+use crate::core::{FailureDomain, GenerationNumber, ResultCode, SharedSnapshot, VmId};
+use crate::membership::AddressBook;
+
+/// Where the status comes from.
+#[derive(Debug)]
+pub struct StatusSource {
+    /// Identity of the VM.
+    pub vm: VmId,
+    /// Failure domain of the VM.
+    pub failure_domain: FailureDomain,
+    /// Present configuration.
+    pub snapshot: SharedSnapshot,
+    /// Entry VMs that callers are sent to.
+    pub addresses: Arc<AddressBook>,
+}
+
+#[derive(Debug, Serialize)]
+struct NodeStatus<'a> {
+    vm: &'a VmId,
+    failure_domain: &'a FailureDomain,
+    generation: Option<GenerationNumber>,
+    entries: usize,
+    upstreams: Vec<UpstreamStatus>,
+}
+
+#[derive(Debug, Serialize)]
+struct UpstreamStatus {
+    name: String,
+    address: String,
+    inflight: u32,
+    draining: bool,
+}
+
+impl StatusSource {
+    /// Why the node is not ready, if it is not.
+    pub fn unready_reason(&self) -> Option<ResultCode> {
+        if self.snapshot.load().is_none() {
+            return Some(ResultCode::NotReady);
+        }
+        None
+    }
+
+    /// The status as JSON.
+    pub fn to_json(&self) -> String {
+        let snapshot = self.snapshot.load_full();
+        let mut upstreams = Vec::new();
+        if let Some(snapshot) = &snapshot {
+            for upstream in snapshot.upstreams.values() {
+                upstreams.push(UpstreamStatus {
+                    name: upstream.name.clone(),
+                    address: upstream.spec.address.to_string(),
+                    inflight: upstream.inflight(),
+                    draining: upstream.is_draining(),
+                });
+            }
+        }
+        upstreams.sort_by(|a, b| a.name.cmp(&b.name));
+        let status = NodeStatus {
+            vm: &self.vm,
+            failure_domain: &self.failure_domain,
+            generation: snapshot.map(|snapshot| snapshot.generation),
+            entries: self.addresses.entries().len(),
+            upstreams,
+        };
+        serde_json::to_string_pretty(&status).unwrap_or_default()
+    }
+}
+
+/// Reads the status of a node from its admin address.
+///
+/// # Errors
+///
+/// Returns an error if the node does not answer.
+pub async fn fetch(admin: SocketAddr) -> miette::Result<String> {
+    let client: Client<HttpConnector, Empty<Bytes>> =
+        Client::builder(TokioExecutor::new()).build_http();
+    let uri = format!("http://{admin}/status").parse().into_diagnostic()?;
+    let response = client.get(uri).await.into_diagnostic();
+    let response = response.wrap_err_with(|| format!("{admin} does not answer"))?;
+    let body = response.into_body().collect().await.into_diagnostic()?.to_bytes();
+    Ok(String::from_utf8_lossy(&body).into_owned())
+}
--- /dev/null
+++ b/src/ops/smoke.rs
@@ -0,0 +1,140 @@
+//! Sends one real request of every class through the entry nodes and checks the answers.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{Method, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use miette::{IntoDiagnostic, miette};
+use serde_json::Value;
+
+use crate::core::{IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER};
+use crate::ops::dev::DevDeployment;
+
+/// One request of the smoke test.
+struct SmokeCase {
+    class: &'static str,
+    method: Method,
+    path: &'static str,
+    app: &'static str,
+}
+
+const CASES: [SmokeCase; 9] = [
+    case("lookup", Method::GET, "/cau-noi/lookup/where-is-the-market", "lookups"),
+    case("audio", Method::GET, "/cau-noi/audio/hello.ogg", "audio"),
+    case("pack", Method::GET, "/cau-noi/packs/hanoi", "packs"),
+    case("purchase", Method::POST, "/cau-noi/packs/hanoi", "packs"),
+    case("donation", Method::POST, "/cau-noi/donations", "donations"),
+    case("clone", Method::GET, "/kitabghar/repos/algebra", "repo-reads"),
+    case("push", Method::POST, "/kitabghar/repos/algebra", "pushes"),
+    case("grade", Method::POST, "/kitabghar/grades/7", "gradebook"),
+    case("exam release", Method::GET, "/kitabghar/exams/maths", "exam-release"),
+];
+
+const fn case(
+    class: &'static str,
+    method: Method,
+    path: &'static str,
+    app: &'static str,
+) -> SmokeCase {
+    SmokeCase { class, method, path, app }
+}
+
+/// How many requests were answered as they should.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SmokeReport {
+    /// Right answers.
+    pub passed: usize,
+    /// Wrong or missing answers.
+    pub failed: usize,
+}
+
+type SmokeClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Runs the smoke test against a running deployment; prints one line for each request.
+///
+/// # Errors
+///
+/// Returns an error if no entry node tells its addresses.
+pub async fn run(deployment: &DevDeployment) -> miette::Result<SmokeReport> {
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let first = deployment.nodes.first().ok_or_else(|| miette!("no entry node"))?;
+    let mut report = SmokeReport::default();
+    for (index, case) in CASES.iter().enumerate() {
+        let addresses = ask_addresses(&client, first.caller_addr(), case.app).await?;
+        let address = addresses[index % addresses.len()];
+        match check(&client, deployment, address, case).await {
+            Ok(line) => {
+                report.passed += 1;
+                println!("ok     {:<12} via {address} {line}", case.class);
+            }
+            Err(error) => {
+                report.failed += 1;
+                println!("FAILED {:<12} via {address} {error}", case.class);
+            }
+        }
+    }
+    Ok(report)
+}
+
+async fn ask_addresses(
+    client: &SmokeClient,
+    entry: SocketAddr,
+    service: &str,
+) -> miette::Result<Vec<SocketAddr>> {
+    let uri = format!("http://{entry}/.heatherfall/addresses?service={service}");
+    let response = client.get(uri.parse().into_diagnostic()?).await.into_diagnostic()?;
+    let answer = read_json(response).await?;
+    let mut addresses = Vec::new();
+    for entry in answer["addresses"].as_array().into_iter().flatten() {
+        let text = entry["address"].as_str().unwrap_or_default();
+        addresses.push(text.parse().into_diagnostic()?);
+    }
+    if addresses.is_empty() {
+        return Err(miette!("the answer names no address: {answer}"));
+    }
+    Ok(addresses)
+}
+
+async fn check(
+    client: &SmokeClient,
+    deployment: &DevDeployment,
+    address: SocketAddr,
+    case: &SmokeCase,
+) -> miette::Result<String> {
+    let id = uuid::Uuid::now_v7().to_string();
+    let mut builder = Request::builder()
+        .method(case.method.clone())
+        .uri(format!("http://{address}{}", case.path))
+        .header(REQUEST_ID_HEADER, &id);
+    if case.method == Method::POST {
+        builder = builder.header(IDEMPOTENCY_KEY_HEADER, uuid::Uuid::now_v7().to_string());
+    }
+    let request = builder.body(Full::new(Bytes::from_static(b"{}"))).into_diagnostic()?;
+    let response = client.request(request).await.into_diagnostic()?;
+    if !response.status().is_success() {
+        return Err(miette!("status {}", response.status()));
+    }
+    let answer = read_json(response).await?;
+    let upstream = answer["upstream"].as_str().unwrap_or_default();
+    if answer["request_id"] != id.as_str() {
+        return Err(miette!("the answer belongs to another request: {answer}"));
+    }
+    if !upstream.starts_with(case.app) {
+        return Err(miette!("answered by {upstream}, not by {}", case.app));
+    }
+    let runs: u64 = deployment.upstreams.iter().map(|one| one.upstream.runs_of(&id)).sum();
+    if runs != 1 {
+        return Err(miette!("ran {runs} times"));
+    }
+    Ok(format!("by {upstream}"))
+}
+
+async fn read_json(response: Response<Incoming>) -> miette::Result<Value> {
+    let body = response.into_body().collect().await.into_diagnostic()?.to_bytes();
+    serde_json::from_slice(&body).into_diagnostic()
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,11 @@
+//! The platform's object API: the trait, and its client over HTTP.
+
+mod http_store;
+
+pub use heatherfall_platform_api::{
+    LabelMap, MAX_VALUE_BYTES, ObjectDraft, ObjectEnvelope, ObjectList, PlatformStore,
+    Precondition, Revision, StoreError, VmList, VmRecord, VmState, WatchBatch, WatchEvent,
+    WatchRequest,
+};
+
+pub use self::http_store::{HttpStore, HttpStoreSettings};
--- /dev/null
+++ b/src/request/mod.rs
@@ -0,0 +1,20 @@
+//! One request from admission to answer, without sockets.
+//!
+//! ```text
+//! head -> classify -> RequestClass -> exchange: pick -> attempt -> outcome -> answer
+//!                                          ^                        |
+//!                                          +---- proof of not run --+
+//! ```
+
+mod answer;
+mod attempt;
+mod classify;
+mod exchange;
+
+pub use self::answer::{AnswerBody, CallerAnswer, refusal};
+pub use self::attempt::{
+    AttemptOutcome, AttemptRequest, ConnectionChoice, NotRunProof, UnknownCause, UpstreamAnswer,
+    UpstreamClient,
+};
+pub use self::classify::{RequestClass, RequestHead, classify};
+pub use self::exchange::{ExchangeEnd, ExchangeSettings, RequestExchange};
--- /dev/null
+++ b/src/serve/admin.rs
@@ -0,0 +1,106 @@
+//! The admin port: `/metrics`, `/healthz`, `/readyz` and `/status`.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use prometheus::{Encoder, Registry, TextEncoder};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::ops::node_status::StatusSource;
+
+/// The admin server of a node.
+#[derive(Debug)]
+pub struct AdminServer {
+    listener: TcpListener,
+    registry: Registry,
+    status: Arc<StatusSource>,
+}
+
+impl AdminServer {
+    /// Binds the address; port 0 picks a free port.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn bind(
+        addr: SocketAddr,
+        registry: Registry,
+        status: Arc<StatusSource>,
+    ) -> std::io::Result<Self> {
+        Ok(Self { listener: TcpListener::bind(addr).await?, registry, status })
+    }
+
+    /// Address that the server listens on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub fn local_addr(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves until `stop` is cancelled.
+    pub async fn run(self, stop: CancellationToken) {
+        let server = Arc::new(self);
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                accepted = server.listener.accept() => {
+                    let Ok((stream, _)) = accepted else { continue };
+                    let server = Arc::clone(&server);
+                    tokio::spawn(async move {
+                        let service = service_fn(|request: Request<Incoming>| {
+                            let response = server.respond(request.uri().path());
+                            async move { Ok::<_, Infallible>(response) }
+                        });
+                        let stream = TokioIo::new(stream);
+                        let _ = http1::Builder::new().serve_connection(stream, service).await;
+                    });
+                }
+            }
+        }
+    }
+
+    fn respond(&self, path: &str) -> Response<Full<Bytes>> {
+        match path {
+            "/healthz" => reply(StatusCode::OK, "ok\n".into()),
+            "/readyz" => self.readiness(),
+            "/metrics" => self.metrics(),
+            "/status" => reply(StatusCode::OK, self.status.to_json().into()),
+            _ => reply(StatusCode::NOT_FOUND, "not found\n".into()),
+        }
+    }
+
+    fn readiness(&self) -> Response<Full<Bytes>> {
+        match self.status.unready_reason() {
+            None => reply(StatusCode::OK, "ready\n".into()),
+            Some(code) => {
+                let text = format!("{code}: {}\n", code.summary());
+                reply(StatusCode::SERVICE_UNAVAILABLE, text.into())
+            }
+        }
+    }
+
+    fn metrics(&self) -> Response<Full<Bytes>> {
+        let mut buffer = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut buffer) {
+            Ok(()) => reply(StatusCode::OK, buffer.into()),
+            Err(error) => reply(StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into()),
+        }
+    }
+}
+
+fn reply(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/serve/caller_server.rs
@@ -0,0 +1,105 @@
+//! The listener for callers: HTTP/1.1 and HTTP/2 on one port, with graceful shutdown.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+use crate::balance::UpstreamPicker;
+use crate::request::UpstreamClient;
+use crate::serve::front::FrontService;
+
+/// Limits on callers' connections.
+#[derive(Clone, Debug)]
+pub struct CallerServerSettings {
+    /// Time for a request head to arrive.
+    pub header_timeout: Duration,
+    /// Longest head, in bytes.
+    pub max_head_bytes: usize,
+}
+
+impl Default for CallerServerSettings {
+    fn default() -> Self {
+        Self { header_timeout: Duration::from_secs(10), max_head_bytes: 64 << 10 }
+    }
+}
+
+/// A bound listener for callers.
+#[derive(Debug)]
+pub struct CallerServer {
+    listener: TcpListener,
+    settings: CallerServerSettings,
+}
+
+impl CallerServer {
+    /// Binds the address; port 0 picks a free port.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn bind(addr: SocketAddr, settings: CallerServerSettings) -> std::io::Result<Self> {
+        Ok(Self { listener: TcpListener::bind(addr).await?, settings })
+    }
+
+    /// Address that the server listens on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub fn local_addr(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves until `stop` is cancelled, then closes the listener, asks callers to go and waits
+    /// until the last request has its answer.
+    pub async fn run<C: UpstreamClient, P: UpstreamPicker>(
+        self,
+        front: Arc<FrontService<C, P>>,
+        stop: CancellationToken,
+    ) {
+        let graceful = GracefulShutdown::new();
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => break,
+                accepted = self.listener.accept() => {
+                    let Ok((stream, _)) = accepted else { continue };
+                    self.serve(stream, Arc::clone(&front), &graceful);
+                }
+            }
+        }
+        drop(self.listener);
+        graceful.shutdown().await;
+    }
+
+    fn serve<C: UpstreamClient, P: UpstreamPicker>(
+        &self,
+        stream: TcpStream,
+        front: Arc<FrontService<C, P>>,
+        graceful: &GracefulShutdown,
+    ) {
+        let _ = stream.set_nodelay(true);
+        let service = service_fn(move |request| {
+            let front = Arc::clone(&front);
+            async move { front.answer(request).await }
+        });
+        let mut builder = auto::Builder::new(TokioExecutor::new());
+        builder
+            .http1()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.settings.header_timeout)
+            .max_buf_size(self.settings.max_head_bytes);
+        builder.http2().timer(TokioTimer::new());
+        let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            // An error here is the caller's broken connection or one that we cut on purpose.
+            let _ = watched.await;
+        });
+    }
+}
--- /dev/null
+++ b/src/serve/mod.rs
@@ -0,0 +1,15 @@
+//! Sockets of the request plane: callers' listener, upstream connections, admin port.
+
+mod admin;
+mod caller_server;
+mod connection_pool;
+mod front;
+mod http_client;
+mod latency_metrics;
+
+pub use self::admin::AdminServer;
+pub use self::caller_server::{CallerServer, CallerServerSettings};
+pub use self::connection_pool::{ConnectionPool, PoolSettings};
+pub use self::front::{FrontService, FrontSettings};
+pub use self::http_client::{HttpUpstreamClient, UpstreamBody};
+pub use self::latency_metrics::LatencyMetrics;
--- /dev/null
+++ b/src/util/mod.rs
@@ -0,0 +1,9 @@
+//! Small helpers that belong to no part: collections, random numbers, settings files, durations.
+
+pub mod duration_text;
+pub mod fast_map;
+pub mod random;
+pub mod settings_file;
+
+pub use self::fast_map::{FastMap, FastSet};
+pub use self::random::SeededRandom;
--- /dev/null
+++ b/tests/testsuite/support/daemon.rs
@@ -0,0 +1,84 @@
+//! A `heatherfalld` process.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, ChildStderr, Command, Stdio};
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+/// A running daemon; killed when dropped.
+pub(crate) struct DaemonProcess {
+    child: Child,
+    log: BufReader<ChildStderr>,
+    pub(crate) caller_addr: SocketAddr,
+    pub(crate) admin_addr: SocketAddr,
+    _settings: tempfile::NamedTempFile,
+}
+
+impl DaemonProcess {
+    /// Starts a daemon on free ports and waits until it listens.
+    pub(crate) fn start(vm: &str, failure_domain: &str, platform: SocketAddr) -> Self {
+        let settings = format!(
+            r#"{{ "vm": "{vm}", "failure_domain": "{failure_domain}",
+                 "listen": {{ "callers": "127.0.0.1:0", "admin": "127.0.0.1:0" }},
+                 "platform": {{ "address": "{platform}" }},
+                 "shutdown": {{ "announce": "300ms" }} }}"#
+        );
+        let file = tempfile::NamedTempFile::new().expect("temporary file");
+        std::fs::write(file.path(), settings).expect("settings written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_heatherfalld"))
+            .arg("--config")
+            .arg(file.path())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("daemon starts");
+        let mut log = BufReader::new(child.stderr.take().expect("stderr is piped"));
+        let started = read_until(&mut log, "node: started");
+        Self {
+            child,
+            log,
+            caller_addr: addr_in(&started, "callers="),
+            admin_addr: addr_in(&started, "admin="),
+            _settings: file,
+        }
+    }
+
+    /// Sends SIGTERM.
+    pub(crate) fn terminate(&self) {
+        kill(Pid::from_raw(self.child.id() as i32), Signal::SIGTERM).expect("daemon is running");
+    }
+
+    /// Waits for the daemon's own end and returns whether it was clean.
+    pub(crate) fn wait(&mut self) -> bool {
+        let mut line = String::new();
+        while self.log.read_line(&mut line).is_ok_and(|bytes| bytes > 0) {
+            line.clear();
+        }
+        self.child.wait().expect("daemon ends").success()
+    }
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn read_until(log: &mut BufReader<ChildStderr>, text: &str) -> String {
+    let mut line = String::new();
+    loop {
+        line.clear();
+        let bytes = log.read_line(&mut line).expect("log is readable");
+        assert!(bytes > 0, "daemon ended before logging {text:?}");
+        if line.contains(text) {
+            return line;
+        }
+    }
+}
+
+fn addr_in(line: &str, prefix: &str) -> SocketAddr {
+    let (_, rest) = line.split_once(prefix).expect("log line names the address");
+    rest.split_whitespace().next().expect("address").parse().expect("address")
+}
