request: part the request plane from its sockets and agree the seams

Cause: the parts are to be worked on side by side, and a decision that needs a socket cannot be driven on the paused clock.

Change: `RequestPlane` admits and runs requests from parts and bytes; pickers observe finished attempts; the entries are one published membership view; configuration freshness and the claim ledger are interfaces.

Conclusion: request plane, choosing, ledger and membership meet in typed interfaces only.

--- a/src/balance/pick.rs
+++ b/src/balance/pick.rs
@@ -4,9 +4,10 @@
 //! count, which is exact and free (M. Mitzenmacher, "The Power of Two Choices in Randomized Load
 //! Balancing", 2001).
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 
-use crate::core::{ConfigSnapshot, RouteRecord, UpstreamKey};
+use crate::balance::report::AttemptReport;
+use crate::core::{ConfigSnapshot, RouteRecord, UpstreamKey, UpstreamState};
 use crate::util::SeededRandom;
 
 /// What a pick is made for.
@@ -24,6 +25,9 @@
 pub trait UpstreamPicker: Send + Sync + 'static {
     /// Returns an upstream that can take the attempt, or none.
     fn pick(&self, request: PickRequest<'_>) -> Option<UpstreamKey>;
+
+    /// Learns from a finished attempt.
+    fn observe(&self, upstream: &Arc<UpstreamState>, report: AttemptReport);
 }
 
 /// Power of two choices on own in-flight counts.
@@ -54,6 +58,10 @@
         let inflight = |key| request.snapshot.upstreams.get(key).map_or(u32::MAX, |u| u.inflight());
         if inflight(second) < inflight(first) { Some(second) } else { Some(first) }
     }
+
+    fn observe(&self, upstream: &Arc<UpstreamState>, report: AttemptReport) {
+        upstream.set_draining(upstream.spec.draining || report.is_draining);
+    }
 }
 
 /// Upstreams of the route that are not draining and not in `excluded`.
--- a/src/kernel/membership_service.rs
+++ b/src/kernel/membership_service.rs
@@ -1,4 +1,4 @@
-//! Follows the VM list and publishes the addresses for callers.
+//! Follows the VM list and publishes the membership view.
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -10,7 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::core::{FailureDomain, VmId};
-use crate::membership::{AddressBook, AddressEntry};
+use crate::membership::{EntryRecord, EntryState, MembershipView, SharedMembership};
 use crate::platform::{PlatformStore, VmList, VmState};
 
 /// Time between two reads of the VM list.
@@ -21,8 +21,8 @@
 pub struct MembershipServiceArgs<S> {
     /// The platform.
     pub store: Arc<S>,
-    /// Where addresses are published.
-    pub addresses: Arc<AddressBook>,
+    /// Where the view is published.
+    pub membership: SharedMembership,
 }
 
 /// The service.
@@ -55,7 +55,7 @@
 async fn follow<S: PlatformStore>(args: MembershipServiceArgs<S>, stop: CancellationToken) {
     loop {
         match args.store.vms().await {
-            Ok(list) => args.addresses.replace(live_entries(list)),
+            Ok(list) => args.membership.store(Arc::new(view_of(list))),
             Err(error) => log::warn!(target: "membership", "vm list failed reason={error}"),
         }
         if stop.run_until_cancelled(tokio::time::sleep(POLL_INTERVAL)).await.is_none() {
@@ -64,17 +64,25 @@
     }
 }
 
-fn live_entries(list: VmList) -> Vec<AddressEntry> {
+fn view_of(list: VmList) -> MembershipView {
     let mut entries = Vec::with_capacity(list.vms.len());
     for vm in list.vms {
-        if vm.state != VmState::Live {
+        let (Ok(caller_address), Ok(peer_address)) = (vm.address.parse(), vm.peer_address.parse())
+        else {
+            log::warn!(target: "membership", "address unreadable vm={}", vm.id);
             continue;
-        }
-        entries.push(AddressEntry {
+        };
+        let state = match vm.state {
+            VmState::Live => EntryState::Ready,
+            VmState::Leaving => EntryState::Leaving,
+        };
+        entries.push(EntryRecord {
             vm: VmId::new(&vm.id),
-            address: vm.address,
             failure_domain: FailureDomain::new(&vm.failure_domain),
+            caller_address,
+            peer_address,
+            state,
         });
     }
-    entries
+    MembershipView { entries }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`peer`]: calls between entry nodes.
 //! - [`serve`]: sockets of callers, upstreams and operators.
 //! - [`request`]: classify a request, attempt it, answer it.
+//! - [`ledger`]: who may dispatch a keyed at-most-once request.
 //! - [`balance`]: choose the upstream of an attempt.
 //! - [`kernel`]: start, name and stop the services of the control plane.
 //! - [`core`] and [`util`]: the types and helpers that all of these share.
@@ -19,6 +20,7 @@
 pub mod config;
 pub mod core;
 pub mod kernel;
+pub mod ledger;
 pub mod membership;
 pub mod ops;
 pub mod peer;
--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -14,10 +14,11 @@
     ConfigService, ConfigServiceArgs, MembershipService, MembershipServiceArgs, ServiceKernel,
     ServiceName,
 };
-use crate::membership::AddressBook;
+use crate::membership::{AddressBook, SharedMembership};
 use crate::ops::node_settings::NodeSettings;
 use crate::ops::node_status::StatusSource;
 use crate::platform::PlatformStore;
+use crate::request::{ExchangeSettings, RequestPlane};
 use crate::serve::{
     AdminServer, CallerServer, CallerServerSettings, ConnectionPool, FrontService, FrontSettings,
     HttpUpstreamClient, LatencyMetrics, PoolSettings,
@@ -58,7 +59,7 @@
 
     /// Entry VMs that the node sends callers to.
     pub fn known_entries(&self) -> usize {
-        self.status.addresses.entries().len()
+        self.status.membership.load().entries.len()
     }
 
     /// Leaves gracefully: callers are told to go while the node still serves, then the listener
@@ -87,7 +88,8 @@
     store: Arc<S>,
 ) -> miette::Result<RunningNode> {
     let snapshot = SharedSnapshot::default();
-    let addresses = Arc::new(AddressBook::default());
+    let membership = SharedMembership::default();
+    let addresses = Arc::new(AddressBook::new(Arc::clone(&membership)));
     let registry = Registry::new();
     let metrics = LatencyMetrics::new(&registry).into_diagnostic()?;
     let limits = &settings.limits;
@@ -103,7 +105,7 @@
         vm: VmId::new(&settings.vm),
         failure_domain: FailureDomain::new(&settings.failure_domain),
         snapshot: Arc::clone(&snapshot),
-        addresses: Arc::clone(&addresses),
+        membership: Arc::clone(&membership),
     });
     let admin = AdminServer::bind(settings.listen.admin, registry, Arc::clone(&status))
         .await
@@ -115,21 +117,18 @@
     let kernel = ServiceKernel::default();
     let config = ConfigServiceArgs { store: Arc::clone(&store), snapshot: Arc::clone(&snapshot) };
     kernel.start::<ConfigService<S>>(ServiceName::Config, config);
-    let membership = MembershipServiceArgs { store, addresses: Arc::clone(&addresses) };
-    kernel.start::<MembershipService<S>>(ServiceName::Membership, membership);
+    let members = MembershipServiceArgs { store, membership };
+    kernel.start::<MembershipService<S>>(ServiceName::Membership, members);
 
-    let front = Arc::new(FrontService::new(
+    let plane = RequestPlane::new(
         snapshot,
         HttpUpstreamClient::new(ConnectionPool::new(PoolSettings::default())),
         RandomPicker::new(SeededRandom::from_entropy()),
-        addresses,
-        metrics,
-        FrontSettings {
-            max_body_bytes: limits.max_body_bytes,
-            body_timeout: limits.body_timeout,
-            ..FrontSettings::default()
-        },
-    ));
+        ExchangeSettings::default(),
+    );
+    let front_settings =
+        FrontSettings { max_body_bytes: limits.max_body_bytes, body_timeout: limits.body_timeout };
+    let front = Arc::new(FrontService::new(plane, addresses, metrics, front_settings));
     let stop_callers = CancellationToken::new();
     let stop_admin = CancellationToken::new();
     let callers = tokio::spawn(server.run(Arc::clone(&front), stop_callers.clone()));
--- a/src/ops/node_status.rs
+++ b/src/ops/node_status.rs
@@ -1,7 +1,6 @@
 //! The status that a node reports on its admin port.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
@@ -12,7 +11,7 @@
 use serde::Serialize;
 
 use crate::core::{FailureDomain, GenerationNumber, ResultCode, SharedSnapshot, VmId};
-use crate::membership::AddressBook;
+use crate::membership::{MembershipView, SharedMembership};
 
 /// Where the status comes from.
 #[derive(Debug)]
@@ -23,8 +22,8 @@
     pub failure_domain: FailureDomain,
     /// Present configuration.
     pub snapshot: SharedSnapshot,
-    /// Entry VMs that callers are sent to.
-    pub addresses: Arc<AddressBook>,
+    /// Entry VMs.
+    pub membership: SharedMembership,
 }
 
 #[derive(Debug, Serialize)]
@@ -32,7 +31,7 @@
     vm: &'a VmId,
     failure_domain: &'a FailureDomain,
     generation: Option<GenerationNumber>,
-    entries: usize,
+    membership: &'a MembershipView,
     upstreams: Vec<UpstreamStatus>,
 }
 
@@ -56,6 +55,7 @@
     /// The status as JSON.
     pub fn to_json(&self) -> String {
         let snapshot = self.snapshot.load_full();
+        let membership = self.membership.load();
         let mut upstreams = Vec::new();
         if let Some(snapshot) = &snapshot {
             for upstream in snapshot.upstreams.values() {
@@ -72,7 +72,7 @@
             vm: &self.vm,
             failure_domain: &self.failure_domain,
             generation: snapshot.map(|snapshot| snapshot.generation),
-            entries: self.addresses.entries().len(),
+            membership: &membership,
             upstreams,
         };
         serde_json::to_string_pretty(&status).unwrap_or_default()
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -47,7 +47,10 @@
     /// No byte of the request was written.
     NothingSent,
     /// The upstream's own not-run mark.
-    UpstreamMark,
+    UpstreamMark {
+        /// Whether the refusal also carried the drain mark.
+        is_draining: bool,
+    },
     /// HTTP/2 REFUSED_STREAM, or GOAWAY below the stream.
     StreamRefused,
 }
--- a/src/request/exchange.rs
+++ b/src/request/exchange.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
 use tokio::time::Instant;
 
-use crate::balance::{PickRequest, UpstreamPicker};
+use crate::balance::{AttemptReport, AttemptResult, LoadReport, PickRequest, UpstreamPicker};
 use crate::core::{
     ConfigSnapshot, DEADLINE_HEADER, IdempotenceMode, InflightGuard, ResultCode, RouteRecord,
     UPSTREAM_DRAIN_HEADER, UPSTREAM_NOT_RUN_HEADER, UpstreamKey, UpstreamState,
@@ -90,7 +90,10 @@
             let Some(upstream) = self.snapshot.upstreams.get(key) else { break };
             tried.push(key);
             let inflight = upstream.enter();
-            match self.attempt(client, upstream, route).await {
+            let started = Instant::now();
+            let outcome = self.attempt(client, upstream, route).await;
+            picker.observe(upstream, report_of(&outcome, started.elapsed()));
+            match outcome {
                 AttemptOutcome::Answered(answer) => {
                     return ExchangeEnd::Answered { answer, inflight };
                 }
@@ -133,22 +136,44 @@
             Ok(outcome) => outcome,
             Err(_) => AttemptOutcome::Unknown(UnknownCause::TimedOut),
         };
-        inspect(upstream, outcome)
+        inspect(outcome)
     }
 }
 
-/// Reads the upstream's marks from the head of its answer.
-fn inspect<B>(upstream: &UpstreamState, outcome: AttemptOutcome<B>) -> AttemptOutcome<B> {
+/// Takes an answer with the upstream's not-run mark as proof that the request did not run.
+fn inspect<B>(outcome: AttemptOutcome<B>) -> AttemptOutcome<B> {
     let AttemptOutcome::Answered(answer) = outcome else { return outcome };
-    let headers = answer.response.headers();
-    upstream.set_draining(upstream.spec.draining || headers.contains_key(UPSTREAM_DRAIN_HEADER));
-    let is_marked = headers.contains_key(UPSTREAM_NOT_RUN_HEADER);
+    let is_marked = answer.response.headers().contains_key(UPSTREAM_NOT_RUN_HEADER);
     if is_marked && answer.response.status() == StatusCode::SERVICE_UNAVAILABLE {
-        return AttemptOutcome::NotRun(NotRunProof::UpstreamMark);
+        let is_draining = answer.response.headers().contains_key(UPSTREAM_DRAIN_HEADER);
+        return AttemptOutcome::NotRun(NotRunProof::UpstreamMark { is_draining });
     }
     AttemptOutcome::Answered(answer)
 }
 
+fn report_of<B>(outcome: &AttemptOutcome<B>, latency: Duration) -> AttemptReport {
+    let mut report =
+        AttemptReport { latency, result: AttemptResult::Answered, load: None, is_draining: false };
+    match outcome {
+        AttemptOutcome::Answered(answer) => {
+            let headers = answer.response.headers();
+            report.load = LoadReport::from_headers(headers);
+            report.is_draining = headers.contains_key(UPSTREAM_DRAIN_HEADER);
+            if answer.response.status().is_server_error() {
+                report.result = AttemptResult::ServerError;
+            }
+        }
+        AttemptOutcome::NotRun(NotRunProof::UpstreamMark { is_draining }) => {
+            report.result = AttemptResult::Shed;
+            report.is_draining = *is_draining;
+        }
+        AttemptOutcome::NotRun(_) => report.result = AttemptResult::ConnectFailed,
+        AttemptOutcome::Unknown(UnknownCause::TimedOut) => report.result = AttemptResult::TimedOut,
+        AttemptOutcome::Unknown(_) => report.result = AttemptResult::Broken,
+    }
+    report
+}
+
 fn code_of(cause: UnknownCause) -> ResultCode {
     match cause {
         UnknownCause::ConnectionBroken => ResultCode::OutcomeUnknown,
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -10,6 +10,7 @@
 mod attempt;
 mod classify;
 mod exchange;
+mod plane;
 
 pub use self::answer::{AnswerBody, CallerAnswer, refusal};
 pub use self::attempt::{
@@ -18,3 +19,4 @@
 };
 pub use self::classify::{RequestClass, RequestHead, classify};
 pub use self::exchange::{ExchangeEnd, ExchangeSettings, RequestExchange};
+pub use self::plane::{PlaneAnswer, RequestAdmission, RequestPlane};
