core: keep an upstream's counters through a change of its spec

Cause: a changed spec made a new state with a new key, so that requests in flight were forgotten just when an operator set an upstream to draining; the compiler also searched the arena once for each object.

Change: states of one upstream share their counters and keep their key while the address stays; the compiler looks names up in a map.

Before: in-flight 0 after an edit with one request running.

Conclusion: identity is name and address; everything else may change in place.

--- a/src/balance/pick.rs
+++ b/src/balance/pick.rs
@@ -60,7 +60,7 @@
     }
 
     fn observe(&self, upstream: &Arc<UpstreamState>, report: AttemptReport) {
-        upstream.set_draining(upstream.spec.draining || report.is_draining);
+        upstream.set_marked_draining(report.is_draining);
     }
 }
 
--- a/src/config/compile.rs
+++ b/src/config/compile.rs
@@ -16,6 +16,7 @@
     ObjectKind, RequestLabelSpec, RequestRule, ResultCode, RouteRecord, RouteSpec, TenantId,
     UpstreamArena, UpstreamKey, UpstreamSpec, UpstreamState,
 };
+use crate::util::{FastMap, FastSet};
 
 /// Name of the one `Budget` object that is in force.
 const BUDGET_NAME: &str = "default";
@@ -118,7 +119,11 @@
     faults: &mut Vec<ObjectFault>,
 ) -> UpstreamArena {
     let mut arena = previous.map(|snapshot| snapshot.upstreams.clone()).unwrap_or_default();
-    let mut kept = Vec::new();
+    let mut known: FastMap<String, UpstreamKey> = FastMap::default();
+    for (key, upstream) in &arena {
+        known.insert(upstream.name.clone(), key);
+    }
+    let mut kept: FastSet<UpstreamKey> = FastSet::default();
     for object in objects.of_kind(ObjectKind::Upstream.as_str()) {
         let spec: UpstreamSpec = match read_spec(ObjectKind::Upstream, object) {
             Ok(spec) => spec,
@@ -128,26 +133,32 @@
             }
         };
         let labels = LabelSet::new(object.labels.clone());
-        kept.push(place_upstream(&mut arena, &object.name, spec, labels));
+        let key = known.get(&object.name).copied();
+        kept.insert(place_upstream(&mut arena, key, &object.name, spec, labels));
     }
     arena.retain(|key, _| kept.contains(&key));
     arena
 }
 
+/// Puts an upstream into the arena. One that keeps its address keeps its key and counters; at
+/// another address it is another server.
 fn place_upstream(
     arena: &mut UpstreamArena,
+    known: Option<UpstreamKey>,
     name: &str,
     spec: UpstreamSpec,
     labels: LabelSet,
 ) -> UpstreamKey {
-    let known = arena.iter().find(|(_, upstream)| upstream.name == name);
-    if let Some((key, upstream)) = known
-        && upstream.spec == spec
-        && upstream.labels == labels
-    {
-        return key;
+    let Some((key, state)) = known.and_then(|key| Some((key, arena.get_mut(key)?))) else {
+        return arena.insert(Arc::new(UpstreamState::new(name, spec, labels)));
+    };
+    if state.spec.address != spec.address {
+        return arena.insert(Arc::new(UpstreamState::new(name, spec, labels)));
+    }
+    if state.spec != spec || state.labels != labels {
+        *state = Arc::new(state.with_spec(spec, labels));
     }
-    arena.insert(Arc::new(UpstreamState::new(name, spec, labels)))
+    key
 }
 
 fn compile_request_rules(objects: &ObjectSet, faults: &mut Vec<ObjectFault>) -> Vec<RequestRule> {
--- a/src/core/upstream.rs
+++ b/src/core/upstream.rs
@@ -17,19 +17,25 @@
 /// Arena of the upstreams of one configuration.
 pub type UpstreamArena = SlotMap<UpstreamKey, Arc<UpstreamState>>;
 
-/// One upstream with the counters of this node.
+/// What this node knows about an upstream beyond its spec; outlives a change of the spec.
+#[derive(Debug, Default)]
+struct UpstreamCounters {
+    inflight: AtomicU32,
+    is_marked_draining: AtomicBool,
+}
+
+/// One upstream under one configuration, with the counters of this node.
 #[derive(Debug)]
 pub struct UpstreamState {
     /// Object name.
     pub name: String,
-    /// Spec at the time the state was made; address and name identify the state.
+    /// Spec under this configuration.
     pub spec: UpstreamSpec,
     /// Failure domain.
     pub failure_domain: FailureDomain,
     /// Labels.
     pub labels: LabelSet,
-    inflight: AtomicU32,
-    is_draining: AtomicBool,
+    counters: Arc<UpstreamCounters>,
 }
 
 impl UpstreamState {
@@ -38,43 +44,47 @@
         Self {
             name: name.to_owned(),
             failure_domain: FailureDomain::new(&spec.failure_domain),
-            is_draining: AtomicBool::new(spec.draining),
             spec,
             labels,
-            inflight: AtomicU32::new(0),
+            counters: Arc::default(),
         }
     }
 
+    /// Creates the state of the same upstream under another spec; both share their counters.
+    pub fn with_spec(&self, spec: UpstreamSpec, labels: LabelSet) -> Self {
+        Self { counters: Arc::clone(&self.counters), ..Self::new(&self.name, spec, labels) }
+    }
+
     /// Requests that this node has sent and that are not finished.
     pub fn inflight(&self) -> u32 {
-        self.inflight.load(Ordering::Relaxed)
+        self.counters.inflight.load(Ordering::Relaxed)
     }
 
-    /// Whether the upstream gets no new work.
+    /// Whether the upstream gets no new work, by its spec or by its own mark.
     pub fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::Relaxed)
+        self.spec.draining || self.counters.is_marked_draining.load(Ordering::Relaxed)
     }
 
-    /// Records that the upstream is, or is no longer, leaving.
-    pub fn set_draining(&self, is_draining: bool) {
-        self.is_draining.store(is_draining, Ordering::Relaxed);
+    /// Records that the upstream marks, or no longer marks, its answers as draining.
+    pub fn set_marked_draining(&self, is_draining: bool) {
+        self.counters.is_marked_draining.store(is_draining, Ordering::Relaxed);
     }
 
     /// Counts a request as sent until the guard is dropped.
-    pub fn enter(self: &Arc<Self>) -> InflightGuard {
-        self.inflight.fetch_add(1, Ordering::Relaxed);
-        InflightGuard { upstream: Arc::clone(self) }
+    pub fn enter(&self) -> InflightGuard {
+        self.counters.inflight.fetch_add(1, Ordering::Relaxed);
+        InflightGuard { counters: Arc::clone(&self.counters) }
     }
 }
 
 /// Counts one request in flight while it lives.
 #[derive(Debug)]
 pub struct InflightGuard {
-    upstream: Arc<UpstreamState>,
+    counters: Arc<UpstreamCounters>,
 }
 
 impl Drop for InflightGuard {
     fn drop(&mut self) {
-        self.upstream.inflight.fetch_sub(1, Ordering::Relaxed);
+        self.counters.inflight.fetch_sub(1, Ordering::Relaxed);
     }
 }
