tests: tell whole stories in a scenario language

Scenarios run library parts on a paused clock: entry nodes over scripted upstreams and the platform stand-in. The transcript is golden; expect commands and standing checks fail even while it is regenerated.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,8 @@
 mod compile;
 mod processes;
 mod result_codes;
+mod scenario_runner;
+mod scenarios;
 mod selectors;
 mod settings;
 mod support;
--- /dev/null
+++ b/tests/testsuite/scenario_runner/node_store.rs
@@ -0,0 +1,139 @@
+//! A node's way to the platform: it can be paused or cut, and says what passes.
+
+use std::sync::Arc;
+
+use heatherfall::platform::{
+    ObjectDraft, ObjectEnvelope, ObjectList, PlatformStore, Precondition, Revision, StoreError,
+    VmList, WatchBatch, WatchRequest,
+};
+use heatherfall_standins::platform::StandinPlatform;
+use serde_json::Value;
+use tokio::sync::watch;
+
+use super::transcript::Transcript;
+
+/// Whether a node's code goes on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum NodePower {
+    Running,
+    Paused,
+    Killed,
+}
+
+/// Holds a node's calls while it is paused, and for ever once it is killed.
+#[derive(Clone, Debug)]
+pub(super) struct NodeGate {
+    power: watch::Sender<NodePower>,
+}
+
+impl NodeGate {
+    pub(super) fn new() -> Self {
+        Self { power: watch::Sender::new(NodePower::Running) }
+    }
+
+    pub(super) fn set(&self, power: NodePower) {
+        self.power.send_replace(power);
+    }
+
+    pub(super) async fn pass(&self) {
+        let mut power = self.power.subscribe();
+        let _ = power.wait_for(|power| *power == NodePower::Running).await;
+    }
+}
+
+/// The platform as one node sees it.
+#[derive(Clone, Debug)]
+pub(super) struct NodeStore {
+    pub(super) node: String,
+    pub(super) platform: StandinPlatform,
+    pub(super) gate: NodeGate,
+    pub(super) transcript: Transcript,
+}
+
+impl NodeStore {
+    /// Runs a call between two passes of the gate and reports what changed.
+    async fn call<T>(
+        &self,
+        name: &str,
+        call: impl Future<Output = Result<T, StoreError>>,
+        describe: impl FnOnce(&T) -> Option<String>,
+    ) -> Result<T, StoreError> {
+        self.gate.pass().await;
+        let result = call.await;
+        self.gate.pass().await;
+        let text = match &result {
+            Ok(value) => describe(value),
+            Err(StoreError::Conflict(_)) => Some("conflict".to_owned()),
+            Err(StoreError::NotFound) => Some("not found".to_owned()),
+            Err(error) => Some(error.to_string()),
+        };
+        if let Some(text) = text {
+            self.transcript.say_change(&format!("platform {} {name}", self.node), &text);
+        }
+        result
+    }
+}
+
+impl PlatformStore for NodeStore {
+    async fn get(&self, kind: &str, name: &str) -> Result<ObjectEnvelope, StoreError> {
+        let call = self.platform.get(kind, name);
+        self.call(&format!("get {kind}"), call, |object| Some(format!("v{}", object.version))).await
+    }
+
+    async fn list(&self, kind: &str, prefix: &str) -> Result<ObjectList, StoreError> {
+        let call = self.platform.list(kind, prefix);
+        self.call(&format!("list {kind}"), call, |list| {
+            Some(format!("{} objects at revision {}", list.items.len(), list.revision))
+        })
+        .await
+    }
+
+    async fn put(
+        &self,
+        draft: ObjectDraft,
+        precondition: Precondition,
+    ) -> Result<ObjectEnvelope, StoreError> {
+        let name = format!("put {}", draft.kind);
+        let call = self.platform.put(draft, precondition);
+        self.call(&name, call, |object| Some(format!("v{}", object.version))).await
+    }
+
+    async fn put_status(
+        &self,
+        kind: &str,
+        name: &str,
+        spec_version: Revision,
+        status: Value,
+    ) -> Result<ObjectEnvelope, StoreError> {
+        let call = self.platform.put_status(kind, name, spec_version, status);
+        let name = format!("status {kind} {name}");
+        self.call(&name, call, |object| Some(object.status.to_string())).await
+    }
+
+    async fn delete(
+        &self,
+        kind: &str,
+        name: &str,
+        spec_version: Revision,
+    ) -> Result<(), StoreError> {
+        let call = self.platform.delete(kind, name, spec_version);
+        self.call(&format!("delete {kind}"), call, |()| Some("done".to_owned())).await
+    }
+
+    async fn watch(&self, request: WatchRequest) -> Result<WatchBatch, StoreError> {
+        let call = self.platform.watch(request);
+        self.call("watch", call, |batch| match batch.events.len() {
+            0 => None,
+            count => Some(format!("{count} events up to revision {}", batch.revision)),
+        })
+        .await
+    }
+
+    async fn vms(&self) -> Result<VmList, StoreError> {
+        let call = self.platform.vms();
+        self.call("vms", call, |list| Some(format!("{} in the list", list.vms.len()))).await
+    }
+}
+
+/// Nodes hold their store behind a pointer.
+pub(super) type SharedNodeStore = Arc<NodeStore>;
