peer: serve authenticated calls between entry nodes

Cause: nodes had no way to reach each other, and whoever reaches a listener for peers could hand out configuration. The first key signs, all verify, and the file is read again every 2 s. PeerTransport is the seam to tests.

--- a/src/ops/dev.rs
+++ b/src/ops/dev.rs
@@ -15,15 +15,18 @@
 use crate::core::ObjectKind;
 use crate::ops::node::{self, RunningNode};
 use crate::ops::node_settings::{
-    ListenSettings, LogSettings, NodeSettings, PlatformSettings, ShutdownSettings,
+    ListenSettings, LogSettings, NodeSettings, PeerSettings, PlatformSettings, ShutdownSettings,
 };
 use crate::ops::objects::{self, ObjectManifest};
+use crate::peer::PeerKeys;
 use crate::platform::{VmRecord, VmState};
 
 /// Objects of both users, without upstreams.
 const SAMPLE_OBJECTS: &str = include_str!("../../examples/both-users.jsonc");
 /// Failure domains of the entry nodes and upstreams.
 const FAILURE_DOMAINS: [&str; 3] = ["fd-a", "fd-b", "fd-c"];
+/// Key of the embedded deployment, which listens on loopback addresses only.
+const DEV_PEER_KEY: &str = "key of the embedded deployment";
 /// Time for all nodes to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause between two looks at readiness.
@@ -117,11 +120,16 @@
             let node_settings = NodeSettings {
                 vm: format!("entry-{}", index + 1),
                 failure_domain: (*failure_domain).to_owned(),
-                listen: ListenSettings { callers: loopback(port), admin: loopback(0) },
+                listen: ListenSettings {
+                    callers: loopback(port),
+                    admin: loopback(0),
+                    peers: loopback(0),
+                },
                 platform: PlatformSettings {
                     address: platform_server.addr(),
                     timeout: Duration::from_secs(2),
                 },
+                peers: PeerSettings::default(),
                 limits: Default::default(),
                 log: LogSettings::default(),
                 shutdown: ShutdownSettings { announce: settings.announce, ..Default::default() },
@@ -187,11 +195,12 @@
 ) -> miette::Result<RunningNode> {
     let id = settings.vm.clone();
     let failure_domain = settings.failure_domain.clone();
-    let node = node::start(settings, Arc::new(platform.clone())).await?;
+    let keys = PeerKeys::parse(DEV_PEER_KEY).into_diagnostic()?;
+    let node = node::start_with_keys(settings, Arc::new(platform.clone()), keys).await?;
     platform.put_vm(VmRecord {
         id,
         address: node.caller_addr().to_string(),
-        peer_address: node.admin_addr().to_string(),
+        peer_address: node.peer_addr().to_string(),
         failure_domain,
         state: VmState::Live,
     });
--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -1,12 +1,15 @@
 //! Wires one node: platform, services, request plane, listeners.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
 use miette::{IntoDiagnostic, WrapErr};
 use prometheus::Registry;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
+use tonic::service::Routes;
 
 use crate::balance::RandomPicker;
 use crate::core::{FailureDomain, ResultCode, SharedSnapshot, VmId};
@@ -17,6 +20,7 @@
 use crate::membership::{AddressBook, SharedMembership};
 use crate::ops::node_settings::NodeSettings;
 use crate::ops::node_status::StatusSource;
+use crate::peer::{PeerAuth, PeerKeys, PeerServer};
 use crate::platform::PlatformStore;
 use crate::request::{ExchangeSettings, RequestPlane};
 use crate::serve::{
@@ -25,6 +29,9 @@
 };
 use crate::util::SeededRandom;
 
+/// Time between two reads of the key file.
+const KEY_POLL_INTERVAL: Duration = Duration::from_secs(2);
+
 /// The request plane's service in the daemon.
 type NodeFront = FrontService<HttpUpstreamClient, RandomPicker>;
 
@@ -32,12 +39,15 @@
 pub struct RunningNode {
     caller_addr: SocketAddr,
     admin_addr: SocketAddr,
+    peer_addr: SocketAddr,
+    auth: PeerAuth,
     settings: NodeSettings,
     kernel: ServiceKernel,
     front: Arc<NodeFront>,
     status: Arc<StatusSource>,
     stop_callers: CancellationToken,
     stop_admin: CancellationToken,
+    stop_peers: CancellationToken,
     callers: JoinHandle<()>,
 }
 
@@ -52,6 +62,11 @@
         self.admin_addr
     }
 
+    /// Address for other entry nodes.
+    pub fn peer_addr(&self) -> SocketAddr {
+        self.peer_addr
+    }
+
     /// Whether the node has a configuration to serve.
     pub fn is_ready(&self) -> bool {
         self.status.unready_reason().is_none()
@@ -73,6 +88,7 @@
             log::error!(target: "node", "requests still in flight at the end of the drain time");
         }
         self.kernel.stop().await;
+        self.stop_peers.cancel();
         self.stop_admin.cancel();
         log::info!(target: "node", "left vm={}", self.settings.vm);
     }
@@ -82,10 +98,30 @@
 ///
 /// # Errors
 ///
-/// Returns HF-5004 if a listen address cannot be opened.
+/// Returns HF-5001 if the key file cannot be used, and HF-5004 if a listen address cannot be
+/// opened.
 pub async fn start<S: PlatformStore>(
     settings: NodeSettings,
     store: Arc<S>,
+) -> miette::Result<RunningNode> {
+    let key_file = settings.peers.key_file.clone();
+    let keys = PeerKeys::load(&key_file)
+        .into_diagnostic()
+        .wrap_err_with(|| format!("{}: peers.key_file", ResultCode::SettingsUnreadable))?;
+    let node = start_with_keys(settings, store, keys).await?;
+    tokio::spawn(follow_keys(key_file, node.auth.clone(), node.stop_peers.clone()));
+    Ok(node)
+}
+
+/// Starts a node on `store` with keys that do not come from a file.
+///
+/// # Errors
+///
+/// Returns HF-5004 if a listen address cannot be opened.
+pub async fn start_with_keys<S: PlatformStore>(
+    settings: NodeSettings,
+    store: Arc<S>,
+    keys: PeerKeys,
 ) -> miette::Result<RunningNode> {
     let snapshot = SharedSnapshot::default();
     let membership = SharedMembership::default();
@@ -111,6 +147,12 @@
         .await
         .into_diagnostic()
         .wrap_err_with(|| listen_failed(settings.listen.admin))?;
+    let auth = PeerAuth::new(VmId::new(&settings.vm), keys);
+    let peers = PeerServer::bind(settings.listen.peers, auth.clone())
+        .await
+        .into_diagnostic()
+        .wrap_err_with(|| listen_failed(settings.listen.peers))?;
+    let peer_addr = peers.local_addr().into_diagnostic()?;
     let caller_addr = server.local_addr().into_diagnostic()?;
     let admin_addr = admin.local_addr().into_diagnostic()?;
 
@@ -131,22 +173,49 @@
     let front = Arc::new(FrontService::new(plane, addresses, metrics, front_settings));
     let stop_callers = CancellationToken::new();
     let stop_admin = CancellationToken::new();
+    let stop_peers = CancellationToken::new();
+    tokio::spawn(peers.run(Routes::default(), stop_peers.clone()));
     let callers = tokio::spawn(server.run(Arc::clone(&front), stop_callers.clone()));
     tokio::spawn(admin.run(stop_admin.clone()));
-    log::info!(target: "node", "started vm={} callers={caller_addr} admin={admin_addr}", settings.vm);
+    log::info!(
+        target: "node",
+        "started vm={} callers={caller_addr} admin={admin_addr} peers={peer_addr}",
+        settings.vm,
+    );
     Ok(RunningNode {
         caller_addr,
         admin_addr,
+        peer_addr,
+        auth,
         settings,
         kernel,
         front,
         status,
         stop_callers,
         stop_admin,
+        stop_peers,
         callers,
     })
 }
 
+/// Reads the key file again and again; a file that cannot be used leaves the last keys in force.
+async fn follow_keys(key_file: PathBuf, auth: PeerAuth, stop: CancellationToken) {
+    let mut last_fault = String::new();
+    while stop.run_until_cancelled(tokio::time::sleep(KEY_POLL_INTERVAL)).await.is_some() {
+        let fault = match PeerKeys::load(&key_file) {
+            Ok(keys) => {
+                auth.set_keys(keys);
+                String::new()
+            }
+            Err(error) => error.to_string(),
+        };
+        if !fault.is_empty() && fault != last_fault {
+            log::warn!(target: "peer", "key file unusable, last keys kept reason={fault}");
+        }
+        last_fault = fault;
+    }
+}
+
 fn listen_failed(addr: SocketAddr) -> String {
     let code = ResultCode::ListenFailed;
     format!("{code}: cannot listen on {addr}")
--- a/src/ops/node_settings.rs
+++ b/src/ops/node_settings.rs
@@ -1,6 +1,7 @@
 //! Settings of `heatherfalld`.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -20,6 +21,8 @@
     pub listen: ListenSettings,
     /// The platform.
     pub platform: PlatformSettings,
+    /// Calls between entry nodes.
+    pub peers: PeerSettings,
     /// Limits on callers.
     #[serde(default)]
     pub limits: LimitSettings,
@@ -39,6 +42,20 @@
     pub callers: SocketAddr,
     /// For operators and metrics.
     pub admin: SocketAddr,
+    /// For other entry nodes.
+    pub peers: SocketAddr,
+}
+
+/// Calls between entry nodes.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerSettings {
+    /// File with the deployment's keys, one a line: the first signs, all verify. It is read again
+    /// every few seconds.
+    pub key_file: PathBuf,
+    /// Addresses of some peers, for a start while the platform is down.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
 }
 
 /// The platform.
@@ -139,6 +156,14 @@
                 help: "give each listener an address of its own".to_owned(),
             });
         }
+        let others = [self.listen.callers, self.listen.admin];
+        if others.contains(&self.listen.peers) && self.listen.peers.port() != 0 {
+            return Err(FieldFault {
+                field: "peers",
+                message: format!("{} is also the address of another listener", self.listen.peers),
+                help: "give each listener an address of its own".to_owned(),
+            });
+        }
         if self.limits.max_head_bytes < MIN_HEAD_BYTES {
             return Err(FieldFault {
                 field: "max_head_bytes",
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,4 +1,17 @@
 //! Calls between entry nodes, over `tonic`.
+//!
+//! [`PeerServer`] serves the services of a node to its peers and [`PeerTransport`] calls those of
+//! others; [`PeerAuth`] signs and verifies every call.
+
+mod auth;
+mod server;
+mod transport;
+
+pub use self::auth::{AuthFault, KeyError, PeerAuth, PeerKeys};
+pub use self::server::PeerServer;
+pub use self::transport::{
+    MAX_MESSAGE_BYTES, PeerChannels, PeerError, PeerTransport, TonicTransport,
+};
 
 /// Generated from `proto/` by `heatherfall-codegen`.
 #[allow(
--- /dev/null
+++ b/src/peer/transport.rs
@@ -0,0 +1,119 @@
+//! How a node calls its peers: the trait, and its implementation over `tonic`.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tonic::transport::{Channel, Endpoint};
+
+use crate::peer::auth::PeerAuth;
+use crate::peer::generated::peer::peer_exchange_client::PeerExchangeClient;
+use crate::peer::generated::peer::{ExchangeReply, ExchangeRequest};
+use crate::util::FastMap;
+
+/// Time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time between two pings on a connection, and time for their answer.
+const KEEP_ALIVE: Duration = Duration::from_secs(2);
+/// Time for an answer beyond the wait that the request asks for.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest message, in bytes: a generation's content and what surrounds it.
+pub const MAX_MESSAGE_BYTES: usize = 2 << 20;
+
+/// Why a peer gave no answer.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum PeerError {
+    /// The peer could not be reached or did not answer in time.
+    #[error("peer does not answer: {0}")]
+    Unavailable(String),
+    /// The peer did not accept this node's key.
+    #[error("peer refused this node's key")]
+    Unauthenticated,
+}
+
+/// Calls of peers.
+pub trait PeerTransport: Send + Sync + 'static {
+    /// Exchanges what both sides know.
+    fn exchange(
+        &self,
+        to: SocketAddr,
+        request: ExchangeRequest,
+    ) -> impl Future<Output = Result<ExchangeReply, PeerError>> + Send;
+}
+
+/// Connections to peers, one for each address, opened when first used.
+#[derive(Clone, Debug, Default)]
+pub struct PeerChannels {
+    channels: Arc<Mutex<FastMap<SocketAddr, Channel>>>,
+}
+
+impl PeerChannels {
+    /// The connection to `to`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address makes no endpoint.
+    pub fn channel(&self, to: SocketAddr) -> Result<Channel, PeerError> {
+        let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(channel) = channels.get(&to) {
+            return Ok(channel.clone());
+        }
+        let endpoint = Endpoint::from_shared(format!("http://{to}"))
+            .map_err(|error| PeerError::Unavailable(error.to_string()))?
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            .http2_keep_alive_interval(KEEP_ALIVE)
+            .keep_alive_timeout(KEEP_ALIVE);
+        let channel = endpoint.connect_lazy();
+        channels.insert(to, channel.clone());
+        Ok(channel)
+    }
+
+    /// Drops the connection to `to`, which may have gone silent; the next call opens a new one.
+    pub fn forget(&self, to: SocketAddr) {
+        self.channels.lock().unwrap_or_else(PoisonError::into_inner).remove(&to);
+    }
+}
+
+/// [`PeerTransport`] over `tonic`.
+#[derive(Clone, Debug)]
+pub struct TonicTransport {
+    channels: PeerChannels,
+    auth: PeerAuth,
+}
+
+impl TonicTransport {
+    /// Creates a transport that signs its calls with `auth`.
+    pub fn new(channels: PeerChannels, auth: PeerAuth) -> Self {
+        Self { channels, auth }
+    }
+}
+
+impl PeerTransport for TonicTransport {
+    async fn exchange(
+        &self,
+        to: SocketAddr,
+        request: ExchangeRequest,
+    ) -> Result<ExchangeReply, PeerError> {
+        let timeout = Duration::from_millis(request.wait_ms) + ANSWER_TIMEOUT;
+        let channel = self.channels.channel(to)?;
+        let mut client = PeerExchangeClient::with_interceptor(channel, self.auth.clone())
+            .max_decoding_message_size(MAX_MESSAGE_BYTES)
+            .max_encoding_message_size(MAX_MESSAGE_BYTES);
+        match tokio::time::timeout(timeout, client.exchange(request)).await {
+            Ok(Ok(reply)) => Ok(reply.into_inner()),
+            Ok(Err(status)) if status.code() == tonic::Code::Unauthenticated => {
+                Err(PeerError::Unauthenticated)
+            }
+            Ok(Err(status)) => {
+                self.channels.forget(to);
+                Err(PeerError::Unavailable(status.to_string()))
+            }
+            Err(_) => {
+                self.channels.forget(to);
+                Err(PeerError::Unavailable(format!("no answer in {timeout:?}")))
+            }
+        }
+    }
+}
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -28,11 +28,11 @@
         str![[r#"
   x HF-5002: unknown field `timeoot`, expected `address` or `timeout` at line 6 column 54 (at platform.timeoot)
    ,-[node.jsonc:6:54]
- 5 |   "listen": { "callers": "127.0.0.1:8081", "admin": "127.0.0.1:9081" },
- 6 |   "platform": { "address": "127.0.0.1:7000", "timeoot": "2s" }
+ 5 |   "listen": { "callers": "127.0.0.1:8081", "admin": "127.0.0.1:9081", "peers": "127.0.0.1:10081" },
+ 6 |   "platform": { "address": "127.0.0.1:7000", "timeoot": "2s" },
    :                                                      ^
    :                                                      `-- here
- 7 | }
+ 7 |   "peers": { "key_file": "/etc/heatherfall/peer.keys", "seeds": [] }
    `----
   help: docs/SETTINGS.md lists every key, its type and default
 
--- a/tests/testsuite/support/daemon.rs
+++ b/tests/testsuite/support/daemon.rs
@@ -13,16 +13,22 @@
     log: BufReader<ChildStderr>,
     pub(crate) caller_addr: SocketAddr,
     pub(crate) admin_addr: SocketAddr,
+    _keys: tempfile::NamedTempFile,
     _settings: tempfile::NamedTempFile,
 }
 
 impl DaemonProcess {
     /// Starts a daemon on free ports and waits until it listens.
     pub(crate) fn start(vm: &str, failure_domain: &str, platform: SocketAddr) -> Self {
+        let keys = tempfile::NamedTempFile::new().expect("temporary file");
+        std::fs::write(keys.path(), "a key for the tests of heatherfalld\n").expect("keys written");
+        let key_file = keys.path().display();
         let settings = format!(
             r#"{{ "vm": "{vm}", "failure_domain": "{failure_domain}",
-                 "listen": {{ "callers": "127.0.0.1:0", "admin": "127.0.0.1:0" }},
+                 "listen": {{ "callers": "127.0.0.1:0", "admin": "127.0.0.1:0",
+                              "peers": "127.0.0.1:0" }},
                  "platform": {{ "address": "{platform}" }},
+                 "peers": {{ "key_file": "{key_file}" }},
                  "shutdown": {{ "announce": "300ms" }} }}"#
         );
         let file = tempfile::NamedTempFile::new().expect("temporary file");
@@ -40,6 +46,7 @@
             log,
             caller_addr: addr_in(&started, "callers="),
             admin_addr: addr_in(&started, "admin="),
+            _keys: keys,
             _settings: file,
         }
     }
