membership: feed configuration and heartbeats through a tree of peers

Cause: every node listed and watched all objects and the VM list itself, so that platform calls grew with the fleet, and each compiled its own view without a number that orders it. Change: one compiler publishes ConfigGeneration/current by a conditional write that names the versions it was made from; a relay for each failure domain watches it and reads the VM list; the others ask their parent in a tree of width 8 by long poll. Nodes apply higher numbers only, keep the replaced generation's idempotence rules for 5 s, and count a confirmation's age through every hop. Status of objects tells accepted, rejected, waiting for whom, in force.

--- a/src/config/compile.rs
+++ b/src/config/compile.rs
@@ -54,6 +54,7 @@
     let upstreams = compile_upstreams(objects, previous, &mut faults);
     let snapshot = ConfigSnapshot {
         generation,
+        replaced_rules: Vec::new(),
         request_rules: compile_request_rules(objects, &mut faults),
         routes: compile_routes(objects, &upstreams, &mut faults),
         idempotence_rules: compile_idempotence(objects, &mut faults),
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,7 +1,26 @@
-//! Compiles objects into a [`ConfigSnapshot`](crate::core::ConfigSnapshot).
+//! Objects into generations, and generations into a [`ConfigSnapshot`](crate::core::ConfigSnapshot).
+//!
+//! ```text
+//! objects -> GenerationPublisher -> ConfigGeneration/current -> GenerationHolder -> snapshot
+//!                                            |                         ^
+//!                                            +---- relays and peers ---+
+//! ```
 
 mod compile;
+mod compiler;
+mod generation;
+mod holder;
 mod object_set;
+mod publish;
+mod status;
 
 pub use self::compile::{CompileOutcome, ObjectFault, check_object, compile};
+pub use self::compiler::ConfigCompiler;
+pub use self::generation::{
+    GENERATION_KIND, GENERATION_NAME, GenerationContent, GenerationObject, MAX_FORMAT, MIN_FORMAT,
+    RejectedObject,
+};
+pub use self::holder::{GenerationHolder, HeldGeneration, OfferOutcome};
 pub use self::object_set::ObjectSet;
+pub use self::publish::{GenerationPublisher, PublishError, PublishOutcome, next_generation};
+pub use self::status::{ConfirmationLimit, NodeGeneration, ObjectStatus, RolloutPhase, status_of};
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -24,6 +24,7 @@
 pub use self::result_code::ResultCode;
 pub use self::selector::{LabelSelector, SelectorError};
 pub use self::snapshot::{
-    ConfigSnapshot, IdempotenceRule, RequestRule, RouteKey, RouteRecord, SharedSnapshot,
+    ConfigSnapshot, IdempotenceRule, ReplacedRules, RequestRule, RouteKey, RouteRecord,
+    SharedSnapshot,
 };
 pub use self::upstream::{InflightGuard, UpstreamArena, UpstreamKey, UpstreamState};
--- a/src/core/object.rs
+++ b/src/core/object.rs
@@ -33,6 +33,11 @@
 ];
 
 impl ObjectKind {
+    /// The kind with this name.
+    pub fn from_name(name: &str) -> Option<Self> {
+        CONFIG_KINDS.into_iter().find(|kind| kind.as_str() == name)
+    }
+
     /// Name of the kind in the object API.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/src/core/result_code.rs
+++ b/src/core/result_code.rs
@@ -59,6 +59,10 @@
     KindUnknown = 2003, "The kind is not known.";
     /// The object changed since it was read.
     WriteConflict = 2004, "The object changed since it was read.";
+    /// The configuration is larger than the platform can hold.
+    GenerationTooLarge = 2005, "The configuration is larger than one value of the platform.";
+    /// A generation uses a format that a node does not read.
+    GenerationUnreadable = 2006, "A generation cannot be read by this node or by a live one.";
     /// The platform does not answer.
     PlatformUnavailable = 3001, "The platform does not answer.";
     /// A write's answer was lost and its effect is not known.
--- a/src/core/snapshot.rs
+++ b/src/core/snapshot.rs
@@ -21,7 +21,7 @@
 pub struct RouteKey(pub u32);
 
 /// One compiled configuration.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct ConfigSnapshot {
     /// Its number.
     pub generation: GenerationNumber,
@@ -33,10 +33,22 @@
     pub routes: Vec<RouteRecord>,
     /// Idempotence rules in name order.
     pub idempotence_rules: Vec<IdempotenceRule>,
+    /// Rules of generations that were replaced a short time ago. While other nodes may still apply
+    /// them, a request that one of them marks at-most-once runs at most once.
+    pub replaced_rules: Vec<Arc<ReplacedRules>>,
     /// Deployment-wide budgets.
     pub budget: BudgetSpec,
 }
 
+/// What a replaced generation said about idempotence.
+#[derive(Clone, Debug, Default)]
+pub struct ReplacedRules {
+    /// Request rules in order of precedence: labels decide which marks hold.
+    pub request_rules: Vec<RequestRule>,
+    /// Idempotence rules.
+    pub idempotence_rules: Vec<IdempotenceRule>,
+}
+
 /// A compiled `RequestLabel`.
 #[derive(Clone, Debug)]
 pub struct RequestRule {
--- a/src/kernel/config_service.rs
+++ b/src/kernel/config_service.rs
@@ -1,60 +1,45 @@
-//! Follows the configuration objects and publishes compiled snapshots.
-//!
-//! ```text
-//! list all kinds -> compile -> publish -> watch -> apply -> compile -> publish ...
-//!      ^                                    |
-//!      +---- error, compaction, silence ----+
-//! ```
+//! Runs the compiler of configuration generations.
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::Duration;
 
 use kameo::Actor;
 use kameo::actor::{ActorRef, WeakActorRef};
 use kameo::error::ActorStopReason;
-use kameo::message::{Context, Message};
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use crate::config::{ObjectSet, compile};
-use crate::core::{CONFIG_KINDS, GenerationNumber, SharedSnapshot};
-use crate::platform::{PlatformStore, StoreError, WatchRequest};
-
-/// Longest wait of one watch call.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
-/// Pause after a failed platform call.
-const RETRY_PAUSE: Duration = Duration::from_millis(500);
+use crate::config::ConfigCompiler;
+use crate::membership::ControlNode;
+use crate::platform::PlatformStore;
 
 /// What the service needs.
 #[derive(Debug)]
 pub struct ConfigServiceArgs<S> {
     /// The platform.
     pub store: Arc<S>,
-    /// Where snapshots are published.
-    pub snapshot: SharedSnapshot,
+    /// The node.
+    pub node: Arc<ControlNode>,
 }
 
 /// The service.
 #[derive(Debug)]
 pub struct ConfigService<S: PlatformStore> {
-    snapshot: SharedSnapshot,
     stop: CancellationToken,
+    work: Option<JoinHandle<()>>,
     _store: std::marker::PhantomData<S>,
 }
 
-/// The objects have changed.
-struct ObjectsChanged {
-    objects: ObjectSet,
-}
-
 impl<S: PlatformStore> Actor for ConfigService<S> {
     type Args = ConfigServiceArgs<S>;
     type Error = Infallible;
 
-    async fn on_start(args: Self::Args, actor: ActorRef<Self>) -> Result<Self, Infallible> {
+    async fn on_start(args: Self::Args, _actor: ActorRef<Self>) -> Result<Self, Infallible> {
         let stop = CancellationToken::new();
-        tokio::spawn(follow(args.store, actor.downgrade(), stop.clone()));
-        Ok(Self { snapshot: args.snapshot, stop, _store: std::marker::PhantomData })
+        let compiler = ConfigCompiler::new(args.node, args.store);
+        let stopped = stop.clone();
+        let work = tokio::spawn(async move { compiler.run(stopped).await });
+        Ok(Self { stop, work: Some(work), _store: std::marker::PhantomData })
     }
 
     async fn on_stop(
@@ -63,65 +48,9 @@
         _reason: ActorStopReason,
     ) -> Result<(), Infallible> {
         self.stop.cancel();
-        Ok(())
-    }
-}
-
-impl<S: PlatformStore> Message<ObjectsChanged> for ConfigService<S> {
-    type Reply = ();
-
-    async fn handle(&mut self, message: ObjectsChanged, _ctx: &mut Context<Self, Self::Reply>) {
-        let generation = GenerationNumber(message.objects.revision());
-        let previous = self.snapshot.load_full();
-        if previous.as_ref().is_some_and(|previous| previous.generation >= generation) {
-            return;
+        if let Some(work) = self.work.take() {
+            let _ = work.await;
         }
-        let outcome = compile(&message.objects, generation, previous.as_deref());
-        for fault in &outcome.faults {
-            log::warn!(
-                target: "config",
-                "object left out kind={} name={} code={} reason={:?}",
-                fault.kind.as_str(), fault.name, fault.code, fault.message,
-            );
-        }
-        log::info!(target: "config", "generation in force number={generation}");
-        self.snapshot.store(Some(Arc::new(outcome.snapshot)));
-    }
-}
-
-async fn follow<S: PlatformStore>(
-    store: Arc<S>,
-    actor: WeakActorRef<ConfigService<S>>,
-    stop: CancellationToken,
-) {
-    while !stop.is_cancelled() {
-        let round = stop.run_until_cancelled(list_and_watch(&*store, &actor));
-        if let Some(Err(error)) = round.await {
-            log::warn!(target: "config", "platform call failed reason={error}");
-            let _ = stop.run_until_cancelled(tokio::time::sleep(RETRY_PAUSE)).await;
-        }
-    }
-}
-
-async fn list_and_watch<S: PlatformStore>(
-    store: &S,
-    actor: &WeakActorRef<ConfigService<S>>,
-) -> Result<(), StoreError> {
-    let mut objects = ObjectSet::default();
-    let mut lowest = u64::MAX;
-    for kind in CONFIG_KINDS {
-        let list = store.list(kind.as_str(), "").await?;
-        lowest = lowest.min(list.revision);
-        objects.replace_kind(kind.as_str(), list);
-    }
-    objects.set_revision(lowest);
-    let kinds: Vec<String> = CONFIG_KINDS.iter().map(|kind| kind.as_str().to_owned()).collect();
-    loop {
-        let Some(actor) = actor.upgrade() else { return Ok(()) };
-        let _ = actor.tell(ObjectsChanged { objects: objects.clone() }).await;
-        drop(actor);
-        let since = objects.revision();
-        let request = WatchRequest { kinds: kinds.clone(), since, wait: WATCH_WAIT };
-        objects.apply(store.watch(request).await?);
+        Ok(())
     }
 }
--- a/src/kernel/membership_service.rs
+++ b/src/kernel/membership_service.rs
@@ -1,45 +1,35 @@
-//! Follows the VM list and publishes the membership view.
+//! Runs the node's part in the exchange between entries.
 
 use std::convert::Infallible;
-use std::sync::Arc;
-use std::time::Duration;
 
 use kameo::Actor;
 use kameo::actor::{ActorRef, WeakActorRef};
 use kameo::error::ActorStopReason;
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use crate::core::{FailureDomain, VmId};
-use crate::membership::{EntryRecord, EntryState, MembershipView, SharedMembership};
-use crate::platform::{PlatformStore, VmList, VmState};
-
-/// Time between two reads of the VM list.
-const POLL_INTERVAL: Duration = Duration::from_secs(1);
-
-/// What the service needs.
-#[derive(Debug)]
-pub struct MembershipServiceArgs<S> {
-    /// The platform.
-    pub store: Arc<S>,
-    /// Where the view is published.
-    pub membership: SharedMembership,
-}
+use crate::membership::{MembershipDriver, MembershipDriverArgs};
+use crate::peer::PeerTransport;
+use crate::platform::PlatformStore;
 
 /// The service.
 #[derive(Debug)]
-pub struct MembershipService<S: PlatformStore> {
+pub struct MembershipService<S: PlatformStore, T: PeerTransport> {
     stop: CancellationToken,
-    _store: std::marker::PhantomData<S>,
+    work: Option<JoinHandle<()>>,
+    _driver: std::marker::PhantomData<MembershipDriver<S, T>>,
 }
 
-impl<S: PlatformStore> Actor for MembershipService<S> {
-    type Args = MembershipServiceArgs<S>;
+impl<S: PlatformStore, T: PeerTransport> Actor for MembershipService<S, T> {
+    type Args = MembershipDriverArgs<S, T>;
     type Error = Infallible;
 
     async fn on_start(args: Self::Args, _actor: ActorRef<Self>) -> Result<Self, Infallible> {
         let stop = CancellationToken::new();
-        tokio::spawn(follow(args, stop.clone()));
-        Ok(Self { stop, _store: std::marker::PhantomData })
+        let driver = MembershipDriver::new(args);
+        let stopped = stop.clone();
+        let work = tokio::spawn(async move { driver.run(stopped).await });
+        Ok(Self { stop, work: Some(work), _driver: std::marker::PhantomData })
     }
 
     async fn on_stop(
@@ -48,41 +38,9 @@
         _reason: ActorStopReason,
     ) -> Result<(), Infallible> {
         self.stop.cancel();
-        Ok(())
-    }
-}
-
-async fn follow<S: PlatformStore>(args: MembershipServiceArgs<S>, stop: CancellationToken) {
-    loop {
-        match args.store.vms().await {
-            Ok(list) => args.membership.store(Arc::new(view_of(list))),
-            Err(error) => log::warn!(target: "membership", "vm list failed reason={error}"),
-        }
-        if stop.run_until_cancelled(tokio::time::sleep(POLL_INTERVAL)).await.is_none() {
-            return;
+        if let Some(work) = self.work.take() {
+            let _ = work.await;
         }
+        Ok(())
     }
 }
-
-fn view_of(list: VmList) -> MembershipView {
-    let mut entries = Vec::with_capacity(list.vms.len());
-    for vm in list.vms {
-        let (Ok(caller_address), Ok(peer_address)) = (vm.address.parse(), vm.peer_address.parse())
-        else {
-            log::warn!(target: "membership", "address unreadable vm={}", vm.id);
-            continue;
-        };
-        let state = match vm.state {
-            VmState::Live => EntryState::Ready,
-            VmState::Leaving => EntryState::Leaving,
-        };
-        entries.push(EntryRecord {
-            vm: VmId::new(&vm.id),
-            failure_domain: FailureDomain::new(&vm.failure_domain),
-            caller_address,
-            peer_address,
-            state,
-        });
-    }
-    MembershipView { entries }
-}
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -9,5 +9,5 @@
 mod service_kernel;
 
 pub use self::config_service::{ConfigService, ConfigServiceArgs};
-pub use self::membership_service::{MembershipService, MembershipServiceArgs};
+pub use self::membership_service::MembershipService;
 pub use self::service_kernel::{ServiceKernel, ServiceName};
--- a/src/kernel/service_kernel.rs
+++ b/src/kernel/service_kernel.rs
@@ -10,9 +10,9 @@
 /// Name of a service.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum ServiceName {
-    /// Lists and watches objects, compiles and publishes snapshots.
+    /// Compiles configuration generations.
     Config,
-    /// Follows the entry VMs and publishes addresses.
+    /// Exchanges heartbeats, generations and hints with the other entries.
     Membership,
 }
 
--- /dev/null
+++ b/src/membership/board.rs
@@ -0,0 +1,275 @@
+//! What one node knows about the entries: heartbeats that it heard, and its view.
+//!
+//! A relay makes the view from the heartbeats of its own tree, those that other relays send, and
+//! the VM list. Every other node has the view of its parent.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::membership::reconcile::{EntryVerdict, HeartbeatSight, ListSight, reconcile};
+use crate::membership::view_table::{ViewDelta, ViewTable, node_state_of, state_of};
+use crate::peer::generated::peer::HeartbeatRecord;
+use crate::platform::VmList;
+use crate::util::FastMap;
+
+/// Age up to which a heartbeat counts.
+pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which a record that is not heard again is dropped.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+/// The way on which a heartbeat came.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HeartbeatSource {
+    /// From below in the tree.
+    Tree,
+    /// From another failure domain's relay.
+    Relay,
+}
+
+/// What changed by merging heartbeats.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MergeEffect {
+    /// Ages at most.
+    Refreshed,
+    /// What an entry says about itself.
+    Changed,
+}
+
+#[derive(Clone, Debug)]
+struct HeardRecord {
+    record: HeartbeatRecord,
+    heard: Instant,
+    source: HeartbeatSource,
+}
+
+#[derive(Clone, Debug)]
+struct SentView {
+    view: Arc<ViewTable>,
+    sent: Instant,
+}
+
+/// Heartbeats and view of one node.
+#[derive(Debug)]
+pub struct HeartbeatBoard {
+    own: HeartbeatRecord,
+    heard: BTreeMap<String, HeardRecord>,
+    listed: Option<VmList>,
+    view: Arc<ViewTable>,
+    sent: FastMap<String, SentView>,
+}
+
+impl HeartbeatBoard {
+    /// Creates the board of the node that `own` describes.
+    pub fn new(own: HeartbeatRecord) -> Self {
+        Self {
+            own,
+            heard: BTreeMap::new(),
+            listed: None,
+            view: Arc::default(),
+            sent: FastMap::default(),
+        }
+    }
+
+    /// The node's own record, with the next sequence number.
+    pub fn beat(&mut self) -> HeartbeatRecord {
+        self.own.sequence += 1;
+        self.own.clone()
+    }
+
+    /// The node's own record.
+    pub fn own(&self) -> &HeartbeatRecord {
+        &self.own
+    }
+
+    /// Changes the node's own record and tells whether that made a difference.
+    pub fn change_own(&mut self, change: impl FnOnce(&mut HeartbeatRecord)) -> MergeEffect {
+        let before = self.own.clone();
+        change(&mut self.own);
+        if self.own == before { MergeEffect::Refreshed } else { MergeEffect::Changed }
+    }
+
+    /// Whether the node is its failure domain's relay.
+    pub fn is_relay(&self) -> bool {
+        self.own.relay_term > 0
+    }
+
+    /// The view.
+    pub fn view(&self) -> Arc<ViewTable> {
+        Arc::clone(&self.view)
+    }
+
+    /// Takes in heartbeats of others.
+    pub fn merge(&mut self, records: Vec<HeartbeatRecord>, source: HeartbeatSource) -> MergeEffect {
+        let now = Instant::now();
+        let mut effect = MergeEffect::Refreshed;
+        for record in records {
+            if record.vm == self.own.vm {
+                self.yield_incarnation(&record);
+                continue;
+            }
+            let known = self.heard.get(&record.vm);
+            if known.is_some_and(|known| !is_newer(&record, &known.record)) {
+                continue;
+            }
+            if known.is_none_or(|known| !is_same_content(&record, &known.record)) {
+                effect = MergeEffect::Changed;
+            }
+            let age = Duration::from_millis(record.age_ms);
+            let heard = now.checked_sub(age).unwrap_or(now);
+            self.heard.insert(record.vm.clone(), HeardRecord { record, heard, source });
+        }
+        effect
+    }
+
+    /// A clock that went back over a restart gave this node an incarnation below its former one.
+    fn yield_incarnation(&mut self, record: &HeartbeatRecord) {
+        if record.incarnation > self.own.incarnation {
+            self.own.incarnation = record.incarnation + 1;
+        }
+    }
+
+    /// The records heard from below, with their ages, for a parent or another relay.
+    pub fn upward(&self) -> Vec<HeartbeatRecord> {
+        let now = Instant::now();
+        let mut records = Vec::new();
+        for heard in self.heard.values() {
+            let age = now.duration_since(heard.heard);
+            if heard.source != HeartbeatSource::Tree || age > HEARTBEAT_TIMEOUT {
+                continue;
+            }
+            let mut record = heard.record.clone();
+            record.age_ms = age.as_millis() as u64;
+            records.push(record);
+        }
+        records
+    }
+
+    /// Records what the platform lists.
+    pub fn set_listed(&mut self, list: VmList) {
+        self.listed = Some(list);
+    }
+
+    /// What the platform lists, as far as it was read.
+    pub fn listed(&self) -> Option<&VmList> {
+        self.listed.as_ref()
+    }
+
+    /// VMs that are listed and from which nothing is heard.
+    pub fn missing(&self) -> Vec<String> {
+        let mut missing = Vec::new();
+        for vm in self.listed.iter().flat_map(|list| &list.vms) {
+            if vm.id != self.own.vm && self.verdict(&vm.id) == EntryVerdict::Missing {
+                missing.push(vm.id.clone());
+            }
+        }
+        missing
+    }
+
+    /// Counts every entry of the present view as heard now. A new relay does this, because its
+    /// children have not called it yet.
+    pub fn inherit_view(&mut self) {
+        let now = Instant::now();
+        for record in self.view.records() {
+            if record.vm == self.own.vm {
+                continue;
+            }
+            let is_own_domain = record.failure_domain == self.own.failure_domain;
+            let source = if is_own_domain { HeartbeatSource::Tree } else { HeartbeatSource::Relay };
+            let mut record = record.clone();
+            record.relay_term = if is_own_domain { 0 } else { record.relay_term };
+            let known = self.heard.entry(record.vm.clone());
+            let heard = HeardRecord { record, heard: now, source };
+            known.and_modify(|known| known.heard = now).or_insert(heard);
+        }
+    }
+
+    /// Makes the view from what is heard and listed, and tells whether it changed.
+    pub fn rebuild_view(&mut self) -> MergeEffect {
+        let now = Instant::now();
+        self.heard.retain(|_, heard| now.duration_since(heard.heard) < FORGET_AFTER);
+        self.sent.retain(|_, sent| now.duration_since(sent.sent) < FORGET_AFTER);
+        let mut records = vec![self.own.clone()];
+        for heard in self.heard.values() {
+            let EntryVerdict::Member(state) = self.verdict(&heard.record.vm) else { continue };
+            let mut record = heard.record.clone();
+            record.set_state(node_state_of(state));
+            records.push(record);
+        }
+        self.set_view(ViewTable::new(records))
+    }
+
+    /// Takes over the view of a parent, and tells whether it changed.
+    pub fn adopt_view(&mut self, is_full: bool, delta: ViewDelta) -> MergeEffect {
+        let base = if is_full { ViewTable::default() } else { ViewTable::clone(&self.view) };
+        self.set_view(base.with_delta(delta))
+    }
+
+    /// The difference between the view and what the child `vm`, whose view has `digest`, has.
+    pub fn delta_for(&mut self, vm: &str, digest: u64) -> ChildDelta {
+        let sent = self.sent.get(vm).filter(|sent| sent.view.digest() == digest);
+        let reply = match sent {
+            Some(sent) => ChildDelta { is_full: false, delta: self.view.delta_from(&sent.view) },
+            None => {
+                let delta = self.view.delta_from(&ViewTable::default());
+                ChildDelta { is_full: digest != self.view.digest(), delta }
+            }
+        };
+        let sent = SentView { view: Arc::clone(&self.view), sent: Instant::now() };
+        self.sent.insert(vm.to_owned(), sent);
+        if digest == self.view.digest() {
+            return ChildDelta { is_full: false, delta: ViewDelta::default() };
+        }
+        reply
+    }
+
+    fn verdict(&self, vm: &str) -> EntryVerdict {
+        let heartbeat = match self.heard.get(vm) {
+            Some(heard) if heard.heard.elapsed() <= HEARTBEAT_TIMEOUT => {
+                HeartbeatSight::Fresh(state_of(&heard.record))
+            }
+            Some(_) => HeartbeatSight::Late,
+            None => HeartbeatSight::Never,
+        };
+        let list = match &self.listed {
+            None => ListSight::Unread,
+            Some(list) => match list.vms.iter().find(|one| one.id == vm) {
+                Some(listed) => ListSight::Listed(listed.state),
+                None => ListSight::Absent,
+            },
+        };
+        reconcile(heartbeat, list)
+    }
+
+    fn set_view(&mut self, view: ViewTable) -> MergeEffect {
+        if view == *self.view {
+            return MergeEffect::Refreshed;
+        }
+        self.view = Arc::new(view);
+        MergeEffect::Changed
+    }
+}
+
+/// What a child is sent of the view.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChildDelta {
+    /// The records replace the child's whole view.
+    pub is_full: bool,
+    /// The difference.
+    pub delta: ViewDelta,
+}
+
+fn is_newer(record: &HeartbeatRecord, known: &HeartbeatRecord) -> bool {
+    (record.incarnation, record.sequence) > (known.incarnation, known.sequence)
+}
+
+fn is_same_content(a: &HeartbeatRecord, b: &HeartbeatRecord) -> bool {
+    let (mut a, mut b) = (a.clone(), b.clone());
+    for record in [&mut a, &mut b] {
+        record.sequence = 0;
+        record.age_ms = 0;
+    }
+    a == b
+}
--- /dev/null
+++ b/src/membership/driver.rs
@@ -0,0 +1,303 @@
+//! Runs a [`ControlNode`] on the platform and the peers.
+//!
+//! Every node asks its parent, again and again. A node whose failure domain has no relay that
+//! answers tries for the relay's lease; the relay's own work is in `relay_driver`.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::config::{GENERATION_KIND, GENERATION_NAME, GenerationContent};
+use crate::membership::board::HeartbeatSource;
+use crate::membership::control_node::ControlNode;
+use crate::membership::fanout::ParentCandidate;
+use crate::membership::lease::{LEASE_RENEWAL, LeaseKeeper, LeaseSpec, LeaseState};
+use crate::membership::view::EntryState;
+use crate::peer::{PeerError, PeerTransport};
+use crate::platform::PlatformStore;
+use crate::util::{FastMap, SeededRandom};
+
+/// Pause after a round in which nobody answered.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Time for which a peer that did not answer is not asked again while there are others.
+const AVOID_TIME: Duration = Duration::from_secs(2);
+/// Time without an answer from the own failure domain after which a node tries for the lease.
+const ORPHAN_AFTER: Duration = Duration::from_secs(1);
+/// Time between two tries of a node without a relay.
+const ORPHAN_STEP: Duration = Duration::from_millis(500);
+/// Time between two looks at ages.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
+/// Shortest time that a call waits before a report of this node replaces it by a new one.
+const REPORT_DELAY: Duration = Duration::from_millis(50);
+/// Time for the answers that a starting node collects.
+const BOOT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Peers that a starting node asks.
+const MAX_BOOT_PEERS: usize = 5;
+/// Time for the release of a lease.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Prefix of the names of relay leases.
+pub(super) const RELAY_LEASE_PREFIX: &str = "relay-";
+
+/// What a driver needs.
+#[derive(Debug)]
+pub struct MembershipDriverArgs<S, T> {
+    /// The node.
+    pub node: Arc<ControlNode>,
+    /// The platform.
+    pub store: Arc<S>,
+    /// Calls of peers.
+    pub transport: Arc<T>,
+    /// Peers from the settings.
+    pub seeds: Vec<SocketAddr>,
+    /// Random numbers, for pauses.
+    pub random: SeededRandom,
+}
+
+/// Runs one node.
+#[derive(Debug)]
+pub struct MembershipDriver<S, T> {
+    pub(super) node: Arc<ControlNode>,
+    pub(super) store: Arc<S>,
+    pub(super) transport: Arc<T>,
+    seeds: Vec<SocketAddr>,
+    pub(super) state: Mutex<DriverState>,
+}
+
+#[derive(Debug)]
+pub(super) struct DriverState {
+    random: SeededRandom,
+    avoided: FastMap<SocketAddr, Instant>,
+    /// Last answer from the own failure domain.
+    last_answer: Option<Instant>,
+    /// The relay lease as last read.
+    known_lease: LeaseSpec,
+    /// Relays of other failure domains, from their leases.
+    pub(super) leased_relays: Vec<SocketAddr>,
+}
+
+impl<S: PlatformStore, T: PeerTransport> MembershipDriver<S, T> {
+    /// Creates a driver; nothing runs yet.
+    pub fn new(args: MembershipDriverArgs<S, T>) -> Self {
+        let state = DriverState {
+            random: args.random,
+            avoided: FastMap::default(),
+            last_answer: None,
+            known_lease: LeaseSpec::default(),
+            leased_relays: Vec::new(),
+        };
+        Self {
+            node: args.node,
+            store: args.store,
+            transport: args.transport,
+            seeds: args.seeds,
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Runs until `stop` is cancelled, then releases the lease.
+    pub async fn run(&self, stop: CancellationToken) {
+        let mut lease = self.relay_lease();
+        let work = async {
+            self.boot().await;
+            tokio::join!(
+                self.refresh_loop(),
+                self.ask_loop(),
+                self.lease_loop(&mut lease),
+                self.generation_loop(),
+                self.list_loop(),
+                self.relay_loop(),
+            );
+        };
+        let _ = stop.run_until_cancelled(work).await;
+        if lease.term().is_some() {
+            self.node.set_relay_term(0);
+            let _ = tokio::time::timeout(RELEASE_TIMEOUT, lease.release(&*self.store)).await;
+        }
+    }
+
+    fn relay_lease(&self) -> LeaseKeeper {
+        let identity = self.node.identity();
+        let name = format!("{RELAY_LEASE_PREFIX}{}", identity.failure_domain);
+        LeaseKeeper::new(&name, identity.vm.as_str(), &identity.peer_address)
+    }
+
+    /// Takes the highest generation of the platform and several peers, so that a node that starts
+    /// again does not first apply an older one than it had.
+    async fn boot(&self) {
+        let platform = async {
+            let listed = tokio::time::timeout(BOOT_TIMEOUT, self.store.vms()).await;
+            if let Ok(Ok(list)) = listed {
+                self.node.set_listed(list);
+            }
+            let get = self.store.get(GENERATION_KIND, GENERATION_NAME);
+            let object = tokio::time::timeout(BOOT_TIMEOUT, get).await;
+            object.ok()?.ok().map(|object| Bytes::from(object.spec.to_string()))
+        };
+        let mut contents = Vec::from_iter(platform.await);
+        let mut asked = Vec::new();
+        for address in self.bootstrap_addresses() {
+            asked.push(self.ask_content(address));
+        }
+        contents.extend(join_all(asked).await.into_iter().flatten());
+        contents.sort_by_key(number_of);
+        for content in contents.iter().rev() {
+            self.node.offer(content);
+        }
+    }
+
+    async fn ask_content(&self, address: SocketAddr) -> Option<Bytes> {
+        let candidate = ParentCandidate { vm: String::new(), address, is_own_domain: false };
+        let mut request = self.node.request(&candidate, HeartbeatSource::Relay);
+        request.known_generation = 0;
+        let call = self.transport.exchange(address, request);
+        let reply = tokio::time::timeout(BOOT_TIMEOUT, call).await.ok()?.ok()?;
+        Some(reply.generation_content).filter(|content| !content.is_empty())
+    }
+
+    fn bootstrap_addresses(&self) -> Vec<SocketAddr> {
+        let mut addresses = self.seeds.clone();
+        for address in self.node.listed_peers() {
+            if !addresses.contains(&address) {
+                addresses.push(address);
+            }
+        }
+        // A seed may be this node itself.
+        let own = self.node.identity().peer_address.parse().ok();
+        addresses.retain(|address| Some(*address) != own);
+        addresses.truncate(MAX_BOOT_PEERS);
+        addresses
+    }
+
+    async fn refresh_loop(&self) {
+        loop {
+            self.node.refresh();
+            tokio::time::sleep(REFRESH_INTERVAL).await;
+        }
+    }
+
+    async fn ask_loop(&self) {
+        loop {
+            if self.node.is_relay() || !self.ask_any().await {
+                let pause = self.lock().random.unit() * RETRY_PAUSE.as_secs_f64();
+                tokio::time::sleep(RETRY_PAUSE / 2 + Duration::from_secs_f64(pause)).await;
+            }
+        }
+    }
+
+    /// Asks the first candidate that answers; returns whether one did.
+    async fn ask_any(&self) -> bool {
+        for candidate in self.parents() {
+            if self.is_avoided(candidate.address) {
+                continue;
+            }
+            match self.ask(&candidate).await {
+                Ok(()) => return true,
+                Err(error) => {
+                    log::info!(
+                        target: "membership",
+                        "peer failed vm={} address={} reason={error}",
+                        candidate.vm, candidate.address,
+                    );
+                    self.lock().avoided.insert(candidate.address, Instant::now());
+                }
+            }
+        }
+        false
+    }
+
+    /// The nodes to ask, in order: the holder of a newer lease than the view knows, those of the
+    /// tree, and without any the ones that the settings or the VM list name.
+    fn parents(&self) -> Vec<ParentCandidate> {
+        let lease = self.lock().known_lease.clone();
+        let mut parents = Vec::new();
+        if lease.term > self.node.known_relay_term()
+            && lease.holder != self.node.identity().vm.as_str()
+            && let Ok(address) = lease.peer_address.parse()
+        {
+            parents.push(ParentCandidate { vm: lease.holder, address, is_own_domain: true });
+        }
+        parents.extend(self.node.candidates());
+        if parents.is_empty() {
+            for address in self.bootstrap_addresses() {
+                let vm = String::new();
+                parents.push(ParentCandidate { vm, address, is_own_domain: false });
+            }
+        }
+        parents
+    }
+
+    async fn ask(&self, to: &ParentCandidate) -> Result<(), PeerError> {
+        let mut reports = self.node.reports();
+        let request = self.node.request(to, HeartbeatSource::Tree);
+        let sent = Instant::now();
+        let report = async {
+            tokio::time::sleep(REPORT_DELAY).await;
+            let _ = reports.changed().await;
+        };
+        tokio::select! {
+            reply = self.transport.exchange(to.address, request) => {
+                self.node.take_reply(to, reply?, sent);
+                if to.is_own_domain {
+                    self.lock().last_answer = Some(Instant::now());
+                }
+            }
+            () = report => {}
+        }
+        Ok(())
+    }
+
+    fn is_avoided(&self, address: SocketAddr) -> bool {
+        let state = self.lock();
+        state.avoided.get(&address).is_some_and(|failed| failed.elapsed() < AVOID_TIME)
+    }
+
+    /// Renews the relay's lease, or tries for it while no relay of the own domain answers.
+    async fn lease_loop(&self, lease: &mut LeaseKeeper) {
+        loop {
+            if let Some(term) = lease.term()
+                && self.node.known_relay_term() > term
+            {
+                log::info!(target: "membership", "another relay has a newer lease term={term}");
+                lease.forget();
+                self.node.set_relay_term(0);
+            }
+            let answered = self.lock().last_answer;
+            let is_orphan = answered.is_none_or(|last| last.elapsed() >= ORPHAN_AFTER);
+            let is_leaving = self.node.state() == EntryState::Leaving;
+            if lease.term().is_some() || (is_orphan && !is_leaving) {
+                self.lease_step(lease).await;
+            }
+            let pause = if lease.term().is_some() { LEASE_RENEWAL } else { ORPHAN_STEP };
+            let jitter = self.lock().random.unit() * 0.2;
+            tokio::time::sleep(pause.mul_f64(0.9 + jitter)).await;
+        }
+    }
+
+    async fn lease_step(&self, lease: &mut LeaseKeeper) {
+        match lease.step(&*self.store).await {
+            Ok(LeaseState::Held { term }) => self.node.set_relay_term(term),
+            Ok(LeaseState::Other(spec)) => {
+                self.node.set_relay_term(0);
+                self.lock().known_lease = spec;
+            }
+            Err(error) => log::debug!(target: "membership", "lease step failed reason={error}"),
+        }
+        if lease.term().is_some() {
+            self.lock().last_answer = Some(Instant::now());
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, DriverState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn number_of(content: &Bytes) -> u64 {
+    let content: Result<GenerationContent, _> = serde_json::from_slice(content);
+    content.map_or(0, |content| content.number.0)
+}
--- /dev/null
+++ b/src/membership/view_table.rs
@@ -0,0 +1,133 @@
+//! The entries that a relay counts as alive, as passed down the fan-out tree.
+//!
+//! Records in a view carry no sequence and no age: they change only when an entry does something
+//! new, so that a quiet fleet sends no views at all. A child names the digest of the view that it
+//! has; the parent answers with the difference from what it last sent, or with the whole view if
+//! the digests differ.
+
+use prost::Message;
+use sha2::{Digest, Sha256};
+
+use crate::core::{FailureDomain, GenerationNumber, VmId};
+use crate::membership::view::{EntryRecord, EntryState};
+use crate::peer::generated::peer::{HeartbeatRecord, NodeState};
+
+/// A view, sorted by VM.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ViewTable {
+    records: Vec<HeartbeatRecord>,
+    digest: u64,
+}
+
+/// Difference between two views.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ViewDelta {
+    /// Records that are new or changed.
+    pub changed: Vec<HeartbeatRecord>,
+    /// VMs that are no longer in the view.
+    pub removed: Vec<String>,
+}
+
+impl ViewTable {
+    /// Makes a view of `records`.
+    pub fn new(mut records: Vec<HeartbeatRecord>) -> Self {
+        for record in &mut records {
+            record.sequence = 0;
+            record.age_ms = 0;
+        }
+        records.sort_by(|a, b| a.vm.cmp(&b.vm));
+        let digest = digest_of(&records);
+        Self { records, digest }
+    }
+
+    /// The records, sorted by VM.
+    pub fn records(&self) -> &[HeartbeatRecord] {
+        &self.records
+    }
+
+    /// Digest of the records; 0 for the empty view.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// The record of a VM.
+    pub fn find(&self, vm: &str) -> Option<&HeartbeatRecord> {
+        let found = self.records.binary_search_by(|record| record.vm.as_str().cmp(vm));
+        self.records.get(found.ok()?)
+    }
+
+    /// What changes `before` into this view.
+    pub fn delta_from(&self, before: &ViewTable) -> ViewDelta {
+        let mut delta = ViewDelta::default();
+        for record in &self.records {
+            if before.find(&record.vm) != Some(record) {
+                delta.changed.push(record.clone());
+            }
+        }
+        for record in &before.records {
+            if self.find(&record.vm).is_none() {
+                delta.removed.push(record.vm.clone());
+            }
+        }
+        delta
+    }
+
+    /// This view after a difference.
+    pub fn with_delta(&self, delta: ViewDelta) -> Self {
+        let mut records = self.records.clone();
+        records.retain(|record| !delta.removed.contains(&record.vm));
+        for changed in delta.changed {
+            records.retain(|record| record.vm != changed.vm);
+            records.push(changed);
+        }
+        Self::new(records)
+    }
+}
+
+fn digest_of(records: &[HeartbeatRecord]) -> u64 {
+    if records.is_empty() {
+        return 0;
+    }
+    let mut hasher = Sha256::new();
+    for record in records {
+        hasher.update(record.encode_length_delimited_to_vec());
+    }
+    let hash = hasher.finalize();
+    let mut first = [0; 8];
+    first.copy_from_slice(&hash[..8]);
+    u64::from_be_bytes(first)
+}
+
+/// State of an entry in a heartbeat.
+pub(super) fn state_of(record: &HeartbeatRecord) -> EntryState {
+    match record.state() {
+        NodeState::Ready => EntryState::Ready,
+        NodeState::Leaving => EntryState::Leaving,
+        NodeState::Starting | NodeState::Unspecified => EntryState::Starting,
+    }
+}
+
+/// State of an entry for a heartbeat.
+pub(super) fn node_state_of(state: EntryState) -> NodeState {
+    match state {
+        EntryState::Starting => NodeState::Starting,
+        EntryState::Ready => NodeState::Ready,
+        EntryState::Leaving => NodeState::Leaving,
+    }
+}
+
+/// The entry that a heartbeat describes, if its addresses are readable.
+pub(super) fn entry_of(record: &HeartbeatRecord) -> Option<EntryRecord> {
+    Some(EntryRecord {
+        vm: VmId::new(&record.vm),
+        failure_domain: FailureDomain::new(&record.failure_domain),
+        caller_address: record.caller_address.parse().ok()?,
+        peer_address: record.peer_address.parse().ok()?,
+        state: state_of(record),
+    })
+}
+
+/// Generation that a heartbeat names.
+pub(super) fn generation_of(record: &HeartbeatRecord) -> GenerationNumber {
+    GenerationNumber(record.generation)
+}
--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use miette::{IntoDiagnostic, WrapErr};
 use prometheus::Registry;
@@ -12,15 +12,22 @@
 use tonic::service::Routes;
 
 use crate::balance::RandomPicker;
+use crate::config::GenerationHolder;
 use crate::core::{FailureDomain, ResultCode, SharedSnapshot, VmId};
 use crate::kernel::{
-    ConfigService, ConfigServiceArgs, MembershipService, MembershipServiceArgs, ServiceKernel,
-    ServiceName,
+    ConfigService, ConfigServiceArgs, MembershipService, ServiceKernel, ServiceName,
+};
+use crate::membership::{
+    AddressBook, ConfigFreshness, ControlNode, EntryState, MembershipDriverArgs, NodeIdentity,
+    SharedMembership,
 };
-use crate::membership::{AddressBook, SharedMembership};
 use crate::ops::node_settings::NodeSettings;
 use crate::ops::node_status::StatusSource;
-use crate::peer::{PeerAuth, PeerKeys, PeerServer};
+use crate::peer::generated::peer::peer_exchange_server::PeerExchangeServer;
+use crate::peer::{
+    ExchangeService, MAX_MESSAGE_BYTES, PeerAuth, PeerChannels, PeerKeys, PeerServer,
+    TonicTransport,
+};
 use crate::platform::PlatformStore;
 use crate::request::{ExchangeSettings, RequestPlane};
 use crate::serve::{
@@ -41,6 +48,7 @@
     admin_addr: SocketAddr,
     peer_addr: SocketAddr,
     auth: PeerAuth,
+    control: Arc<ControlNode>,
     settings: NodeSettings,
     kernel: ServiceKernel,
     front: Arc<NodeFront>,
@@ -81,6 +89,7 @@
     /// closes, requests in flight finish, and the services stop.
     pub async fn leave(self) {
         log::info!(target: "node", "leaving vm={}", self.settings.vm);
+        self.control.set_state(EntryState::Leaving);
         self.front.set_leaving();
         tokio::time::sleep(self.settings.shutdown.announce).await;
         self.stop_callers.cancel();
@@ -156,11 +165,28 @@
     let caller_addr = server.local_addr().into_diagnostic()?;
     let admin_addr = admin.local_addr().into_diagnostic()?;
 
+    let identity = NodeIdentity {
+        vm: VmId::new(&settings.vm),
+        failure_domain: FailureDomain::new(&settings.failure_domain),
+        caller_address: caller_addr.to_string(),
+        peer_address: peer_addr.to_string(),
+        incarnation: seconds_since_epoch(),
+    };
+    let freshness = Arc::new(ConfigFreshness::default());
+    let holder = Arc::new(GenerationHolder::new(Arc::clone(&snapshot)));
+    let control = Arc::new(ControlNode::new(identity, holder, freshness, membership));
     let kernel = ServiceKernel::default();
-    let config = ConfigServiceArgs { store: Arc::clone(&store), snapshot: Arc::clone(&snapshot) };
+    let config = ConfigServiceArgs { store: Arc::clone(&store), node: Arc::clone(&control) };
     kernel.start::<ConfigService<S>>(ServiceName::Config, config);
-    let members = MembershipServiceArgs { store, membership };
-    kernel.start::<MembershipService<S>>(ServiceName::Membership, members);
+    let transport = TonicTransport::new(PeerChannels::default(), auth.clone());
+    let members = MembershipDriverArgs {
+        node: Arc::clone(&control),
+        store,
+        transport: Arc::new(transport),
+        seeds: settings.peers.seeds.clone(),
+        random: SeededRandom::from_entropy(),
+    };
+    kernel.start::<MembershipService<S, TonicTransport>>(ServiceName::Membership, members);
 
     let plane = RequestPlane::new(
         snapshot,
@@ -174,7 +200,11 @@
     let stop_callers = CancellationToken::new();
     let stop_admin = CancellationToken::new();
     let stop_peers = CancellationToken::new();
-    tokio::spawn(peers.run(Routes::default(), stop_peers.clone()));
+    let exchange = PeerExchangeServer::new(ExchangeService::new(Arc::clone(&control)))
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES);
+    let routes = Routes::new(exchange);
+    tokio::spawn(peers.run(routes, stop_peers.clone()));
     let callers = tokio::spawn(server.run(Arc::clone(&front), stop_callers.clone()));
     tokio::spawn(admin.run(stop_admin.clone()));
     log::info!(
@@ -187,6 +217,7 @@
         admin_addr,
         peer_addr,
         auth,
+        control,
         settings,
         kernel,
         front,
@@ -216,6 +247,11 @@
     }
 }
 
+/// Start of this node on its own clock; only compared with earlier starts of the same VM.
+fn seconds_since_epoch() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
+}
+
 fn listen_failed(addr: SocketAddr) -> String {
     let code = ResultCode::ListenFailed;
     format!("{code}: cannot listen on {addr}")
--- a/src/request/classify.rs
+++ b/src/request/classify.rs
@@ -8,7 +8,10 @@
 
 use http::{HeaderMap, Method, Uri};
 
-use crate::core::{ConfigSnapshot, IdempotenceMode, LabelSet, RequestMatcher, RouteKey, TenantId};
+use crate::core::{
+    ConfigSnapshot, IdempotenceMode, IdempotenceRule, LabelSet, RequestMatcher, RequestRule,
+    RouteKey, TenantId,
+};
 
 /// Class of requests that no rule gives one.
 const DEFAULT_CLASS: &str = "other";
@@ -43,30 +46,57 @@
 
 /// Classifies a request under one configuration.
 pub fn classify(snapshot: &ConfigSnapshot, head: RequestHead<'_>) -> RequestClass {
-    let mut labels = LabelSet::default();
     let mut tenant = None;
     let mut class = None;
     for rule in &snapshot.request_rules {
         if !is_match(&rule.matcher, head) {
             continue;
         }
-        labels.fill_from(&rule.labels);
         tenant = tenant.or_else(|| rule.tenant.clone());
         class = class.or_else(|| rule.class.clone());
     }
+    let labels = labels_of(&snapshot.request_rules, head);
     let route = snapshot.routes.iter().position(|route| route.spec.requests.matches(&labels));
     RequestClass {
         tenant: tenant.unwrap_or_else(|| TenantId::new(DEFAULT_TENANT)),
         class: class.unwrap_or_else(|| Arc::from(DEFAULT_CLASS)),
         route: route.map(|index| RouteKey(index as u32)),
-        mode: idempotence(snapshot, &labels),
+        mode: idempotence_of(snapshot, &labels, head),
         labels,
     }
 }
 
-fn idempotence(snapshot: &ConfigSnapshot, labels: &LabelSet) -> IdempotenceMode {
+fn labels_of(rules: &[RequestRule], head: RequestHead<'_>) -> LabelSet {
+    let mut labels = LabelSet::default();
+    for rule in rules {
+        if is_match(&rule.matcher, head) {
+            labels.fill_from(&rule.labels);
+        }
+    }
+    labels
+}
+
+/// While a generation replaces another, a request is at-most-once if either says so.
+fn idempotence_of(
+    snapshot: &ConfigSnapshot,
+    labels: &LabelSet,
+    head: RequestHead<'_>,
+) -> IdempotenceMode {
+    if marked(&snapshot.idempotence_rules, labels) == IdempotenceMode::AtMostOnce {
+        return IdempotenceMode::AtMostOnce;
+    }
+    for replaced in &snapshot.replaced_rules {
+        let labels = labels_of(&replaced.request_rules, head);
+        if marked(&replaced.idempotence_rules, &labels) == IdempotenceMode::AtMostOnce {
+            return IdempotenceMode::AtMostOnce;
+        }
+    }
+    IdempotenceMode::Idempotent
+}
+
+fn marked(rules: &[IdempotenceRule], labels: &LabelSet) -> IdempotenceMode {
     let mut mode = IdempotenceMode::AtMostOnce;
-    for rule in &snapshot.idempotence_rules {
+    for rule in rules {
         if !rule.requests.matches(labels) {
             continue;
         }
