--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -17,7 +17,7 @@
     ConfigService, ConfigServiceArgs, MembershipService, MembershipServiceArgs, ServiceKernel,
     ServiceName,
 };
-use crate::membership::{AddressBook, SharedMembership};
+use crate::membership::{AddressBook, ConfigFreshness, SharedMembership};
 use crate::ops::node_settings::NodeSettings;
 use crate::ops::node_status::StatusSource;
 use crate::peer::{PeerAuth, PeerKeys, PeerServer};
@@ -157,7 +157,12 @@
     let admin_addr = admin.local_addr().into_diagnostic()?;
 
     let kernel = ServiceKernel::default();
-    let config = ConfigServiceArgs { store: Arc::clone(&store), snapshot: Arc::clone(&snapshot) };
+    let freshness = Arc::new(ConfigFreshness::default());
+    let config = ConfigServiceArgs {
+        store: Arc::clone(&store),
+        snapshot: Arc::clone(&snapshot),
+        freshness: Arc::clone(&freshness),
+    };
     kernel.start::<ConfigService<S>>(ServiceName::Config, config);
     let members = MembershipServiceArgs { store, membership };
     kernel.start::<MembershipService<S>>(ServiceName::Membership, members);
@@ -166,6 +171,7 @@
         snapshot,
         HttpUpstreamClient::new(ConnectionPool::new(PoolSettings::default())),
         RandomPicker::new(SeededRandom::from_entropy()),
+        freshness,
         ExchangeSettings::default(),
     );
     let front_settings =
