--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod exchange;
 mod exchange_state;
 mod peer_calls;
+mod experiment;
 mod processes;
 mod result_codes;
 mod selectors;
