--- a/src/bin/heatherfall-load/main.rs
+++ b/src/bin/heatherfall-load/main.rs
@@ -2,6 +2,7 @@
 
 mod experiment;
 mod run;
+mod slopes;
 
 use std::process::ExitCode;
 
@@ -21,11 +22,14 @@
     Run(run::RunArgs),
     /// Compares policies for choosing upstreams, without sockets.
     Experiment(experiment::ExperimentArgs),
+    /// Measures how state and work grow with targets and rules.
+    Slopes(slopes::SlopeArgs),
 }
 
 fn main() -> miette::Result<ExitCode> {
     match LoadArgs::parse().command {
         LoadCommand::Run(args) => run::execute(args),
         LoadCommand::Experiment(args) => experiment::execute(&args),
+        LoadCommand::Slopes(args) => slopes::execute(&args),
     }
 }
--- /dev/null
+++ b/src/bin/heatherfall-load/slopes.rs
@@ -0,0 +1,48 @@
+//! `heatherfall-load slopes`
+
+use std::process::ExitCode;
+
+use clap::Args;
+use comfy_table::Table;
+use comfy_table::presets::NOTHING;
+use heatherfall::ops::slopes::{self, SlopeReport};
+use miette::IntoDiagnostic;
+
+/// Measures how state and work grow with targets and rules.
+#[derive(Args, Debug)]
+pub(crate) struct SlopeArgs {
+    /// Print JSON in place of tables.
+    #[arg(long)]
+    json: bool,
+}
+
+pub(crate) fn execute(args: &SlopeArgs) -> miette::Result<ExitCode> {
+    let report = slopes::run();
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&report).into_diagnostic()?);
+    } else {
+        print_tables(&report);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_tables(report: &SlopeReport) {
+    let mut table = Table::new();
+    table.load_style(NOTHING);
+    table.set_header(["SERVICES", "TARGETS", "OBJECT BYTES", "COMPILE US"]);
+    for point in &report.targets {
+        table.add_row([
+            point.services.to_string(),
+            point.targets.to_string(),
+            point.object_bytes.to_string(),
+            format!("{:.0}", point.compile_us),
+        ]);
+    }
+    println!("{table}\n");
+    let mut table = Table::new();
+    table.load_style(NOTHING).set_header(["RULES", "CLASSIFY NS"]);
+    for point in &report.rules {
+        table.add_row([point.rules.to_string(), format!("{:.0}", point.classify_ns)]);
+    }
+    println!("{table}");
+}
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -8,6 +8,7 @@
 pub mod node_settings;
 pub mod node_status;
 pub mod objects;
+pub mod slopes;
 pub mod smoke;
 
 mod global_context;
