--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -174,7 +174,7 @@
     };
     let freshness = Arc::new(ConfigFreshness::default());
     let holder = Arc::new(GenerationHolder::new(Arc::clone(&snapshot)));
-    let control = Arc::new(ControlNode::new(identity, holder, freshness, membership));
+    let control = Arc::new(ControlNode::new(identity, holder, Arc::clone(&freshness), membership));
     let kernel = ServiceKernel::default();
     let config = ConfigServiceArgs { store: Arc::clone(&store), node: Arc::clone(&control) };
     kernel.start::<ConfigService<S>>(ServiceName::Config, config);
@@ -192,6 +192,7 @@
         snapshot,
         HttpUpstreamClient::new(ConnectionPool::new(PoolSettings::default())),
         RandomPicker::new(SeededRandom::from_entropy()),
+        freshness,
         ExchangeSettings::default(),
     );
     let front_settings =
