tests: drive whole fleets of control planes on the paused clock

Ten tests with up to 200 nodes in process, an in-memory transport of 1.5 ms one way and the platform stand-in with its faults.

--- /dev/null
+++ b/tests/testsuite/control_plane.rs
@@ -0,0 +1,235 @@
+//! The control planes of whole fleets: rollout, recovery, membership and what they cost.
+
+use std::time::Duration;
+
+use heatherfall::config::{ObjectStatus, RolloutPhase};
+use heatherfall::core::ObjectKind;
+use heatherfall::membership::{EntryState, MAX_CONFIRMED_AGE};
+use heatherfall::platform::PlatformStore;
+use heatherfall_standins::platform::FaultSettings;
+use serde_json::json;
+use tokio::time::Instant;
+
+use crate::support::ControlFleet;
+
+/// Time within which an accepted change is in force everywhere.
+const ROLLOUT_TARGET: Duration = Duration::from_secs(5);
+
+async fn status(fleet: &ControlFleet, kind: &str, name: &str) -> Option<ObjectStatus> {
+    let object = fleet.platform.get(kind, name).await.expect("object");
+    serde_json::from_value(object.status).ok()
+}
+
+async fn wait_phase(fleet: &ControlFleet, kind: &str, name: &str, phase: RolloutPhase) -> Duration {
+    let started = Instant::now();
+    loop {
+        let found = status(fleet, kind, name).await;
+        if found.as_ref().is_some_and(|found| found.phase == phase) {
+            return started.elapsed();
+        }
+        assert!(started.elapsed() < Duration::from_secs(60), "{found:?}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_on_every_node_and_said_so_within_the_target() {
+    let fleet = ControlFleet::started(19, 3).await;
+    let before = fleet.nodes[&0].generation();
+    fleet.apply_upstream("lookups-1", 4).await;
+    let spread = fleet.wait("change", |node| node.generation() > before).await;
+    let told = wait_phase(&fleet, "Upstream", "lookups-1", RolloutPhase::InForce).await;
+    println!("19 nodes: applied everywhere after {spread:?}, told after {:?}", spread + told);
+    assert!(spread + told < ROLLOUT_TARGET, "{spread:?} {told:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_faulty_object_is_rejected_on_its_status_and_its_last_good_version_stays() {
+    let fleet = ControlFleet::started(3, 3).await;
+    let before = fleet.platform.get("Upstream", "lookups-0").await.expect("object");
+    let draft = heatherfall::platform::ObjectDraft {
+        kind: "Upstream".to_owned(),
+        name: "lookups-0".to_owned(),
+        labels: before.labels.clone(),
+        spec: json!({ "address": "nowhere" }),
+        change_id: "faulty".to_owned(),
+    };
+    let condition = heatherfall::platform::Precondition::SpecVersion(before.spec_version);
+    fleet.platform.put(draft, condition).await.expect("written past the client's check");
+    wait_phase(&fleet, "Upstream", "lookups-0", RolloutPhase::Rejected).await;
+    let status = status(&fleet, "Upstream", "lookups-0").await.expect("a status");
+    assert_eq!(status.code.as_deref(), Some("HF-2001"));
+    let snapshot = fleet.nodes[&1].snapshot.load_full().expect("a configuration");
+    assert_eq!(snapshot.upstreams.len(), 1, "the last good version is not in force");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_dead_relay_is_replaced_and_no_node_counts_as_unconfirmed_meanwhile() {
+    for is_silent in [false, true] {
+        let mut fleet = ControlFleet::started(19, 3).await;
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        let relay = fleet.relay_of(1).expect("a relay");
+        fleet.kill(relay, is_silent);
+        let started = Instant::now();
+        let mut oldest = Duration::ZERO;
+        let mut replaced = None;
+        while started.elapsed() < Duration::from_secs(15) {
+            for node in fleet.nodes.values() {
+                oldest = oldest.max(node.freshness.age().expect("was confirmed"));
+            }
+            if replaced.is_none() && fleet.relay_of(1).is_some() {
+                replaced = Some(started.elapsed());
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        println!("silent={is_silent}: replaced after {replaced:?}, oldest confirmation {oldest:?}");
+        assert!(replaced.is_some_and(|time| time < Duration::from_secs(8)), "{replaced:?}");
+        assert!(oldest < MAX_CONFIRMED_AGE, "a node fell back to the restricted side: {oldest:?}");
+        fleet.wait("view", |node| node.ready() == 18).await;
+        let before = fleet.nodes[&0].generation();
+        fleet.apply_upstream("lookups-1", 4).await;
+        let spread = fleet.wait("change", |node| node.generation() > before).await;
+        assert!(spread < ROLLOUT_TARGET, "{spread:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leaving_node_is_dropped_from_every_view_within_seconds_and_hands_its_lease_over() {
+    let mut fleet = ControlFleet::started(19, 3).await;
+    let relay = fleet.relay_of(0).expect("a relay");
+    let leaving = ControlFleet::vm_of(relay);
+    fleet.nodes[&relay].node.set_state(EntryState::Leaving);
+    fleet.nodes[&relay].node.set_state(EntryState::Leaving);
+    let dropped = fleet.wait("dropped", |node| node.ready() == 18).await;
+    println!("leaving {leaving} dropped everywhere after {dropped:?}");
+    assert!(dropped < Duration::from_secs(2), "{dropped:?}");
+    fleet.stop(relay).await;
+    let started = Instant::now();
+    while fleet.relay_of(0).is_none() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    println!("lease handed over after {:?}", started.elapsed());
+    // A lease that lapses takes three seconds.
+    assert!(started.elapsed() < Duration::from_secs(3), "{:?}", started.elapsed());
+}
+
+#[tokio::test(start_paused = true)]
+async fn leaving_ends_in_bounded_time_while_the_platform_is_down() {
+    let mut fleet = ControlFleet::started(3, 3).await;
+    fleet.platform.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+    let started = Instant::now();
+    fleet.nodes[&0].node.set_state(EntryState::Leaving);
+    fleet.stop(0).await;
+    assert!(started.elapsed() < Duration::from_secs(5), "{:?}", started.elapsed());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_platform_outage_keeps_configuration_and_membership_and_ends_without_a_stampede() {
+    let mut fleet = ControlFleet::started(19, 3).await;
+    let generation = fleet.nodes[&0].generation();
+    fleet.platform.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    // A node dies and a relay dies while the platform is down.
+    let relay = fleet.relay_of(2).expect("a relay");
+    fleet.kill(relay, false);
+    let other = (0..19).find(|index| index % 3 == 2 && *index != relay).expect("a node");
+    fleet.kill(other, true);
+    tokio::time::sleep(Duration::from_secs(540)).await;
+    for node in fleet.nodes.values() {
+        assert_eq!(node.generation(), generation);
+        assert!(!node.freshness.is_confirmed(), "nothing can be confirmed");
+        assert!(node.ready() >= 17, "ready={}", node.ready());
+    }
+    let down = fleet.platform.counts().total();
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let during = (fleet.platform.counts().total() - down) as f64 / 10.0;
+    fleet.platform.set_faults(FaultSettings::default());
+    let mut highest = 0;
+    let recovered = Instant::now();
+    let mut confirmed = None;
+    for _ in 0..150 {
+        let before = fleet.platform.counts().total();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        highest = highest.max(fleet.platform.counts().total() - before);
+        if confirmed.is_none() && fleet.nodes.values().all(|node| node.freshness.is_confirmed()) {
+            confirmed = Some(recovered.elapsed());
+        }
+    }
+    println!(
+        "outage: {during:.1} calls/s while down, at most {highest} calls in 100 ms after, all \
+         nodes confirmed after {confirmed:?}"
+    );
+    assert!(confirmed.is_some_and(|time| time < ROLLOUT_TARGET), "{confirmed:?}");
+    assert!(highest < 50, "{highest} calls in 100 ms");
+    fleet.wait("view", |node| node.ready() == 17).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_node_that_starts_while_the_platform_is_down_takes_the_highest_generation_of_its_seeds() {
+    let mut fleet = ControlFleet::started(3, 3).await;
+    let old = fleet.nodes[&1].node.holder().held().expect("a generation");
+    fleet.apply_upstream("lookups-1", 4).await;
+    let newest = old.content.number.0 + 1;
+    fleet.wait("change", |node| node.generation() == newest).await;
+    fleet.platform.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+    // The first seed answers with the generation before, and faster than the second.
+    let stale = fleet.add_peer(9, &old.bytes);
+    fleet.start(4, vec![stale, ControlFleet::address_of(2)]);
+    let mut applied = fleet.nodes[&4].node.holder().subscribe();
+    applied.changed().await.expect("a generation");
+    assert_eq!(applied.borrow_and_update().0, newest, "an older generation was applied first");
+    assert!(!fleet.nodes[&4].freshness.is_confirmed(), "nobody can confirm it");
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    assert_eq!(fleet.nodes[&4].generation(), newest);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_node_without_any_source_is_not_ready_and_becomes_ready_by_itself() {
+    let mut fleet = ControlFleet::new(1);
+    fleet.platform.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+    fleet.start(0, vec![ControlFleet::address_of(9)]);
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    assert!(fleet.nodes[&0].snapshot.load().is_none());
+    assert_eq!(fleet.nodes[&0].node.state(), EntryState::Starting);
+    fleet.platform.set_faults(FaultSettings::default());
+    fleet.apply_upstream("lookups-0", 1).await;
+    fleet.wait("ready", |node| node.ready() == 1).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn platform_calls_do_not_grow_with_the_fleet_and_bytes_stay_within_the_target() {
+    let mut rates = Vec::new();
+    for size in [19, 60, 200] {
+        let fleet = ControlFleet::started(size, 3).await;
+        tokio::time::sleep(Duration::from_secs(20)).await;
+        fleet.network.take_bytes();
+        let before = fleet.platform.counts().total();
+        tokio::time::sleep(Duration::from_secs(60)).await;
+        let calls = (fleet.platform.counts().total() - before) as f64 / 60.0;
+        let mut bytes = fleet.network.take_bytes();
+        bytes.sort_unstable();
+        let mean = bytes.iter().sum::<usize>() / bytes.len() / 60;
+        let most = bytes.last().expect("bytes") / 60;
+        println!("{size} nodes: {calls:.1} platform calls/s, {mean} B/s a node, relay {most} B/s");
+        rates.push(calls);
+        assert!(mean < 11_000, "{mean} bytes/s");
+    }
+    assert!(rates[2] < rates[0] * 1.2, "platform calls grow with the fleet: {rates:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_rollout_names_whom_it_waits_for_and_ends_when_that_node_has_restricted_itself() {
+    let mut fleet = ControlFleet::started(6, 3).await;
+    let relay = fleet.relay_of(1).expect("a relay");
+    let lagging = [1, 4].into_iter().find(|index| *index != relay).expect("a node");
+    fleet.kill(lagging, true);
+    let changed = Instant::now();
+    fleet.apply(ObjectKind::Budget, "default", json!({ "probes_per_second": 10.0 })).await;
+    let accepted = wait_phase(&fleet, "Budget", "default", RolloutPhase::Accepted).await;
+    let status = status(&fleet, "Budget", "default").await.expect("a status");
+    let waiting: Vec<&str> = status.waiting_for.iter().map(|vm| vm.as_str()).collect();
+    assert!(waiting.contains(&ControlFleet::vm_of(lagging).as_str()), "{waiting:?}");
+    wait_phase(&fleet, "Budget", "default", RolloutPhase::InForce).await;
+    println!("accepted after {accepted:?}, in force after {:?}", changed.elapsed());
+    assert!(changed.elapsed() < ROLLOUT_TARGET + Duration::from_secs(1));
+}
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -1,9 +1,11 @@
 //! Builders and small clients that the tests share.
 
 mod caller;
+mod control_fleet;
 mod daemon;
 mod fake_upstream;
 
 pub(crate) use self::caller::TestCaller;
+pub(crate) use self::control_fleet::ControlFleet;
 pub(crate) use self::daemon::DaemonProcess;
 pub(crate) use self::fake_upstream::{FakeClient, FakeStep, plane_fixture};
