limits: admit by class and fair share under an adaptive limit

Cause: every request went to the upstreams at once and waited in their queues until its deadline, whoever had sent how many.

Change: routes that share upstreams share an AdmissionGate. It takes a place by one atomic operation while nobody waits; otherwise a short queue serves classes in order and tenants by the time they have occupied. AdaptiveLimit moves between 1 and twice the slots by the share of shed, timed-out and overloaded attempts.

Shown to fail: without charging tenants, the fairness tests fail; with an unwanted grant given back under the lock, the tests hang.

--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -1,14 +1,23 @@
-//! Bounds on work: budgets of retries and hedges, and the recent latency that hedges start by.
+//! Bounds on work: what is in flight, what waits, and how often it may be repeated.
 //!
+//! [`AdmissionGate`] admits requests to a group of upstreams, by class and by fair shares of the
+//! tenants, under an [`AdaptiveLimit`]. [`RetryBudget`] and [`HedgeBudget`] bound further attempts.
 //! Everything here is kept for each route by its name, so that a configuration change does not
 //! refill a budget.
 
+mod adaptive_limit;
+mod admission_gate;
+mod fair_queue;
 mod hedge_budget;
 mod latency_window;
 mod ratio_budget;
 mod retry_budget;
+mod route_group;
 mod route_limits;
 
+pub use self::adaptive_limit::{AdaptiveLimit, AttemptWindow, CongestionSignal, LimitUse};
+pub use self::admission_gate::{AdmissionGate, GatePermit, GateRefusal, GateRequest, GateSettings};
+pub use self::fair_queue::{FairQueue, QueueShare};
 pub use self::hedge_budget::HedgeBudget;
 pub use self::latency_window::LatencyWindow;
 pub use self::retry_budget::RetryBudget;
--- a/src/limits/route_limits.rs
+++ b/src/limits/route_limits.rs
@@ -5,13 +5,15 @@
 use arc_swap::ArcSwapOption;
 
 use crate::core::{ConfigSnapshot, RouteKey};
+use crate::limits::admission_gate::{AdmissionGate, GateSettings};
 use crate::limits::hedge_budget::HedgeBudget;
 use crate::limits::latency_window::LatencyWindow;
 use crate::limits::retry_budget::RetryBudget;
+use crate::limits::route_group::route_groups;
 use crate::util::FastMap;
 
-/// Budgets and recent latency of one route.
-#[derive(Debug, Default)]
+/// Limits of one route.
+#[derive(Debug)]
 pub struct RouteLimits {
     /// Bounds retries.
     pub retries: RetryBudget,
@@ -19,13 +21,34 @@
     pub hedges: HedgeBudget,
     /// Recent latency, from which the delay of a hedge is taken.
     pub latency: LatencyWindow,
+    /// Bounds what is in flight; shared by routes with an upstream in common.
+    pub gate: Arc<AdmissionGate>,
+}
+
+impl RouteLimits {
+    /// Creates the limits of a route behind `gate`.
+    pub fn new(gate: Arc<AdmissionGate>) -> Self {
+        Self {
+            retries: RetryBudget::default(),
+            hedges: HedgeBudget::default(),
+            latency: LatencyWindow::default(),
+            gate,
+        }
+    }
 }
 
 /// Limits of all routes by name.
 #[derive(Debug, Default)]
 pub struct LimitTable {
     present: ArcSwapOption<SnapshotLimits>,
-    by_name: Mutex<FastMap<String, Arc<RouteLimits>>>,
+    kept: Mutex<KeptLimits>,
+}
+
+/// What outlives a snapshot.
+#[derive(Debug, Default)]
+struct KeptLimits {
+    routes: FastMap<String, Arc<RouteLimits>>,
+    gates: FastMap<String, Arc<AdmissionGate>>,
 }
 
 /// Limits in the order of one snapshot's routes.
@@ -49,14 +72,24 @@
     }
 
     fn rebuild(&self, snapshot: &Arc<ConfigSnapshot>) -> Arc<SnapshotLimits> {
-        let mut by_name = self.by_name.lock().unwrap_or_else(PoisonError::into_inner);
-        by_name.retain(|name, limits| {
-            Arc::strong_count(limits) > 1 || snapshot.route_named(name).is_some()
-        });
+        let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut next = KeptLimits::default();
         let mut routes = Vec::with_capacity(snapshot.routes.len());
-        for route in &snapshot.routes {
-            routes.push(Arc::clone(by_name.entry(route.name.clone()).or_default()));
+        for (route, group) in snapshot.routes.iter().zip(route_groups(snapshot)) {
+            let gate = next.gates.entry(group.name).or_insert_with_key(|name| {
+                kept.gates.remove(name).unwrap_or_else(|| {
+                    Arc::new(AdmissionGate::new(group.slots, GateSettings::default()))
+                })
+            });
+            gate.set_slots(group.slots);
+            let limits = match kept.routes.remove(&route.name) {
+                Some(limits) if Arc::ptr_eq(&limits.gate, gate) => limits,
+                _ => Arc::new(RouteLimits::new(Arc::clone(gate))),
+            };
+            next.routes.insert(route.name.clone(), Arc::clone(&limits));
+            routes.push(limits);
         }
+        *kept = next;
         let limits = Arc::new(SnapshotLimits { snapshot: Arc::clone(snapshot), routes });
         self.present.store(Some(Arc::clone(&limits)));
         limits
--- a/src/request/answer.rs
+++ b/src/request/answer.rs
@@ -2,17 +2,18 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::header::{self, CONTENT_TYPE};
 use http::{HeaderValue, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 use tokio::time::{Instant, Sleep};
 
 use crate::core::{NOT_RUN_HEADER, RESULT_CODE_HEADER, ResultCode};
 
-/// Seconds after which a refused caller may come back.
-const RETRY_AFTER_SECS: u64 = 1;
+/// Time after which a refused caller may come back.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// An answer as the server sends it.
 pub type CallerAnswer<B, G> = Response<AnswerBody<B, G>>;
@@ -111,6 +112,11 @@
 /// Builds a refusal with its result code; the not-run header is set only for codes that promise
 /// it.
 pub fn refusal<B, G>(code: ResultCode) -> CallerAnswer<B, G> {
+    refusal_after(code, RETRY_AFTER)
+}
+
+/// Builds a refusal that tells the caller when to come back.
+pub fn refusal_after<B, G>(code: ResultCode, retry_after: Duration) -> CallerAnswer<B, G> {
     let text = format!("{code}: {}\n", code.summary());
     let mut response = Response::new(AnswerBody::Own(Some(Bytes::from(text))));
     *response.status_mut() = status_of(code);
@@ -123,7 +129,8 @@
         headers.insert(NOT_RUN_HEADER, HeaderValue::from_static("true"));
     }
     if response.status() == StatusCode::SERVICE_UNAVAILABLE {
-        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_SECS));
+        let secs = retry_after.as_secs().max(1);
+        response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(secs));
     }
     response
 }
--- a/src/request/attempt_watch.rs
+++ b/src/request/attempt_watch.rs
@@ -8,10 +8,13 @@
 
 use crate::balance::{AttemptReport, AttemptResult, LoadReport, UpstreamPicker};
 use crate::core::{BudgetSpec, UPSTREAM_DRAIN_HEADER, UPSTREAM_NOT_RUN_HEADER, UpstreamState};
-use crate::limits::RouteLimits;
+use crate::limits::{CongestionSignal, RouteLimits};
 use crate::request::attempt::{AttemptOutcome, NotRunProof, UnknownCause, UpstreamAnswer};
 use crate::request::exchange_state::AttemptEnd;
 
+/// Requests for each slot from which an upstream's own report counts as congestion.
+const LONG_QUEUE_PER_SLOT: u32 = 2;
+
 /// Watches one attempt; reports it as cancelled if it is dropped before its end.
 pub(super) struct AttemptWatch<'a, P: UpstreamPicker> {
     picker: &'a P,
@@ -44,9 +47,27 @@
             }
             _ => {}
         }
+        if let Some(signal) = self.signal_of(&report) {
+            self.limits.gate.record(signal);
+        }
         self.picker.observe(self.upstream, report);
         end_of(outcome)
     }
+
+    /// What the attempt says about congestion; nothing, if it never got as far.
+    fn signal_of(&self, report: &AttemptReport) -> Option<CongestionSignal> {
+        let is_queue_long = report
+            .load
+            .is_some_and(|load| load.inflight > self.upstream.spec.slots * LONG_QUEUE_PER_SLOT);
+        match report.result {
+            AttemptResult::Shed | AttemptResult::TimedOut => Some(CongestionSignal::Congested),
+            AttemptResult::Answered | AttemptResult::ServerError if is_queue_long => {
+                Some(CongestionSignal::Congested)
+            }
+            AttemptResult::Answered | AttemptResult::ServerError => Some(CongestionSignal::Clear),
+            AttemptResult::ConnectFailed | AttemptResult::Broken | AttemptResult::Cancelled => None,
+        }
+    }
 }
 
 impl<P: UpstreamPicker> Drop for AttemptWatch<'_, P> {
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -16,7 +16,7 @@
 mod exchange_state;
 mod plane;
 
-pub use self::answer::{AnswerBody, AnswerError, CallerAnswer, is_not_run, refusal};
+pub use self::answer::{AnswerBody, AnswerError, CallerAnswer, is_not_run, refusal, refusal_after};
 pub use self::attempt::{
     AttemptOutcome, AttemptRequest, ConnectionChoice, NotRunProof, UnknownCause, UpstreamAnswer,
     UpstreamClient,
@@ -27,4 +27,4 @@
     AttemptEnd, AttemptIndex, AttemptRole, ConfigStanding, ExchangeAction, ExchangeEvent,
     ExchangePlan, ExchangeState, StartRefusal, StepContext,
 };
-pub use self::plane::{PlaneAnswer, RequestAdmission, RequestPlane};
+pub use self::plane::{AnswerGuard, PlaneAnswer, RequestAdmission, RequestPlane};
--- a/src/request/plane.rs
+++ b/src/request/plane.rs
@@ -14,13 +14,13 @@
 
 use crate::balance::UpstreamPicker;
 use crate::core::{
-    ConfigSnapshot, DEADLINE_HEADER, InflightGuard, NOT_RUN_HEADER, REQUEST_ID_HEADER,
+    ConfigSnapshot, Criticality, DEADLINE_HEADER, InflightGuard, NOT_RUN_HEADER, REQUEST_ID_HEADER,
     RESULT_CODE_HEADER, RETRY_ALLOWANCE_HEADER, ResultCode, SharedSnapshot,
     UPSTREAM_NOT_RUN_HEADER,
 };
-use crate::limits::{LimitTable, RouteLimits};
+use crate::limits::{GatePermit, GateRequest, LimitTable, RouteLimits};
 use crate::membership::ConfigFreshness;
-use crate::request::answer::{AnswerBody, AnswerStream, CallerAnswer, refusal};
+use crate::request::answer::{AnswerBody, AnswerStream, CallerAnswer, refusal, refusal_after};
 use crate::request::attempt::UpstreamClient;
 use crate::request::classify::{RequestClass, RequestHead, classify};
 use crate::request::exchange::{ExchangeEnd, ExchangeSettings, ExchangeTools, RequestExchange};
@@ -33,8 +33,20 @@
 /// Headers that only this node may set on answers to its callers.
 const OWN_ANSWER_HEADERS: [&str; 3] = [NOT_RUN_HEADER, RESULT_CODE_HEADER, UPSTREAM_NOT_RUN_HEADER];
 
+/// Time after which a shed caller may come back, by class.
+const CRITICAL_RETRY_AFTER: Duration = Duration::from_secs(1);
+const NORMAL_RETRY_AFTER: Duration = Duration::from_secs(2);
+const DEFERRABLE_RETRY_AFTER: Duration = Duration::from_secs(30);
+
 /// An answer of the request plane.
-pub type PlaneAnswer<C> = CallerAnswer<<C as UpstreamClient>::Body, InflightGuard>;
+pub type PlaneAnswer<C> = CallerAnswer<<C as UpstreamClient>::Body, AnswerGuard>;
+
+/// Held until an answer has been passed on.
+#[derive(Debug)]
+pub struct AnswerGuard {
+    _inflight: InflightGuard,
+    _permit: GatePermit,
+}
 
 /// A request whose head has been accepted.
 #[derive(Clone, Debug)]
@@ -45,6 +57,8 @@
     pub class: RequestClass,
     /// Limits of its route.
     pub limits: Arc<RouteLimits>,
+    /// What is shed first.
+    pub criticality: Criticality,
     /// Time of admission.
     pub started: Instant,
     /// Time by which the answer must be whole.
@@ -93,7 +107,8 @@
         let allowed = route.spec.deadline;
         let wanted = number_in(&parts.headers, DEADLINE_HEADER).map(Duration::from_millis);
         let deadline = started + wanted.unwrap_or(allowed).min(allowed);
-        Ok(RequestAdmission { snapshot, class, limits, started, deadline })
+        let criticality = route.spec.criticality;
+        Ok(RequestAdmission { snapshot, class, limits, criticality, started, deadline })
     }
 
     /// Runs an admitted request with its whole body.
@@ -104,6 +119,14 @@
         body: Bytes,
     ) -> PlaneAnswer<C> {
         let deadline = admission.deadline;
+        let asked = GateRequest {
+            class: admission.criticality,
+            tenant: admission.class.tenant.clone(),
+            deadline,
+        };
+        let Ok(permit) = admission.limits.gate.acquire(&asked).await else {
+            return refusal_after(ResultCode::Overloaded, retry_after(admission.criticality));
+        };
         let budget = &admission.snapshot.budget;
         admission.limits.retries.record_request(budget.retry_ratio);
         admission.limits.hedges.record_request(budget.hedge_ratio);
@@ -127,9 +150,10 @@
         };
         match exchange.run(tools).await {
             ExchangeEnd::Answered { answer, inflight } => {
+                let guard = AnswerGuard { _inflight: inflight, _permit: permit };
                 let mut response = answer
                     .response
-                    .map(|body| AnswerBody::Stream(AnswerStream::new(body, deadline, inflight)));
+                    .map(|body| AnswerBody::Stream(AnswerStream::new(body, deadline, guard)));
                 remove_hop_by_hop(response.headers_mut());
                 for name in OWN_ANSWER_HEADERS {
                     response.headers_mut().remove(name);
@@ -141,6 +165,14 @@
     }
 }
 
+fn retry_after(class: Criticality) -> Duration {
+    match class {
+        Criticality::Critical => CRITICAL_RETRY_AFTER,
+        Criticality::Normal => NORMAL_RETRY_AFTER,
+        Criticality::Deferrable => DEFERRABLE_RETRY_AFTER,
+    }
+}
+
 /// A header that holds a whole number.
 fn number_in(headers: &HeaderMap, name: &str) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
--- a/tests/testsuite/exchange.rs
+++ b/tests/testsuite/exchange.rs
@@ -196,3 +196,31 @@
     // Without the allowance each layer makes three attempts: 3^22.
     assert_eq!(3u64.pow(22), 31_381_059_609);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_shed_request_is_refused_at_once_as_not_run_and_reaches_no_upstream() {
+    let client = FakeClient::new(vec![FakeStep::Silent]);
+    let (plane, _) = plane(&client, json!({ "criticality": "deferrable" }));
+    let started = Instant::now();
+    let (mut shed_at_once, mut unknown) = (0, 0);
+    let calls = (0..100).map(|index| {
+        let plane = &plane;
+        async move { (send(plane, "/write", &format!("w-{index}"), None).await, Instant::now()) }
+    });
+    for (answer, ended) in futures_util::future::join_all(calls).await {
+        if answer.code() == "HF-1005" {
+            unknown += 1;
+            continue;
+        }
+        assert!(answer.is_not_run());
+        if ended == started {
+            shed_at_once += 1;
+            assert_eq!(
+                (answer.code(), &answer.headers["retry-after"]),
+                ("HF-1010", &"30".parse().unwrap())
+            );
+        }
+    }
+    // Of 12 slots deferrable work may take 8; four requests a slot may wait.
+    assert_eq!((shed_at_once, unknown, client.ledger.attempts()), (44, 8, 8));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod compile;
 mod exchange;
 mod exchange_state;
+mod limits;
 mod processes;
 mod result_codes;
 mod selectors;
