--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,7 +5,9 @@
 mod compile;
 mod exchange;
 mod exchange_state;
+mod experiment;
 mod limits;
+mod peer_calls;
 mod processes;
 mod result_codes;
 mod selectors;
