--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod exchange;
 mod exchange_state;
 mod experiment;
+mod limits;
 mod peer_calls;
 mod processes;
 mod result_codes;
