--- a/crates/heatherfall-standins/src/platform/faults.rs
+++ b/crates/heatherfall-standins/src/platform/faults.rs
@@ -16,6 +16,8 @@
     pub lose_write_answers: u32,
     /// Watches never return, not even at the end of their wait.
     pub silent_watches: bool,
+    /// Watches that wait when this is set never return, not even when it is unset; later ones work.
+    pub silence_open_watches: bool,
     /// Number of latest revisions that lists and reads do not show yet.
     pub stale_revisions: u64,
     /// VM list calls return the list as it was when this was set.
--- a/tests/testsuite/scenarios.rs
+++ b/tests/testsuite/scenarios.rs
@@ -29,6 +29,9 @@
     a_stale_list_does_not_turn_the_configuration_back: "stale_list.txt";
     racing_operators_see_the_conflict: "operators_race.txt";
     a_leaving_upstream_gets_no_new_work: "upstream_drain.txt";
+    an_accepted_configuration_is_in_force_everywhere_and_stays: "configuration_in_force.txt";
+    a_paused_lease_holder_takes_nobody_back: "paused_holder.txt";
+    a_leaving_entry_cuts_off_nothing: "entry_leaves.txt";
     a_paused_node_goes_on_with_what_is_in_force: "paused_node.txt";
 }
 
