serve: pass on whole messages only, whatever their shape

Cause: an upstream's answer under any transfer coding counted as verified; a streamed answer to a caller on HTTP/1.0 ended with the connection, so a cut one looked whole; a caller that left cancelled a running donation; a caller that read nothing held an upstream connection for ever; bodies had no bound in sum; and a path such as /read/../write was classified by its first segments although an upstream may read it as /write.

Change: only chunked alone, on HTTP/1.1, or a length verify an end. Answers without a length are held whole for HTTP/1.0. At-most-once requests run in a task that a leaving node waits for. StallGuard ends connections that take no bytes. Bodies are bounded together (limits.max_held_bytes) and read within the deadline.

--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -132,6 +132,8 @@
     let server_settings = CallerServerSettings {
         header_timeout: limits.header_timeout,
         max_head_bytes: limits.max_head_bytes,
+        write_timeout: limits.write_timeout,
+        ..CallerServerSettings::default()
     };
     let server = CallerServer::bind(settings.listen.callers, server_settings)
         .await
@@ -174,8 +176,12 @@
         freshness,
         ExchangeSettings::default(),
     );
-    let front_settings =
-        FrontSettings { max_body_bytes: limits.max_body_bytes, body_timeout: limits.body_timeout };
+    let front_settings = FrontSettings {
+        max_body_bytes: limits.max_body_bytes,
+        body_timeout: limits.body_timeout,
+        max_held_bytes: limits.max_held_bytes,
+        ..FrontSettings::default()
+    };
     let front = Arc::new(FrontService::new(plane, addresses, metrics, front_settings));
     let stop_callers = CancellationToken::new();
     let stop_admin = CancellationToken::new();
--- a/src/ops/node_settings.rs
+++ b/src/ops/node_settings.rs
@@ -87,6 +87,11 @@
     /// Time for a request body to arrive.
     #[serde(with = "duration_text")]
     pub body_timeout: Duration,
+    /// Most bytes of request bodies that are held at the same time.
+    pub max_held_bytes: usize,
+    /// Time for a caller to take any more bytes of its answer.
+    #[serde(with = "duration_text")]
+    pub write_timeout: Duration,
 }
 
 impl Default for LimitSettings {
@@ -96,6 +101,8 @@
             max_head_bytes: 64 << 10,
             header_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(30),
+            max_held_bytes: 128 << 20,
+            write_timeout: Duration::from_secs(20),
         }
     }
 }
--- a/src/request/answer.rs
+++ b/src/request/answer.rs
@@ -10,7 +10,11 @@
 use http_body::{Body, Frame, SizeHint};
 use tokio::time::{Instant, Sleep};
 
-use crate::core::{NOT_RUN_HEADER, RESULT_CODE_HEADER, ResultCode};
+use crate::core::{NOT_RUN_HEADER, RESULT_CODE_HEADER, ResultCode, UPSTREAM_NOT_RUN_HEADER};
+
+/// Headers that only this node may set on answers to its callers.
+pub(super) const OWN_ANSWER_HEADERS: [&str; 3] =
+    [NOT_RUN_HEADER, RESULT_CODE_HEADER, UPSTREAM_NOT_RUN_HEADER];
 
 /// Time after which a refused caller may come back.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -65,7 +69,10 @@
 impl<B: Body<Data = Bytes> + Unpin, G> AnswerStream<B, G> {
     fn poll_stream(&mut self, cx: &mut Context<'_>) -> Poll<Option<AnswerFrame<B::Error>>> {
         if let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) {
-            return Poll::Ready(frame.map(|frame| frame.map_err(AnswerError::Upstream)));
+            return Poll::Ready(frame.map(|frame| match frame {
+                Ok(frame) => Ok(without_own_trailers(frame)),
+                Err(error) => Err(AnswerError::Upstream(error)),
+            }));
         }
         let deadline = self.deadline;
         let timer = self.timer.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(deadline)));
@@ -74,6 +81,16 @@
     }
 }
 
+/// Removes trailers that only this node may set.
+fn without_own_trailers(mut frame: Frame<Bytes>) -> Frame<Bytes> {
+    if let Some(trailers) = frame.trailers_mut() {
+        for name in OWN_ANSWER_HEADERS {
+            trailers.remove(name);
+        }
+    }
+    frame
+}
+
 impl<B, G> Body for AnswerBody<B, G>
 where
     B: Body<Data = Bytes> + Unpin,
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -15,8 +15,11 @@
 mod exchange;
 mod exchange_state;
 mod plane;
+mod request_shape;
 
-pub use self::answer::{AnswerBody, AnswerError, CallerAnswer, is_not_run, refusal, refusal_after};
+pub use self::answer::{
+    AnswerBody, AnswerError, AnswerStream, CallerAnswer, is_not_run, refusal, refusal_after,
+};
 pub use self::attempt::{
     AttemptOutcome, AttemptRequest, ConnectionChoice, NotRunProof, UnknownCause, UpstreamAnswer,
     UpstreamClient,
@@ -28,3 +31,4 @@
     ExchangePlan, ExchangeState, StartRefusal, StepContext,
 };
 pub use self::plane::{AnswerGuard, PlaneAnswer, RequestAdmission, RequestPlane};
+pub use self::request_shape::check_shape;
--- a/src/request/plane.rs
+++ b/src/request/plane.rs
@@ -7,32 +7,31 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TE, TRANSFER_ENCODING, UPGRADE};
+use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TE, TRANSFER_ENCODING, UPGRADE};
 use http::request::Parts;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
+use http::{HeaderMap, HeaderName, HeaderValue, Uri};
 use tokio::time::Instant;
 
 use crate::balance::UpstreamPicker;
 use crate::core::{
-    ConfigSnapshot, Criticality, DEADLINE_HEADER, InflightGuard, NOT_RUN_HEADER, REQUEST_ID_HEADER,
-    RESULT_CODE_HEADER, RETRY_ALLOWANCE_HEADER, ResultCode, SharedSnapshot,
-    UPSTREAM_NOT_RUN_HEADER,
+    ConfigSnapshot, Criticality, DEADLINE_HEADER, InflightGuard, REQUEST_ID_HEADER,
+    RETRY_ALLOWANCE_HEADER, ResultCode, SharedSnapshot,
 };
 use crate::limits::{GatePermit, GateRequest, LimitTable, RouteLimits};
 use crate::membership::ConfigFreshness;
-use crate::request::answer::{AnswerBody, AnswerStream, CallerAnswer, refusal, refusal_after};
+use crate::request::answer::{
+    AnswerBody, AnswerStream, CallerAnswer, OWN_ANSWER_HEADERS, refusal, refusal_after,
+};
 use crate::request::attempt::UpstreamClient;
 use crate::request::classify::{RequestClass, RequestHead, classify};
 use crate::request::exchange::{ExchangeEnd, ExchangeSettings, ExchangeTools, RequestExchange};
+use crate::request::request_shape::check_shape;
 
 /// Headers that concern one connection only, beside those that `Connection` names.
 const HOP_BY_HOP: [HeaderName; 4] = [CONNECTION, TE, TRANSFER_ENCODING, UPGRADE];
 /// The same, without a constant of their own.
 const HOP_BY_HOP_NAMES: [&str; 2] = ["keep-alive", "proxy-connection"];
 
-/// Headers that only this node may set on answers to its callers.
-const OWN_ANSWER_HEADERS: [&str; 3] = [NOT_RUN_HEADER, RESULT_CODE_HEADER, UPSTREAM_NOT_RUN_HEADER];
-
 /// Time after which a shed caller may come back, by class.
 const CRITICAL_RETRY_AFTER: Duration = Duration::from_secs(1);
 const NORMAL_RETRY_AFTER: Duration = Duration::from_secs(2);
@@ -96,9 +95,7 @@
     pub fn admit(&self, parts: &Parts) -> Result<RequestAdmission, ResultCode> {
         let started = Instant::now();
         let snapshot = self.snapshot.load_full().ok_or(ResultCode::NotReady)?;
-        if parts.method == Method::CONNECT || parts.headers.contains_key(UPGRADE) {
-            return Err(ResultCode::Unsupported);
-        }
+        check_shape(parts)?;
         let head = RequestHead { method: &parts.method, uri: &parts.uri, headers: &parts.headers };
         let class = classify(&snapshot, head);
         let key = class.route.ok_or(ResultCode::NoRoute)?;
@@ -154,6 +151,10 @@
                 let mut response = answer
                     .response
                     .map(|body| AnswerBody::Stream(AnswerStream::new(body, deadline, guard)));
+                if response.headers().contains_key(TRANSFER_ENCODING) {
+                    // The chunks count; a length beside them is not to be believed.
+                    response.headers_mut().remove(CONTENT_LENGTH);
+                }
                 remove_hop_by_hop(response.headers_mut());
                 for name in OWN_ANSWER_HEADERS {
                     response.headers_mut().remove(name);
@@ -187,8 +188,9 @@
     let mut headers = parts.headers.clone();
     remove_hop_by_hop(&mut headers);
     headers.remove(CONTENT_LENGTH);
-    if !headers.contains_key(HOST)
-        && let Some(authority) = parts.uri.authority()
+    // The body is held whole, so the upstream is not asked whether it wants it.
+    headers.remove(EXPECT);
+    if let Some(authority) = parts.uri.authority()
         && let Ok(value) = HeaderValue::from_str(authority.as_str())
     {
         headers.insert(HOST, value);
--- a/src/serve/caller_server.rs
+++ b/src/serve/caller_server.rs
@@ -14,6 +14,7 @@
 use crate::balance::UpstreamPicker;
 use crate::request::UpstreamClient;
 use crate::serve::front::FrontService;
+use crate::serve::stall_guard::StallGuard;
 
 /// Limits on callers' connections.
 #[derive(Clone, Debug)]
@@ -22,11 +23,23 @@
     pub header_timeout: Duration,
     /// Longest head, in bytes.
     pub max_head_bytes: usize,
+    /// Time for a caller to take any more bytes of its answer.
+    pub write_timeout: Duration,
+    /// Time between two HTTP/2 pings on a quiet connection.
+    pub ping_interval: Duration,
+    /// Time for a ping to be answered.
+    pub ping_timeout: Duration,
 }
 
 impl Default for CallerServerSettings {
     fn default() -> Self {
-        Self { header_timeout: Duration::from_secs(10), max_head_bytes: 64 << 10 }
+        Self {
+            header_timeout: Duration::from_secs(10),
+            max_head_bytes: 64 << 10,
+            write_timeout: Duration::from_secs(20),
+            ping_interval: Duration::from_secs(15),
+            ping_timeout: Duration::from_secs(10),
+        }
     }
 }
 
@@ -75,6 +88,8 @@
         }
         drop(self.listener);
         graceful.shutdown().await;
+        // At-most-once requests whose callers have gone still run to their end.
+        front.finish().await;
     }
 
     fn serve<C: UpstreamClient, P: UpstreamPicker>(
@@ -86,7 +101,7 @@
         let _ = stream.set_nodelay(true);
         let service = service_fn(move |request| {
             let front = Arc::clone(&front);
-            async move { front.answer(request).await }
+            front.answer(request)
         });
         let mut builder = auto::Builder::new(TokioExecutor::new());
         builder
@@ -94,7 +109,13 @@
             .timer(TokioTimer::new())
             .header_read_timeout(self.settings.header_timeout)
             .max_buf_size(self.settings.max_head_bytes);
-        builder.http2().timer(TokioTimer::new());
+        builder
+            .http2()
+            .timer(TokioTimer::new())
+            .max_header_list_size(self.settings.max_head_bytes as u32)
+            .keep_alive_interval(self.settings.ping_interval)
+            .keep_alive_timeout(self.settings.ping_timeout);
+        let stream = StallGuard::new(stream, self.settings.write_timeout);
         let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
--- a/src/serve/front.rs
+++ b/src/serve/front.rs
@@ -5,20 +5,23 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_TYPE};
-use http::{HeaderValue, Request, Response, Uri};
+use http::request::Parts;
+use http::{HeaderValue, Request, Response, Uri, Version};
+use http_body::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use tokio::time::Instant;
+use tokio_util::task::TaskTracker;
 
 use crate::balance::UpstreamPicker;
-use crate::core::{RESULT_CODE_HEADER, ResultCode};
+use crate::core::{IdempotenceMode, RESULT_CODE_HEADER, ResultCode};
 use crate::membership::AddressBook;
 use crate::request::{
-    AnswerBody, PlaneAnswer, RequestClass, RequestPlane, UpstreamClient, refusal,
+    AnswerBody, PlaneAnswer, RequestAdmission, RequestClass, RequestPlane, UpstreamClient, refusal,
 };
 use crate::serve::latency_metrics::LatencyMetrics;
+use crate::serve::request_body::{BodyBounds, BodyBudget, HeldBody, read_body};
 
 /// Path under which callers ask for entry addresses.
 const ADDRESSES_PATH: &str = "/.heatherfall/addresses";
@@ -30,11 +33,20 @@
     pub max_body_bytes: usize,
     /// Longest time for a request body to arrive.
     pub body_timeout: Duration,
+    /// Most bytes of request bodies that are held at the same time.
+    pub max_held_bytes: usize,
+    /// Largest answer without a length that is held for a caller on HTTP/1.0, in bytes.
+    pub max_buffered_answer_bytes: usize,
 }
 
 impl Default for FrontSettings {
     fn default() -> Self {
-        Self { max_body_bytes: 8 << 20, body_timeout: Duration::from_secs(30) }
+        Self {
+            max_body_bytes: 8 << 20,
+            body_timeout: Duration::from_secs(30),
+            max_held_bytes: 128 << 20,
+            max_buffered_answer_bytes: 1 << 20,
+        }
     }
 }
 
@@ -45,6 +57,8 @@
     addresses: Arc<AddressBook>,
     metrics: LatencyMetrics,
     settings: FrontSettings,
+    bodies: Arc<BodyBudget>,
+    running: TaskTracker,
     is_leaving: AtomicBool,
 }
 
@@ -56,7 +70,22 @@
         metrics: LatencyMetrics,
         settings: FrontSettings,
     ) -> Self {
-        Self { plane, addresses, metrics, settings, is_leaving: AtomicBool::new(false) }
+        let bodies = Arc::new(BodyBudget::new(settings.max_held_bytes));
+        Self {
+            plane,
+            addresses,
+            metrics,
+            settings,
+            bodies,
+            running: TaskTracker::new(),
+            is_leaving: AtomicBool::new(false),
+        }
+    }
+
+    /// Waits for the at-most-once requests that go on without their callers.
+    pub(super) async fn finish(&self) {
+        self.running.close();
+        self.running.wait().await;
     }
 
     /// From now on answers tell callers on HTTP/1.1 to close their connection.
@@ -65,19 +94,22 @@
     }
 
     pub(super) async fn answer(
-        &self,
+        self: Arc<Self>,
         request: Request<Incoming>,
     ) -> Result<PlaneAnswer<C>, Infallible> {
         let version = request.version();
-        let mut response = self.respond(request).await;
-        let closes = self.is_leaving.load(Ordering::Relaxed) && version < http::Version::HTTP_2;
+        let mut response = Self::respond(&self, request).await;
+        if version == Version::HTTP_10 {
+            response = self.with_known_length(response).await;
+        }
+        let closes = self.is_leaving.load(Ordering::Relaxed) && version < Version::HTTP_2;
         if closes {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> PlaneAnswer<C> {
+    async fn respond(self: &Arc<Self>, request: Request<Incoming>) -> PlaneAnswer<C> {
         if request.uri().path() == ADDRESSES_PATH {
             return self.address_answer(request.uri());
         }
@@ -86,23 +118,51 @@
             Ok(admission) => admission,
             Err(code) => return refusal(code),
         };
-        let (class, started) = (admission.class.clone(), admission.started);
-        let response = match self.read_body(body).await {
-            Ok(body) => self.plane.run(admission, parts, body).await,
-            Err(code) => refusal(code),
+        let bounds = BodyBounds {
+            max_bytes: self.settings.max_body_bytes,
+            until: (admission.started + self.settings.body_timeout).min(admission.deadline),
+        };
+        let body = match read_body(body, bounds, &self.bodies).await {
+            Ok(body) => body,
+            Err(code) => {
+                let response = refusal(code);
+                self.record(&admission.class, &response, admission.started);
+                return response;
+            }
         };
+        if admission.class.mode == IdempotenceMode::Idempotent {
+            return self.run(admission, parts, body).await;
+        }
+        // Dropping this future when the caller goes must not cancel work whose outcome counts.
+        let front = Arc::clone(self);
+        let task = self.running.spawn(async move { front.run(admission, parts, body).await });
+        task.await.unwrap_or_else(|_| refusal(ResultCode::OutcomeUnknown))
+    }
+
+    async fn run(
+        &self,
+        admission: RequestAdmission,
+        parts: Parts,
+        body: HeldBody,
+    ) -> PlaneAnswer<C> {
+        let (class, started) = (admission.class.clone(), admission.started);
+        let response = self.plane.run(admission, parts, body.bytes.clone()).await;
         self.record(&class, &response, started);
         response
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, ResultCode> {
-        let whole = Limited::new(body, self.settings.max_body_bytes).collect();
-        match tokio::time::timeout(self.settings.body_timeout, whole).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-                Err(ResultCode::RequestTooLarge)
-            }
-            Ok(Err(_)) | Err(_) => Err(ResultCode::MalformedRequest),
+    /// Holds an answer without a length until it is whole.
+    ///
+    /// HTTP/1.0 has no chunks: the answer would end with the connection, and a cut one would look
+    /// whole.
+    async fn with_known_length(&self, response: PlaneAnswer<C>) -> PlaneAnswer<C> {
+        if response.body().size_hint().exact().is_some() {
+            return response;
+        }
+        let (parts, body) = response.into_parts();
+        match Limited::new(body, self.settings.max_buffered_answer_bytes).collect().await {
+            Ok(whole) => Response::from_parts(parts, AnswerBody::Own(Some(whole.to_bytes()))),
+            Err(_) => refusal(ResultCode::AnswerNotWhole),
         }
     }
 
--- a/src/serve/http_client.rs
+++ b/src/serve/http_client.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode, Version};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -21,6 +21,9 @@
 };
 use crate::serve::connection_pool::{ConnectionPool, UpstreamConnection};
 
+/// The transfer coding that marks its own end.
+const CHUNKED: &[u8] = b"chunked";
+
 /// Client over a pool of connections.
 #[derive(Clone, Debug, Default)]
 pub struct HttpUpstreamClient {
@@ -54,7 +57,7 @@
         response: Response<Incoming>,
         connection: UpstreamConnection,
     ) -> AttemptOutcome<UpstreamBody> {
-        if !is_end_verifiable(method, response.status(), response.headers()) {
+        if !is_end_verifiable(method, &response) {
             return AttemptOutcome::Unknown(UnknownCause::AnswerNotWhole);
         }
         let response = response.map(|incoming| {
@@ -113,11 +116,28 @@
     request
 }
 
-fn is_end_verifiable(method: &Method, status: StatusCode, headers: &HeaderMap) -> bool {
-    let has_no_body = method == Method::HEAD
+/// Whether the end of the answer can be told from a broken connection.
+fn is_end_verifiable<B>(method: &Method, response: &Response<B>) -> bool {
+    let (status, headers) = (response.status(), response.headers());
+    if status.is_informational() {
+        return false;
+    }
+    if method == Method::HEAD
         || status == StatusCode::NO_CONTENT
-        || status == StatusCode::NOT_MODIFIED;
-    has_no_body || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+        || status == StatusCode::NOT_MODIFIED
+    {
+        return true;
+    }
+    let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
+    match (encodings.next(), encodings.next()) {
+        (None, _) => headers.contains_key(CONTENT_LENGTH),
+        // With any other coding the end of the connection is the end of the answer.
+        (Some(coding), None) => {
+            response.version() == Version::HTTP_11
+                && coding.as_bytes().eq_ignore_ascii_case(CHUNKED)
+        }
+        (Some(_), Some(_)) => false,
+    }
 }
 
 /// Body of an upstream's answer; its connection goes back to the pool at the verified end.
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -6,6 +6,8 @@
 mod front;
 mod http_client;
 mod latency_metrics;
+mod request_body;
+mod stall_guard;
 
 pub use self::admin::AdminServer;
 pub use self::caller_server::{CallerServer, CallerServerSettings};
--- /dev/null
+++ b/src/serve/stall_guard.rs
@@ -0,0 +1,89 @@
+//! Ends connections whose other end takes no more bytes.
+//!
+//! A caller's connection can go silent for good while an answer is on its way; without a bound the
+//! answer, its upstream connection and its place would be held for ever.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::Sleep;
+
+/// A stream that fails once nothing could be written for a time.
+#[derive(Debug)]
+pub(super) struct StallGuard<S> {
+    stream: S,
+    write_timeout: Duration,
+    /// Runs while a write waits.
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl<S> StallGuard<S> {
+    pub(super) fn new(stream: S, write_timeout: Duration) -> Self {
+        Self { stream, write_timeout, timer: None }
+    }
+
+    /// Passes on progress; turns a wait that has lasted too long into an error.
+    fn watch<T>(
+        &mut self,
+        cx: &mut Context<'_>,
+        progress: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if progress.is_ready() {
+            self.timer = None;
+            return progress;
+        }
+        let timeout = self.write_timeout;
+        let timer = self.timer.get_or_insert_with(|| Box::pin(tokio::time::sleep(timeout)));
+        if timer.as_mut().poll(cx).is_pending() {
+            return Poll::Pending;
+        }
+        Poll::Ready(Err(io::Error::from(io::ErrorKind::TimedOut)))
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for StallGuard<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buffer)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for StallGuard<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let progress = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.watch(cx, progress)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let progress = Pin::new(&mut self.stream).poll_write_vectored(cx, buffers);
+        self.watch(cx, progress)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let progress = Pin::new(&mut self.stream).poll_flush(cx);
+        self.watch(cx, progress)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let progress = Pin::new(&mut self.stream).poll_shutdown(cx);
+        self.watch(cx, progress)
+    }
+}
--- a/tests/testsuite/exchange.rs
+++ b/tests/testsuite/exchange.rs
@@ -7,9 +7,11 @@
 use heatherfall::balance::RandomPicker;
 use heatherfall::core::BudgetSpec;
 use heatherfall::membership::ConfigFreshness;
-use heatherfall::request::{ExchangeSettings, RequestPlane};
+use heatherfall::request::{AnswerBody, AnswerError, AnswerStream, ExchangeSettings, RequestPlane};
 use heatherfall::util::SeededRandom;
 use http::{HeaderMap, Request, StatusCode};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
 use serde_json::json;
 use tokio::time::Instant;
 
@@ -224,3 +226,14 @@
     // Of 12 slots deferrable work may take 8; four requests a slot may wait.
     assert_eq!((shed_at_once, unknown, client.ledger.attempts()), (44, 8, 8));
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_is_not_whole_at_the_deadline_is_cut() {
+    let never = futures_util::stream::pending::<Result<Frame<Bytes>, std::convert::Infallible>>();
+    let started = Instant::now();
+    let deadline = started + Duration::from_millis(300);
+    let mut body = AnswerBody::Stream(AnswerStream::new(StreamBody::new(never), deadline, ()));
+    let frame = body.frame().await.expect("an end that is not clean");
+    assert!(matches!(frame, Err(AnswerError::DeadlineExceeded)));
+    assert!(started.elapsed() < Duration::from_millis(305));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,3 +14,4 @@
 mod settings;
 mod support;
 mod thin_path;
+mod whole_answers;
--- a/tests/testsuite/support/fake_upstream.rs
+++ b/tests/testsuite/support/fake_upstream.rs
@@ -1,6 +1,7 @@
 //! An upstream client without sockets that counts what ran, and the plane around it.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -159,6 +160,16 @@
 
 /// A configuration with three upstreams and one route, `/read` being idempotent.
 pub(crate) fn plane_fixture(route: serde_json::Value, budget: BudgetSpec) -> SharedSnapshot {
+    let addrs = [1, 2, 3].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    snapshot_for(&addrs, route, budget)
+}
+
+/// The same with upstreams at these addresses.
+pub(crate) fn snapshot_for(
+    addrs: &[SocketAddr],
+    route: serde_json::Value,
+    budget: BudgetSpec,
+) -> SharedSnapshot {
     let mut spec = json!({ "requests": "", "upstreams": "", "deadline": "100ms" });
     for (key, value) in route.as_object().unwrap() {
         spec[key] = value.clone();
@@ -166,10 +177,10 @@
     let spec: RouteSpec = serde_json::from_value(spec).unwrap();
     let mut snapshot = ConfigSnapshot { budget, ..ConfigSnapshot::default() };
     let mut upstreams = Vec::new();
-    for port in 1..4 {
-        let spec = json!({ "address": format!("127.0.0.1:{port}"), "failure_domain": "fd-a" });
+    for (index, addr) in addrs.iter().enumerate() {
+        let spec = json!({ "address": addr.to_string(), "failure_domain": "fd-a" });
         let spec = serde_json::from_value(spec).unwrap();
-        let state = UpstreamState::new(&format!("u{port}"), spec, Default::default());
+        let state = UpstreamState::new(&format!("u{index}"), spec, Default::default());
         upstreams.push(snapshot.upstreams.insert(Arc::new(state)));
     }
     snapshot.routes.push(RouteRecord { name: "only".into(), spec, upstreams });
