--- a/crates/heatherfall-standins/src/platform/faults.rs
+++ b/crates/heatherfall-standins/src/platform/faults.rs
@@ -14,6 +14,8 @@
     pub delay: Duration,
     /// Number of further writes that take effect and whose answers are lost.
     pub lose_write_answers: u32,
+    /// Number of further writes just before which another writer changes the same object.
+    pub overtaken_writes: u32,
     /// Watches never return, not even at the end of their wait.
     pub silent_watches: bool,
     /// Watches that wait when this is set never return, not even when it is unset; later ones work.
--- a/crates/heatherfall-standins/src/platform/store.rs
+++ b/crates/heatherfall-standins/src/platform/store.rs
@@ -88,6 +88,29 @@
         self.shared.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn take_overtaken_write(&self) -> bool {
+        let mut shared = self.lock();
+        let is_overtaken = shared.faults.overtaken_writes > 0;
+        shared.faults.overtaken_writes = shared.faults.overtaken_writes.saturating_sub(1);
+        is_overtaken
+    }
+
+    /// Writes a label to an object as another operator.
+    fn overtake(&self, kind: &str, name: &str) {
+        let mut shared = self.lock();
+        let Ok(current) = shared.state.get(kind, name, 0) else { return };
+        let mut labels = current.labels;
+        labels.insert("changed-by".to_owned(), "another-operator".to_owned());
+        let draft = ObjectDraft {
+            kind: current.kind,
+            name: current.name,
+            labels,
+            spec: current.spec,
+            change_id: "another-operator".to_owned(),
+        };
+        let _ = shared.state.put(draft, Precondition::SpecVersion(current.spec_version));
+    }
+
     async fn enter(&self, count: impl FnOnce(&mut CallCounts)) -> Result<(), StoreError> {
         let faults = {
             let mut shared = self.lock();
@@ -148,6 +171,9 @@
         precondition: Precondition,
     ) -> Result<ObjectEnvelope, StoreError> {
         let bytes = draft.spec.to_string().len();
+        if self.take_overtaken_write() {
+            self.overtake(&draft.kind, &draft.name);
+        }
         self.write(bytes, |state| state.put(draft, precondition)).await
     }
 
--- a/src/bin/heatherfall/cli.rs
+++ b/src/bin/heatherfall/cli.rs
@@ -5,13 +5,25 @@
 use std::time::Duration;
 
 use clap::Parser;
-use heatherfall::ops::GlobalContext;
+use heatherfall::core::ResultCode;
+use heatherfall::ops::{GlobalContext, ObjectError};
 
 use crate::commands::Command;
 
+/// Exit codes of every command.
+const EXIT_CODES: &str = "Exit codes:
+  0  done
+  1  failed, or the command's own answer is no
+  2  the arguments are wrong
+  3  somebody else changed the object; nothing was written (HF-2004)
+  4  the platform does not answer; nothing was written (HF-3001)
+  5  it is not known whether the write took effect (HF-3002)
+  6  the object does not fit its kind; nothing was written (HF-2001)
+  7  there is no such object (HF-2007)";
+
 /// Drives heatherfall through labelled objects in the platform's store.
 #[derive(Debug, Parser)]
-#[command(version)]
+#[command(version, after_help = EXIT_CODES)]
 struct ClientArgs {
     /// Address of the platform's object API.
     #[arg(long, global = true, env = "HEATHERFALL_PLATFORM", default_value = "127.0.0.1:7000")]
@@ -40,7 +52,19 @@
         Ok(code) => code,
         Err(report) => {
             eprintln!("{report:?}");
-            ExitCode::FAILURE
+            exit_code_of(&report)
         }
     }
 }
+
+fn exit_code_of(report: &miette::Report) -> ExitCode {
+    let code = report.downcast_ref::<ObjectError>().map(ObjectError::result_code);
+    match code {
+        Some(ResultCode::WriteConflict) => ExitCode::from(3),
+        Some(ResultCode::PlatformUnavailable) => ExitCode::from(4),
+        Some(ResultCode::WriteUnknown) => ExitCode::from(5),
+        Some(ResultCode::SpecMalformed) => ExitCode::from(6),
+        Some(ResultCode::ObjectMissing) => ExitCode::from(7),
+        _ => ExitCode::FAILURE,
+    }
+}
--- a/src/bin/heatherfall/commands/get.rs
+++ b/src/bin/heatherfall/commands/get.rs
@@ -5,11 +5,13 @@
 use clap::Args;
 use comfy_table::Table;
 use comfy_table::presets::NOTHING;
-use heatherfall::ops::{GlobalContext, objects};
+use heatherfall::ops::{GlobalContext, ObjectError, objects};
 use heatherfall::platform::PlatformStore;
 use miette::IntoDiagnostic;
 
-/// Show objects.
+/// Show objects, as a table or with `--json` whole.
+///
+/// Exit codes: 0 shown, 1 the named object does not exist; others as in `heatherfall --help`.
 #[derive(Args, Debug)]
 pub(crate) struct GetArgs {
     /// Kind of the objects.
@@ -23,7 +25,7 @@
         let kind = objects::kind_named(&self.kind)?;
         let store = ctx.store();
         let list = store.list(kind.as_str(), self.name.as_deref().unwrap_or_default()).await;
-        let mut items = list.map_err(|error| objects::unavailable(&error))?.items;
+        let mut items = list.map_err(ObjectError::Unavailable)?.items;
         if let Some(name) = &self.name {
             items.retain(|object| object.name == *name);
         }
@@ -40,7 +42,7 @@
                     object.status.to_string(),
                 ]);
             }
-            println!("{table}");
+            println!("{}", table.trim_fmt());
         }
         let is_missing = self.name.is_some() && items.is_empty();
         Ok(if is_missing { ExitCode::FAILURE } else { ExitCode::SUCCESS })
--- a/src/bin/heatherfall/commands/mod.rs
+++ b/src/bin/heatherfall/commands/mod.rs
@@ -3,7 +3,10 @@
 mod apply;
 mod delete;
 mod dev;
+mod diff;
+mod explain;
 mod get;
+mod standin;
 mod status;
 mod watch;
 
@@ -18,7 +21,10 @@
     Apply(apply::ApplyArgs),
     Delete(delete::DeleteArgs),
     Dev(dev::DevArgs),
+    Diff(diff::DiffArgs),
+    Explain(explain::ExplainArgs),
     Get(get::GetArgs),
+    Standin(standin::StandinArgs),
     Status(status::StatusArgs),
     Watch(watch::WatchArgs),
 }
@@ -29,8 +35,11 @@
             Self::Apply(args) => args.exec(ctx).await,
             Self::Delete(args) => args.exec(ctx).await,
             Self::Dev(args) => args.exec().await,
+            Self::Diff(args) => args.exec(ctx).await,
+            Self::Explain(args) => args.exec(ctx).await,
             Self::Get(args) => args.exec(ctx).await,
-            Self::Status(args) => args.exec().await,
+            Self::Standin(args) => args.exec().await,
+            Self::Status(args) => args.exec(ctx).await,
             Self::Watch(args) => args.exec(ctx).await,
         }
     }
--- a/src/bin/heatherfall/commands/status.rs
+++ b/src/bin/heatherfall/commands/status.rs
@@ -4,19 +4,81 @@
 use std::process::ExitCode;
 
 use clap::Args;
-use heatherfall::ops::node_status;
+use comfy_table::Table;
+use comfy_table::presets::NOTHING;
+use heatherfall::core::VmId;
+use heatherfall::ops::rollout::{self, ObjectProgress};
+use heatherfall::ops::{GlobalContext, node_status};
+use miette::IntoDiagnostic;
 
-/// Show the status of a node.
+/// Show how far each change has come, or the status of a node.
+///
+/// A change is `pending` until the system has looked at it, `accepted` once it is part of a
+/// published generation, `in force` once every node applies it or refuses what could contradict
+/// it, and `rejected` if it cannot be used.
+///
+/// Exit codes: 0 everything is in force, 1 something is not; others as in `heatherfall --help`.
 #[derive(Args, Debug)]
 pub(crate) struct StatusArgs {
-    /// Admin address of the node.
+    /// Admin address of a node whose own status is shown in place of the changes.
     #[arg(long, value_name = "ADDRESS")]
-    node: SocketAddr,
+    node: Option<SocketAddr>,
+    /// Show only what is not in force.
+    #[arg(long)]
+    unfinished: bool,
 }
 
 impl StatusArgs {
-    pub(crate) async fn exec(self) -> miette::Result<ExitCode> {
-        println!("{}", node_status::fetch(self.node).await?);
-        Ok(ExitCode::SUCCESS)
+    pub(crate) async fn exec(self, ctx: &GlobalContext) -> miette::Result<ExitCode> {
+        if let Some(node) = self.node {
+            println!("{}", node_status::fetch(node).await?);
+            return Ok(ExitCode::SUCCESS);
+        }
+        let mut progress = rollout::read_progress(&ctx.store()).await?;
+        let is_finished = progress.iter().all(|one| one.phase_name() == "in force");
+        if self.unfinished {
+            progress.retain(|one| one.phase_name() != "in force");
+        }
+        if ctx.is_json {
+            println!("{}", serde_json::to_string_pretty(&progress).into_diagnostic()?);
+        } else {
+            print_table(&progress);
+        }
+        Ok(if is_finished { ExitCode::SUCCESS } else { ExitCode::FAILURE })
     }
 }
+
+fn print_table(progress: &[ObjectProgress]) {
+    let mut table = Table::new();
+    table.load_style(NOTHING);
+    table.set_header(["KIND", "NAME", "VERSION", "PHASE", "GENERATION", "REMARK"]);
+    for one in progress {
+        table.add_row([
+            one.kind.clone(),
+            one.name.clone(),
+            one.version.to_string(),
+            one.phase_name().to_owned(),
+            one.generation.map(|number| number.to_string()).unwrap_or_default(),
+            remark(one),
+        ]);
+    }
+    println!("{}", table.trim_fmt());
+}
+
+fn remark(progress: &ObjectProgress) -> String {
+    if let Some(message) = &progress.message {
+        return message.clone();
+    }
+    if !progress.waiting_for.is_empty() {
+        return format!("waiting for {}", names(&progress.waiting_for));
+    }
+    if !progress.restricted.is_empty() {
+        return format!("restricted: {}", names(&progress.restricted));
+    }
+    String::new()
+}
+
+fn names(vms: &[VmId]) -> String {
+    let names: Vec<&str> = vms.iter().map(VmId::as_str).collect();
+    names.join(", ")
+}
--- a/src/bin/heatherfall/commands/watch.rs
+++ b/src/bin/heatherfall/commands/watch.rs
@@ -4,13 +4,18 @@
 use std::time::Duration;
 
 use clap::Args;
-use heatherfall::ops::{GlobalContext, objects};
-use heatherfall::platform::{PlatformStore, WatchEvent, WatchRequest};
+use heatherfall::ops::{GlobalContext, ObjectError, objects};
+use heatherfall::platform::{PlatformStore, StoreError, WatchBatch, WatchEvent, WatchRequest};
 
-/// Longest wait of one watch call.
-const WATCH_WAIT: Duration = Duration::from_secs(30);
+/// Longest wait of one watch call; below the time for one platform call.
+const WATCH_WAIT: Duration = Duration::from_secs(3);
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
-/// Print changes of objects as they happen.
+/// Print changes of objects as they happen, until Ctrl-C.
+///
+/// Goes on after an outage of the platform. If the platform no longer keeps the changes since
+/// the last one printed, it says so and goes on from the present.
 #[derive(Args, Debug)]
 pub(crate) struct WatchArgs {
     /// Kind of the objects.
@@ -21,22 +26,42 @@
     pub(crate) async fn exec(self, ctx: &GlobalContext) -> miette::Result<ExitCode> {
         let kind = objects::kind_named(&self.kind)?.as_str();
         let store = ctx.store();
-        let list = store.list(kind, "").await.map_err(|error| objects::unavailable(&error))?;
-        let mut since = list.revision;
+        let mut since = store.list(kind, "").await.map_err(ObjectError::Unavailable)?.revision;
+        let mut is_failing = false;
         loop {
             let request = WatchRequest { kinds: vec![kind.to_owned()], since, wait: WATCH_WAIT };
-            let batch = store.watch(request).await.map_err(|error| objects::unavailable(&error))?;
-            since = batch.revision;
-            for event in batch.events {
-                match event {
-                    WatchEvent::Put { object } => {
-                        println!("{} put {kind} {} {}", object.version, object.name, object.spec);
-                    }
-                    WatchEvent::Delete { name, revision, .. } => {
-                        println!("{revision} delete {kind} {name}");
+            match store.watch(request).await {
+                Ok(batch) => {
+                    is_failing = false;
+                    since = batch.revision;
+                    print_batch(kind, batch);
+                }
+                Err(StoreError::Compacted) => {
+                    let list = store.list(kind, "").await.map_err(ObjectError::Unavailable)?;
+                    eprintln!("changes after {since} are gone; going on from {}", list.revision);
+                    since = list.revision;
+                }
+                Err(error) => {
+                    if !is_failing {
+                        eprintln!("{}; trying again", ObjectError::Unavailable(error));
                     }
+                    is_failing = true;
+                    tokio::time::sleep(RETRY_PAUSE).await;
                 }
             }
         }
     }
 }
+
+fn print_batch(kind: &str, batch: WatchBatch) {
+    for event in batch.events {
+        match event {
+            WatchEvent::Put { object } => {
+                println!("{} put {kind} {} {}", object.version, object.name, object.spec);
+            }
+            WatchEvent::Delete { name, revision, .. } => {
+                println!("{revision} delete {kind} {name}");
+            }
+        }
+    }
+}
--- a/src/core/result_code.rs
+++ b/src/core/result_code.rs
@@ -63,6 +63,8 @@
     GenerationTooLarge = 2005, "The configuration is larger than one value of the platform.";
     /// A generation uses a format that a node does not read.
     GenerationUnreadable = 2006, "A generation cannot be read by this node or by a live one.";
+    /// There is no such object.
+    ObjectMissing = 2007, "There is no such object.";
     /// The platform does not answer.
     PlatformUnavailable = 3001, "The platform does not answer.";
     /// A write's answer was lost and its effect is not known.
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -2,15 +2,19 @@
 
 pub mod dev;
 pub mod experiment;
+pub mod explain;
 pub mod load;
 pub mod log_output;
 pub mod node;
 pub mod node_settings;
 pub mod node_status;
 pub mod objects;
+pub mod rollout;
 pub mod slopes;
 pub mod smoke;
 
 mod global_context;
+mod object_error;
 
 pub use self::global_context::GlobalContext;
+pub use self::object_error::ObjectError;
--- /dev/null
+++ b/src/ops/object_error.rs
@@ -0,0 +1,107 @@
+//! Why an operator's read or write of an object failed.
+
+use std::fmt;
+
+use heatherfall_platform_api::ObjectEnvelope;
+use miette::Diagnostic;
+
+use crate::config::ObjectFault;
+use crate::core::ResultCode;
+use crate::platform::StoreError;
+
+/// A failed read or write of an object.
+#[derive(Debug)]
+pub enum ObjectError {
+    /// The spec does not fit its kind; nothing was written.
+    Malformed(ObjectFault),
+    /// There is no such object.
+    Missing {
+        /// Kind.
+        kind: String,
+        /// Name.
+        name: String,
+    },
+    /// Somebody else wrote in between; nothing was written.
+    Conflict {
+        /// Kind.
+        kind: String,
+        /// Name.
+        name: String,
+        /// The object as it is now, if it still exists.
+        found: Option<Box<ObjectEnvelope>>,
+    },
+    /// The platform does not answer; nothing was written.
+    Unavailable(StoreError),
+    /// The answer of a write was lost, and reading back did not tell whether it took effect.
+    EffectUnknown {
+        /// Kind.
+        kind: String,
+        /// Name.
+        name: String,
+    },
+}
+
+impl ObjectError {
+    pub(super) fn missing(kind: &str, name: &str) -> Self {
+        Self::Missing { kind: kind.to_owned(), name: name.to_owned() }
+    }
+
+    pub(super) fn conflict(kind: &str, name: &str, found: Option<Box<ObjectEnvelope>>) -> Self {
+        Self::Conflict { kind: kind.to_owned(), name: name.to_owned(), found }
+    }
+
+    pub(super) fn effect_unknown(kind: &str, name: &str) -> Self {
+        Self::EffectUnknown { kind: kind.to_owned(), name: name.to_owned() }
+    }
+
+    /// Its result code.
+    pub fn result_code(&self) -> ResultCode {
+        match self {
+            Self::Malformed(fault) => fault.code,
+            Self::Missing { .. } => ResultCode::ObjectMissing,
+            Self::Conflict { .. } => ResultCode::WriteConflict,
+            Self::Unavailable(_) => ResultCode::PlatformUnavailable,
+            Self::EffectUnknown { .. } => ResultCode::WriteUnknown,
+        }
+    }
+}
+
+impl fmt::Display for ObjectError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let code = self.result_code();
+        match self {
+            Self::Malformed(fault) => {
+                write!(f, "{code}: {} {}: {}", fault.kind.as_str(), fault.name, fault.message)
+            }
+            Self::Missing { kind, name } => write!(f, "{code}: {kind} {name} does not exist"),
+            Self::Conflict { kind, name, found } => {
+                write!(f, "{code}: {kind} {name} changed since it was read; ")?;
+                match found {
+                    Some(object) => {
+                        write!(f, "it is now version {}: {}", object.spec_version, object.spec)
+                    }
+                    None => write!(f, "it no longer exists"),
+                }
+            }
+            Self::Unavailable(error) => write!(f, "{code}: {error}"),
+            Self::EffectUnknown { kind, name } => {
+                write!(f, "{code}: {kind} {name}: {}", code.summary())
+            }
+        }
+    }
+}
+
+impl std::error::Error for ObjectError {}
+
+impl Diagnostic for ObjectError {
+    fn help<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        let help = match self {
+            Self::Conflict { .. } => "look at the other change, then apply again",
+            Self::EffectUnknown { .. } => {
+                "read the object with `heatherfall get` before writing again"
+            }
+            _ => return None,
+        };
+        Some(Box::new(help))
+    }
+}
--- a/src/ops/objects.rs
+++ b/src/ops/objects.rs
@@ -10,8 +10,9 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::config::{ObjectFault, check_object};
+use crate::config::check_object;
 use crate::core::{CONFIG_KINDS, ObjectKind, ResultCode};
+use crate::ops::object_error::ObjectError;
 use crate::platform::{
     LabelMap, ObjectDraft, ObjectEnvelope, PlatformStore, Precondition, StoreError,
 };
@@ -110,6 +111,48 @@
     Err(miette!("{}: {name:?}; kinds are {}", ResultCode::KindUnknown, known.join(", ")))
 }
 
+/// What writing an object would do.
+#[derive(Clone, Debug)]
+pub struct ObjectChange {
+    /// The object as it should be.
+    pub manifest: ObjectManifest,
+    /// The object as it is, if it exists.
+    pub current: Option<ObjectEnvelope>,
+}
+
+impl ObjectChange {
+    /// The effect.
+    pub fn effect(&self) -> ApplyEffect {
+        match &self.current {
+            None => ApplyEffect::Created,
+            Some(current)
+                if current.spec == self.manifest.spec && current.labels == self.manifest.labels =>
+            {
+                ApplyEffect::Unchanged
+            }
+            Some(_) => ApplyEffect::Changed,
+        }
+    }
+}
+
+/// Checks a manifest and compares it with the object as it is; writes nothing.
+///
+/// # Errors
+///
+/// Returns HF-2001 for a spec that does not fit and HF-3001 if the platform does not answer.
+pub async fn plan<S: PlatformStore>(
+    store: &S,
+    manifest: ObjectManifest,
+) -> Result<ObjectChange, ObjectError> {
+    check_object(manifest.kind, &manifest.name, &manifest.spec).map_err(ObjectError::Malformed)?;
+    let current = match store.get(manifest.kind.as_str(), &manifest.name).await {
+        Ok(object) => Some(object),
+        Err(StoreError::NotFound) => None,
+        Err(error) => return Err(ObjectError::Unavailable(error)),
+    };
+    Ok(ObjectChange { manifest, current })
+}
+
 /// Writes one object, conditional on the version read just before.
 ///
 /// # Errors
@@ -120,102 +163,84 @@
 pub async fn apply<S: PlatformStore>(
     store: &S,
     manifest: ObjectManifest,
-) -> miette::Result<ApplyEffect> {
-    check_object(manifest.kind, &manifest.name, &manifest.spec).map_err(fault_report)?;
-    let kind = manifest.kind.as_str();
-    let current = match store.get(kind, &manifest.name).await {
-        Ok(object) => Some(object),
-        Err(StoreError::NotFound) => None,
-        Err(error) => return Err(unavailable(&error)),
-    };
-    if let Some(current) = &current
-        && current.spec == manifest.spec
-        && current.labels == manifest.labels
-    {
-        return Ok(ApplyEffect::Unchanged);
+) -> Result<ApplyEffect, ObjectError> {
+    let change = plan(store, manifest).await?;
+    let effect = change.effect();
+    if effect == ApplyEffect::Unchanged {
+        return Ok(effect);
     }
-    let precondition = match &current {
+    let precondition = match &change.current {
         Some(current) => Precondition::SpecVersion(current.spec_version),
         None => Precondition::Absent,
     };
     let draft = ObjectDraft {
-        kind: kind.to_owned(),
-        name: manifest.name,
-        labels: manifest.labels,
-        spec: manifest.spec,
+        kind: change.manifest.kind.as_str().to_owned(),
+        name: change.manifest.name,
+        labels: change.manifest.labels,
+        spec: change.manifest.spec,
         change_id: uuid::Uuid::now_v7().to_string(),
     };
     put_recognised(store, draft, precondition).await?;
-    Ok(if current.is_some() { ApplyEffect::Changed } else { ApplyEffect::Created })
+    Ok(effect)
 }
 
 /// Deletes one object, conditional on the version read just before.
 ///
+/// A delete whose answer is lost is tried again on the same version: that cannot remove what
+/// another operator has written since.
+///
 /// # Errors
 ///
-/// Returns an error as [`apply`] does, and HF-2004 if the object changed in between.
+/// Returns an error as [`apply`] does, HF-2007 if there is no such object, and HF-2004 if it
+/// changed in between.
 pub async fn delete<S: PlatformStore>(
     store: &S,
     kind: ObjectKind,
     name: &str,
-) -> miette::Result<()> {
-    let current = store.get(kind.as_str(), name).await.map_err(|error| match error {
-        StoreError::NotFound => miette!("{} {name} does not exist", kind.as_str()),
-        error => unavailable(&error),
-    })?;
-    match store.delete(kind.as_str(), name, current.spec_version).await {
-        Ok(()) => Ok(()),
-        Err(StoreError::Conflict(found)) => Err(conflict(kind.as_str(), name, found.as_deref())),
-        Err(error) => Err(unavailable(&error)),
+) -> Result<(), ObjectError> {
+    let kind = kind.as_str();
+    let current = match store.get(kind, name).await {
+        Ok(object) => object,
+        Err(StoreError::NotFound) => return Err(ObjectError::missing(kind, name)),
+        Err(error) => return Err(ObjectError::Unavailable(error)),
+    };
+    let mut is_answer_lost = false;
+    for _ in 0..READ_BACK_ATTEMPTS {
+        match store.delete(kind, name, current.spec_version).await {
+            Ok(()) => return Ok(()),
+            Err(StoreError::NotFound) if is_answer_lost => return Ok(()),
+            Err(StoreError::NotFound) => return Err(ObjectError::missing(kind, name)),
+            Err(StoreError::Conflict(found)) => {
+                return Err(ObjectError::conflict(kind, name, found));
+            }
+            Err(error) if error.is_effect_unknown() => is_answer_lost = true,
+            Err(error) if !is_answer_lost => return Err(ObjectError::Unavailable(error)),
+            Err(_) => {}
+        }
     }
+    Err(ObjectError::effect_unknown(kind, name))
 }
 
 async fn put_recognised<S: PlatformStore>(
     store: &S,
     draft: ObjectDraft,
     precondition: Precondition,
-) -> miette::Result<()> {
+) -> Result<(), ObjectError> {
     let (kind, name) = (draft.kind.clone(), draft.name.clone());
     let change_id = draft.change_id.clone();
     match store.put(draft, precondition).await {
         Ok(_) => return Ok(()),
-        Err(StoreError::Conflict(found)) => return Err(conflict(&kind, &name, found.as_deref())),
-        Err(error) if !error.is_effect_unknown() => return Err(unavailable(&error)),
+        Err(StoreError::Conflict(found)) => return Err(ObjectError::conflict(&kind, &name, found)),
+        Err(error) if !error.is_effect_unknown() => return Err(ObjectError::Unavailable(error)),
         Err(_) => {}
     }
     for _ in 0..READ_BACK_ATTEMPTS {
         match store.get(&kind, &name).await {
             Ok(object) if object.change_id == change_id => return Ok(()),
-            Ok(object) => return Err(conflict(&kind, &name, Some(&object))),
+            Ok(object) => return Err(ObjectError::conflict(&kind, &name, Some(Box::new(object)))),
             Err(StoreError::NotFound) => break,
             Err(_) => continue,
         }
     }
-    let code = ResultCode::WriteUnknown;
-    Err(miette!(
-        help = "read the object with `heatherfall get` before writing again",
-        "{code}: {kind} {name}: {}",
-        code.summary()
-    ))
-}
-
-fn fault_report(fault: ObjectFault) -> miette::Report {
-    miette!("{}: {} {}: {}", fault.code, fault.kind.as_str(), fault.name, fault.message)
-}
-
-fn conflict(kind: &str, name: &str, found: Option<&ObjectEnvelope>) -> miette::Report {
-    let code = ResultCode::WriteConflict;
-    let found = match found {
-        Some(object) => format!("it is now version {}: {}", object.spec_version, object.spec),
-        None => "it no longer exists".to_owned(),
-    };
-    miette!(
-        help = "look at the other change, then apply again",
-        "{code}: {kind} {name} changed since it was read; {found}"
-    )
-}
-
-/// Report of a platform that does not answer.
-pub fn unavailable(error: &StoreError) -> miette::Report {
-    miette!("{}: {error}", ResultCode::PlatformUnavailable)
+    Err(ObjectError::effect_unknown(&kind, &name))
 }
--- /dev/null
+++ b/src/ops/rollout.rs
@@ -0,0 +1,87 @@
+//! How far the changes of objects have come, from the statuses that the system writes.
+
+use serde::Serialize;
+
+use crate::config::{ObjectStatus, RolloutPhase};
+use crate::core::{CONFIG_KINDS, GenerationNumber, VmId};
+use crate::ops::object_error::ObjectError;
+use crate::platform::{ObjectEnvelope, PlatformStore, Revision};
+
+/// How far one object's last change has come.
+#[derive(Clone, Debug, Serialize)]
+pub struct ObjectProgress {
+    /// Kind.
+    pub kind: String,
+    /// Name.
+    pub name: String,
+    /// Spec version of the last change.
+    pub version: Revision,
+    /// How far it has come; nothing while the system has not looked at it.
+    pub phase: Option<RolloutPhase>,
+    /// First generation that holds the version in force.
+    pub generation: Option<GenerationNumber>,
+    /// Nodes that have not reported the generation yet.
+    pub waiting_for: Vec<VmId>,
+    /// Nodes that have not reported it and refuse what could contradict it.
+    pub restricted: Vec<VmId>,
+    /// Why it was rejected.
+    pub message: Option<String>,
+}
+
+impl ObjectProgress {
+    /// Reads an object's status; a status of an earlier version says nothing about this one.
+    pub fn of(object: &ObjectEnvelope) -> Self {
+        let mut progress = Self {
+            kind: object.kind.clone(),
+            name: object.name.clone(),
+            version: object.spec_version,
+            phase: None,
+            generation: None,
+            waiting_for: Vec::new(),
+            restricted: Vec::new(),
+            message: None,
+        };
+        let status: Option<ObjectStatus> = serde_json::from_value(object.status.clone()).ok();
+        let Some(status) = status.filter(|status| status.spec_version == object.spec_version)
+        else {
+            return progress;
+        };
+        progress.phase = Some(status.phase);
+        progress.generation = status.generation;
+        progress.waiting_for = status.waiting_for;
+        progress.restricted = status.restricted;
+        progress.message = match (status.code, status.message) {
+            (Some(code), Some(message)) => Some(format!("{code}: {message}")),
+            (code, message) => code.or(message),
+        };
+        progress
+    }
+
+    /// The phase as a word.
+    pub fn phase_name(&self) -> &'static str {
+        match self.phase {
+            None => "pending",
+            Some(RolloutPhase::Rejected) => "rejected",
+            Some(RolloutPhase::Accepted) => "accepted",
+            Some(RolloutPhase::InForce) => "in force",
+        }
+    }
+}
+
+/// Progress of every object.
+///
+/// # Errors
+///
+/// Returns HF-3001 if the platform does not answer.
+pub async fn read_progress<S: PlatformStore>(
+    store: &S,
+) -> Result<Vec<ObjectProgress>, ObjectError> {
+    let mut all = Vec::new();
+    for kind in CONFIG_KINDS {
+        let list = store.list(kind.as_str(), "").await.map_err(ObjectError::Unavailable)?;
+        for object in &list.items {
+            all.push(ObjectProgress::of(object));
+        }
+    }
+    Ok(all)
+}
--- a/src/request/classify.rs
+++ b/src/request/classify.rs
@@ -108,7 +108,8 @@
     mode
 }
 
-fn is_match(matcher: &RequestMatcher, head: RequestHead<'_>) -> bool {
+/// Whether a request meets every condition of `matcher`.
+pub(crate) fn is_match(matcher: &RequestMatcher, head: RequestHead<'_>) -> bool {
     if let Some(host) = &matcher.host
         && host_of(head) != Some(host.as_str())
     {
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -24,6 +24,7 @@
     AttemptOutcome, AttemptRequest, ConnectionChoice, NotRunProof, UnknownCause, UpstreamAnswer,
     UpstreamClient,
 };
+pub(crate) use self::classify::is_match;
 pub use self::classify::{RequestClass, RequestHead, classify};
 pub use self::exchange::{ExchangeEnd, ExchangeSettings, ExchangeTools, RequestExchange};
 pub use self::exchange_state::{
