--- a/tests/testsuite/scenario_runner/scripted_upstream.rs
+++ b/tests/testsuite/scenario_runner/scripted_upstream.rs
@@ -275,6 +275,7 @@
             return Poll::Ready(Some(Ok(Frame::data(chunk))));
         }
         if self.is_cut {
+            self.is_cut = false;
             return Poll::Ready(Some(Err(std::io::Error::other("cut"))));
         }
         Poll::Ready(None)
