load: send mixes of classes as real callers do

Callers ask for addresses, keep the answer for its lifetime and go to the next address when one refuses. Rates shift within milliseconds by a seed; figures come by class, as a table, JSON and an SVG plot, and two runs can be compared.

--- a/src/bin/heatherfall-load/main.rs
+++ b/src/bin/heatherfall-load/main.rs
@@ -1,5 +1,6 @@
 //! The load and experiment tool.
 
+mod compare;
 mod experiment;
 mod run;
 mod slopes;
@@ -20,6 +21,8 @@
 enum LoadCommand {
     /// Sends open-loop load; latency counts from the time a request was due.
     Run(run::RunArgs),
+    /// Compares the reports of two runs, class by class.
+    Compare(compare::CompareArgs),
     /// Compares policies for choosing upstreams, without sockets.
     Experiment(experiment::ExperimentArgs),
     /// Measures how state and work grow with targets and rules.
@@ -29,6 +32,7 @@
 fn main() -> miette::Result<ExitCode> {
     match LoadArgs::parse().command {
         LoadCommand::Run(args) => run::execute(args),
+        LoadCommand::Compare(args) => compare::execute(&args),
         LoadCommand::Experiment(args) => experiment::execute(&args),
         LoadCommand::Slopes(args) => slopes::execute(&args),
     }
--- /dev/null
+++ b/tests/testsuite/load.rs
@@ -0,0 +1,101 @@
+//! The load generator against the embedded deployment.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::time::Duration;
+
+use heatherfall::ops::dev::{DevDeployment, DevSettings, ServiceSize};
+use heatherfall::ops::load::{
+    self, LoadComparison, LoadReport, LoadSettings, WorkloadKind, write_plot,
+};
+use heatherfall_standins::upstream::UpstreamBehaviour;
+
+async fn deployment() -> DevDeployment {
+    let service = |app| ServiceSize { app, targets: 2, slots: 4 };
+    let settings = DevSettings {
+        first_port: 0,
+        services: vec![
+            service("lookups"),
+            service("audio"),
+            service("packs"),
+            service("donations"),
+        ],
+        announce: Duration::ZERO,
+    };
+    DevDeployment::start(&settings).await.expect("deployment starts")
+}
+
+fn settings(deployment: &DevDeployment) -> LoadSettings {
+    LoadSettings {
+        entries: deployment.nodes.iter().map(|node| node.caller_addr()).collect(),
+        classes: WorkloadKind::CauNoi.classes(),
+        rate: 150.0,
+        duration: Duration::from_secs(1),
+        shift_depth: 0.5,
+        ..LoadSettings::default()
+    }
+}
+
+fn sent(report: &LoadReport) -> Vec<u64> {
+    report.classes.iter().map(|class| class.answered + class.failed()).collect()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn every_class_of_the_mix_gets_whole_own_answers_and_a_seed_repeats_the_load() {
+    let deployment = deployment().await;
+    let settings = settings(&deployment);
+    let first = load::run(&settings, &()).await.expect("load runs");
+    assert_eq!(first.failed(), 0, "{first}");
+    assert!(first.classes.iter().all(|class| class.answered > 0), "{first}");
+    let runs: u64 = deployment.upstreams.iter().map(|one| one.upstream.total_runs()).sum();
+    assert_eq!(runs, first.answered(), "{first}");
+
+    let second = load::run(&settings, &()).await.expect("load runs");
+    assert_eq!(sent(&first), sent(&second));
+
+    let json = serde_json::to_string(&first).expect("report serializes");
+    let read: LoadReport = serde_json::from_str(&json).expect("report reads back");
+    assert_eq!(read.classes, first.classes);
+    let file = tempfile::NamedTempFile::new().expect("temporary file");
+    write_plot(&read, file.path()).expect("plot is drawn");
+    let plot = std::fs::read_to_string(file.path()).expect("plot is there");
+    assert!(plot.contains("<svg") && plot.contains("donation"), "{plot}");
+    let table = LoadComparison { before: first.clone(), after: first }.to_string();
+    assert!(table.contains("lookup") && table.contains("1.00"), "{table}");
+    deployment.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_whose_address_refuses_goes_to_the_next_one() {
+    let deployment = deployment().await;
+    let closed = TcpListener::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).expect("binds");
+    let closed_addr = closed.local_addr().expect("address");
+    drop(closed);
+    let settings = LoadSettings {
+        targets: vec![closed_addr, deployment.nodes[0].caller_addr()],
+        ..settings(&deployment)
+    };
+    let report = load::run(&settings, &()).await.expect("load runs");
+    assert_eq!(report.failed(), 0, "{report}");
+    assert!(report.answered() > 0);
+    deployment.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusals_are_counted_by_what_they_promise() {
+    let deployment = deployment().await;
+    for one in &deployment.upstreams {
+        one.upstream.set_behaviour(UpstreamBehaviour { shed: true, ..Default::default() });
+    }
+    let report = load::run(&settings(&deployment), &()).await.expect("load runs");
+    let not_run: u64 = report.classes.iter().map(|class| class.not_run).sum();
+    assert_eq!((report.answered(), report.failed()), (0, not_run), "{report}");
+    let runs: u64 = deployment.upstreams.iter().map(|one| one.upstream.total_runs()).sum();
+    assert_eq!(runs, 0);
+    deployment.stop().await;
+}
+
+#[tokio::test]
+async fn settings_that_send_nothing_anywhere_are_refused() {
+    let error = load::run(&LoadSettings::default(), &()).await.expect_err("no address");
+    assert!(error.to_string().contains("HF-5003"), "{error}");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod exchange_state;
 mod experiment;
 mod limits;
+mod load;
 mod peer_calls;
 mod processes;
 mod result_codes;
