--- a/src/config/compiler.rs
+++ b/src/config/compiler.rs
@@ -9,14 +9,13 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use heatherfall_platform_api::{
-    ObjectEnvelope, PlatformStore, StoreError, WatchBatch, WatchRequest,
-};
+use heatherfall_platform_api::{ObjectEnvelope, PlatformStore};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::config::generation::GenerationContent;
 use crate::config::object_set::ObjectSet;
+use crate::config::object_source::{ObjectSource, bounded};
 use crate::config::publish::{GenerationPublisher, PublishError};
 use crate::config::status::{ConfirmationLimit, ObjectStatus, RolloutPhase, status_of};
 use crate::core::{CONFIG_KINDS, GenerationNumber};
@@ -28,8 +27,8 @@
 const COMPILER_LEASE: &str = "compiler";
 /// Wait of one watch; statuses are looked at after each.
 const WATCH_WAIT: Duration = Duration::from_millis(500);
-/// Time for an answer beyond the wait of a watch, and for a list.
-const CALL_GRACE: Duration = Duration::from_secs(2);
+/// Time for a status write.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause after a failure, and of a node that does not hold the lease.
 const IDLE_PAUSE: Duration = Duration::from_millis(250);
 /// Shortest time between two generations.
@@ -48,6 +47,7 @@
 pub struct ConfigCompiler<S> {
     node: Arc<ControlNode>,
     store: Arc<S>,
+    source: ObjectSource<S>,
     publisher: GenerationPublisher<S>,
     is_compiler: AtomicBool,
 }
@@ -64,7 +64,8 @@
     /// Creates the compiler of `node`; nothing runs yet.
     pub fn new(node: Arc<ControlNode>, store: Arc<S>) -> Self {
         let publisher = GenerationPublisher::new(Arc::clone(&store), node.shared_holder());
-        Self { node, store, publisher, is_compiler: AtomicBool::new(false) }
+        let source = ObjectSource::new(Arc::clone(&store));
+        Self { node, store, source, publisher, is_compiler: AtomicBool::new(false) }
     }
 
     /// Runs until `stop` is cancelled, then releases the lease.
@@ -122,14 +123,14 @@
     /// time to list again.
     async fn follow_objects(&self, clock: &mut RolloutClock) -> Result<(), PublishError> {
         let listed = Instant::now();
-        let mut objects = self.list_objects().await?;
+        let mut objects = self.source.list().await?;
         let mut is_changed = true;
         while self.is_compiler() && listed.elapsed() < RELIST_INTERVAL {
             if is_changed {
                 is_changed = !self.publish(&objects).await?;
             }
             self.report(&objects, clock).await;
-            let batch = self.watch(objects.revision(), WATCH_WAIT).await?;
+            let batch = self.source.watch(objects.revision(), WATCH_WAIT).await?;
             is_changed |= !batch.events.is_empty();
             objects.apply(batch);
         }
@@ -153,39 +154,6 @@
         Err(error)
     }
 
-    /// All objects of the configuration kinds at one revision.
-    async fn list_objects(&self) -> Result<ObjectSet, StoreError> {
-        let mut objects = ObjectSet::default();
-        let mut lowest = u64::MAX;
-        let mut highest = 0;
-        for kind in CONFIG_KINDS {
-            let list = bounded(self.store.list(kind.as_str(), ""), CALL_GRACE).await?;
-            lowest = lowest.min(list.revision);
-            highest = highest.max(list.revision);
-            objects.replace_kind(kind.as_str(), list);
-        }
-        objects.set_revision(lowest);
-        // The lists are of different revisions; the changes since the lowest one make them one.
-        let batch = self.watch(lowest, Duration::ZERO).await?;
-        if batch.revision < highest {
-            return Err(StoreError::Unavailable(format!(
-                "changes up to {} are older than a list of {highest}",
-                batch.revision
-            )));
-        }
-        objects.apply(batch);
-        Ok(objects)
-    }
-
-    async fn watch(&self, since: u64, wait: Duration) -> Result<WatchBatch, StoreError> {
-        let mut kinds = Vec::with_capacity(CONFIG_KINDS.len());
-        for kind in CONFIG_KINDS {
-            kinds.push(kind.as_str().to_owned());
-        }
-        let watch = self.store.watch(WatchRequest { kinds, since, wait });
-        bounded(watch, wait + CALL_GRACE).await
-    }
-
     /// Writes the statuses that differ from what they should be.
     async fn report(&self, objects: &ObjectSet, clock: &mut RolloutClock) {
         let Some(held) = self.node.holder().held() else { return };
@@ -245,7 +213,7 @@
         let Ok(value) = serde_json::to_value(status) else { return };
         let version = object.spec_version;
         let write = self.store.put_status(&object.kind, &object.name, version, value);
-        if let Err(error) = bounded(write, CALL_GRACE).await {
+        if let Err(error) = bounded(write, STATUS_TIMEOUT).await {
             // The next round compares again, also after a lost answer.
             log::debug!(
                 target: "config",
@@ -291,14 +259,3 @@
         _ => known != status,
     }
 }
-
-/// A call that may go silent is given up after `limit`.
-async fn bounded<V>(
-    call: impl Future<Output = Result<V, StoreError>>,
-    limit: Duration,
-) -> Result<V, StoreError> {
-    match tokio::time::timeout(limit, call).await {
-        Ok(result) => result,
-        Err(_) => Err(StoreError::AnswerLost(format!("no answer in {limit:?}"))),
-    }
-}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -11,6 +11,7 @@
 mod generation;
 mod holder;
 mod object_set;
+mod object_source;
 mod publish;
 mod status;
 
@@ -22,5 +23,7 @@
 };
 pub use self::holder::{GenerationHolder, HeldGeneration, OfferOutcome};
 pub use self::object_set::ObjectSet;
+pub use self::object_source::ObjectSource;
+pub(crate) use self::object_source::bounded;
 pub use self::publish::{GenerationPublisher, PublishError, PublishOutcome, next_generation};
 pub use self::status::{ConfirmationLimit, NodeGeneration, ObjectStatus, RolloutPhase, status_of};
--- a/src/membership/relay_driver.rs
+++ b/src/membership/relay_driver.rs
@@ -9,7 +9,7 @@
 use futures_util::future::join_all;
 use tokio::time::Instant;
 
-use crate::config::{GENERATION_KIND, OfferOutcome};
+use crate::config::{GENERATION_KIND, OfferOutcome, bounded};
 use crate::membership::board::HeartbeatSource;
 use crate::membership::driver::{MembershipDriver, RELAY_LEASE_PREFIX};
 use crate::membership::fanout::ParentCandidate;
@@ -170,14 +170,3 @@
 fn watch_request(since: Revision) -> WatchRequest {
     WatchRequest { kinds: vec![GENERATION_KIND.to_owned()], since, wait: WATCH_WAIT }
 }
-
-/// A call that may go silent is given up after `limit`.
-async fn bounded<V>(
-    call: impl Future<Output = Result<V, StoreError>>,
-    limit: Duration,
-) -> Result<V, StoreError> {
-    match tokio::time::timeout(limit, call).await {
-        Ok(result) => result,
-        Err(_) => Err(StoreError::AnswerLost(format!("no answer in {limit:?}"))),
-    }
-}
--- /dev/null
+++ b/tests/testsuite/leases.rs
@@ -0,0 +1,90 @@
+//! Leases whose holders are paused.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use heatherfall::membership::{LEASE_KIND, LEASE_LIFETIME, LeaseKeeper, LeaseSpec, LeaseState};
+use heatherfall::platform::PlatformStore;
+use heatherfall_standins::platform::{FaultSettings, StandinPlatform};
+
+use crate::support::{GatedStore, PausePoint};
+
+async fn stored(platform: &StandinPlatform) -> LeaseSpec {
+    let object = platform.get(LEASE_KIND, "one").await.expect("a lease");
+    serde_json::from_value(object.spec).expect("a lease's spec")
+}
+
+/// Steps until the lease is held; returns the term.
+async fn take(keeper: &mut LeaseKeeper, platform: &StandinPlatform) -> u64 {
+    loop {
+        if let Ok(LeaseState::Held { term }) = keeper.step(platform).await {
+            return term;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_holder_paused_at_any_step_of_its_renewal_never_takes_the_lease_back() {
+    for point in [PausePoint::BeforeRead, PausePoint::BeforeWrite, PausePoint::AfterWrite] {
+        for holds_first in [false, true] {
+            let platform = StandinPlatform::default();
+            let store = Arc::new(GatedStore::new(platform.clone()));
+            let mut paused = LeaseKeeper::new("one", "a", "10.0.0.1:1");
+            if holds_first {
+                paused.step(&*store).await.expect("taken");
+            }
+            store.pause_at(point);
+            let gated = Arc::clone(&store);
+            let step = tokio::spawn(async move {
+                let state = paused.step(&*gated).await;
+                (paused, state)
+            });
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            let mut other = LeaseKeeper::new("one", "b", "10.0.0.2:1");
+            let term = take(&mut other, &platform).await;
+            store.resume();
+            let (mut paused, state) = step.await.expect("step ends");
+            // A holder that was paused after its write may still believe; it finds out when it
+            // next acts, and until then the other's lease stands.
+            let believes = matches!(state, Ok(LeaseState::Held { .. }));
+            assert!(!believes || point != PausePoint::BeforeWrite, "{point:?} {state:?}");
+            assert_eq!(stored(&platform).await.holder, "b", "{point:?}");
+            let next = paused.step(&*store).await.expect("the platform answers");
+            assert!(matches!(next, LeaseState::Other(_)), "{point:?} {next:?}");
+            assert_eq!(paused.term(), None);
+            let lease = stored(&platform).await;
+            assert_eq!((lease.holder.as_str(), lease.term), ("b", term), "{point:?}");
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lease_is_taken_over_only_after_its_lifetime_and_a_released_one_at_once() {
+    let platform = StandinPlatform::default();
+    let mut first = LeaseKeeper::new("one", "a", "10.0.0.1:1");
+    let mut second = LeaseKeeper::new("one", "b", "10.0.0.2:1");
+    first.step(&platform).await.expect("taken");
+    let started = tokio::time::Instant::now();
+    take(&mut second, &platform).await;
+    assert!(started.elapsed() >= LEASE_LIFETIME, "{:?}", started.elapsed());
+    second.release(&platform).await;
+    // The first holder's belief is void, so it takes the free lease under a term of its own.
+    let state = first.step(&platform).await.expect("the platform answers");
+    assert_eq!(state, LeaseState::Held { term: 3 });
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_renewal_whose_answer_is_lost_is_recognised_and_a_released_lease_is_not_renewed() {
+    let platform = StandinPlatform::default();
+    let mut keeper = LeaseKeeper::new("one", "a", "10.0.0.1:1");
+    keeper.step(&platform).await.expect("taken");
+    platform.set_faults(FaultSettings { lose_write_answers: 1, ..FaultSettings::default() });
+    let state = keeper.step(&platform).await.expect("recognised as its own");
+    assert!(matches!(state, LeaseState::Held { .. }), "{state:?}");
+    assert_eq!(stored(&platform).await.holder, "a");
+    let term = keeper.term().expect("held");
+    keeper.release(&platform).await;
+    let lease = stored(&platform).await;
+    assert_eq!((lease.holder.as_str(), lease.term), ("", term), "terms never go back");
+}
--- /dev/null
+++ b/tests/testsuite/membership.rs
@@ -0,0 +1,137 @@
+//! The truth table, the tree and the views, each by itself.
+
+use std::time::Duration;
+
+use heatherfall::membership::EntryState::{Leaving, Ready, Starting};
+use heatherfall::membership::{
+    DrainBoard, EntryVerdict, HeartbeatBoard, HeartbeatSight, HeartbeatSource, ListSight,
+    MergeEffect, ViewTable, candidates, reconcile,
+};
+use heatherfall::peer::generated::peer::{HeartbeatRecord, NodeState};
+use heatherfall::platform::{VmList, VmRecord, VmState};
+
+fn record(index: usize) -> HeartbeatRecord {
+    HeartbeatRecord {
+        vm: format!("entry-{index:03}"),
+        failure_domain: "fd-a".to_owned(),
+        caller_address: format!("10.0.0.{index}:80"),
+        peer_address: format!("10.0.0.{index}:7400"),
+        state: NodeState::Ready.into(),
+        incarnation: 1,
+        sequence: 1,
+        ..HeartbeatRecord::default()
+    }
+}
+
+#[test]
+fn every_row_of_the_truth_table_is_as_documented() {
+    use EntryVerdict::{Gone, Member, Missing};
+    use HeartbeatSight::{Fresh, Late, Never};
+    use ListSight::{Absent, Listed, Unread};
+    let rows = [
+        (Fresh(Ready), Listed(VmState::Live), Member(Ready)),
+        (Fresh(Ready), Listed(VmState::Leaving), Member(Leaving)),
+        (Fresh(Ready), Absent, Member(Ready)),
+        (Fresh(Ready), Unread, Member(Ready)),
+        (Fresh(Starting), Listed(VmState::Live), Member(Starting)),
+        (Fresh(Starting), Listed(VmState::Leaving), Member(Leaving)),
+        (Fresh(Starting), Absent, Member(Starting)),
+        (Fresh(Starting), Unread, Member(Starting)),
+        (Fresh(Leaving), Listed(VmState::Live), Member(Leaving)),
+        (Fresh(Leaving), Listed(VmState::Leaving), Member(Leaving)),
+        (Fresh(Leaving), Absent, Member(Leaving)),
+        (Fresh(Leaving), Unread, Member(Leaving)),
+        (Late, Listed(VmState::Live), Missing),
+        (Late, Listed(VmState::Leaving), Missing),
+        (Late, Absent, Gone),
+        (Late, Unread, Gone),
+        (Never, Listed(VmState::Live), Missing),
+        (Never, Listed(VmState::Leaving), Missing),
+        (Never, Absent, Gone),
+        (Never, Unread, Gone),
+    ];
+    for (heartbeat, list, verdict) in rows {
+        assert_eq!(reconcile(heartbeat, list), verdict, "{heartbeat:?} {list:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_entry_counts_by_its_own_heartbeat_and_not_by_a_record_that_is_older() {
+    let mut board = HeartbeatBoard::new(HeartbeatRecord { relay_term: 1, ..record(0) });
+    let newer = HeartbeatRecord { sequence: 5, ..record(1) };
+    assert_eq!(board.merge(vec![newer], HeartbeatSource::Tree), MergeEffect::Changed);
+    board.rebuild_view();
+    assert!(board.view().find("entry-001").is_some());
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    // A copy that went a longer way is no sign of life.
+    board.merge(vec![HeartbeatRecord { sequence: 4, ..record(1) }], HeartbeatSource::Relay);
+    board.rebuild_view();
+    assert!(board.view().find("entry-001").is_none());
+    let vm = VmRecord {
+        id: "entry-001".to_owned(),
+        address: "10.0.0.1:80".to_owned(),
+        peer_address: "10.0.0.1:7400".to_owned(),
+        failure_domain: "fd-a".to_owned(),
+        state: VmState::Live,
+    };
+    board.set_listed(VmList { vms: vec![vm] });
+    assert_eq!(board.missing(), ["entry-001"]);
+    let restarted = HeartbeatRecord { incarnation: 2, sequence: 1, ..record(1) };
+    board.merge(vec![restarted], HeartbeatSource::Tree);
+    board.rebuild_view();
+    assert!(board.view().find("entry-001").is_some());
+}
+
+#[test]
+fn a_child_that_applies_the_differences_has_the_parents_view() {
+    let mut parent = HeartbeatBoard::new(HeartbeatRecord { relay_term: 1, ..record(0) });
+    let mut child = HeartbeatBoard::new(record(9));
+    for round in 1..20_u64 {
+        let index = 1 + (round as usize * 7) % 5;
+        let state = if round % 3 == 0 { NodeState::Leaving } else { NodeState::Ready };
+        let changed = HeartbeatRecord { sequence: round + 1, state: state.into(), ..record(index) };
+        parent.merge(vec![changed], HeartbeatSource::Tree);
+        parent.rebuild_view();
+        let sent = parent.delta_for("entry-009", child.view().digest());
+        // Every fourth answer is lost; the next one is then the whole view.
+        if round % 4 != 0 {
+            child.adopt_view(sent.is_full, sent.delta);
+            assert_eq!(child.view().digest(), parent.view().digest(), "round {round}");
+        }
+    }
+    let quiet = parent.delta_for("entry-009", child.view().digest());
+    assert!(!quiet.is_full && quiet.delta.changed.is_empty() && quiet.delta.removed.is_empty());
+}
+
+#[test]
+fn every_node_reaches_the_relay_in_a_tree_of_width_eight() {
+    let mut records = Vec::new();
+    for index in 0..200 {
+        records.push(HeartbeatRecord { relay_term: u64::from(index == 17), ..record(index) });
+    }
+    let view = ViewTable::new(records);
+    let mut children = std::collections::BTreeMap::<String, usize>::new();
+    for index in (0..200).filter(|index| *index != 17) {
+        let path = candidates(&view, "fd-a", &format!("entry-{index:03}"));
+        assert!(path.len() <= 3, "{} hops", path.len());
+        assert_eq!(path.last().expect("a candidate").vm, "entry-017");
+        *children.entry(path[0].vm.clone()).or_default() += 1;
+    }
+    assert!(children.values().all(|count| *count <= 8), "{children:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_youngest_drain_mark_holds_and_marks_are_told_once() {
+    let (first, second) = (DrainBoard::new(1), DrainBoard::new(1));
+    assert!(first.report("a", "lookups-0", true));
+    assert!(!first.report("a", "lookups-0", true));
+    let news = first.news_since(0);
+    assert!(second.merge(&news.hints) && !second.merge(&news.hints));
+    assert!(second.is_draining("lookups-0"));
+    assert!(first.news_since(news.cursor).hints.is_empty());
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(second.report("b", "lookups-0", false));
+    assert!(!second.is_draining("lookups-0"));
+    assert!(first.merge(&second.news_since(0).hints));
+    assert!(!first.is_draining("lookups-0"));
+}
