--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod generations;
 mod leases;
 mod membership;
+mod limits;
 mod peer_calls;
 mod processes;
 mod result_codes;
