--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,7 +14,8 @@
 
 pub use self::header::{
     DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, LOAD_METRICS_HEADER, NOT_RUN_HEADER,
-    REQUEST_ID_HEADER, RESULT_CODE_HEADER, UPSTREAM_DRAIN_HEADER, UPSTREAM_NOT_RUN_HEADER,
+    REQUEST_ID_HEADER, RESULT_CODE_HEADER, RETRY_ALLOWANCE_HEADER, UPSTREAM_DRAIN_HEADER,
+    UPSTREAM_NOT_RUN_HEADER,
 };
 pub use self::identity::{FailureDomain, GenerationNumber, TenantId, VmId};
 pub use self::label::{LabelSet, is_label_key, is_label_value};
@@ -26,6 +27,7 @@
 pub use self::result_code::ResultCode;
 pub use self::selector::{LabelSelector, SelectorError};
 pub use self::snapshot::{
-    ConfigSnapshot, IdempotenceRule, RequestRule, RouteKey, RouteRecord, SharedSnapshot,
+    ConfigSnapshot, IdempotenceRule, ReplacedRules, RequestRule, RouteKey, RouteRecord,
+    SharedSnapshot,
 };
 pub use self::upstream::{InflightGuard, UpstreamArena, UpstreamKey, UpstreamState};
