--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -11,7 +11,7 @@
 use tokio_util::sync::CancellationToken;
 use tonic::service::Routes;
 
-use crate::balance::RandomPicker;
+use crate::balance::{LoadPicker, PickerSettings};
 use crate::config::GenerationHolder;
 use crate::core::{FailureDomain, ResultCode, SharedSnapshot, VmId};
 use crate::kernel::{
@@ -40,7 +40,7 @@
 const KEY_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
 /// The request plane's service in the daemon.
-type NodeFront = FrontService<HttpUpstreamClient, RandomPicker>;
+type NodeFront = FrontService<HttpUpstreamClient, LoadPicker>;
 
 /// A running node.
 pub struct RunningNode {
@@ -193,7 +193,11 @@
     let plane = RequestPlane::new(
         snapshot,
         HttpUpstreamClient::new(ConnectionPool::new(PoolSettings::default())),
-        RandomPicker::new(SeededRandom::from_entropy()),
+        LoadPicker::new(
+            FailureDomain::new(&settings.failure_domain),
+            PickerSettings::default(),
+            SeededRandom::from_entropy(),
+        ),
         freshness,
         ExchangeSettings::default(),
     );
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod leases;
 mod limits;
 mod membership;
+mod load_picker;
 mod peer_calls;
 mod processes;
 mod result_codes;
