tests: name each import of the support module once

Cause: merging two parts listed the fakes twice. Change: one list. Before: the test binary did not build. After: it does. Conclusion: none beyond that.

--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -10,7 +10,6 @@
 pub(crate) use self::caller::TestCaller;
 pub(crate) use self::control_fleet::ControlFleet;
 pub(crate) use self::daemon::DaemonProcess;
-pub(crate) use self::fake_upstream::{FakeClient, FakeStep, plane_fixture};
 pub(crate) use self::fake_upstream::{FakeClient, FakeStep, plane_fixture, snapshot_for};
 pub(crate) use self::gated_store::{GatedStore, PausePoint};
 pub(crate) use self::raw_http::{EntryFixture, RawAnswer, RawUpstream, exchange_raw};
