serve: share the cap on connections and close silent ones together

Cause: nothing bounded the connections to an upstream over all entries, none had an age limit, and each connection that had gone silent cost a request its timeout. A connection that came back before its task had run counted as closed, and was.

Change: HostPool decides without I/O which connection is taken, kept or closed. Its share is the cap by EntryCount: the highest count of live entries of the last 30 s and a reserve for those not yet seen. An attempt that finds no place did not run and marks the upstream busy. Connections end after 5 minutes, spread over a quarter of that. When a used connection is given up after a silence, idle ones not proven since are closed with it.

Shown to fail: without group ejection and without the check of the share on return, two tests fail.

--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -7,6 +7,7 @@
 
 mod adaptive_limit;
 mod admission_gate;
+mod connection_share;
 mod fair_queue;
 mod hedge_budget;
 mod latency_window;
@@ -17,6 +18,7 @@
 
 pub use self::adaptive_limit::{AdaptiveLimit, AttemptWindow, CongestionSignal, LimitUse};
 pub use self::admission_gate::{AdmissionGate, GatePermit, GateRefusal, GateRequest, GateSettings};
+pub use self::connection_share::{EntryCount, connection_share};
 pub use self::fair_queue::{FairQueue, QueueShare};
 pub use self::hedge_budget::HedgeBudget;
 pub use self::latency_window::LatencyWindow;
--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -174,6 +174,7 @@
         peer_address: peer_addr.to_string(),
         incarnation: seconds_since_epoch(),
     };
+    let pool = ConnectionPool::new(PoolSettings::default(), Arc::clone(&membership));
     let freshness = Arc::new(ConfigFreshness::default());
     let holder = Arc::new(GenerationHolder::new(Arc::clone(&snapshot)));
     let control = Arc::new(ControlNode::new(identity, holder, Arc::clone(&freshness), membership));
@@ -192,7 +193,7 @@
 
     let plane = RequestPlane::new(
         snapshot,
-        HttpUpstreamClient::new(ConnectionPool::new(PoolSettings::default())),
+        HttpUpstreamClient::new(pool.clone()),
         RandomPicker::new(SeededRandom::from_entropy()),
         freshness,
         ExchangeSettings::default(),
@@ -214,6 +215,7 @@
     tokio::spawn(peers.run(routes, stop_peers.clone()));
     let callers = tokio::spawn(server.run(Arc::clone(&front), stop_callers.clone()));
     tokio::spawn(admin.run(stop_admin.clone()));
+    tokio::spawn(pool.maintain(stop_admin.clone()));
     log::info!(
         target: "node",
         "started vm={} callers={caller_addr} admin={admin_addr} peers={peer_addr}",
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -44,6 +44,8 @@
 pub enum NotRunProof {
     /// The connection could not be opened.
     ConnectFailed,
+    /// This node already holds as many connections as it may.
+    ShareInUse,
     /// No byte of the request was written.
     NothingSent,
     /// The upstream's own not-run mark.
--- a/src/request/attempt_watch.rs
+++ b/src/request/attempt_watch.rs
@@ -134,6 +134,8 @@
             report.result = AttemptResult::Shed;
             report.is_draining = *is_draining;
         }
+        // Busy, not broken.
+        AttemptOutcome::NotRun(NotRunProof::ShareInUse) => report.result = AttemptResult::Shed,
         AttemptOutcome::NotRun(_) => report.result = AttemptResult::ConnectFailed,
         AttemptOutcome::Unknown(UnknownCause::TimedOut) => report.result = AttemptResult::TimedOut,
         AttemptOutcome::Unknown(_) => report.result = AttemptResult::Broken,
--- a/src/serve/connection_pool.rs
+++ b/src/serve/connection_pool.rs
@@ -4,7 +4,8 @@
 //! end; otherwise it is closed, so bytes of an abandoned exchange can reach nobody.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,99 +15,155 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
+use crate::limits::{EntryCount, connection_share};
+use crate::membership::SharedMembership;
+use crate::serve::host_pool::{HeldConnection, HostPool, HostPoolSettings, PooledConnection};
 use crate::util::FastMap;
 
+/// Time between two looks at the count of entries and at idle connections.
+const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Limits of the pool.
 #[derive(Clone, Debug)]
 pub struct PoolSettings {
-    /// Idle connections kept for each upstream.
-    pub max_idle: usize,
-    /// Idle time after which a connection is closed.
-    pub max_idle_time: Duration,
+    /// Limits for each upstream.
+    pub host: HostPoolSettings,
     /// Time to open a connection.
     pub connect_timeout: Duration,
 }
 
 impl Default for PoolSettings {
     fn default() -> Self {
-        Self {
-            max_idle: 12,
-            max_idle_time: Duration::from_secs(30),
-            connect_timeout: Duration::from_secs(1),
-        }
+        Self { host: HostPoolSettings::default(), connect_timeout: Duration::from_secs(1) }
     }
 }
 
 /// Connections by address; clones share them.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ConnectionPool {
-    settings: PoolSettings,
-    idle: Arc<Mutex<FastMap<SocketAddr, Vec<IdleConnection>>>>,
+    shared: Arc<PoolShared>,
 }
 
 #[derive(Debug)]
-struct IdleConnection {
-    connection: UpstreamConnection,
-    since: Instant,
+struct PoolShared {
+    settings: PoolSettings,
+    membership: SharedMembership,
+    entries: Mutex<EntryCount>,
+    sharers: AtomicU32,
+    hosts: RwLock<FastMap<SocketAddr, Arc<HttpHostPool>>>,
 }
 
-/// A connection in use; dropping it closes it.
+/// Connections to one upstream.
+pub(super) type HttpHostPool = HostPool<HttpConnection>;
+/// A connection in use.
+pub(super) type HeldHttpConnection = HeldConnection<HttpConnection>;
+
+/// An HTTP/1.1 connection; dropping it closes it.
 #[derive(Debug)]
-pub(super) struct UpstreamConnection {
+pub(super) struct HttpConnection {
     pub(super) sender: SendRequest<Full<Bytes>>,
-    addr: SocketAddr,
     driver: AbortHandle,
 }
 
-impl Drop for UpstreamConnection {
+impl PooledConnection for HttpConnection {
+    fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+}
+
+impl Drop for HttpConnection {
     fn drop(&mut self) {
         self.driver.abort();
     }
 }
 
+/// Why there is no connection.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum ConnectError {
+    /// This node holds its whole share of the upstream's connections.
+    #[error("the share of connections is in use")]
+    ShareInUse,
+    /// It could not be opened.
+    #[error(transparent)]
+    Failed(#[from] std::io::Error),
+}
+
 impl ConnectionPool {
-    /// Creates an empty pool.
-    pub fn new(settings: PoolSettings) -> Self {
-        Self { settings, idle: Arc::default() }
+    /// Creates an empty pool of an entry among those of `membership`.
+    pub fn new(settings: PoolSettings, membership: SharedMembership) -> Self {
+        let entries = EntryCount::default();
+        let sharers = AtomicU32::new(entries.sharers());
+        let entries = Mutex::new(entries);
+        let hosts = RwLock::default();
+        let shared = PoolShared { settings, membership, entries, sharers, hosts };
+        Self { shared: Arc::new(shared) }
     }
 
-    /// Takes the most recently used idle connection.
-    pub(super) fn take(&self, addr: SocketAddr) -> Option<UpstreamConnection> {
-        let mut idle = self.lock();
-        let connections = idle.get_mut(&addr)?;
-        while let Some(entry) = connections.pop() {
-            let is_fresh = entry.since.elapsed() < self.settings.max_idle_time;
-            if is_fresh && entry.connection.sender.is_ready() {
-                return Some(entry.connection);
-            }
+    /// Follows the count of entries and closes connections that are no longer wanted.
+    pub async fn maintain(self, stop: CancellationToken) {
+        let mut interval = tokio::time::interval(MAINTENANCE_INTERVAL);
+        while stop.run_until_cancelled(interval.tick()).await.is_some() {
+            self.count_entries();
+            self.trim();
         }
-        None
+    }
+
+    /// Connections that this node may hold to an upstream that accepts `max_connections`.
+    pub(super) fn share(&self, max_connections: u32) -> u32 {
+        connection_share(max_connections, self.shared.sharers.load(Ordering::Relaxed))
+    }
+
+    /// Connections to the upstream at `addr`.
+    pub(super) fn host(&self, addr: SocketAddr) -> Arc<HttpHostPool> {
+        let hosts = self.shared.hosts.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(host) = hosts.get(&addr) {
+            return Arc::clone(host);
+        }
+        drop(hosts);
+        let mut hosts = self.shared.hosts.write().unwrap_or_else(PoisonError::into_inner);
+        let settings = &self.shared.settings.host;
+        Arc::clone(hosts.entry(addr).or_insert_with(|| Arc::new(HostPool::new(settings.clone()))))
     }
 
     /// Opens a connection.
-    pub(super) async fn connect(&self, addr: SocketAddr) -> std::io::Result<UpstreamConnection> {
+    pub(super) async fn connect(
+        &self,
+        host: &HttpHostPool,
+        addr: SocketAddr,
+        max_connections: u32,
+    ) -> Result<HeldHttpConnection, ConnectError> {
+        self.count_entries();
+        host.set_max_connections(max_connections);
+        let place = host.reserve(self.share(max_connections)).ok_or(ConnectError::ShareInUse)?;
         let connect = TcpStream::connect(addr);
-        let stream = tokio::time::timeout(self.settings.connect_timeout, connect).await??;
+        let stream = tokio::time::timeout(self.shared.settings.connect_timeout, connect)
+            .await
+            .map_err(std::io::Error::from)??;
         stream.set_nodelay(true)?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(std::io::Error::other)?;
         let driver = tokio::spawn(async move {
             let _ = driver.await;
         });
-        Ok(UpstreamConnection { sender, addr, driver: driver.abort_handle() })
+        let connection = HttpConnection { sender, driver: driver.abort_handle() };
+        Ok(host.opened(connection, place))
     }
 
-    /// Takes a connection back after a whole exchange.
-    pub(super) fn put_back(&self, connection: UpstreamConnection) {
-        let mut idle = self.lock();
-        let connections = idle.entry(connection.addr).or_default();
-        if connections.len() < self.settings.max_idle {
-            connections.push(IdleConnection { connection, since: Instant::now() });
-        }
+    fn count_entries(&self) {
+        let present = self.shared.membership.load().entries.len() as u32;
+        let mut entries = self.shared.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        entries.observe(present, Instant::now());
+        self.shared.sharers.store(entries.sharers(), Ordering::Relaxed);
     }
 
-    fn lock(&self) -> MutexGuard<'_, FastMap<SocketAddr, Vec<IdleConnection>>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Trims every host to the share that it was last used with, and forgets those without any.
+    fn trim(&self) {
+        let mut hosts = self.shared.hosts.write().unwrap_or_else(PoisonError::into_inner);
+        hosts.retain(|_, host| {
+            host.trim(self.share(host.max_connections()));
+            host.open() > 0 || Arc::strong_count(host) > 1
+        });
     }
 }
--- a/src/serve/http_client.rs
+++ b/src/serve/http_client.rs
@@ -19,17 +19,57 @@
     AttemptOutcome, AttemptRequest, ConnectionChoice, NotRunProof, UnknownCause, UpstreamAnswer,
     UpstreamClient,
 };
-use crate::serve::connection_pool::{ConnectionPool, UpstreamConnection};
+use crate::serve::connection_pool::{
+    ConnectError, ConnectionPool, HeldHttpConnection, HttpHostPool,
+};
 
 /// The transfer coding that marks its own end.
 const CHUNKED: &[u8] = b"chunked";
 
 /// Client over a pool of connections.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct HttpUpstreamClient {
     pool: ConnectionPool,
 }
 
+/// What became of a request given to one connection.
+enum Exchange {
+    Done(AttemptOutcome<UpstreamBody>),
+    /// No byte was written; the request is handed back.
+    Unsent(Request<Full<Bytes>>),
+}
+
+/// Where the connection of an exchange came from and goes back to.
+#[derive(Clone, Debug)]
+struct ConnectionHome {
+    pool: ConnectionPool,
+    host: Arc<HttpHostPool>,
+    max_connections: u32,
+}
+
+impl ConnectionHome {
+    fn put_back(&self, connection: HeldHttpConnection) {
+        self.host.put_back(connection, self.pool.share(self.max_connections));
+    }
+}
+
+/// Holds a connection while its answer is waited for.
+struct AwaitedConnection<'a> {
+    held: Option<HeldHttpConnection>,
+    home: &'a ConnectionHome,
+}
+
+impl Drop for AwaitedConnection<'_> {
+    /// The exchange was cancelled before a byte of the answer came.
+    fn drop(&mut self) {
+        let Some(held) = self.held.take() else { return };
+        let closed = self.home.host.give_up(held);
+        if closed > 0 {
+            log::info!(target: "connection", "one was silent, unproven ones closed count={closed}");
+        }
+    }
+}
+
 impl HttpUpstreamClient {
     /// Creates a client over `pool`.
     pub fn new(pool: ConnectionPool) -> Self {
@@ -38,45 +78,27 @@
 
     async fn exchange(
         &self,
-        mut connection: UpstreamConnection,
+        held: HeldHttpConnection,
+        home: &ConnectionHome,
         request: Request<Full<Bytes>>,
     ) -> Exchange {
         let method = request.method().clone();
-        match connection.sender.try_send_request(request).await {
-            Ok(response) => Exchange::Done(self.wrap(&method, response, connection)),
+        let mut awaited = AwaitedConnection { held: Some(held), home };
+        let Some(held) = &mut awaited.held else { return Exchange::Unsent(request) };
+        if held.connection.sender.ready().await.is_err() {
+            return Exchange::Unsent(request);
+        }
+        let sent = held.connection.sender.try_send_request(request).await;
+        // A byte has come, or the connection has ended: in either case it is not silent.
+        let held = awaited.held.take();
+        match sent {
+            Ok(response) => Exchange::Done(wrap(&method, response, held, home)),
             Err(mut error) => match error.take_message() {
                 Some(request) => Exchange::Unsent(request),
                 None => Exchange::Done(AttemptOutcome::Unknown(UnknownCause::ConnectionBroken)),
             },
         }
     }
-
-    fn wrap(
-        &self,
-        method: &Method,
-        response: Response<Incoming>,
-        connection: UpstreamConnection,
-    ) -> AttemptOutcome<UpstreamBody> {
-        if !is_end_verifiable(method, &response) {
-            return AttemptOutcome::Unknown(UnknownCause::AnswerNotWhole);
-        }
-        let response = response.map(|incoming| {
-            let mut body =
-                UpstreamBody { incoming, connection: Some(connection), pool: self.pool.clone() };
-            if body.incoming.is_end_stream() {
-                body.finish();
-            }
-            body
-        });
-        AttemptOutcome::Answered(UpstreamAnswer { response })
-    }
-}
-
-/// What became of a request given to one connection.
-enum Exchange {
-    Done(AttemptOutcome<UpstreamBody>),
-    /// No byte was written; the request is handed back.
-    Unsent(Request<Full<Bytes>>),
 }
 
 impl UpstreamClient for HttpUpstreamClient {
@@ -88,26 +110,54 @@
         request: AttemptRequest,
     ) -> AttemptOutcome<UpstreamBody> {
         let addr = upstream.spec.address;
+        let max_connections = upstream.spec.max_connections;
+        let home =
+            ConnectionHome { pool: self.pool.clone(), host: self.pool.host(addr), max_connections };
         let choice = request.connection;
         let mut request = http_request(request);
         if choice == ConnectionChoice::Pooled
-            && let Some(connection) = self.pool.take(addr)
+            && let Some(held) = home.host.take()
         {
-            match self.exchange(connection, request).await {
+            match self.exchange(held, &home, request).await {
                 Exchange::Done(outcome) => return outcome,
                 Exchange::Unsent(unsent) => request = unsent,
             }
         }
-        let Ok(connection) = self.pool.connect(addr).await else {
-            return AttemptOutcome::NotRun(NotRunProof::ConnectFailed);
+        let held = match self.pool.connect(&home.host, addr, max_connections).await {
+            Ok(held) => held,
+            Err(ConnectError::ShareInUse) => {
+                return AttemptOutcome::NotRun(NotRunProof::ShareInUse);
+            }
+            Err(ConnectError::Failed(_)) => {
+                return AttemptOutcome::NotRun(NotRunProof::ConnectFailed);
+            }
         };
-        match self.exchange(connection, request).await {
+        match self.exchange(held, &home, request).await {
             Exchange::Done(outcome) => outcome,
             Exchange::Unsent(_) => AttemptOutcome::NotRun(NotRunProof::NothingSent),
         }
     }
 }
 
+fn wrap(
+    method: &Method,
+    response: Response<Incoming>,
+    connection: Option<HeldHttpConnection>,
+    home: &ConnectionHome,
+) -> AttemptOutcome<UpstreamBody> {
+    if !is_end_verifiable(method, &response) {
+        return AttemptOutcome::Unknown(UnknownCause::AnswerNotWhole);
+    }
+    let response = response.map(|incoming| {
+        let mut body = UpstreamBody { incoming, connection, home: home.clone() };
+        if body.incoming.is_end_stream() {
+            body.finish();
+        }
+        body
+    });
+    AttemptOutcome::Answered(UpstreamAnswer { response })
+}
+
 fn http_request(attempt: AttemptRequest) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(attempt.body));
     *request.method_mut() = attempt.method;
@@ -144,14 +194,14 @@
 #[derive(Debug)]
 pub struct UpstreamBody {
     incoming: Incoming,
-    connection: Option<UpstreamConnection>,
-    pool: ConnectionPool,
+    connection: Option<HeldHttpConnection>,
+    home: ConnectionHome,
 }
 
 impl UpstreamBody {
     fn finish(&mut self) {
         if let Some(connection) = self.connection.take() {
-            self.pool.put_back(connection);
+            self.home.put_back(connection);
         }
     }
 }
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -4,6 +4,7 @@
 mod caller_server;
 mod connection_pool;
 mod front;
+mod host_pool;
 mod http_client;
 mod latency_metrics;
 mod request_body;
@@ -13,5 +14,8 @@
 pub use self::caller_server::{CallerServer, CallerServerSettings};
 pub use self::connection_pool::{ConnectionPool, PoolSettings};
 pub use self::front::{FrontService, FrontSettings};
+pub use self::host_pool::{
+    ConnectionPlace, HeldConnection, HostPool, HostPoolSettings, PooledConnection,
+};
 pub use self::http_client::{HttpUpstreamClient, UpstreamBody};
 pub use self::latency_metrics::LatencyMetrics;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::expect_used, clippy::unwrap_used, reason = "a test panics to fail")]
 
 mod compile;
+mod connections;
 mod control_plane;
 mod exchange;
 mod exchange_state;
--- a/tests/testsuite/support/raw_http.rs
+++ b/tests/testsuite/support/raw_http.rs
@@ -167,7 +167,10 @@
         let route = json!({ "deadline": "10s" });
         let plane = RequestPlane::new(
             snapshot_for(&[upstream.addr], route, BudgetSpec::default()),
-            HttpUpstreamClient::new(ConnectionPool::new(PoolSettings::default())),
+            HttpUpstreamClient::new(ConnectionPool::new(
+                PoolSettings::default(),
+                SharedMembership::default(),
+            )),
             RandomPicker::new(SeededRandom::new(3)),
             freshness,
             ExchangeSettings::default(),
