--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -174,6 +174,7 @@
         peer_address: peer_addr.to_string(),
         incarnation: seconds_since_epoch(),
     };
+    let pool = ConnectionPool::new(PoolSettings::default(), Arc::clone(&membership));
     let freshness = Arc::new(ConfigFreshness::default());
     let holder = Arc::new(GenerationHolder::new(Arc::clone(&snapshot)));
     let control = Arc::new(ControlNode::new(identity, holder, Arc::clone(&freshness), membership));
@@ -192,78 +193,9 @@
 
     let plane = RequestPlane::new(
         snapshot,
-        HttpUpstreamClient::new(ConnectionPool::new(PoolSettings::default())),
+        HttpUpstreamClient::new(pool.clone()),
         LoadPicker::new(
             FailureDomain::new(&settings.failure_domain),
             PickerSettings::default(),
             SeededRandom::from_entropy(),
         ),
-        freshness,
-        ExchangeSettings::default(),
-    );
-    let front_settings = FrontSettings {
-        max_body_bytes: limits.max_body_bytes,
-        body_timeout: limits.body_timeout,
-        max_held_bytes: limits.max_held_bytes,
-        ..FrontSettings::default()
-    };
-    let front = Arc::new(FrontService::new(plane, addresses, metrics, front_settings));
-    let stop_callers = CancellationToken::new();
-    let stop_admin = CancellationToken::new();
-    let stop_peers = CancellationToken::new();
-    let exchange = PeerExchangeServer::new(ExchangeService::new(Arc::clone(&control)))
-        .max_decoding_message_size(MAX_MESSAGE_BYTES)
-        .max_encoding_message_size(MAX_MESSAGE_BYTES);
-    let routes = Routes::new(exchange);
-    tokio::spawn(peers.run(routes, stop_peers.clone()));
-    let callers = tokio::spawn(server.run(Arc::clone(&front), stop_callers.clone()));
-    tokio::spawn(admin.run(stop_admin.clone()));
-    log::info!(
-        target: "node",
-        "started vm={} callers={caller_addr} admin={admin_addr} peers={peer_addr}",
-        settings.vm,
-    );
-    Ok(RunningNode {
-        caller_addr,
-        admin_addr,
-        peer_addr,
-        auth,
-        control,
-        settings,
-        kernel,
-        front,
-        status,
-        stop_callers,
-        stop_admin,
-        stop_peers,
-        callers,
-    })
-}
-
-/// Reads the key file again and again; a file that cannot be used leaves the last keys in force.
-async fn follow_keys(key_file: PathBuf, auth: PeerAuth, stop: CancellationToken) {
-    let mut last_fault = String::new();
-    while stop.run_until_cancelled(tokio::time::sleep(KEY_POLL_INTERVAL)).await.is_some() {
-        let fault = match PeerKeys::load(&key_file) {
-            Ok(keys) => {
-                auth.set_keys(keys);
-                String::new()
-            }
-            Err(error) => error.to_string(),
-        };
-        if !fault.is_empty() && fault != last_fault {
-            log::warn!(target: "peer", "key file unusable, last keys kept reason={fault}");
-        }
-        last_fault = fault;
-    }
-}
-
-/// Start of this node on its own clock; only compared with earlier starts of the same VM.
-fn seconds_since_epoch() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
-}
-
-fn listen_failed(addr: SocketAddr) -> String {
-    let code = ResultCode::ListenFailed;
-    format!("{code}: cannot listen on {addr}")
-}
