balance: probe silent upstreams within leased shares of one budget

Cause: the measuring budget of the Budget object was in no code; a drain mark was set and cleared by whichever answer came last.

Change: the budget is cut into 20 shares, each an object held by conditional writes for 30 s and taken over after 36 s unchanged; a process probes only from shares it holds, so no view of membership can exceed the sum. Upstreams silent for 3 s are probed with HEAD /, the longest silent first; sent, allowed and budget are on /metrics. A drain mark is cleared only by an answer to a request sent after it, counts only when steady for 3 s if it flaps, and ends after 60 s without renewal; DrainService carries marks to and from the exchange between entries every 250 ms.

Figures: 20 seeds of 300 s with 19 entries killed, paused up to 90 s and wanting 0 to 20 shares each, answers lost and reads stale: within 50/s plus one saved probe a share over windows of 1, 10, 60 and 300 s.

--- a/src/balance/load_picker.rs
+++ b/src/balance/load_picker.rs
@@ -22,7 +22,7 @@
 use crate::balance::candidate_pool::{CandidatePool, PoolCandidate, PoolUsual};
 use crate::balance::observe::{self, ObserveSettings};
 use crate::balance::pick::{PickRequest, UpstreamPicker};
-use crate::balance::report::AttemptReport;
+use crate::balance::report::{AttemptReport, AttemptResult};
 use crate::core::{FailureDomain, UpstreamKey, UpstreamState};
 use crate::util::{SeededRandom, duration_text};
 
@@ -245,7 +245,9 @@
     }
 
     fn observe(&self, upstream: &Arc<UpstreamState>, report: AttemptReport) {
-        upstream.set_marked_draining(report.is_draining);
+        if matches!(report.result, AttemptResult::Answered | AttemptResult::Shed) {
+            upstream.see_drain_mark(report.is_draining, report.latency);
+        }
         let network = Duration::from_secs_f32(self.network_secs(upstream));
         observe::learn(upstream, report, network, &self.settings.observe);
     }
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -4,9 +4,16 @@
 mod load_picker;
 mod observe;
 mod pick;
+mod probe_budget;
+mod probe_plan;
 mod report;
 
 pub use self::load_picker::{LoadPicker, PickerSettings};
 pub use self::observe::ObserveSettings;
 pub use self::pick::{PickRequest, RandomPicker, UpstreamPicker};
+pub use self::probe_budget::{
+    PROBE_SHARE_KIND, PROBE_SHARES, ProbeWallet, SHARE_LIFETIME, SHARE_RENEWAL, SHARE_TAKEOVER,
+    ShareKeeper,
+};
+pub use self::probe_plan::{ProbeSettings, learn_probe, mark_probed, next_probe};
 pub use self::report::{AttemptReport, AttemptResult, LoadReport};
--- a/src/balance/observe.rs
+++ b/src/balance/observe.rs
@@ -52,15 +52,45 @@
     settings: &ObserveSettings,
 ) {
     let view = upstream.load();
-    let now = view.nanos_at(Instant::now());
     let latency_secs = report.latency.saturating_sub(network).as_secs_f32();
+    match report.result {
+        AttemptResult::Answered | AttemptResult::TimedOut => {
+            record_latency(view, latency_secs, settings);
+        }
+        // The answer would have taken longer still.
+        AttemptResult::Cancelled if latency_secs > view.latency_secs.get() => {
+            record_latency(view, latency_secs, settings);
+        }
+        _ => {}
+    }
     // The attempt itself is still counted as in flight.
-    let own = upstream.inflight().saturating_sub(1) as f32;
+    let own = upstream.inflight().saturating_sub(1);
+    learn_load(upstream, report, own, settings);
+}
+
+/// Updates the view by an attempt whose latency tells nothing and that is not counted as in
+/// flight.
+pub(super) fn learn_without_latency(
+    upstream: &UpstreamState,
+    report: AttemptReport,
+    settings: &ObserveSettings,
+) {
+    learn_load(upstream, report, upstream.inflight(), settings);
+}
+
+fn learn_load(
+    upstream: &UpstreamState,
+    report: AttemptReport,
+    own: u32,
+    settings: &ObserveSettings,
+) {
+    let view = upstream.load();
+    let now = view.nanos_at(Instant::now());
+    let own = own as f32;
     match report.result {
         AttemptResult::Answered => {
             view.heard.set(now);
             record_success(view, now);
-            record_latency(view, latency_secs, settings);
             view.error_share.blend(0.0, settings.sample_weight);
             if let Some(load) = report.load {
                 record_load(view, load.inflight as f32 - own, now, settings);
@@ -72,20 +102,13 @@
             let others = 2.0 * upstream.spec.slots as f32 - own;
             record_load(view, others, now, settings);
         }
-        AttemptResult::ServerError => record_failure(view, 1, now, settings),
+        AttemptResult::ServerError | AttemptResult::TimedOut => {
+            record_failure(view, 1, now, settings)
+        }
         AttemptResult::ConnectFailed | AttemptResult::Broken => {
             record_failure(view, settings.connection_failures, now, settings);
         }
-        AttemptResult::TimedOut => {
-            record_latency(view, latency_secs, settings);
-            record_failure(view, 1, now, settings);
-        }
-        AttemptResult::Cancelled => {
-            // The answer would have taken longer still.
-            if latency_secs > view.latency_secs.get() {
-                record_latency(view, latency_secs, settings);
-            }
-        }
+        AttemptResult::Cancelled => {}
     }
 }
 
--- a/src/balance/pick.rs
+++ b/src/balance/pick.rs
@@ -60,7 +60,7 @@
     }
 
     fn observe(&self, upstream: &Arc<UpstreamState>, report: AttemptReport) {
-        upstream.set_marked_draining(report.is_draining);
+        upstream.see_drain_mark(report.is_draining, report.latency);
     }
 }
 
--- a/src/core/load_view.rs
+++ b/src/core/load_view.rs
@@ -59,6 +59,8 @@
     created: Instant,
     /// When the last answer of any kind arrived.
     pub heard: AtomicTime,
+    /// When the last probe was sent.
+    pub probed: AtomicTime,
     /// When the last load report arrived.
     pub reported: AtomicTime,
     /// Requests of other entries at the time of the last report.
@@ -88,6 +90,7 @@
         Self {
             created: Instant::now(),
             heard: AtomicTime::default(),
+            probed: AtomicTime::default(),
             reported: AtomicTime::default(),
             reported_others: AtomicNumber::default(),
             usual_others: AtomicNumber::default(),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here does I/O or knows the time.
 
+mod drain_mark;
 mod header;
 mod identity;
 mod label;
@@ -12,6 +13,7 @@
 mod snapshot;
 mod upstream;
 
+pub use self::drain_mark::{DrainMark, DrainSight, FLAP_HOLD, MARK_LIFETIME};
 pub use self::header::{
     DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, LOAD_METRICS_HEADER, NOT_RUN_HEADER,
     REQUEST_ID_HEADER, RESULT_CODE_HEADER, RETRY_ALLOWANCE_HEADER, UPSTREAM_DRAIN_HEADER,
--- a/src/core/upstream.rs
+++ b/src/core/upstream.rs
@@ -1,10 +1,12 @@
 //! Upstreams at run time: a key, the spec, and counters that outlive a configuration change.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
 
 use slotmap::SlotMap;
 
+use crate::core::drain_mark::{DrainMark, DrainSight};
 use crate::core::identity::FailureDomain;
 use crate::core::label::LabelSet;
 use crate::core::load_view::LoadView;
@@ -22,7 +24,8 @@
 #[derive(Debug, Default)]
 struct UpstreamCounters {
     inflight: AtomicU32,
-    is_marked_draining: AtomicBool,
+    own_mark: DrainMark,
+    hint: DrainMark,
     load: LoadView,
 }
 
@@ -67,14 +70,25 @@
         &self.counters.load
     }
 
-    /// Whether the upstream gets no new work, by its spec or by its own mark.
+    /// Whether the upstream gets no new work: by its spec, by its own mark, or by a mark that
+    /// another entry saw.
     pub fn is_draining(&self) -> bool {
-        self.spec.draining || self.counters.is_marked_draining.load(Ordering::Relaxed)
+        self.spec.draining || self.counters.own_mark.is_set() || self.counters.hint.is_set()
     }
 
-    /// Records that the upstream marks, or no longer marks, its answers as draining.
-    pub fn set_marked_draining(&self, is_draining: bool) {
-        self.counters.is_marked_draining.store(is_draining, Ordering::Relaxed);
+    /// Takes in an answer with or without the drain mark, `latency` after its request was sent.
+    pub fn see_drain_mark(&self, is_draining: bool, latency: Duration) {
+        self.counters.own_mark.see(is_draining, latency);
+    }
+
+    /// The drain mark as this node saw it last.
+    pub fn drain_mark(&self) -> DrainSight {
+        self.counters.own_mark.sight()
+    }
+
+    /// Takes in what the other entries say about the drain mark.
+    pub fn hint_drain(&self, is_draining: bool) {
+        self.counters.hint.see(is_draining, Duration::ZERO);
     }
 
     /// Counts a request as sent until the guard is dropped.
--- /dev/null
+++ b/src/kernel/probe_service.rs
@@ -0,0 +1,209 @@
+//! Probes silent upstreams within the deployment's budget.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Uri};
+use kameo::Actor;
+use kameo::actor::{ActorRef, WeakActorRef};
+use kameo::error::ActorStopReason;
+use prometheus::{Gauge, IntCounter, Registry};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+use crate::balance::{
+    AttemptReport, AttemptResult, LoadReport, ObserveSettings, PROBE_SHARES, ProbeSettings,
+    ProbeWallet, SHARE_RENEWAL, ShareKeeper, learn_probe, mark_probed, next_probe,
+};
+use crate::core::{
+    SharedSnapshot, UPSTREAM_DRAIN_HEADER, UPSTREAM_NOT_RUN_HEADER, UpstreamState, VmId,
+};
+use crate::membership::SharedMembership;
+use crate::platform::PlatformStore;
+use crate::request::{
+    AttemptOutcome, AttemptRequest, ConnectionChoice, UnknownCause, UpstreamClient,
+};
+use crate::util::SeededRandom;
+
+/// Time between two looks for silent upstreams.
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// Path of a probe; a HEAD request that every HTTP server answers in some way.
+const PROBE_PATH: &str = "/";
+
+/// What the service needs.
+pub struct ProbeServiceArgs<S, C> {
+    /// Identity of this node.
+    pub vm: VmId,
+    /// The platform.
+    pub store: Arc<S>,
+    /// Sends probes.
+    pub client: C,
+    /// The configuration.
+    pub snapshot: SharedSnapshot,
+    /// Says how many entries share the budget; a wrong view leaves budget unused, no more.
+    pub membership: SharedMembership,
+    /// Metrics.
+    pub metrics: ProbeMetrics,
+    /// Source of random numbers.
+    pub random: SeededRandom,
+}
+
+/// Metrics of probing.
+#[derive(Clone, Debug)]
+pub struct ProbeMetrics {
+    sent: IntCounter,
+    allowed: Gauge,
+    budget: Gauge,
+}
+
+impl ProbeMetrics {
+    /// Creates the metrics and registers them.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the registry already holds metrics of the same names.
+    pub fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let metrics = Self {
+            sent: IntCounter::new("heatherfall_probes_total", "Probes sent by this entry.")?,
+            allowed: Gauge::new(
+                "heatherfall_probes_allowed_per_second",
+                "Probes a second that this entry's shares allow.",
+            )?,
+            budget: Gauge::new(
+                "heatherfall_probe_budget_per_second",
+                "Probes a second that the whole deployment may send.",
+            )?,
+        };
+        registry.register(Box::new(metrics.sent.clone()))?;
+        registry.register(Box::new(metrics.allowed.clone()))?;
+        registry.register(Box::new(metrics.budget.clone()))?;
+        Ok(metrics)
+    }
+}
+
+/// The service.
+#[derive(Debug)]
+pub struct ProbeService<S: PlatformStore, C: UpstreamClient + Clone> {
+    stop: CancellationToken,
+    shares: Option<JoinHandle<()>>,
+    _types: std::marker::PhantomData<(S, C)>,
+}
+
+impl<S: PlatformStore, C: UpstreamClient + Clone> Actor for ProbeService<S, C> {
+    type Args = ProbeServiceArgs<S, C>;
+    type Error = Infallible;
+
+    async fn on_start(mut args: Self::Args, _actor: ActorRef<Self>) -> Result<Self, Infallible> {
+        let stop = CancellationToken::new();
+        let wallet = Arc::new(ProbeWallet::default());
+        let keeper = ShareKeeper::new(args.vm.as_str(), &mut args.random);
+        let (store, membership) = (Arc::clone(&args.store), Arc::clone(&args.membership));
+        let kept = keep_shares(keeper, store, Arc::clone(&wallet), membership, stop.clone());
+        let shares = tokio::spawn(kept);
+        tokio::spawn(probe(args, wallet, stop.clone()));
+        Ok(Self { stop, shares: Some(shares), _types: std::marker::PhantomData })
+    }
+
+    async fn on_stop(
+        &mut self,
+        _actor: WeakActorRef<Self>,
+        _reason: ActorStopReason,
+    ) -> Result<(), Infallible> {
+        self.stop.cancel();
+        if let Some(shares) = self.shares.take() {
+            let _ = shares.await;
+        }
+        Ok(())
+    }
+}
+
+async fn keep_shares<S: PlatformStore>(
+    mut keeper: ShareKeeper,
+    store: Arc<S>,
+    wallet: Arc<ProbeWallet>,
+    membership: SharedMembership,
+    stop: CancellationToken,
+) {
+    let mut was_faulty = false;
+    loop {
+        let entries = membership.load().ready().count().max(1);
+        let wanted = (PROBE_SHARES as usize).div_ceil(entries);
+        let step = stop.run_until_cancelled(keeper.step(&*store, &wallet, wanted)).await;
+        let Some(result) = step else { break };
+        if let Err(error) = &result
+            && !was_faulty
+        {
+            log::warn!(target: "probe", "shares not renewed reason={error}");
+        }
+        was_faulty = result.is_err();
+        if stop.run_until_cancelled(sleep(SHARE_RENEWAL)).await.is_none() {
+            break;
+        }
+    }
+    keeper.release(&*store, &wallet).await;
+}
+
+async fn probe<S, C: UpstreamClient + Clone>(
+    args: ProbeServiceArgs<S, C>,
+    wallet: Arc<ProbeWallet>,
+    stop: CancellationToken,
+) {
+    let settings = ProbeSettings::default();
+    while stop.run_until_cancelled(sleep(PROBE_INTERVAL)).await.is_some() {
+        let Some(snapshot) = args.snapshot.load_full() else { continue };
+        let budget = snapshot.budget.probes_per_second;
+        let share = wallet.held() as f64 / f64::from(PROBE_SHARES);
+        args.metrics.budget.set(budget);
+        args.metrics.allowed.set(budget * share);
+        while let Some(key) = next_probe(&snapshot, &settings) {
+            if !wallet.take(budget) {
+                break;
+            }
+            let Some(upstream) = snapshot.upstreams.get(key) else { break };
+            mark_probed(upstream);
+            args.metrics.sent.inc();
+            tokio::spawn(send_probe(args.client.clone(), Arc::clone(upstream), settings.timeout));
+        }
+    }
+}
+
+async fn send_probe<C: UpstreamClient>(client: C, upstream: Arc<UpstreamState>, timeout: Duration) {
+    let started = Instant::now();
+    let request = AttemptRequest {
+        method: Method::HEAD,
+        uri: Uri::from_static(PROBE_PATH),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        deadline: started + timeout,
+        connection: ConnectionChoice::Pooled,
+    };
+    let outcome = match tokio::time::timeout(timeout, client.send(&upstream, request)).await {
+        Ok(outcome) => outcome,
+        Err(_) => AttemptOutcome::Unknown(UnknownCause::TimedOut),
+    };
+    let report = probe_report(&outcome, started.elapsed());
+    learn_probe(&upstream, report, &ObserveSettings::default());
+}
+
+/// What a probe says: any answer shows that the upstream is there, whatever its status.
+fn probe_report<B>(outcome: &AttemptOutcome<B>, latency: Duration) -> AttemptReport {
+    let mut report =
+        AttemptReport { latency, result: AttemptResult::Answered, load: None, is_draining: false };
+    match outcome {
+        AttemptOutcome::Answered(answer) => {
+            let headers = answer.response.headers();
+            report.load = LoadReport::from_headers(headers);
+            report.is_draining = headers.contains_key(UPSTREAM_DRAIN_HEADER);
+            if headers.contains_key(UPSTREAM_NOT_RUN_HEADER) {
+                report.result = AttemptResult::Shed;
+            }
+        }
+        AttemptOutcome::NotRun(_) => report.result = AttemptResult::ConnectFailed,
+        AttemptOutcome::Unknown(UnknownCause::TimedOut) => report.result = AttemptResult::TimedOut,
+        AttemptOutcome::Unknown(_) => report.result = AttemptResult::Broken,
+    }
+    report
+}
--- a/src/kernel/service_kernel.rs
+++ b/src/kernel/service_kernel.rs
@@ -14,6 +14,10 @@
     Config,
     /// Exchanges heartbeats, generations and hints with the other entries.
     Membership,
+    /// Carries drain marks of upstreams to and from the exchange.
+    Drain,
+    /// Probes silent upstreams within the budget.
+    Probe,
 }
 
 impl ServiceName {
@@ -22,6 +26,8 @@
         match self {
             Self::Config => "config",
             Self::Membership => "membership",
+            Self::Drain => "drain",
+            Self::Probe => "probe",
         }
     }
 }
--- a/src/ops/experiment/baseline.rs
+++ b/src/ops/experiment/baseline.rs
@@ -142,5 +142,5 @@
 }
 
 fn observe_drain(upstream: &Arc<UpstreamState>, report: AttemptReport) {
-    upstream.set_marked_draining(report.is_draining);
+    upstream.see_drain_mark(report.is_draining, report.latency);
 }
--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -15,7 +15,8 @@
 use crate::config::GenerationHolder;
 use crate::core::{FailureDomain, ResultCode, SharedSnapshot, VmId};
 use crate::kernel::{
-    ConfigService, ConfigServiceArgs, MembershipService, ServiceKernel, ServiceName,
+    ConfigService, ConfigServiceArgs, DrainService, DrainServiceArgs, MembershipService,
+    ProbeMetrics, ProbeService, ProbeServiceArgs, ServiceKernel, ServiceName,
 };
 use crate::membership::{
     AddressBook, ConfigFreshness, ControlNode, EntryState, MembershipDriverArgs, NodeIdentity,
@@ -137,6 +138,7 @@
     let addresses = Arc::new(AddressBook::new(Arc::clone(&membership)));
     let registry = Registry::new();
     let metrics = LatencyMetrics::new(&registry).into_diagnostic()?;
+    let probe_metrics = ProbeMetrics::new(&registry).into_diagnostic()?;
     let limits = &settings.limits;
     let server_settings = CallerServerSettings {
         header_timeout: limits.header_timeout,
@@ -181,16 +183,29 @@
     let transport = TonicTransport::new(PeerChannels::default(), auth.clone());
     let members = MembershipDriverArgs {
         node: Arc::clone(&control),
-        store,
+        store: Arc::clone(&store),
         transport: Arc::new(transport),
         seeds: settings.peers.seeds.clone(),
         random: SeededRandom::from_entropy(),
     };
     kernel.start::<MembershipService<S, TonicTransport>>(ServiceName::Membership, members);
 
+    let client = HttpUpstreamClient::new(ConnectionPool::new(PoolSettings::default()));
+    let probes = ProbeServiceArgs {
+        vm: VmId::new(&settings.vm),
+        store,
+        client: client.clone(),
+        snapshot: Arc::clone(&snapshot),
+        membership: Arc::clone(&status.membership),
+        metrics: probe_metrics,
+        random: SeededRandom::from_entropy(),
+    };
+    let drains = DrainServiceArgs { snapshot: Arc::clone(&snapshot), node: Arc::clone(&control) };
+    kernel.start::<DrainService>(ServiceName::Drain, drains);
+    kernel.start::<ProbeService<S, HttpUpstreamClient>>(ServiceName::Probe, probes);
     let plane = RequestPlane::new(
         snapshot,
-        HttpUpstreamClient::new(ConnectionPool::new(PoolSettings::default())),
+        client,
         LoadPicker::new(
             FailureDomain::new(&settings.failure_domain),
             PickerSettings::default(),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,12 +4,14 @@
 
 mod compile;
 mod control_plane;
+mod drain_mark;
 mod exchange;
 mod exchange_state;
 mod experiment;
 mod limits;
 mod load_picker;
 mod peer_calls;
+mod probe_budget;
 mod processes;
 mod result_codes;
 mod selectors;
--- /dev/null
+++ b/tests/testsuite/probe_budget.rs
@@ -0,0 +1,199 @@
+//! The measuring budget: shares, what they allow, and who is probed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use heatherfall::balance::{
+    AttemptReport, AttemptResult, ObserveSettings, PROBE_SHARES, ProbeSettings, ProbeWallet,
+    SHARE_LIFETIME, SHARE_RENEWAL, SHARE_TAKEOVER, ShareKeeper, learn_probe, mark_probed,
+    next_probe,
+};
+use heatherfall::core::{ConfigSnapshot, LabelSet, UpstreamSpec, UpstreamState};
+use heatherfall::util::SeededRandom;
+use heatherfall_standins::platform::{FaultSettings, StandinPlatform};
+use serde_json::json;
+use tokio::time::{Instant, advance};
+
+const BUDGET: f64 = 50.0;
+const ALL: usize = PROBE_SHARES as usize;
+
+struct EntryFixture {
+    keeper: ShareKeeper,
+    wallet: ProbeWallet,
+    wanted: usize,
+    next_step: Instant,
+}
+
+impl EntryFixture {
+    fn new(index: usize, random: &mut SeededRandom) -> Self {
+        Self {
+            keeper: ShareKeeper::new(&format!("vm-{index}"), random),
+            wallet: ProbeWallet::default(),
+            wanted: 1 + random.below(ALL),
+            next_step: Instant::now(),
+        }
+    }
+
+    fn spend(&self) -> u64 {
+        let mut spent = 0;
+        while self.wallet.take(BUDGET) {
+            spent += 1;
+        }
+        spent
+    }
+}
+
+/// Runs entries that come, die, pause and believe different things, and returns the probes sent in
+/// each tenth of a second.
+async fn churn(seed: u64) -> Vec<u64> {
+    let mut random = SeededRandom::new(seed);
+    let store = StandinPlatform::default();
+    let mut entries = Vec::new();
+    for index in 0..19 {
+        entries.push(EntryFixture::new(index, &mut random));
+    }
+    let mut sent = Vec::new();
+    for tick in 0..3000_u64 {
+        if tick % 300 == 0 {
+            let lose_write_answers = random.below(12) as u32;
+            let stale_revisions = random.below(20) as u64;
+            store.set_faults(FaultSettings {
+                lose_write_answers,
+                stale_revisions,
+                ..FaultSettings::default()
+            });
+        }
+        let index = random.below(entries.len());
+        match random.below(200) {
+            // The process is killed and another comes up on the same VM.
+            0 => entries[index] = EntryFixture::new(index, &mut random),
+            // The keeper is paused while probing goes on.
+            1 => entries[index].next_step += Duration::from_secs(random.below(90) as u64),
+            2 => entries[index].wanted = random.below(ALL + 1),
+            _ => {}
+        }
+        let mut spent = 0;
+        for entry in &mut entries {
+            if Instant::now() >= entry.next_step {
+                let _ = entry.keeper.step(&store, &entry.wallet, entry.wanted).await;
+                entry.next_step = Instant::now() + SHARE_RENEWAL;
+            }
+            spent += entry.spend();
+        }
+        sent.push(spent);
+        advance(Duration::from_millis(100)).await;
+    }
+    sent
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_sum_over_entries_stays_within_the_budget_whatever_they_believe() {
+    for seed in 0..20 {
+        let sent = churn(seed).await;
+        for seconds in [1, 10, 60, 300] {
+            let allowed = BUDGET * seconds as f64 + f64::from(PROBE_SHARES);
+            for window in sent.windows(seconds * 10) {
+                let total: u64 = window.iter().sum();
+                assert!(total as f64 <= allowed, "seed {seed}: {total} in {seconds} s");
+            }
+        }
+        let total: u64 = sent.iter().sum();
+        assert!(total as f64 > 0.2 * BUDGET * 300.0, "seed {seed}: only {total} in all");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_share_is_taken_over_only_after_its_holder_has_stopped() {
+    let store = StandinPlatform::default();
+    let mut random = SeededRandom::new(1);
+    let (mut first, mut second) =
+        (EntryFixture::new(0, &mut random), EntryFixture::new(1, &mut random));
+    first.keeper.step(&store, &first.wallet, ALL).await.unwrap();
+    assert_eq!(first.wallet.held(), ALL);
+    second.keeper.step(&store, &second.wallet, ALL).await.unwrap();
+    advance(SHARE_LIFETIME - Duration::from_millis(1)).await;
+    assert_eq!(first.wallet.held(), ALL);
+    second.keeper.step(&store, &second.wallet, ALL).await.unwrap();
+    assert_eq!(second.wallet.held(), 0);
+    advance(SHARE_TAKEOVER - SHARE_LIFETIME + Duration::from_millis(1)).await;
+    assert_eq!(first.wallet.held(), 0);
+    second.keeper.step(&store, &second.wallet, ALL).await.unwrap();
+    assert_eq!(second.wallet.held(), ALL);
+    first.keeper.step(&store, &first.wallet, ALL).await.unwrap();
+    assert_eq!(first.wallet.held(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_share_given_back_is_free_at_once() {
+    let store = StandinPlatform::default();
+    let mut random = SeededRandom::new(1);
+    let (mut first, mut second) =
+        (EntryFixture::new(0, &mut random), EntryFixture::new(1, &mut random));
+    first.keeper.step(&store, &first.wallet, ALL).await.unwrap();
+    first.keeper.release(&store, &first.wallet).await;
+    assert_eq!(first.wallet.held(), 0);
+    second.keeper.step(&store, &second.wallet, ALL).await.unwrap();
+    assert_eq!(second.wallet.held(), ALL);
+}
+
+#[tokio::test(start_paused = true)]
+async fn probing_ends_while_the_platform_is_out() {
+    let store = StandinPlatform::default();
+    let mut entry = EntryFixture::new(0, &mut SeededRandom::new(1));
+    entry.keeper.step(&store, &entry.wallet, ALL).await.unwrap();
+    store.set_faults(FaultSettings { down: true, ..store.faults() });
+    for _ in 0..4 {
+        advance(SHARE_RENEWAL).await;
+        assert!(entry.keeper.step(&store, &entry.wallet, ALL).await.is_err());
+    }
+    assert_eq!(entry.wallet.held(), 0);
+    assert_eq!(entry.spend(), 0);
+}
+
+fn snapshot_of(count: usize) -> ConfigSnapshot {
+    let mut snapshot = ConfigSnapshot::default();
+    for index in 0..count {
+        let spec = json!({ "address": "127.0.0.1:1", "failure_domain": "a" });
+        let spec: UpstreamSpec = serde_json::from_value(spec).unwrap();
+        let state = UpstreamState::new(&format!("u{index}"), spec, LabelSet::default());
+        snapshot.upstreams.insert(Arc::new(state));
+    }
+    snapshot
+}
+
+fn probe_answer(is_draining: bool) -> AttemptReport {
+    AttemptReport {
+        latency: Duration::from_millis(1),
+        result: AttemptResult::Answered,
+        load: None,
+        is_draining,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn only_silent_upstreams_are_probed_and_each_once_in_its_time() {
+    let snapshot = snapshot_of(3);
+    let settings = ProbeSettings::default();
+    assert_eq!(next_probe(&snapshot, &settings), None);
+    advance(settings.silence).await;
+    let heard = snapshot.upstreams.keys().next().unwrap();
+    learn_probe(&snapshot.upstreams[heard], probe_answer(false), &ObserveSettings::default());
+    let mut probed = Vec::new();
+    while let Some(key) = next_probe(&snapshot, &settings) {
+        mark_probed(&snapshot.upstreams[key]);
+        probed.push(key);
+    }
+    assert_eq!(probed.len(), 2);
+    assert!(!probed.contains(&heard));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_probe_sees_the_drain_mark_and_its_end() {
+    let snapshot = snapshot_of(1);
+    let upstream = snapshot.upstreams.values().next().unwrap();
+    learn_probe(upstream, probe_answer(true), &ObserveSettings::default());
+    assert!(upstream.is_draining());
+    advance(Duration::from_secs(3)).await;
+    learn_probe(upstream, probe_answer(false), &ObserveSettings::default());
+    assert!(!upstream.is_draining());
+}
