--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod compile;
 mod connections;
 mod control_plane;
+mod drain_mark;
 mod exchange;
 mod exchange_state;
 mod experiment;
@@ -14,6 +15,7 @@
 mod load_picker;
 mod membership;
 mod peer_calls;
+mod probe_budget;
 mod processes;
 mod result_codes;
 mod selectors;
