--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -18,6 +18,8 @@
 mod probe_budget;
 mod processes;
 mod result_codes;
+mod scenario_runner;
+mod scenarios;
 mod selectors;
 mod settings;
 mod support;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -8,7 +8,7 @@
 mod raw_http;
 
 pub(crate) use self::caller::TestCaller;
-pub(crate) use self::control_fleet::ControlFleet;
+pub(crate) use self::control_fleet::{ControlFleet, MemoryNetwork, MemoryTransport};
 pub(crate) use self::daemon::DaemonProcess;
 pub(crate) use self::fake_upstream::{FakeClient, FakeStep, plane_fixture, snapshot_for};
 pub(crate) use self::gated_store::{GatedStore, PausePoint};
