--- a/src/core/header.rs
+++ b/src/core/header.rs
@@ -10,6 +10,8 @@
 pub const RETRY_ALLOWANCE_HEADER: &str = "heatherfall-retry-allowance";
 /// Key under which a caller repeats an at-most-once request.
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+/// Present on the kept answer of an earlier request with the same idempotency key.
+pub const REPLAYED_HEADER: &str = "heatherfall-replayed";
 /// Identity of the request, passed on to the upstream.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Upstream's mark: this request was not run.
--- a/src/core/result_code.rs
+++ b/src/core/result_code.rs
@@ -51,6 +51,20 @@
     Overloaded = 1010, "The request was shed under overload.";
     /// The upstream's answer could not be verified as whole.
     AnswerNotWhole = 1011, "The upstream's answer was not whole.";
+    /// Another request with the same key has no outcome yet; the first may run.
+    KeyInProgress = 1020, "A request with this idempotency key is in progress.";
+    /// The key was used with another request.
+    KeyMismatch = 1021, "The idempotency key was used with another request.";
+    /// The key is older than the retention time; whether it ran is no longer known.
+    KeyExpired = 1022, "The idempotency key is older than the ledger's memory.";
+    /// The key carries no creation time, or one in the future.
+    KeyMalformed = 1023, "The idempotency key is not a UUIDv7 or <unix milliseconds>-<text>.";
+    /// The claim could not be made durable; the request was not dispatched.
+    LedgerUnavailable = 1024, "The at-most-once ledger cannot take a claim now.";
+    /// The ledger holds as many keys as it may.
+    LedgerFull = 1025, "The at-most-once ledger is full.";
+    /// The request ran and its answer was not kept.
+    AlreadyRan = 1026, "The request ran earlier and its answer was not kept.";
     /// An object's spec does not fit its kind.
     SpecMalformed = 2001, "The object's spec does not fit its kind.";
     /// Two objects contradict each other.
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -1,7 +1,30 @@
-//! At-most-once claims: what the request plane asks before it dispatches a keyed request.
+//! At-most-once claims: who may dispatch a keyed request.
+//!
+//! A key belongs to a partition, and a partition to the entry that rendezvous hashing names. The
+//! owner gathers claims into batches and makes each durable by one conditional write; that write,
+//! and not the ownership, keeps two owners apart. An entry dispatches only after its claim is
+//! durable, and records how the request ended.
 
 mod claim;
+mod key;
+mod log_object;
+mod node_ledger;
+mod ownership;
+mod partition;
+mod partition_log;
+mod settings;
+mod table;
+mod transport;
+mod write_bucket;
 
 pub use self::claim::{
     ClaimDecision, ClaimEnd, ClaimIntent, ClaimLedger, ClaimTicket, StoredOutcome,
 };
+pub use self::key::{KeyId, LedgerKey, WallClock};
+pub use self::log_object::{ARCHIVE_KIND, LAYOUT_KIND, LAYOUT_NAME, LedgerLayout, SEGMENT_KIND};
+pub use self::node_ledger::{LedgerParts, NodeLedger};
+pub use self::ownership::{owner_of, ranked_owner};
+pub use self::partition::LedgerCounters;
+pub use self::settings::{LedgerSettings, MAX_KEPT_BODY_BYTES};
+pub use self::table::EntryIdentity;
+pub use self::transport::{LedgerTransport, NoTransport, TransportError};
--- /dev/null
+++ b/src/ledger/partition.rs
@@ -0,0 +1,547 @@
+//! The task of one partition: gathers commands into batches and makes them durable.
+//!
+//! While one batch is being written, commands queue up and go into the next. A claim is granted
+//! only after its batch is durable. Claims that cannot be written are refused at once; ends of
+//! claims wait until they can be.
+
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use heatherfall_platform_api::PlatformStore;
+use prost::Message;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+use crate::ledger::claim::StoredOutcome;
+use crate::ledger::key::{WallClock, millis};
+use crate::ledger::log_object::{LAYOUT_KIND, LAYOUT_NAME};
+use crate::ledger::partition_log::{AppendEnd, LogSite, PartitionLog, StallObserver};
+use crate::ledger::settings::{LedgerSettings, MAX_KEPT_BODY_BYTES};
+use crate::ledger::table::{
+    ClaimClose, EntryIdentity, KeyClaim, KeyState, KeyTable, TableAnswer, TableUndo,
+};
+use crate::ledger::write_bucket::WriteBucket;
+use crate::peer::generated::ledger::KeyRecord;
+use crate::util::SeededRandom;
+
+/// First pause after the platform has failed.
+const MIN_OUTAGE_PAUSE: Duration = Duration::from_millis(100);
+/// Longest such pause.
+const MAX_OUTAGE_PAUSE: Duration = Duration::from_secs(1);
+/// Time between two looks at the ownership of an idle partition.
+const IDLE_TICK: Duration = Duration::from_millis(500);
+/// Time for which an entry serves a partition in place of an owner that another cannot reach.
+const SUBSTITUTE_TIME: Duration = Duration::from_secs(2);
+/// Ends of claims that are kept while the platform is out, for each partition.
+const MAX_WAITING_ENDS: usize = 4096;
+
+/// What a partition says to a claim.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum PartitionAnswer {
+    /// The claim is durable and exclusive.
+    Granted,
+    /// Another claim holds the key, without an outcome.
+    Taken(EntryIdentity),
+    /// The request ran.
+    Ran(Arc<StoredOutcome>),
+    /// Nobody knows whether the request ran.
+    Unknown,
+    /// The key was used with another digest.
+    Mismatch,
+    /// The key is older than what is remembered.
+    Expired,
+    /// This node does not own the partition.
+    NotOwner,
+    /// The claim was not granted: the platform cannot take it now.
+    Unavailable,
+    /// The node remembers as many keys as it may.
+    Full,
+}
+
+/// What became of the end of a claim.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum EndReceipt {
+    /// It is durable, or there was no such claim to end.
+    Settled,
+    /// It was not recorded; try again, at the owner.
+    NotSettled,
+}
+
+/// A request to a partition.
+#[derive(Debug)]
+pub(super) enum PartitionCommand {
+    Claim { claim: KeyClaim, reply: oneshot::Sender<PartitionAnswer> },
+    Finish { close: ClaimClose, is_rechecked: bool, reply: oneshot::Sender<EndReceipt> },
+}
+
+/// Counts of one node's ledger.
+#[derive(Debug, Default)]
+pub struct LedgerCounters {
+    /// Keys remembered.
+    pub keys: AtomicUsize,
+    /// Bytes of answer bodies in memory.
+    pub body_bytes: AtomicUsize,
+    /// Claims made durable.
+    pub claims: AtomicU64,
+    /// Batches made durable.
+    pub segments: AtomicU64,
+    /// Bytes of the records of those batches.
+    pub record_bytes: AtomicU64,
+    /// Batches that met another owner's.
+    pub fenced: AtomicU64,
+    /// Logs read.
+    pub replays: AtomicU64,
+}
+
+/// Decides whether this node should serve a partition.
+pub(super) trait OwnershipHint: Send + Sync + 'static {
+    /// Whether this node is the one to try.
+    fn is_owner(&self, partition: u32) -> bool;
+}
+
+/// What a partition's task and those who ask it tell each other.
+#[derive(Debug, Default)]
+pub(super) struct PartitionFlags {
+    /// The platform's last answer about the partition was a failure, or is missing.
+    is_stalled: AtomicBool,
+    /// Until when the node serves the partition in place of an owner that cannot be reached.
+    substitute_until: Mutex<Option<Instant>>,
+}
+
+impl PartitionFlags {
+    /// Whether claims cannot be made durable now.
+    pub(super) fn is_stalled(&self) -> bool {
+        self.is_stalled.load(Ordering::Relaxed)
+    }
+
+    fn clear(&self) {
+        self.is_stalled.store(false, Ordering::Relaxed);
+    }
+
+    /// Serves the partition for a while, whoever owns it.
+    pub(super) fn substitute(&self) {
+        let until = Instant::now() + SUBSTITUTE_TIME;
+        *self.substitute_until.lock().unwrap_or_else(PoisonError::into_inner) = Some(until);
+    }
+
+    fn is_substitute(&self) -> bool {
+        let until = *self.substitute_until.lock().unwrap_or_else(PoisonError::into_inner);
+        until.is_some_and(|until| Instant::now() < until)
+    }
+}
+
+impl StallObserver for PartitionFlags {
+    fn stalled(&self) {
+        self.is_stalled.store(true, Ordering::Relaxed);
+    }
+}
+
+/// What the tasks of all partitions of a node share.
+#[derive(Debug)]
+pub(super) struct PartitionContext<S, O> {
+    pub(super) store: Arc<S>,
+    pub(super) ownership: O,
+    pub(super) settings: LedgerSettings,
+    pub(super) clock: WallClock,
+    pub(super) counters: LedgerCounters,
+}
+
+/// A log and the state that it amounts to.
+#[derive(Debug)]
+struct LoadedPartition<S> {
+    log: PartitionLog<S>,
+    table: KeyTable,
+}
+
+/// What the node's counters hold of one partition.
+#[derive(Clone, Copy, Debug, Default)]
+struct CountedTable {
+    keys: usize,
+    body_bytes: usize,
+}
+
+/// A batch that is about to be written.
+#[derive(Debug, Default)]
+struct PartitionBatch {
+    records: Vec<KeyRecord>,
+    bytes: usize,
+    undos: Vec<TableUndo>,
+    commands: Vec<PartitionCommand>,
+    needs_reload: bool,
+}
+
+/// The task.
+#[derive(Debug)]
+pub(super) struct PartitionTask<S, O> {
+    context: Arc<PartitionContext<S, O>>,
+    site: LogSite,
+    random: SeededRandom,
+    flags: Arc<PartitionFlags>,
+    commands: mpsc::Receiver<PartitionCommand>,
+    bucket: WriteBucket,
+    queue: VecDeque<PartitionCommand>,
+    loaded: Option<LoadedPartition<S>>,
+    counted: CountedTable,
+    /// Whether the platform has failed and has to answer a read before claims are taken.
+    needs_probe: bool,
+    pause: Duration,
+}
+
+impl<S: PlatformStore, O: OwnershipHint> PartitionTask<S, O> {
+    pub(super) fn new(
+        context: Arc<PartitionContext<S, O>>,
+        site: LogSite,
+        random: SeededRandom,
+        flags: Arc<PartitionFlags>,
+        commands: mpsc::Receiver<PartitionCommand>,
+    ) -> Self {
+        let rate = context.settings.writes_per_second / f64::from(site.layout.partitions.max(1));
+        let bucket = WriteBucket::new(rate, context.settings.write_burst);
+        Self {
+            context,
+            site,
+            random,
+            flags,
+            commands,
+            bucket,
+            queue: VecDeque::new(),
+            loaded: None,
+            counted: CountedTable::default(),
+            needs_probe: false,
+            pause: MIN_OUTAGE_PAUSE,
+        }
+    }
+
+    /// Runs until every handle of the partition is gone.
+    pub(super) async fn run(mut self) {
+        while self.wait_for_work().await {
+            if !self.serves() {
+                self.step_down();
+                continue;
+            }
+            if !self.load().await || !self.probe().await {
+                self.refuse_and_pause().await;
+                continue;
+            }
+            if self.queue.is_empty() {
+                continue;
+            }
+            self.bucket.take().await;
+            self.drain();
+            self.keep_archived().await;
+            self.write_batch().await;
+        }
+    }
+
+    fn serves(&self) -> bool {
+        self.flags.is_substitute() || self.context.ownership.is_owner(self.site.partition)
+    }
+
+    /// Waits for commands, or for the next look at the ownership. Returns whether handles are
+    /// left.
+    async fn wait_for_work(&mut self) -> bool {
+        self.drain();
+        if self.queue.is_empty() {
+            match tokio::time::timeout(IDLE_TICK, self.commands.recv()).await {
+                Ok(Some(command)) => self.queue.push_back(command),
+                Ok(None) => return false,
+                Err(_) => return true,
+            }
+        }
+        let end = Instant::now() + self.context.settings.outcome_delay;
+        while self.queue.iter().all(PartitionCommand::is_patient) {
+            match tokio::time::timeout_at(end, self.commands.recv()).await {
+                Ok(Some(command)) => self.queue.push_back(command),
+                Ok(None) | Err(_) => break,
+            }
+        }
+        self.drain();
+        true
+    }
+
+    fn drain(&mut self) {
+        while let Ok(command) = self.commands.try_recv() {
+            self.queue.push_back(command);
+        }
+    }
+
+    fn step_down(&mut self) {
+        for command in self.queue.drain(..) {
+            command.reject(PartitionAnswer::NotOwner);
+        }
+        self.flags.clear();
+        self.needs_probe = false;
+        if self.loaded.take().is_some() {
+            self.count();
+            log::info!(target: "ledger", "stepped down partition={}", self.site.partition);
+        }
+    }
+
+    /// Reads the log unless it is at hand. Returns whether it is.
+    async fn load(&mut self) -> bool {
+        if self.loaded.is_some() {
+            return true;
+        }
+        let random = SeededRandom::new(self.random.bits());
+        let store = Arc::clone(&self.context.store);
+        let partition = self.site.partition;
+        match PartitionLog::load(store, self.site.clone(), random).await {
+            Ok((log, table)) => {
+                let (next, keys) = (log.next_sequence(), table.len());
+                log::info!(target: "ledger", "log read partition={partition} next={next} keys={keys}");
+                self.context.counters.replays.fetch_add(1, Ordering::Relaxed);
+                self.loaded = Some(LoadedPartition { log, table });
+                self.count();
+                self.recover();
+                true
+            }
+            Err(error) => {
+                if !self.flags.is_stalled() {
+                    log::warn!(target: "ledger", "log not read partition={partition} reason={error}");
+                }
+                false
+            }
+        }
+    }
+
+    /// Asks the platform for a small object if it has failed before. Returns whether it answers.
+    async fn probe(&mut self) -> bool {
+        if !self.needs_probe {
+            return true;
+        }
+        match self.context.store.get(LAYOUT_KIND, LAYOUT_NAME).await {
+            Err(error) if error.is_outage() => false,
+            _ => {
+                self.recover();
+                true
+            }
+        }
+    }
+
+    fn recover(&mut self) {
+        self.needs_probe = false;
+        self.pause = MIN_OUTAGE_PAUSE;
+        self.flags.clear();
+    }
+
+    /// Refuses the claims that wait, keeps the ends of claims, and lets some time pass.
+    async fn refuse_and_pause(&mut self) {
+        self.flags.stalled();
+        self.needs_probe = true;
+        self.drain();
+        let mut waiting = VecDeque::new();
+        for command in self.queue.drain(..) {
+            let is_kept = matches!(command, PartitionCommand::Finish { .. });
+            if is_kept && waiting.len() < MAX_WAITING_ENDS {
+                waiting.push_back(command);
+            } else {
+                command.reject(PartitionAnswer::Unavailable);
+            }
+        }
+        self.queue = waiting;
+        tokio::time::sleep(self.pause).await;
+        self.pause = (self.pause * 2).min(MAX_OUTAGE_PAUSE);
+    }
+
+    /// Moves older changes into archives and deletes what is no longer needed.
+    async fn keep_archived(&mut self) {
+        let Some(loaded) = &mut self.loaded else { return };
+        if loaded.log.is_archive_due() {
+            loaded.log.archive(&loaded.table, self.flags.as_ref()).await;
+            self.bucket.charge();
+        } else if loaded.log.has_obsolete() {
+            loaded.log.delete_obsolete().await;
+            self.bucket.charge();
+        }
+    }
+
+    /// Writes what the queue holds.
+    async fn write_batch(&mut self) {
+        let Some(mut loaded) = self.loaded.take() else { return };
+        let batch = self.gather(&mut loaded);
+        if batch.records.is_empty() {
+            self.bucket.give_back();
+            self.accept(batch.commands);
+            self.loaded = (!batch.needs_reload).then_some(loaded);
+            self.count();
+            return;
+        }
+        let horizon = self.horizon().max(loaded.table.horizon_ms());
+        match loaded.log.append(batch.records, horizon, self.flags.as_ref()).await {
+            AppendEnd::Durable => {
+                let counters = &self.context.counters;
+                counters.segments.fetch_add(1, Ordering::Relaxed);
+                counters.record_bytes.fetch_add(batch.bytes as u64, Ordering::Relaxed);
+                loaded.table.set_horizon(horizon);
+                self.loaded = (!batch.needs_reload).then_some(loaded);
+                self.recover();
+                self.accept(batch.commands);
+            }
+            AppendEnd::NoEffect => {
+                for undo in batch.undos.into_iter().rev() {
+                    loaded.table.undo(undo);
+                }
+                self.loaded = Some(loaded);
+                self.requeue(batch.commands);
+                self.refuse_and_pause().await;
+            }
+            AppendEnd::Fenced => {
+                self.context.counters.fenced.fetch_add(1, Ordering::Relaxed);
+                log::info!(target: "ledger", "fenced partition={}", self.site.partition);
+                self.requeue(batch.commands);
+            }
+        }
+        self.count();
+    }
+
+    /// Decides about the commands that wait: those that change nothing are answered, the others
+    /// make up the batch.
+    fn gather(&mut self, loaded: &mut LoadedPartition<S>) -> PartitionBatch {
+        let sequence = loaded.log.next_sequence();
+        let settings = &self.context.settings;
+        let mut batch = PartitionBatch::default();
+        let mut later = VecDeque::new();
+        while batch.bytes < settings.max_segment_bytes {
+            let Some(command) = self.queue.pop_front() else { break };
+            match command {
+                PartitionCommand::Claim { claim, reply } => {
+                    let is_full = self.context.counters.keys.load(Ordering::Relaxed)
+                        + batch.records.len()
+                        >= settings.max_keys;
+                    batch.gather_claim(&mut loaded.table, sequence, claim, reply, is_full);
+                }
+                PartitionCommand::Finish { mut close, is_rechecked, reply } => {
+                    let held = self.context.counters.body_bytes.load(Ordering::Relaxed);
+                    close.bound_body(settings.max_body_bytes.saturating_sub(held));
+                    let is_ended = loaded.table.is_ended(close.id, close.claim_id);
+                    let change = loaded.table.finish(&close, sequence);
+                    let command = PartitionCommand::Finish { close, is_rechecked: true, reply };
+                    match change {
+                        Some((record, undo)) => batch.push(record, undo, command),
+                        None if is_ended || is_rechecked => batch.commands.push(command),
+                        // Another owner may have granted this claim: read the log again.
+                        None => later.push_back(command),
+                    }
+                }
+            }
+        }
+        batch.needs_reload = !later.is_empty();
+        self.queue.extend(later);
+        batch
+    }
+
+    fn accept(&self, commands: Vec<PartitionCommand>) {
+        for command in commands {
+            match command {
+                PartitionCommand::Claim { reply, .. } => {
+                    self.context.counters.claims.fetch_add(1, Ordering::Relaxed);
+                    let _ = reply.send(PartitionAnswer::Granted);
+                }
+                PartitionCommand::Finish { reply, .. } => {
+                    let _ = reply.send(EndReceipt::Settled);
+                }
+            }
+        }
+    }
+
+    fn requeue(&mut self, commands: Vec<PartitionCommand>) {
+        for command in commands.into_iter().rev() {
+            self.queue.push_front(command);
+        }
+    }
+
+    /// Creation time before which keys are forgotten.
+    fn horizon(&self) -> u64 {
+        let settings = &self.context.settings;
+        let kept = millis(settings.retention + settings.clock_tolerance);
+        self.context.clock.now_ms().saturating_sub(kept)
+    }
+
+    /// Brings the node's counters up to the table at hand.
+    fn count(&mut self) {
+        let table = self.loaded.as_ref().map(|loaded| &loaded.table);
+        let now = CountedTable {
+            keys: table.map_or(0, KeyTable::len),
+            body_bytes: table.map_or(0, KeyTable::body_bytes),
+        };
+        let counters = &self.context.counters;
+        counters.keys.fetch_add(now.keys, Ordering::Relaxed);
+        counters.keys.fetch_sub(self.counted.keys, Ordering::Relaxed);
+        counters.body_bytes.fetch_add(now.body_bytes, Ordering::Relaxed);
+        counters.body_bytes.fetch_sub(self.counted.body_bytes, Ordering::Relaxed);
+        self.counted = now;
+    }
+}
+
+impl PartitionBatch {
+    fn push(&mut self, record: KeyRecord, undo: TableUndo, command: PartitionCommand) {
+        self.bytes += record.encoded_len();
+        self.records.push(record);
+        self.undos.push(undo);
+        self.commands.push(command);
+    }
+
+    fn gather_claim(
+        &mut self,
+        table: &mut KeyTable,
+        sequence: u64,
+        claim: KeyClaim,
+        reply: oneshot::Sender<PartitionAnswer>,
+        is_full: bool,
+    ) {
+        if reply.is_closed() {
+            return;
+        }
+        let answer = match table.ask(&claim) {
+            TableAnswer::Free if is_full => PartitionAnswer::Full,
+            TableAnswer::Free => {
+                let (record, undo) = table.claim(&claim, sequence);
+                self.push(record, undo, PartitionCommand::Claim { claim, reply });
+                return;
+            }
+            TableAnswer::Held => {
+                self.commands.push(PartitionCommand::Claim { claim, reply });
+                return;
+            }
+            TableAnswer::Taken(entry) => PartitionAnswer::Taken(entry),
+            TableAnswer::Ran(outcome) => PartitionAnswer::Ran(outcome),
+            TableAnswer::Unknown => PartitionAnswer::Unknown,
+            TableAnswer::Mismatch => PartitionAnswer::Mismatch,
+            TableAnswer::Expired => PartitionAnswer::Expired,
+            TableAnswer::GivenUp => PartitionAnswer::Unavailable,
+        };
+        let _ = reply.send(answer);
+    }
+}
+
+impl PartitionCommand {
+    /// Whether the command may wait for others to share a write with.
+    fn is_patient(&self) -> bool {
+        match self {
+            Self::Claim { .. } => false,
+            Self::Finish { close, .. } => close.state != KeyState::Released,
+        }
+    }
+
+    fn reject(self, answer: PartitionAnswer) {
+        match self {
+            Self::Claim { reply, .. } => drop(reply.send(answer)),
+            Self::Finish { reply, .. } => drop(reply.send(EndReceipt::NotSettled)),
+        }
+    }
+}
+
+impl ClaimClose {
+    /// Drops the body of an outcome that is longer than `max_bytes`.
+    fn bound_body(&mut self, max_bytes: usize) {
+        let KeyState::Ran(outcome) = &mut self.state else { return };
+        if outcome.body.len() > max_bytes.min(MAX_KEPT_BODY_BYTES) {
+            let outcome = Arc::make_mut(outcome);
+            outcome.body = Bytes::new();
+            outcome.is_body_dropped = true;
+        }
+    }
+}
--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -9,6 +9,7 @@
 use prometheus::Registry;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use tonic::service::Routes;
 
 use crate::balance::RandomPicker;
@@ -17,23 +18,30 @@
     ConfigService, ConfigServiceArgs, MembershipService, MembershipServiceArgs, ServiceKernel,
     ServiceName,
 };
+use crate::ledger::{EntryIdentity, LedgerParts, LedgerSettings, NodeLedger, WallClock};
 use crate::membership::{AddressBook, ConfigFreshness, SharedMembership};
 use crate::ops::node_settings::NodeSettings;
 use crate::ops::node_status::StatusSource;
-use crate::peer::{PeerAuth, PeerKeys, PeerServer};
+use crate::peer::{
+    LedgerService, PeerAuth, PeerChannels, PeerKeys, PeerServer, TonicLedgerTransport,
+};
 use crate::platform::PlatformStore;
 use crate::request::{ExchangeSettings, RequestPlane};
 use crate::serve::{
     AdminServer, CallerServer, CallerServerSettings, ConnectionPool, FrontService, FrontSettings,
-    HttpUpstreamClient, LatencyMetrics, PoolSettings,
+    HttpUpstreamClient, LatencyMetrics, LeaveSwitch, PoolSettings,
 };
 use crate::util::SeededRandom;
 
 /// Time between two reads of the key file.
 const KEY_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Longest time that a leaving node waits for the record of outcomes.
+const RECORD_TIME: Duration = Duration::from_secs(10);
+
 /// The request plane's service in the daemon.
-type NodeFront = FrontService<HttpUpstreamClient, RandomPicker>;
+type NodeFront<S> =
+    FrontService<HttpUpstreamClient, RandomPicker, NodeLedger<S, TonicLedgerTransport>>;
 
 /// A running node.
 pub struct RunningNode {
@@ -43,7 +51,8 @@
     auth: PeerAuth,
     settings: NodeSettings,
     kernel: ServiceKernel,
-    front: Arc<NodeFront>,
+    leave_switch: LeaveSwitch,
+    keyed_tasks: TaskTracker,
     status: Arc<StatusSource>,
     stop_callers: CancellationToken,
     stop_admin: CancellationToken,
@@ -81,12 +90,16 @@
     /// closes, requests in flight finish, and the services stop.
     pub async fn leave(self) {
         log::info!(target: "node", "leaving vm={}", self.settings.vm);
-        self.front.set_leaving();
+        self.leave_switch.set_leaving();
         tokio::time::sleep(self.settings.shutdown.announce).await;
         self.stop_callers.cancel();
         if tokio::time::timeout(self.settings.shutdown.drain, self.callers).await.is_err() {
             log::error!(target: "node", "requests still in flight at the end of the drain time");
         }
+        self.keyed_tasks.close();
+        if tokio::time::timeout(RECORD_TIME, self.keyed_tasks.wait()).await.is_err() {
+            log::error!(target: "node", "outcomes of keyed requests not recorded");
+        }
         self.kernel.stop().await;
         self.stop_peers.cancel();
         self.stop_admin.cancel();
@@ -164,23 +177,40 @@
         freshness: Arc::clone(&freshness),
     };
     kernel.start::<ConfigService<S>>(ServiceName::Config, config);
-    let members = MembershipServiceArgs { store, membership };
+    let members =
+        MembershipServiceArgs { store: Arc::clone(&store), membership: Arc::clone(&membership) };
     kernel.start::<MembershipService<S>>(ServiceName::Membership, members);
 
+    let mut random = SeededRandom::from_entropy();
+    let ledger = NodeLedger::new(LedgerParts {
+        store,
+        transport: TonicLedgerTransport::new(PeerChannels::default(), auth.clone()),
+        membership,
+        identity: EntryIdentity { vm: VmId::new(&settings.vm), incarnation: random.bits() },
+        clock: WallClock::system(),
+        random,
+        settings: LedgerSettings::default(),
+    });
+    let prepared = ledger.clone();
+    tokio::spawn(async move { prepared.prepare().await });
     let plane = RequestPlane::new(
         snapshot,
         HttpUpstreamClient::new(ConnectionPool::new(PoolSettings::default())),
         RandomPicker::new(SeededRandom::from_entropy()),
+        ledger.clone(),
         freshness,
         ExchangeSettings::default(),
     );
     let front_settings =
         FrontSettings { max_body_bytes: limits.max_body_bytes, body_timeout: limits.body_timeout };
-    let front = Arc::new(FrontService::new(plane, addresses, metrics, front_settings));
+    let keyed_tasks = plane.keyed_tasks();
+    let front: Arc<NodeFront<S>> =
+        Arc::new(FrontService::new(plane, addresses, metrics, front_settings));
     let stop_callers = CancellationToken::new();
     let stop_admin = CancellationToken::new();
     let stop_peers = CancellationToken::new();
-    tokio::spawn(peers.run(Routes::default(), stop_peers.clone()));
+    let routes = Routes::new(LedgerService::server(ledger));
+    tokio::spawn(peers.run(routes, stop_peers.clone()));
     let callers = tokio::spawn(server.run(Arc::clone(&front), stop_callers.clone()));
     tokio::spawn(admin.run(stop_admin.clone()));
     log::info!(
@@ -195,7 +225,8 @@
         auth,
         settings,
         kernel,
-        front,
+        leave_switch: front.leave_switch(),
+        keyed_tasks,
         status,
         stop_callers,
         stop_admin,
--- /dev/null
+++ b/src/peer/ledger_service.rs
@@ -0,0 +1,105 @@
+//! The ledger's calls between entry nodes, over `tonic`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tonic::service::interceptor::InterceptedService;
+use tonic::transport::Channel;
+use tonic::{Request, Response, Status, async_trait};
+
+use crate::ledger::{LedgerTransport, NodeLedger, TransportError};
+use crate::membership::EntryRecord;
+use crate::peer::auth::PeerAuth;
+use crate::peer::generated::ledger::claim_ledger_client::ClaimLedgerClient;
+use crate::peer::generated::ledger::claim_ledger_server::{ClaimLedger, ClaimLedgerServer};
+use crate::peer::generated::ledger::{ClaimReply, ClaimRequest, FinishReply, FinishRequest};
+use crate::peer::transport::PeerChannels;
+use crate::platform::PlatformStore;
+
+/// Time for the answer of an owner, which may have to wait for the platform.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Answers other entries' ledger requests.
+#[derive(Debug)]
+pub struct LedgerService<S, T> {
+    ledger: NodeLedger<S, T>,
+}
+
+impl<S: PlatformStore, T: LedgerTransport> LedgerService<S, T> {
+    /// The service as the peer server takes it.
+    pub fn server(ledger: NodeLedger<S, T>) -> ClaimLedgerServer<Self> {
+        ClaimLedgerServer::new(Self { ledger })
+    }
+}
+
+#[async_trait]
+impl<S: PlatformStore, T: LedgerTransport> ClaimLedger for LedgerService<S, T> {
+    async fn claim(&self, request: Request<ClaimRequest>) -> Result<Response<ClaimReply>, Status> {
+        Ok(Response::new(self.ledger.serve_claim(request.into_inner()).await))
+    }
+
+    async fn finish(
+        &self,
+        request: Request<FinishRequest>,
+    ) -> Result<Response<FinishReply>, Status> {
+        Ok(Response::new(self.ledger.serve_finish(request.into_inner()).await))
+    }
+}
+
+/// [`LedgerTransport`] over `tonic`.
+#[derive(Clone, Debug)]
+pub struct TonicLedgerTransport {
+    channels: PeerChannels,
+    auth: PeerAuth,
+}
+
+impl TonicLedgerTransport {
+    /// Creates a transport that signs its calls with `auth`.
+    pub fn new(channels: PeerChannels, auth: PeerAuth) -> Self {
+        Self { channels, auth }
+    }
+
+    fn client(
+        &self,
+        to: SocketAddr,
+    ) -> Result<ClaimLedgerClient<InterceptedService<Channel, PeerAuth>>, TransportError> {
+        let channel = self.channels.channel(to);
+        let channel = channel.map_err(|error| TransportError(error.to_string()))?;
+        Ok(ClaimLedgerClient::with_interceptor(channel, self.auth.clone()))
+    }
+
+    /// Waits for an answer; a connection without one may have gone silent and is not used again.
+    async fn answer<R>(
+        &self,
+        to: SocketAddr,
+        call: impl Future<Output = Result<Response<R>, Status>>,
+    ) -> Result<R, TransportError> {
+        let reason = match tokio::time::timeout(ANSWER_TIMEOUT, call).await {
+            Ok(Ok(answer)) => return Ok(answer.into_inner()),
+            Ok(Err(status)) => status.to_string(),
+            Err(_) => format!("no answer in {ANSWER_TIMEOUT:?}"),
+        };
+        self.channels.forget(to);
+        Err(TransportError(reason))
+    }
+}
+
+impl LedgerTransport for TonicLedgerTransport {
+    async fn claim(
+        &self,
+        owner: &EntryRecord,
+        request: ClaimRequest,
+    ) -> Result<ClaimReply, TransportError> {
+        let mut client = self.client(owner.peer_address)?;
+        self.answer(owner.peer_address, client.claim(request)).await
+    }
+
+    async fn finish(
+        &self,
+        owner: &EntryRecord,
+        request: FinishRequest,
+    ) -> Result<FinishReply, TransportError> {
+        let mut client = self.client(owner.peer_address)?;
+        self.answer(owner.peer_address, client.finish(request)).await
+    }
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -4,10 +4,12 @@
 //! others; [`PeerAuth`] signs and verifies every call.
 
 mod auth;
+mod ledger_service;
 mod server;
 mod transport;
 
 pub use self::auth::{AuthFault, KeyError, PeerAuth, PeerKeys};
+pub use self::ledger_service::{LedgerService, TonicLedgerTransport};
 pub use self::server::PeerServer;
 pub use self::transport::{
     MAX_MESSAGE_BYTES, PeerChannels, PeerError, PeerTransport, TonicTransport,
--- a/src/request/answer.rs
+++ b/src/request/answer.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, Sleep};
 
 use crate::core::{NOT_RUN_HEADER, RESULT_CODE_HEADER, ResultCode};
+use crate::request::relay::RelayedBody;
 
 /// Seconds after which a refused caller may come back.
 const RETRY_AFTER_SECS: u64 = 1;
@@ -37,11 +38,14 @@
 /// An error of the stream is passed on as an error, so that the server cuts the caller's
 /// connection instead of ending the answer cleanly.
 #[derive(Debug)]
-pub enum AnswerBody<B, G> {
+pub enum AnswerBody<B: Body, G> {
     /// Bytes of our own.
     Own(Option<Bytes>),
     /// An upstream's answer.
     Stream(AnswerStream<B, G>),
+    /// An answer that a task of the plane reads from the upstream, so that the request goes on
+    /// without its caller.
+    Relayed(AnswerStream<RelayedBody<B>, ()>),
 }
 
 /// An upstream's answer on its way to the caller.
@@ -88,6 +92,7 @@
         match self.get_mut() {
             Self::Own(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Self::Stream(stream) => stream.poll_stream(cx),
+            Self::Relayed(stream) => stream.poll_stream(cx),
         }
     }
 
@@ -95,6 +100,7 @@
         match self {
             Self::Own(bytes) => bytes.is_none(),
             Self::Stream(stream) => stream.body.is_end_stream(),
+            Self::Relayed(stream) => stream.body.is_end_stream(),
         }
     }
 
@@ -104,13 +110,14 @@
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
             Self::Stream(stream) => stream.body.size_hint(),
+            Self::Relayed(stream) => stream.body.size_hint(),
         }
     }
 }
 
 /// Builds a refusal with its result code; the not-run header is set only for codes that promise
 /// it.
-pub fn refusal<B, G>(code: ResultCode) -> CallerAnswer<B, G> {
+pub fn refusal<B: Body, G>(code: ResultCode) -> CallerAnswer<B, G> {
     let text = format!("{code}: {}\n", code.summary());
     let mut response = Response::new(AnswerBody::Own(Some(Bytes::from(text))));
     *response.status_mut() = status_of(code);
@@ -122,7 +129,7 @@
     if is_not_run(code) {
         headers.insert(NOT_RUN_HEADER, HeaderValue::from_static("true"));
     }
-    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE || code == ResultCode::KeyInProgress {
         response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_SECS));
     }
     response
@@ -142,6 +149,9 @@
             | ResultCode::MalformedRequest
             | ResultCode::NotReady
             | ResultCode::Overloaded
+            | ResultCode::KeyMalformed
+            | ResultCode::LedgerUnavailable
+            | ResultCode::LedgerFull
     )
 }
 
@@ -150,7 +160,10 @@
         ResultCode::NoRoute => StatusCode::NOT_FOUND,
         ResultCode::RequestTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         ResultCode::Unsupported => StatusCode::NOT_IMPLEMENTED,
-        ResultCode::MalformedRequest => StatusCode::BAD_REQUEST,
+        ResultCode::MalformedRequest | ResultCode::KeyMalformed => StatusCode::BAD_REQUEST,
+        ResultCode::KeyInProgress | ResultCode::AlreadyRan => StatusCode::CONFLICT,
+        ResultCode::KeyMismatch => StatusCode::UNPROCESSABLE_ENTITY,
+        ResultCode::KeyExpired => StatusCode::GONE,
         ResultCode::OutcomeUnknown | ResultCode::AnswerNotWhole => StatusCode::BAD_GATEWAY,
         ResultCode::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -14,7 +14,9 @@
 mod classify;
 mod exchange;
 mod exchange_state;
+mod keyed;
 mod plane;
+mod relay;
 
 pub use self::answer::{AnswerBody, AnswerError, CallerAnswer, is_not_run, refusal};
 pub use self::attempt::{
@@ -28,3 +30,4 @@
     ExchangePlan, ExchangeState, StartRefusal, StepContext,
 };
 pub use self::plane::{PlaneAnswer, RequestAdmission, RequestPlane};
+pub use self::relay::RelayedBody;
--- a/src/request/plane.rs
+++ b/src/request/plane.rs
@@ -10,7 +10,9 @@
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TE, TRANSFER_ENCODING, UPGRADE};
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
+use tokio::sync::oneshot;
 use tokio::time::Instant;
+use tokio_util::task::TaskTracker;
 
 use crate::balance::UpstreamPicker;
 use crate::core::{
@@ -18,12 +20,14 @@
     RESULT_CODE_HEADER, RETRY_ALLOWANCE_HEADER, ResultCode, SharedSnapshot,
     UPSTREAM_NOT_RUN_HEADER,
 };
+use crate::ledger::ClaimLedger;
 use crate::limits::{LimitTable, RouteLimits};
 use crate::membership::ConfigFreshness;
 use crate::request::answer::{AnswerBody, AnswerStream, CallerAnswer, refusal};
 use crate::request::attempt::UpstreamClient;
 use crate::request::classify::{RequestClass, RequestHead, classify};
 use crate::request::exchange::{ExchangeEnd, ExchangeSettings, ExchangeTools, RequestExchange};
+use crate::request::keyed::{claim_intent, claim_key};
 
 /// Headers that concern one connection only, beside those that `Connection` names.
 const HOP_BY_HOP: [HeaderName; 4] = [CONNECTION, TE, TRANSFER_ENCODING, UPGRADE];
@@ -51,27 +55,53 @@
     pub deadline: Instant,
 }
 
-/// Decides about requests and runs them.
+/// What runs requests; tasks of keyed requests share it.
 #[derive(Debug)]
-pub struct RequestPlane<C, P> {
-    snapshot: SharedSnapshot,
+pub(super) struct PlaneCore<C, P, L> {
     client: C,
     picker: P,
     freshness: Arc<ConfigFreshness>,
-    limits: LimitTable,
     settings: ExchangeSettings,
+    pub(super) ledger: L,
+}
+
+impl<C, P, L> PlaneCore<C, P, L> {
+    pub(super) fn tools(&self) -> ExchangeTools<'_, C, P> {
+        ExchangeTools {
+            client: &self.client,
+            picker: &self.picker,
+            freshness: &self.freshness,
+            settings: &self.settings,
+        }
+    }
 }
 
-impl<C: UpstreamClient, P: UpstreamPicker> RequestPlane<C, P> {
+/// Decides about requests and runs them.
+#[derive(Debug)]
+pub struct RequestPlane<C, P, L> {
+    snapshot: SharedSnapshot,
+    limits: LimitTable,
+    core: Arc<PlaneCore<C, P, L>>,
+    keyed: TaskTracker,
+}
+
+impl<C: UpstreamClient, P: UpstreamPicker, L: ClaimLedger> RequestPlane<C, P, L> {
     /// Creates the plane over the pointer to the present configuration.
     pub fn new(
         snapshot: SharedSnapshot,
         client: C,
         picker: P,
+        ledger: L,
         freshness: Arc<ConfigFreshness>,
         settings: ExchangeSettings,
     ) -> Self {
-        Self { snapshot, client, picker, freshness, limits: LimitTable::default(), settings }
+        let core = Arc::new(PlaneCore { client, picker, freshness, settings, ledger });
+        Self { snapshot, limits: LimitTable::default(), core, keyed: TaskTracker::new() }
+    }
+
+    /// The tasks of keyed requests. Each ends when the outcome of its request has been recorded.
+    pub fn keyed_tasks(&self) -> TaskTracker {
+        self.keyed.clone()
     }
 
     /// Admits a request by its head.
@@ -119,26 +149,30 @@
             deadline,
             retry_allowance: allowance.map(|allowed| allowed.min(u64::from(u32::MAX)) as u32),
         };
-        let tools = ExchangeTools {
-            client: &self.client,
-            picker: &self.picker,
-            freshness: &self.freshness,
-            settings: &self.settings,
-        };
-        match exchange.run(tools).await {
+        match claim_key(&parts.headers, exchange.class.mode, &self.core.freshness) {
+            Ok(None) => {}
+            Ok(Some(key)) => return self.run_keyed(key, exchange).await,
+            Err(code) => return refusal(code),
+        }
+        match exchange.run(self.core.tools()).await {
             ExchangeEnd::Answered { answer, inflight } => {
                 let mut response = answer
                     .response
                     .map(|body| AnswerBody::Stream(AnswerStream::new(body, deadline, inflight)));
-                remove_hop_by_hop(response.headers_mut());
-                for name in OWN_ANSWER_HEADERS {
-                    response.headers_mut().remove(name);
-                }
+                clean_answer_headers(response.headers_mut());
                 response
             }
             ExchangeEnd::Failed(code) => refusal(code),
         }
     }
+
+    /// Runs a keyed request in a task of its own, which survives its caller.
+    async fn run_keyed(&self, key: &str, exchange: RequestExchange) -> PlaneAnswer<C> {
+        let intent = claim_intent(key, &exchange);
+        let (tx, rx) = oneshot::channel();
+        self.keyed.spawn(Arc::clone(&self.core).run_keyed(exchange, intent, tx));
+        rx.await.unwrap_or_else(|_| refusal(ResultCode::OutcomeUnknown))
+    }
 }
 
 /// A header that holds a whole number.
@@ -170,6 +204,15 @@
     headers
 }
 
+/// Removes from an upstream's answer what only this system may say to callers, and what concerns
+/// the upstream's connection.
+pub(super) fn clean_answer_headers(headers: &mut HeaderMap) {
+    remove_hop_by_hop(headers);
+    for name in OWN_ANSWER_HEADERS {
+        headers.remove(name);
+    }
+}
+
 fn remove_hop_by_hop(headers: &mut HeaderMap) {
     let mut named = Vec::new();
     for value in headers.get_all(CONNECTION) {
--- a/src/serve/caller_server.rs
+++ b/src/serve/caller_server.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::balance::UpstreamPicker;
+use crate::ledger::ClaimLedger;
 use crate::request::UpstreamClient;
 use crate::serve::front::FrontService;
 
@@ -58,9 +59,9 @@
 
     /// Serves until `stop` is cancelled, then closes the listener, asks callers to go and waits
     /// until the last request has its answer.
-    pub async fn run<C: UpstreamClient, P: UpstreamPicker>(
+    pub async fn run<C: UpstreamClient, P: UpstreamPicker, L: ClaimLedger>(
         self,
-        front: Arc<FrontService<C, P>>,
+        front: Arc<FrontService<C, P, L>>,
         stop: CancellationToken,
     ) {
         let graceful = GracefulShutdown::new();
@@ -77,10 +78,10 @@
         graceful.shutdown().await;
     }
 
-    fn serve<C: UpstreamClient, P: UpstreamPicker>(
+    fn serve<C: UpstreamClient, P: UpstreamPicker, L: ClaimLedger>(
         &self,
         stream: TcpStream,
-        front: Arc<FrontService<C, P>>,
+        front: Arc<FrontService<C, P, L>>,
         graceful: &GracefulShutdown,
     ) {
         let _ = stream.set_nodelay(true);
--- a/src/serve/front.rs
+++ b/src/serve/front.rs
@@ -14,6 +14,7 @@
 
 use crate::balance::UpstreamPicker;
 use crate::core::{RESULT_CODE_HEADER, ResultCode};
+use crate::ledger::ClaimLedger;
 use crate::membership::AddressBook;
 use crate::request::{
     AnswerBody, PlaneAnswer, RequestClass, RequestPlane, UpstreamClient, refusal,
@@ -38,30 +39,45 @@
     }
 }
 
+/// Tells a [`FrontService`] that its node is leaving; clones share the state.
+#[derive(Clone, Debug, Default)]
+pub struct LeaveSwitch(Arc<AtomicBool>);
+
+impl LeaveSwitch {
+    /// From now on answers tell callers on HTTP/1.1 to close their connection.
+    pub fn set_leaving(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// Answers callers' requests.
 #[derive(Debug)]
-pub struct FrontService<C, P> {
-    plane: RequestPlane<C, P>,
+pub struct FrontService<C, P, L> {
+    plane: RequestPlane<C, P, L>,
     addresses: Arc<AddressBook>,
     metrics: LatencyMetrics,
     settings: FrontSettings,
-    is_leaving: AtomicBool,
+    leave_switch: LeaveSwitch,
 }
 
-impl<C: UpstreamClient, P: UpstreamPicker> FrontService<C, P> {
+impl<C: UpstreamClient, P: UpstreamPicker, L: ClaimLedger> FrontService<C, P, L> {
     /// Creates the service.
     pub fn new(
-        plane: RequestPlane<C, P>,
+        plane: RequestPlane<C, P, L>,
         addresses: Arc<AddressBook>,
         metrics: LatencyMetrics,
         settings: FrontSettings,
     ) -> Self {
-        Self { plane, addresses, metrics, settings, is_leaving: AtomicBool::new(false) }
+        Self { plane, addresses, metrics, settings, leave_switch: LeaveSwitch::default() }
     }
 
-    /// From now on answers tell callers on HTTP/1.1 to close their connection.
-    pub fn set_leaving(&self) {
-        self.is_leaving.store(true, Ordering::Relaxed);
+    /// Tells the service that the node is leaving.
+    pub fn leave_switch(&self) -> LeaveSwitch {
+        self.leave_switch.clone()
     }
 
     pub(super) async fn answer(
@@ -70,7 +86,7 @@
     ) -> Result<PlaneAnswer<C>, Infallible> {
         let version = request.version();
         let mut response = self.respond(request).await;
-        let closes = self.is_leaving.load(Ordering::Relaxed) && version < http::Version::HTTP_2;
+        let closes = self.leave_switch.is_leaving() && version < http::Version::HTTP_2;
         if closes {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -10,6 +10,6 @@
 pub use self::admin::AdminServer;
 pub use self::caller_server::{CallerServer, CallerServerSettings};
 pub use self::connection_pool::{ConnectionPool, PoolSettings};
-pub use self::front::{FrontService, FrontSettings};
+pub use self::front::{FrontService, FrontSettings, LeaveSwitch};
 pub use self::http_client::{HttpUpstreamClient, UpstreamBody};
 pub use self::latency_metrics::LatencyMetrics;
--- a/tests/testsuite/exchange.rs
+++ b/tests/testsuite/exchange.rs
@@ -13,9 +13,9 @@
 use serde_json::json;
 use tokio::time::Instant;
 
-use crate::support::{FakeClient, FakeStep, plane_fixture};
+use crate::support::{FakeClient, FakeStep, TestLedger, plane_fixture, single_ledger};
 
-type TestPlane = RequestPlane<FakeClient, RandomPicker>;
+type TestPlane = RequestPlane<FakeClient, RandomPicker, TestLedger>;
 
 struct Answer {
     status: StatusCode,
@@ -40,6 +40,7 @@
         plane_fixture(route, budget),
         client.clone(),
         RandomPicker::new(SeededRandom::new(7)),
+        single_ledger(),
         Arc::clone(&freshness),
         ExchangeSettings::default(),
     );
--- /dev/null
+++ b/tests/testsuite/ledger.rs
@@ -0,0 +1,306 @@
+//! The ledger of one node and of several, step by step.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use heatherfall::core::ResultCode;
+use heatherfall::ledger::{
+    ClaimDecision, ClaimEnd, ClaimLedger, ClaimTicket, LedgerSettings, StoredOutcome, owner_of,
+};
+use heatherfall::platform::PlatformStore;
+use heatherfall_standins::platform::FaultSettings;
+use tokio::time::Instant;
+
+use crate::support::{
+    FreezePoint, LedgerNode, LedgerNodes, TEST_ORIGIN_MS, TestLedger, claim_intent,
+    ledger_settings, vm_names,
+};
+
+/// A key created when the test nodes start.
+fn key(text: &str) -> String {
+    format!("{TEST_ORIGIN_MS}-{text}")
+}
+
+fn outcome(text: &'static str) -> StoredOutcome {
+    StoredOutcome {
+        status: 201,
+        content_type: "text/plain".to_owned(),
+        body: Bytes::from_static(text.as_bytes()),
+        is_body_dropped: false,
+    }
+}
+
+async fn claim(ledger: &TestLedger, key: &str) -> ClaimDecision {
+    ledger.claim(claim_intent(key, 1)).await
+}
+
+async fn granted(ledger: &TestLedger, key: &str) -> ClaimTicket {
+    match claim(ledger, key).await {
+        ClaimDecision::Granted(ticket) => ticket,
+        other => panic!("not granted: {other:?}"),
+    }
+}
+
+fn refused(code: ResultCode) -> ClaimDecision {
+    ClaimDecision::Refused(code)
+}
+
+fn start_all(nodes: &mut LedgerNodes, count: usize) -> Vec<LedgerNode> {
+    let vms = vm_names(count);
+    vms.iter().map(|vm| nodes.start(vm, &vms, 1)).collect()
+}
+
+/// The nodes with the owner of every partition first; settings have one partition.
+fn owner_first(mut nodes: Vec<LedgerNode>) -> Vec<LedgerNode> {
+    let view = nodes[0].membership.load_full();
+    let owner = owner_of(&view, 0).unwrap().vm.clone();
+    nodes.sort_by_key(|node| node.vm != owner);
+    nodes
+}
+
+fn one_partition() -> LedgerSettings {
+    LedgerSettings { partitions: 1, ..ledger_settings() }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_repeat_of_a_finished_request_gets_its_outcome_through_every_entry() {
+    let mut nodes = LedgerNodes::new(ledger_settings());
+    let entries = start_all(&mut nodes, 3);
+    let ticket = granted(&entries[0].ledger, &key("a")).await;
+    for entry in &entries {
+        let repeat = claim(&entry.ledger, &key("a")).await;
+        assert_eq!(repeat, refused(ResultCode::KeyInProgress));
+    }
+    entries[0].ledger.finish(ticket, ClaimEnd::Ran(outcome("thanks"))).await;
+    for entry in &entries {
+        let repeat = claim(&entry.ledger, &key("a")).await;
+        assert_eq!(repeat, ClaimDecision::Finished(outcome("thanks")));
+        let other = entry.ledger.claim(claim_intent(&key("a"), 2)).await;
+        assert_eq!(other, refused(ResultCode::KeyMismatch));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_released_key_can_be_claimed_again_and_an_unknown_one_never() {
+    let mut nodes = LedgerNodes::new(ledger_settings());
+    let entries = start_all(&mut nodes, 2);
+    let first = granted(&entries[0].ledger, &key("a")).await;
+    entries[0].ledger.finish(first, ClaimEnd::DidNotRun).await;
+    let second = granted(&entries[1].ledger, &key("a")).await;
+    entries[1].ledger.finish(second, ClaimEnd::Unknown).await;
+    for entry in &entries {
+        assert_eq!(claim(&entry.ledger, &key("a")).await, refused(ResultCode::OutcomeUnknown));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_key_without_a_time_or_from_the_future_or_too_old_is_refused_by_its_own_code() {
+    let mut nodes = LedgerNodes::new(ledger_settings());
+    let entries = start_all(&mut nodes, 1);
+    let ledger = &entries[0].ledger;
+    let hour_ms = 3_600_000;
+    for (key, code) in [
+        ("no-time".to_owned(), ResultCode::KeyMalformed),
+        ("6ba7b810-9dad-11d1-80b4-00c04fd430c8".to_owned(), ResultCode::KeyMalformed),
+        (format!("{}-a", TEST_ORIGIN_MS + hour_ms), ResultCode::KeyMalformed),
+        (format!("{}-a", TEST_ORIGIN_MS - 25 * hour_ms), ResultCode::KeyExpired),
+    ] {
+        assert_eq!(claim(ledger, &key).await, refused(code), "{key}");
+    }
+    granted(ledger, &format!("{}-a", TEST_ORIGIN_MS - 23 * hour_ms)).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn claims_that_arrive_together_share_a_write() {
+    let mut nodes = LedgerNodes::new(one_partition());
+    let entries = start_all(&mut nodes, 1);
+    let ledger = &entries[0].ledger;
+    granted(ledger, &key("first")).await;
+    let before = nodes.platform.counts().writes;
+    let keys: Vec<String> = (0..200).map(|index| key(&index.to_string())).collect();
+    let tickets = keys.iter().map(|key| granted(ledger, key));
+    futures_util::future::join_all(tickets).await;
+    let writes = nodes.platform.counts().writes - before;
+    assert!(writes <= 2, "{writes} writes");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_platform_that_is_down_refuses_at_once_and_service_returns_by_itself() {
+    let mut nodes = LedgerNodes::new(one_partition());
+    let entries = start_all(&mut nodes, 1);
+    let ledger = &entries[0].ledger;
+    granted(ledger, &key("first")).await;
+    nodes.platform.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+    let started = Instant::now();
+    for index in 0..50 {
+        let decision = claim(ledger, &key(&format!("down-{index}"))).await;
+        assert_eq!(decision, refused(ResultCode::LedgerUnavailable));
+    }
+    assert!(started.elapsed() < Duration::from_millis(1), "{:?}", started.elapsed());
+    nodes.platform.set_faults(FaultSettings::default());
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for index in 0..50 {
+        granted(ledger, &key(&format!("down-{index}"))).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_claim_whose_answers_are_lost_is_recognised_and_granted_once() {
+    let mut nodes = LedgerNodes::new(one_partition());
+    let entries = start_all(&mut nodes, 1);
+    let ledger = &entries[0].ledger;
+    granted(ledger, &key("first")).await;
+    nodes.platform.set_faults(FaultSettings { lose_write_answers: 2, ..FaultSettings::default() });
+    granted(ledger, &key("a")).await;
+    assert_eq!(claim(ledger, &key("a")).await, refused(ResultCode::KeyInProgress));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_claim_that_was_refused_while_it_became_durable_can_be_claimed_again() {
+    let mut nodes = LedgerNodes::new(one_partition());
+    let entries = start_all(&mut nodes, 1);
+    let ledger = &entries[0].ledger;
+    granted(ledger, &key("first")).await;
+    entries[0].freeze(FreezePoint::AfterWrite);
+    assert_eq!(claim(ledger, &key("a")).await, refused(ResultCode::LedgerUnavailable));
+    entries[0].freeze(FreezePoint::Nowhere);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    granted(ledger, &key("a")).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_owner_paused_before_its_write_is_fenced_however_long_it_was_paused() {
+    let settings = LedgerSettings { ring_slots: 4, ..one_partition() };
+    let mut nodes = LedgerNodes::new(settings);
+    let entries = owner_first(start_all(&mut nodes, 2));
+    let (old, new) = (&entries[0], &entries[1]);
+    granted(&old.ledger, &key("first")).await;
+    old.freeze(FreezePoint::BeforeWrite);
+    let paused = tokio::spawn({
+        let ledger = old.ledger.clone();
+        async move { claim(&ledger, &key("raced")).await }
+    });
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    new.set_view(std::slice::from_ref(&new.vm));
+    let ticket = granted(&new.ledger, &key("raced")).await;
+    new.ledger.finish(ticket, ClaimEnd::Ran(outcome("ran once"))).await;
+    // The ring turns round several times while the former owner stands still.
+    for index in 0..40 {
+        granted(&new.ledger, &key(&format!("more-{index}"))).await;
+    }
+    let late = paused.await.unwrap();
+    assert_eq!(late, refused(ResultCode::LedgerUnavailable));
+    old.freeze(FreezePoint::Nowhere);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let repeat = claim(&old.ledger, &key("raced")).await;
+    assert_eq!(repeat, ClaimDecision::Finished(outcome("ran once")));
+    for index in 0..40 {
+        let repeat = claim(&new.ledger, &key(&format!("more-{index}"))).await;
+        assert_eq!(repeat, refused(ResultCode::KeyInProgress));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_successor_says_unknown_for_a_claim_whose_entry_is_gone() {
+    let mut nodes = LedgerNodes::new(one_partition());
+    let entries = owner_first(start_all(&mut nodes, 2));
+    granted(&entries[0].ledger, &key("a")).await;
+    nodes.kill(&entries[0]);
+    entries[1].set_view(std::slice::from_ref(&entries[1].vm));
+    let repeat = claim(&entries[1].ledger, &key("a")).await;
+    assert_eq!(repeat, refused(ResultCode::OutcomeUnknown));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_owner_that_cannot_be_reached_is_replaced_before_the_view_changes() {
+    let mut nodes = LedgerNodes::new(one_partition());
+    let entries = owner_first(start_all(&mut nodes, 3));
+    granted(&entries[1].ledger, &key("first")).await;
+    nodes.kill(&entries[0]);
+    let started = Instant::now();
+    granted(&entries[1].ledger, &key("a")).await;
+    assert!(started.elapsed() < Duration::from_millis(900));
+    assert_eq!(claim(&entries[2].ledger, &key("a")).await, refused(ResultCode::KeyInProgress));
+}
+
+#[tokio::test(start_paused = true)]
+async fn every_key_is_remembered_while_the_ring_turns_and_archives_are_merged() {
+    let settings = LedgerSettings { ring_slots: 8, archive_bytes: 2000, ..one_partition() };
+    let mut nodes = LedgerNodes::new(settings);
+    let entries = owner_first(start_all(&mut nodes, 2));
+    for index in 0..300 {
+        let ticket = granted(&entries[0].ledger, &key(&index.to_string())).await;
+        let end = match index % 3 {
+            0 => ClaimEnd::Ran(outcome("kept")),
+            1 => ClaimEnd::Unknown,
+            _ => continue,
+        };
+        entries[0].ledger.finish(ticket, end).await;
+    }
+    nodes.kill(&entries[0]);
+    entries[1].set_view(&vm_names(2)[..]);
+    for index in 0..300 {
+        let repeat = claim(&entries[1].ledger, &key(&index.to_string())).await;
+        let expected = match index % 3 {
+            0 => ClaimDecision::Finished(outcome("kept")),
+            1 => refused(ResultCode::OutcomeUnknown),
+            _ => refused(ResultCode::KeyInProgress),
+        };
+        assert_eq!(repeat, expected, "key {index}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn expired_keys_are_forgotten_refused_and_their_archives_deleted() {
+    let settings = LedgerSettings { ring_slots: 8, archive_bytes: 1000, ..one_partition() };
+    let mut nodes = LedgerNodes::new(settings);
+    let entries = start_all(&mut nodes, 1);
+    let ledger = &entries[0].ledger;
+    for index in 0..200 {
+        granted(ledger, &key(&index.to_string())).await;
+    }
+    let archives = nodes.platform.list("LedgerArchive", "").await.unwrap().items.len();
+    assert!(archives > 5, "{archives} archives");
+    tokio::time::sleep(Duration::from_secs(25 * 3600)).await;
+    for index in 0..60 {
+        let now = nodes.now_ms();
+        granted(ledger, &format!("{now}-late-{index}")).await;
+        assert_eq!(claim(ledger, &key("0")).await, refused(ResultCode::KeyExpired));
+    }
+    let left = nodes.platform.list("LedgerArchive", "").await.unwrap().items.len();
+    assert!(left <= 8, "{left} archives of {archives} left");
+    let segments = nodes.platform.list("LedgerSegment", "").await.unwrap().items.len();
+    assert_eq!(segments, 8);
+    let keys = ledger.counters().keys.load(std::sync::atomic::Ordering::Relaxed);
+    assert_eq!(keys, 60);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_full_ledger_refuses_new_keys_and_still_answers_old_ones() {
+    let mut nodes = LedgerNodes::new(LedgerSettings { max_keys: 10, ..one_partition() });
+    let entries = start_all(&mut nodes, 1);
+    let ledger = &entries[0].ledger;
+    for index in 0..10 {
+        granted(ledger, &key(&index.to_string())).await;
+    }
+    assert_eq!(claim(ledger, &key("one-more")).await, refused(ResultCode::LedgerFull));
+    assert_eq!(claim(ledger, &key("3")).await, refused(ResultCode::KeyInProgress));
+}
+
+#[tokio::test(start_paused = true)]
+async fn writes_stay_within_their_rate_under_a_flood_of_claims() {
+    let settings = LedgerSettings { writes_per_second: 20.0, write_burst: 5.0, ..one_partition() };
+    let mut nodes = LedgerNodes::new(settings);
+    let entries = start_all(&mut nodes, 1);
+    let mut claims = tokio::task::JoinSet::new();
+    for index in 0..2000_u64 {
+        let ledger = entries[0].ledger.clone();
+        claims.spawn(async move {
+            tokio::time::sleep(Duration::from_millis(index)).await;
+            granted(&ledger, &key(&index.to_string())).await;
+        });
+    }
+    claims.join_all().await;
+    let writes = nodes.platform.counts().writes;
+    assert!(writes <= 50, "{writes} writes in 2 s");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,8 +5,9 @@
 mod compile;
 mod exchange;
 mod exchange_state;
-mod peer_calls;
 mod experiment;
+mod ledger;
+mod peer_calls;
 mod processes;
 mod result_codes;
 mod selectors;
