ledger: race keys through entries while everything fails

Cause: the promises of the ledger were tested step by step only.

Change: tests/testsuite/ledger_race.rs races keys through the request plane of three entries while nodes are frozen before and after a write and between grant and dispatch, killed and replaced, views disagree, and the platform is down, slow or loses answers.

--- a/src/ledger/partition.rs
+++ b/src/ledger/partition.rs
@@ -350,8 +350,13 @@
     async fn keep_archived(&mut self) {
         let Some(loaded) = &mut self.loaded else { return };
         if loaded.log.is_archive_due() {
-            loaded.log.archive(&loaded.table, self.flags.as_ref()).await;
+            let end = loaded.log.archive(&loaded.table, self.flags.as_ref()).await;
             self.bucket.charge();
+            // Claims are refused while the flag is set, so no batch may follow that clears it.
+            match end {
+                AppendEnd::Durable => self.recover(),
+                AppendEnd::NoEffect | AppendEnd::Fenced => self.needs_probe = true,
+            }
         } else if loaded.log.has_obsolete() {
             loaded.log.delete_obsolete().await;
             self.bucket.charge();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod exchange_state;
 mod experiment;
 mod ledger;
+mod ledger_race;
 mod peer_calls;
 mod processes;
 mod result_codes;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -7,7 +7,7 @@
 
 pub(crate) use self::caller::TestCaller;
 pub(crate) use self::daemon::DaemonProcess;
-pub(crate) use self::fake_upstream::{FakeClient, FakeStep, plane_fixture};
+pub(crate) use self::fake_upstream::{FakeClient, FakeStep, RunLedger, plane_fixture};
 pub(crate) use self::ledger_nodes::{
     FreezePoint, LedgerNode, LedgerNodes, TEST_ORIGIN_MS, TestLedger, claim_intent,
     ledger_settings, single_ledger, vm_names,
