--- a/src/ledger/node_ledger.rs
+++ b/src/ledger/node_ledger.rs
@@ -100,6 +100,14 @@
     flags: Arc<PartitionFlags>,
 }
 
+/// What came of asking one entry.
+enum AskEnd<R> {
+    Answered(R),
+    /// The entry cannot be reached, or does not take itself for the owner.
+    TryNext,
+    TryLater,
+}
+
 /// Who is to be asked about a partition.
 enum PartitionRoute {
     Here,
@@ -160,19 +168,19 @@
         let tenant = TenantId::new(&request.tenant);
         let key = LedgerKey::parse(&tenant, &request.key);
         let (Some(key), Some(close)) = (key, close_of(&request)) else {
-            return FinishReply { is_recorded: true };
+            return FinishReply { is_recorded: true, is_owner: true };
         };
         let Ok(partitions) = self.partitions().await else {
-            return FinishReply { is_recorded: false };
+            return FinishReply { is_recorded: false, is_owner: true };
         };
         let partition = key.partition(partitions.len() as u32);
         let handle = &partitions[partition as usize];
         if !self.may_serve(partition, handle, request.is_owner_unreachable) {
-            return FinishReply { is_recorded: false };
+            return FinishReply { is_recorded: false, is_owner: false };
         }
         let close = ClaimClose { id: key.id, ..close };
         let receipt = finish_here(handle, close).await;
-        FinishReply { is_recorded: receipt == EndReceipt::Settled }
+        FinishReply { is_recorded: receipt == EndReceipt::Settled, is_owner: true }
     }
 
     /// Whether this node serves the partition: as its owner, or in place of an owner that another
@@ -242,41 +250,56 @@
         let ownership = &self.shared.context.ownership;
         let view = ownership.membership.load();
         match ranked_owner(&view, partition, rank) {
+            // An entry that its own view does not name ready serves when nobody else does.
+            None if rank == view.ready().count() && !view.is_ready(&ownership.identity.vm) => {
+                PartitionRoute::Here
+            }
             None => PartitionRoute::Nobody,
             Some(owner) if owner.vm == ownership.identity.vm => PartitionRoute::Here,
             Some(owner) => PartitionRoute::Peer(owner.clone()),
         }
     }
 
-    /// Asks one entry. `None` if it cannot be reached.
-    async fn ask_claim(&self, request: &ClaimRequest, rank: usize) -> Option<ClaimReply> {
-        let Some(claim) = claim_of(request) else { return Some(reply(ClaimVerdict::Malformed)) };
+    /// Whether the entry with this rank serves in place of others.
+    fn substitutes(&self, rank: usize) -> bool {
+        rank > 0 || self.shared.context.ownership.membership.load().ready().next().is_none()
+    }
+
+    /// Asks the entry with this rank.
+    async fn ask_claim(&self, request: &ClaimRequest, rank: usize) -> AskEnd<ClaimReply> {
+        let Some(claim) = claim_of(request) else {
+            return AskEnd::Answered(reply(ClaimVerdict::Malformed));
+        };
         let Ok(partitions) = self.partitions().await else {
-            return Some(reply(ClaimVerdict::Unavailable));
+            return AskEnd::Answered(reply(ClaimVerdict::Unavailable));
         };
-        let request = ClaimRequest { is_owner_unreachable: rank > 0, ..request.clone() };
-        match self.route(claim.key.partition(partitions.len() as u32), rank) {
-            PartitionRoute::Here => Some(self.serve_claim(request).await),
-            PartitionRoute::Nobody => Some(reply(ClaimVerdict::NotOwner)),
-            PartitionRoute::Peer(owner) => self.shared.transport.claim(&owner, request).await.ok(),
+        let request =
+            ClaimRequest { is_owner_unreachable: self.substitutes(rank), ..request.clone() };
+        let answer = match self.route(claim.key.partition(partitions.len() as u32), rank) {
+            PartitionRoute::Here => Ok(self.serve_claim(request).await),
+            PartitionRoute::Nobody => return AskEnd::TryLater,
+            PartitionRoute::Peer(owner) => self.shared.transport.claim(&owner, request).await,
+        };
+        match answer {
+            Ok(answer) if answer.verdict() != ClaimVerdict::NotOwner => AskEnd::Answered(answer),
+            Ok(_) | Err(_) => AskEnd::TryNext,
         }
     }
 
-    /// Asks the owner, and those that come after it if it cannot be reached, until one decides.
+    /// Asks the owner, and those that rank after it if it does not serve, until one decides.
     async fn claim_until_decided(&self, request: &ClaimRequest) -> ClaimReply {
         let mut pause = MIN_ROUTE_PAUSE;
         let mut rank = 0;
         loop {
             match self.ask_claim(request, rank).await {
-                Some(answer) if answer.verdict() != ClaimVerdict::NotOwner => return answer,
-                Some(_) => rank = 0,
-                None => {
-                    rank += 1;
-                    continue;
+                AskEnd::Answered(answer) => return answer,
+                AskEnd::TryNext => rank += 1,
+                AskEnd::TryLater => {
+                    rank = 0;
+                    tokio::time::sleep(pause).await;
+                    pause = (pause * 2).min(MAX_ROUTE_PAUSE);
                 }
             }
-            tokio::time::sleep(pause).await;
-            pause = (pause * 2).min(MAX_ROUTE_PAUSE);
         }
     }
 
@@ -286,32 +309,36 @@
         let mut rank = 0;
         while Instant::now() < end {
             match self.ask_finish(&request, rank).await {
-                Some(true) => return,
-                Some(false) => rank = 0,
-                None => {
-                    rank += 1;
-                    continue;
+                AskEnd::Answered(()) => return,
+                AskEnd::TryNext => rank += 1,
+                AskEnd::TryLater => {
+                    rank = 0;
+                    tokio::time::sleep(pause).await;
+                    pause = (pause * 2).min(MAX_ROUTE_PAUSE);
                 }
             }
-            tokio::time::sleep(pause).await;
-            pause = (pause * 2).min(MAX_ROUTE_PAUSE);
         }
         log::warn!(target: "ledger", "end of a claim not recorded tenant={}", request.tenant);
     }
 
-    /// Tells one entry, and returns whether the end is recorded. `None` if it cannot be reached.
-    async fn ask_finish(&self, request: &FinishRequest, rank: usize) -> Option<bool> {
+    /// Tells the entry with this rank.
+    async fn ask_finish(&self, request: &FinishRequest, rank: usize) -> AskEnd<()> {
         let tenant = TenantId::new(&request.tenant);
-        let Some(key) = LedgerKey::parse(&tenant, &request.key) else { return Some(true) };
-        let Ok(partitions) = self.partitions().await else { return Some(false) };
-        let request = FinishRequest { is_owner_unreachable: rank > 0, ..request.clone() };
-        match self.route(key.partition(partitions.len() as u32), rank) {
-            PartitionRoute::Here => Some(self.serve_finish(request).await.is_recorded),
-            PartitionRoute::Nobody => Some(false),
-            PartitionRoute::Peer(owner) => {
-                let told = self.shared.transport.finish(&owner, request).await;
-                told.ok().map(|told| told.is_recorded)
-            }
+        let Some(key) = LedgerKey::parse(&tenant, &request.key) else {
+            return AskEnd::Answered(());
+        };
+        let Ok(partitions) = self.partitions().await else { return AskEnd::TryLater };
+        let request =
+            FinishRequest { is_owner_unreachable: self.substitutes(rank), ..request.clone() };
+        let answer = match self.route(key.partition(partitions.len() as u32), rank) {
+            PartitionRoute::Here => Ok(self.serve_finish(request).await),
+            PartitionRoute::Nobody => return AskEnd::TryLater,
+            PartitionRoute::Peer(owner) => self.shared.transport.finish(&owner, request).await,
+        };
+        match answer {
+            Ok(told) if told.is_recorded => AskEnd::Answered(()),
+            Ok(told) if told.is_owner => AskEnd::TryLater,
+            Ok(_) | Err(_) => AskEnd::TryNext,
         }
     }
 
--- a/src/ledger/partition.rs
+++ b/src/ledger/partition.rs
@@ -33,6 +33,9 @@
 const MAX_OUTAGE_PAUSE: Duration = Duration::from_secs(1);
 /// Time between two looks at the ownership of an idle partition.
 const IDLE_TICK: Duration = Duration::from_millis(500);
+/// Age of the last proof that a table is not out of date, up to which a claim that is in progress
+/// by the table is taken to be so.
+const MAX_VERIFIED_AGE: Duration = Duration::from_millis(500);
 /// Time for which an entry serves a partition in place of an owner that another cannot reach.
 const SUBSTITUTE_TIME: Duration = Duration::from_secs(2);
 /// Ends of claims that are kept while the platform is out, for each partition.
@@ -154,6 +157,8 @@
 struct LoadedPartition<S> {
     log: PartitionLog<S>,
     table: KeyTable,
+    /// When the platform last showed that the table is not out of date.
+    verified: Instant,
 }
 
 /// What the node's counters hold of one partition.
@@ -170,7 +175,8 @@
     bytes: usize,
     undos: Vec<TableUndo>,
     commands: Vec<PartitionCommand>,
-    needs_reload: bool,
+    /// Commands that can be decided about only by a table that is not out of date.
+    unsure: Vec<PartitionCommand>,
 }
 
 /// The task.
@@ -293,7 +299,7 @@
                 let (next, keys) = (log.next_sequence(), table.len());
                 log::info!(target: "ledger", "log read partition={partition} next={next} keys={keys}");
                 self.context.counters.replays.fetch_add(1, Ordering::Relaxed);
-                self.loaded = Some(LoadedPartition { log, table });
+                self.loaded = Some(LoadedPartition { log, table, verified: Instant::now() });
                 self.count();
                 self.recover();
                 true
@@ -370,10 +376,15 @@
         if batch.records.is_empty() {
             self.bucket.give_back();
             self.accept(batch.commands);
-            self.loaded = (!batch.needs_reload).then_some(loaded);
+            self.loaded = Some(loaded);
+            if !batch.unsure.is_empty() {
+                self.requeue(batch.unsure);
+                self.verify().await;
+            }
             self.count();
             return;
         }
+        self.requeue(batch.unsure);
         let horizon = self.horizon().max(loaded.table.horizon_ms());
         match loaded.log.append(batch.records, horizon, self.flags.as_ref()).await {
             AppendEnd::Durable => {
@@ -381,7 +392,8 @@
                 counters.segments.fetch_add(1, Ordering::Relaxed);
                 counters.record_bytes.fetch_add(batch.bytes as u64, Ordering::Relaxed);
                 loaded.table.set_horizon(horizon);
-                self.loaded = (!batch.needs_reload).then_some(loaded);
+                loaded.verified = Instant::now();
+                self.loaded = Some(loaded);
                 self.recover();
                 self.accept(batch.commands);
             }
@@ -407,8 +419,8 @@
     fn gather(&mut self, loaded: &mut LoadedPartition<S>) -> PartitionBatch {
         let sequence = loaded.log.next_sequence();
         let settings = &self.context.settings;
+        let is_sure = loaded.verified.elapsed() <= MAX_VERIFIED_AGE;
         let mut batch = PartitionBatch::default();
-        let mut later = VecDeque::new();
         while batch.bytes < settings.max_segment_bytes {
             let Some(command) = self.queue.pop_front() else { break };
             match command {
@@ -416,7 +428,13 @@
                     let is_full = self.context.counters.keys.load(Ordering::Relaxed)
                         + batch.records.len()
                         >= settings.max_keys;
-                    batch.gather_claim(&mut loaded.table, sequence, claim, reply, is_full);
+                    let answer = loaded.table.ask(&claim);
+                    if matches!(answer, TableAnswer::Taken(_)) && !is_sure {
+                        batch.unsure.push(PartitionCommand::Claim { claim, reply });
+                        continue;
+                    }
+                    let answer = if is_full { answer.or_full() } else { answer };
+                    batch.gather_claim(&mut loaded.table, sequence, claim, reply, answer);
                 }
                 PartitionCommand::Finish { mut close, is_rechecked, reply } => {
                     let held = self.context.counters.body_bytes.load(Ordering::Relaxed);
@@ -427,17 +445,25 @@
                     match change {
                         Some((record, undo)) => batch.push(record, undo, command),
                         None if is_ended || is_rechecked => batch.commands.push(command),
-                        // Another owner may have granted this claim: read the log again.
-                        None => later.push_back(command),
+                        // Another owner may have granted this claim.
+                        None => batch.unsure.push(command),
                     }
                 }
             }
         }
-        batch.needs_reload = !later.is_empty();
-        self.queue.extend(later);
         batch
     }
 
+    /// Asks the platform whether another owner has written meanwhile.
+    async fn verify(&mut self) {
+        let Some(loaded) = &mut self.loaded else { return };
+        match loaded.log.is_current().await {
+            Ok(true) => loaded.verified = Instant::now(),
+            Ok(false) => self.loaded = None,
+            Err(_) => self.needs_probe = true,
+        }
+    }
+
     fn accept(&self, commands: Vec<PartitionCommand>) {
         for command in commands {
             match command {
@@ -495,13 +521,13 @@
         sequence: u64,
         claim: KeyClaim,
         reply: oneshot::Sender<PartitionAnswer>,
-        is_full: bool,
+        answer: TableAnswer,
     ) {
         if reply.is_closed() {
             return;
         }
-        let answer = match table.ask(&claim) {
-            TableAnswer::Free if is_full => PartitionAnswer::Full,
+        let answer = match answer {
+            TableAnswer::Full => PartitionAnswer::Full,
             TableAnswer::Free => {
                 let (record, undo) = table.claim(&claim, sequence);
                 self.push(record, undo, PartitionCommand::Claim { claim, reply });
--- a/src/ledger/partition_log.rs
+++ b/src/ledger/partition_log.rs
@@ -186,6 +186,17 @@
         self.next_sequence > self.archived_through + self.site.layout.ring_slots
     }
 
+    /// Whether no other writer has written the next segment.
+    pub(super) async fn is_current(&self) -> Result<bool, StoreError> {
+        let slot = self.next_sequence % self.site.layout.ring_slots;
+        let name = slot_name(self.site.partition, slot);
+        match self.store.get(SEGMENT_KIND, &name).await {
+            Ok(object) => Ok(self.slots[slot as usize] == Some(object.spec_version)),
+            Err(StoreError::NotFound) => Ok(self.slots[slot as usize].is_none()),
+            Err(error) => Err(error),
+        }
+    }
+
     /// Writes a batch as the next segment. Returns only when it is known whether the batch is
     /// durable; `observer` hears of a write whose effect is not known at first.
     pub(super) async fn append(
--- a/src/ledger/table.rs
+++ b/src/ledger/table.rs
@@ -108,6 +108,15 @@
     Expired,
     /// The claim was given up by its own entry.
     GivenUp,
+    /// Nobody holds the key, and no further key can be remembered.
+    Full,
+}
+
+impl TableAnswer {
+    /// The answer of a node that remembers as many keys as it may.
+    pub(super) fn or_full(self) -> Self {
+        if self == Self::Free { Self::Full } else { self }
+    }
 }
 
 /// How a change is taken back.
--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use miette::{IntoDiagnostic, WrapErr};
 use prometheus::Registry;
@@ -13,17 +13,22 @@
 use tonic::service::Routes;
 
 use crate::balance::RandomPicker;
+use crate::config::GenerationHolder;
 use crate::core::{FailureDomain, ResultCode, SharedSnapshot, VmId};
 use crate::kernel::{
-    ConfigService, ConfigServiceArgs, MembershipService, MembershipServiceArgs, ServiceKernel,
-    ServiceName,
+    ConfigService, ConfigServiceArgs, MembershipService, ServiceKernel, ServiceName,
 };
 use crate::ledger::{EntryIdentity, LedgerParts, LedgerSettings, NodeLedger, WallClock};
-use crate::membership::{AddressBook, ConfigFreshness, SharedMembership};
+use crate::membership::{
+    AddressBook, ConfigFreshness, ControlNode, EntryState, MembershipDriverArgs, NodeIdentity,
+    SharedMembership,
+};
 use crate::ops::node_settings::NodeSettings;
 use crate::ops::node_status::StatusSource;
+use crate::peer::generated::peer::peer_exchange_server::PeerExchangeServer;
 use crate::peer::{
-    LedgerService, PeerAuth, PeerChannels, PeerKeys, PeerServer, TonicLedgerTransport,
+    ExchangeService, LedgerService, MAX_MESSAGE_BYTES, PeerAuth, PeerChannels, PeerKeys,
+    PeerServer, TonicLedgerTransport, TonicTransport,
 };
 use crate::platform::PlatformStore;
 use crate::request::{ExchangeSettings, RequestPlane};
@@ -49,6 +54,7 @@
     admin_addr: SocketAddr,
     peer_addr: SocketAddr,
     auth: PeerAuth,
+    control: Arc<ControlNode>,
     settings: NodeSettings,
     kernel: ServiceKernel,
     leave_switch: LeaveSwitch,
@@ -90,6 +96,7 @@
     /// closes, requests in flight finish, and the services stop.
     pub async fn leave(self) {
         log::info!(target: "node", "leaving vm={}", self.settings.vm);
+        self.control.set_state(EntryState::Leaving);
         self.leave_switch.set_leaving();
         tokio::time::sleep(self.settings.shutdown.announce).await;
         self.stop_callers.cancel();
@@ -169,26 +176,43 @@
     let caller_addr = server.local_addr().into_diagnostic()?;
     let admin_addr = admin.local_addr().into_diagnostic()?;
 
-    let kernel = ServiceKernel::default();
+    let incarnation = seconds_since_epoch();
+    let identity = NodeIdentity {
+        vm: VmId::new(&settings.vm),
+        failure_domain: FailureDomain::new(&settings.failure_domain),
+        caller_address: caller_addr.to_string(),
+        peer_address: peer_addr.to_string(),
+        incarnation,
+    };
     let freshness = Arc::new(ConfigFreshness::default());
-    let config = ConfigServiceArgs {
+    let holder = Arc::new(GenerationHolder::new(Arc::clone(&snapshot)));
+    let control = Arc::new(ControlNode::new(
+        identity,
+        holder,
+        Arc::clone(&freshness),
+        Arc::clone(&membership),
+    ));
+    let kernel = ServiceKernel::default();
+    let config = ConfigServiceArgs { store: Arc::clone(&store), node: Arc::clone(&control) };
+    kernel.start::<ConfigService<S>>(ServiceName::Config, config);
+    let channels = PeerChannels::default();
+    let transport = TonicTransport::new(channels.clone(), auth.clone());
+    let members = MembershipDriverArgs {
+        node: Arc::clone(&control),
         store: Arc::clone(&store),
-        snapshot: Arc::clone(&snapshot),
-        freshness: Arc::clone(&freshness),
+        transport: Arc::new(transport),
+        seeds: settings.peers.seeds.clone(),
+        random: SeededRandom::from_entropy(),
     };
-    kernel.start::<ConfigService<S>>(ServiceName::Config, config);
-    let members =
-        MembershipServiceArgs { store: Arc::clone(&store), membership: Arc::clone(&membership) };
-    kernel.start::<MembershipService<S>>(ServiceName::Membership, members);
+    kernel.start::<MembershipService<S, TonicTransport>>(ServiceName::Membership, members);
 
-    let mut random = SeededRandom::from_entropy();
     let ledger = NodeLedger::new(LedgerParts {
         store,
-        transport: TonicLedgerTransport::new(PeerChannels::default(), auth.clone()),
+        transport: TonicLedgerTransport::new(channels, auth.clone()),
         membership,
-        identity: EntryIdentity { vm: VmId::new(&settings.vm), incarnation: random.bits() },
+        identity: EntryIdentity { vm: VmId::new(&settings.vm), incarnation },
         clock: WallClock::system(),
-        random,
+        random: SeededRandom::from_entropy(),
         settings: LedgerSettings::default(),
     });
     let prepared = ledger.clone();
@@ -209,7 +233,10 @@
     let stop_callers = CancellationToken::new();
     let stop_admin = CancellationToken::new();
     let stop_peers = CancellationToken::new();
-    let routes = Routes::new(LedgerService::server(ledger));
+    let exchange = PeerExchangeServer::new(ExchangeService::new(Arc::clone(&control)))
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES);
+    let routes = Routes::new(exchange).add_service(LedgerService::server(ledger));
     tokio::spawn(peers.run(routes, stop_peers.clone()));
     let callers = tokio::spawn(server.run(Arc::clone(&front), stop_callers.clone()));
     tokio::spawn(admin.run(stop_admin.clone()));
@@ -223,6 +250,7 @@
         admin_addr,
         peer_addr,
         auth,
+        control,
         settings,
         kernel,
         leave_switch: front.leave_switch(),
@@ -253,6 +281,11 @@
     }
 }
 
+/// Start of this node on its own clock; only compared with earlier starts of the same VM.
+fn seconds_since_epoch() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
+}
+
 fn listen_failed(addr: SocketAddr) -> String {
     let code = ResultCode::ListenFailed;
     format!("{code}: cannot listen on {addr}")
--- a/src/request/answer.rs
+++ b/src/request/answer.rs
@@ -2,9 +2,10 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::header::{self, CONTENT_TYPE};
 use http::{HeaderValue, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 use tokio::time::{Instant, Sleep};
@@ -12,8 +13,8 @@
 use crate::core::{NOT_RUN_HEADER, RESULT_CODE_HEADER, ResultCode};
 use crate::request::relay::RelayedBody;
 
-/// Seconds after which a refused caller may come back.
-const RETRY_AFTER_SECS: u64 = 1;
+/// Time after which a refused caller may come back.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// An answer as the server sends it.
 pub type CallerAnswer<B, G> = Response<AnswerBody<B, G>>;
@@ -118,6 +119,11 @@
 /// Builds a refusal with its result code; the not-run header is set only for codes that promise
 /// it.
 pub fn refusal<B: Body, G>(code: ResultCode) -> CallerAnswer<B, G> {
+    refusal_after(code, RETRY_AFTER)
+}
+
+/// Builds a refusal that tells the caller when to come back.
+pub fn refusal_after<B: Body, G>(code: ResultCode, retry_after: Duration) -> CallerAnswer<B, G> {
     let text = format!("{code}: {}\n", code.summary());
     let mut response = Response::new(AnswerBody::Own(Some(Bytes::from(text))));
     *response.status_mut() = status_of(code);
@@ -130,7 +136,8 @@
         headers.insert(NOT_RUN_HEADER, HeaderValue::from_static("true"));
     }
     if response.status() == StatusCode::SERVICE_UNAVAILABLE || code == ResultCode::KeyInProgress {
-        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_SECS));
+        let secs = retry_after.as_secs().max(1);
+        response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(secs));
     }
     response
 }
--- a/src/request/keyed.rs
+++ b/src/request/keyed.rs
@@ -18,6 +18,7 @@
     ClaimDecision, ClaimEnd, ClaimIntent, ClaimLedger, ClaimTicket, MAX_KEPT_BODY_BYTES,
     StoredOutcome,
 };
+use crate::limits::GatePermit;
 use crate::membership::ConfigFreshness;
 use crate::request::answer::{AnswerBody, AnswerStream, is_not_run, refusal};
 use crate::request::attempt::UpstreamClient;
@@ -71,11 +72,12 @@
         self: Arc<Self>,
         mut exchange: RequestExchange,
         intent: ClaimIntent,
+        permit: GatePermit,
         answer: oneshot::Sender<PlaneAnswer<C>>,
     ) {
         exchange.class.mode = IdempotenceMode::AtMostOnce;
         match self.ledger.claim(intent).await {
-            ClaimDecision::Granted(ticket) => self.dispatch(exchange, ticket, answer).await,
+            ClaimDecision::Granted(ticket) => self.dispatch(exchange, ticket, permit, answer).await,
             ClaimDecision::Finished(outcome) => {
                 let _ = answer.send(replayed::<C>(outcome));
             }
@@ -89,6 +91,7 @@
         &self,
         exchange: RequestExchange,
         ticket: ClaimTicket,
+        permit: GatePermit,
         answer: oneshot::Sender<PlaneAnswer<C>>,
     ) {
         let remaining = exchange.deadline.saturating_duration_since(Instant::now());
@@ -100,6 +103,7 @@
             ExchangeEnd::Failed(code) => {
                 let end = if is_not_run(code) { ClaimEnd::DidNotRun } else { ClaimEnd::Unknown };
                 let _ = answer.send(refusal(code));
+                drop(permit);
                 self.ledger.finish(ticket, end).await;
             }
             ExchangeEnd::Answered { answer: upstream, inflight } => {
@@ -121,8 +125,11 @@
                 outcome.body = kept.bytes;
                 outcome.is_body_dropped = kept.is_dropped;
                 let recorded = self.ledger.finish(ticket, ClaimEnd::Ran(outcome));
-                tokio::join!(recorded, relay.pass_rest());
-                drop(inflight);
+                let passed = async {
+                    relay.pass_rest().await;
+                    drop((inflight, permit));
+                };
+                tokio::join!(recorded, passed);
             }
         }
     }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -18,7 +18,7 @@
 mod plane;
 mod relay;
 
-pub use self::answer::{AnswerBody, AnswerError, CallerAnswer, is_not_run, refusal};
+pub use self::answer::{AnswerBody, AnswerError, CallerAnswer, is_not_run, refusal, refusal_after};
 pub use self::attempt::{
     AttemptOutcome, AttemptRequest, ConnectionChoice, NotRunProof, UnknownCause, UpstreamAnswer,
     UpstreamClient,
@@ -29,5 +29,5 @@
     AttemptEnd, AttemptIndex, AttemptRole, ConfigStanding, ExchangeAction, ExchangeEvent,
     ExchangePlan, ExchangeState, StartRefusal, StepContext,
 };
-pub use self::plane::{PlaneAnswer, RequestAdmission, RequestPlane};
+pub use self::plane::{AnswerGuard, PlaneAnswer, RequestAdmission, RequestPlane};
 pub use self::relay::RelayedBody;
--- a/tests/testsuite/ledger.rs
+++ b/tests/testsuite/ledger.rs
@@ -7,6 +7,7 @@
 use heatherfall::ledger::{
     ClaimDecision, ClaimEnd, ClaimLedger, ClaimTicket, LedgerSettings, StoredOutcome, owner_of,
 };
+use heatherfall::peer::generated::ledger::{ClaimRequest, ClaimVerdict, FinishRequest};
 use heatherfall::platform::PlatformStore;
 use heatherfall_standins::platform::FaultSettings;
 use tokio::time::Instant;
@@ -304,3 +305,58 @@
     let writes = nodes.platform.counts().writes;
     assert!(writes <= 50, "{writes} writes in 2 s");
 }
+
+/// A claim as an entry sends it to an owner.
+fn claim_request(key: &str, claim_id: u8) -> ClaimRequest {
+    ClaimRequest {
+        tenant: "cau-noi".to_owned(),
+        key: key.to_owned(),
+        request_digest: Bytes::from_static(&[1; 32]),
+        claim_id: Bytes::copy_from_slice(&[claim_id; 16]),
+        generation: 1,
+        entry_vm: "entry-0".to_owned(),
+        entry_incarnation: 1,
+        is_owner_unreachable: false,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_claim_is_granted_again_to_its_own_entry_until_it_ends_and_never_after() {
+    let mut nodes = LedgerNodes::new(one_partition());
+    let entries = start_all(&mut nodes, 1);
+    let ledger = &entries[0].ledger;
+    for _ in 0..3 {
+        let reply = ledger.serve_claim(claim_request(&key("a"), 1)).await;
+        assert_eq!(reply.verdict(), ClaimVerdict::Granted);
+    }
+    let release = FinishRequest {
+        tenant: "cau-noi".to_owned(),
+        key: key("a"),
+        claim_id: Bytes::copy_from_slice(&[1; 16]),
+        outcome: None,
+        did_not_run: true,
+        is_owner_unreachable: false,
+    };
+    assert!(ledger.serve_finish(release).await.is_recorded);
+    let late = ledger.serve_claim(claim_request(&key("a"), 1)).await;
+    assert_eq!(late.verdict(), ClaimVerdict::Unavailable);
+    let other = ledger.serve_claim(claim_request(&key("a"), 2)).await;
+    assert_eq!(other.verdict(), ClaimVerdict::Granted);
+    let late = ledger.serve_claim(claim_request(&key("a"), 1)).await;
+    assert_eq!(late.verdict(), ClaimVerdict::InProgress);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_entry_with_another_view_of_the_owner_is_served_all_the_same() {
+    let mut nodes = LedgerNodes::new(one_partition());
+    let entries = owner_first(start_all(&mut nodes, 2));
+    entries[0].set_view(std::slice::from_ref(&entries[1].vm));
+    entries[1].set_view(std::slice::from_ref(&entries[0].vm));
+    let ticket = granted(&entries[0].ledger, &key("a")).await;
+    assert_eq!(claim(&entries[1].ledger, &key("a")).await, refused(ResultCode::KeyInProgress));
+    entries[0].ledger.finish(ticket, ClaimEnd::Ran(outcome("thanks"))).await;
+    // What an owner that was fenced without noticing still believes is bounded in time.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let repeat = claim(&entries[1].ledger, &key("a")).await;
+    assert_eq!(repeat, ClaimDecision::Finished(outcome("thanks")));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,11 +3,13 @@
 #![allow(clippy::expect_used, clippy::unwrap_used, reason = "a test panics to fail")]
 
 mod compile;
+mod control_plane;
 mod exchange;
 mod exchange_state;
 mod experiment;
 mod ledger;
 mod ledger_race;
+mod limits;
 mod peer_calls;
 mod processes;
 mod result_codes;
