--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -17,8 +17,11 @@
 mod keyed;
 mod plane;
 mod relay;
+mod request_shape;
 
-pub use self::answer::{AnswerBody, AnswerError, CallerAnswer, is_not_run, refusal, refusal_after};
+pub use self::answer::{
+    AnswerBody, AnswerError, AnswerStream, CallerAnswer, is_not_run, refusal, refusal_after,
+};
 pub use self::attempt::{
     AttemptOutcome, AttemptRequest, ConnectionChoice, NotRunProof, UnknownCause, UpstreamAnswer,
     UpstreamClient,
@@ -31,3 +34,4 @@
 };
 pub use self::plane::{AnswerGuard, PlaneAnswer, RequestAdmission, RequestPlane};
 pub use self::relay::RelayedBody;
+pub use self::request_shape::check_shape;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,3 +17,4 @@
 mod settings;
 mod support;
 mod thin_path;
+mod whole_answers;
