--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -12,7 +12,7 @@
 use tokio_util::task::TaskTracker;
 use tonic::service::Routes;
 
-use crate::balance::RandomPicker;
+use crate::balance::{LoadPicker, PickerSettings};
 use crate::config::GenerationHolder;
 use crate::core::{FailureDomain, ResultCode, SharedSnapshot, VmId};
 use crate::kernel::{
@@ -46,7 +46,7 @@
 
 /// The request plane's service in the daemon.
 type NodeFront<S> =
-    FrontService<HttpUpstreamClient, RandomPicker, NodeLedger<S, TonicLedgerTransport>>;
+    FrontService<HttpUpstreamClient, LoadPicker, NodeLedger<S, TonicLedgerTransport>>;
 
 /// A running node.
 pub struct RunningNode {
@@ -222,7 +222,11 @@
     let plane = RequestPlane::new(
         snapshot,
         HttpUpstreamClient::new(ConnectionPool::new(PoolSettings::default())),
-        RandomPicker::new(SeededRandom::from_entropy()),
+        LoadPicker::new(
+            FailureDomain::new(&settings.failure_domain),
+            PickerSettings::default(),
+            SeededRandom::from_entropy(),
+        ),
         ledger.clone(),
         freshness,
         ExchangeSettings::default(),
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -4,6 +4,7 @@
 mod control_fleet;
 mod daemon;
 mod fake_upstream;
+mod gated_store;
 mod ledger_nodes;
 mod raw_http;
 
@@ -13,6 +14,7 @@
 pub(crate) use self::fake_upstream::{
     FakeClient, FakeStep, RunLedger, plane_fixture, snapshot_for,
 };
+pub(crate) use self::gated_store::{GatedStore, PausePoint};
 pub(crate) use self::ledger_nodes::{
     FreezePoint, LedgerNode, LedgerNodes, TEST_ORIGIN_MS, TestLedger, claim_intent,
     ledger_settings, single_ledger, vm_names,
