--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -5,11 +5,13 @@
 
 mod auth;
 mod exchange_service;
+mod ledger_service;
 mod server;
 mod transport;
 
 pub use self::auth::{AuthFault, KeyError, PeerAuth, PeerKeys};
 pub use self::exchange_service::ExchangeService;
+pub use self::ledger_service::{LedgerService, TonicLedgerTransport};
 pub use self::server::PeerServer;
 pub use self::transport::{
     MAX_MESSAGE_BYTES, PeerChannels, PeerError, PeerTransport, TonicTransport,
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -13,7 +13,7 @@
 pub use self::admin::AdminServer;
 pub use self::caller_server::{CallerServer, CallerServerSettings};
 pub use self::connection_pool::{ConnectionPool, PoolSettings};
-pub use self::front::{FrontService, FrontSettings};
+pub use self::front::{FrontService, FrontSettings, LeaveSwitch};
 pub use self::host_pool::{
     ConnectionPlace, HeldConnection, HostPool, HostPoolSettings, PooledConnection,
 };
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,8 @@
 mod experiment;
 mod generations;
 mod leases;
+mod ledger;
+mod ledger_race;
 mod limits;
 mod load_picker;
 mod membership;
--- a/tests/testsuite/scenario_runner/entry_node.rs
+++ b/tests/testsuite/scenario_runner/entry_node.rs
@@ -10,6 +10,7 @@
 use heatherfall::kernel::{
     ConfigService, ConfigServiceArgs, MembershipService, ServiceKernel, ServiceName,
 };
+use heatherfall::ledger::{EntryIdentity, LedgerParts, LedgerSettings, NodeLedger, WallClock};
 use heatherfall::membership::{
     AddressBook, ConfigFreshness, ControlNode, MembershipDriverArgs, NodeIdentity, SharedMembership,
 };
@@ -19,9 +20,10 @@
 use heatherfall::util::SeededRandom;
 use http::request::Parts;
 
+use super::ledger_network::{GatedLedgerTransport, LedgerNetwork, ScenarioLedger};
 use super::node_store::{NodeGate, NodeStore, SharedNodeStore};
 use super::scripted_upstream::ScriptedClient;
-use crate::support::{MemoryNetwork, MemoryTransport};
+use crate::support::{MemoryNetwork, MemoryTransport, TEST_ORIGIN_MS};
 
 /// Seed of every node's random numbers.
 const NODE_SEED: u64 = 7;
@@ -55,7 +57,7 @@
     pub(super) freshness: Arc<ConfigFreshness>,
     pub(super) addresses: AddressBook,
     pub(super) kernel: ServiceKernel,
-    plane: RequestPlane<ScriptedClient, RandomPicker>,
+    plane: RequestPlane<ScriptedClient, RandomPicker, ScenarioLedger>,
 }
 
 impl EntryNode {
@@ -65,7 +67,9 @@
         store: SharedNodeStore,
         client: ScriptedClient,
         network: &Arc<MemoryNetwork>,
+        ledgers: &Arc<LedgerNetwork>,
     ) -> Self {
+        let entry = EntryIdentity { vm: identity.vm.clone(), incarnation: identity.incarnation };
         let peer_addr: SocketAddr = identity.peer_address.parse().expect("peer address");
         let gate = store.gate.clone();
         let snapshot = SharedSnapshot::default();
@@ -85,7 +89,7 @@
         let transport = MemoryTransport::new(Arc::clone(network), peer_addr);
         let members = MembershipDriverArgs {
             node: Arc::clone(&control),
-            store,
+            store: Arc::clone(&store),
             transport: Arc::new(GatedTransport { gate: gate.clone(), transport }),
             seeds,
             random: SeededRandom::new(NODE_SEED),
@@ -94,10 +98,21 @@
             ServiceName::Membership,
             members,
         );
+        let ledger = NodeLedger::new(LedgerParts {
+            store,
+            transport: GatedLedgerTransport { network: Arc::clone(ledgers), gate: gate.clone() },
+            membership: Arc::clone(&membership),
+            identity: entry,
+            clock: WallClock::starting_at(TEST_ORIGIN_MS),
+            random: SeededRandom::new(NODE_SEED),
+            settings: LedgerSettings::default(),
+        });
+        ledgers.join(peer_addr, ledger.clone(), gate.clone());
         let plane = RequestPlane::new(
             Arc::clone(&snapshot),
             client,
             RandomPicker::new(SeededRandom::new(NODE_SEED)),
+            ledger,
             Arc::clone(&freshness),
             ExchangeSettings::default(),
         );
--- a/tests/testsuite/support/raw_http.rs
+++ b/tests/testsuite/support/raw_http.rs
@@ -20,6 +20,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use crate::support::single_ledger;
 use crate::support::snapshot_for;
 
 /// What the upstream does with the n-th request; the last one goes on for ever.
@@ -172,6 +173,7 @@
                 SharedMembership::default(),
             )),
             RandomPicker::new(SeededRandom::new(3)),
+            single_ledger(),
             freshness,
             ExchangeSettings::default(),
         );
