membership: give callers few entries of a service in each domain

Cause: every answer named every ready entry, so each entry heard seldom from each upstream, and all callers of a domain took the same first address.

Change: weighted rendezvous hashing gives a service two entries or more of each failure domain, by its upstreams; the caller's domain first, the others as backups, turning with every answer. A test spreads a drain mark over nine nodes through the exchange.

--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -5,6 +5,7 @@
 //! its relay, talks to the platform and is the root of the tree that feeds the others.
 
 mod address_book;
+mod assignment;
 mod board;
 mod control_node;
 mod drain_board;
@@ -17,7 +18,8 @@
 mod view;
 mod view_table;
 
-pub use self::address_book::{AddressBook, EntryAddress};
+pub use self::address_book::{AddressBook, AddressQuery, EntryAddress};
+pub use self::assignment::{AssignedEntry, AssignmentSettings, DomainAssignment, assign};
 pub use self::board::{HEARTBEAT_TIMEOUT, HeartbeatBoard, HeartbeatSource, MergeEffect};
 pub use self::control_node::{ControlNode, MAX_EXCHANGE_WAIT, NodeIdentity};
 pub use self::drain_board::{DrainBoard, DrainNews};
--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -19,8 +19,8 @@
     ProbeMetrics, ProbeService, ProbeServiceArgs, ServiceKernel, ServiceName,
 };
 use crate::membership::{
-    AddressBook, ConfigFreshness, ControlNode, EntryState, MembershipDriverArgs, NodeIdentity,
-    SharedMembership,
+    AddressBook, AssignmentSettings, ConfigFreshness, ControlNode, EntryState,
+    MembershipDriverArgs, NodeIdentity, SharedMembership,
 };
 use crate::ops::node_settings::NodeSettings;
 use crate::ops::node_status::StatusSource;
@@ -135,7 +135,11 @@
 ) -> miette::Result<RunningNode> {
     let snapshot = SharedSnapshot::default();
     let membership = SharedMembership::default();
-    let addresses = Arc::new(AddressBook::new(Arc::clone(&membership)));
+    let addresses = Arc::new(AddressBook::new(
+        Arc::clone(&membership),
+        Arc::clone(&snapshot),
+        AssignmentSettings::default(),
+    ));
     let registry = Registry::new();
     let metrics = LatencyMetrics::new(&registry).into_diagnostic()?;
     let probe_metrics = ProbeMetrics::new(&registry).into_diagnostic()?;
--- a/tests/testsuite/drain_mark.rs
+++ b/tests/testsuite/drain_mark.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use heatherfall::core::{DrainMark, DrainSight, FLAP_HOLD, MARK_LIFETIME};
-use tokio::time::advance;
+use heatherfall::kernel::exchange_marks;
+use tokio::time::{Instant, advance};
+
+use crate::support::ControlFleet;
 
 const LATENCY: Duration = Duration::from_millis(5);
 
@@ -65,3 +68,35 @@
     advance(MARK_LIFETIME + Duration::from_secs(1)).await;
     assert!(!mark.is_set());
 }
+
+/// Rounds of the drain service on every node until all say `is_draining`; the time it took.
+async fn spread(fleet: &ControlFleet, is_draining: bool) -> Duration {
+    let started = Instant::now();
+    loop {
+        let mut agreeing = 0;
+        for node in fleet.nodes.values() {
+            let snapshot = node.snapshot.load_full().unwrap();
+            exchange_marks(&snapshot, &node.node);
+            let upstream = snapshot.upstreams.values().next().unwrap();
+            agreeing += usize::from(upstream.is_draining() == is_draining);
+        }
+        if agreeing == fleet.nodes.len() {
+            return started.elapsed();
+        }
+        assert!(started.elapsed() < Duration::from_secs(30), "{agreeing} agree");
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn every_entry_stops_sending_work_within_seconds_of_the_first_to_see_the_mark() {
+    let fleet = ControlFleet::started(9, 3).await;
+    let first = fleet.nodes[&4].snapshot.load_full().unwrap();
+    let upstream = first.upstreams.values().next().unwrap();
+    upstream.see_drain_mark(true, LATENCY);
+    let time = spread(&fleet, true).await;
+    assert!(time <= Duration::from_secs(3), "{time:?}");
+    upstream.see_drain_mark(false, LATENCY);
+    let time = spread(&fleet, false).await;
+    assert!(time <= Duration::from_secs(3), "{time:?}");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::expect_used, clippy::unwrap_used, reason = "a test panics to fail")]
 
+mod addresses;
 mod compile;
 mod control_plane;
 mod drain_mark;
