--- a/tests/testsuite/support/raw_http.rs
+++ b/tests/testsuite/support/raw_http.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use heatherfall::balance::RandomPicker;
-use heatherfall::core::BudgetSpec;
-use heatherfall::membership::{AddressBook, ConfigFreshness, SharedMembership};
+use heatherfall::core::{BudgetSpec, SharedSnapshot};
+use heatherfall::membership::{AddressBook, AssignmentSettings, ConfigFreshness, SharedMembership};
 use heatherfall::request::{ExchangeSettings, RequestPlane};
 use heatherfall::serve::{
     CallerServer, CallerServerSettings, ConnectionPool, FrontService, FrontSettings,
@@ -174,7 +174,11 @@
         );
         let front = FrontService::new(
             plane,
-            Arc::new(AddressBook::new(SharedMembership::default())),
+            Arc::new(AddressBook::new(
+                SharedMembership::default(),
+                SharedSnapshot::default(),
+                AssignmentSettings::default(),
+            )),
             LatencyMetrics::new(&Registry::new()).unwrap(),
             FrontSettings { max_body_bytes: 1 << 16, ..FrontSettings::default() },
         );
