--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -51,6 +51,11 @@
         self.entries.iter().filter(|entry| entry.state == EntryState::Ready)
     }
 
+    /// Whether the entry with this identity is one of those that callers may be sent to.
+    pub fn is_ready(&self, vm: &VmId) -> bool {
+        self.find(vm).is_some_and(|entry| entry.state == EntryState::Ready)
+    }
+
     /// The entry with this identity.
     pub fn find(&self, vm: &VmId) -> Option<&EntryRecord> {
         self.entries.iter().find(|entry| entry.vm == *vm)
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -14,7 +14,9 @@
 mod classify;
 mod exchange;
 mod exchange_state;
+mod keyed;
 mod plane;
+mod relay;
 mod request_shape;
 
 pub use self::answer::{
@@ -32,4 +34,5 @@
     ExchangePlan, ExchangeState, StartRefusal, StepContext,
 };
 pub use self::plane::{AnswerGuard, PlaneAnswer, RequestAdmission, RequestPlane};
+pub use self::relay::RelayedBody;
 pub use self::request_shape::check_shape;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,14 +3,24 @@
 #![allow(clippy::expect_used, clippy::unwrap_used, reason = "a test panics to fail")]
 
 mod client;
+mod addresses;
 mod compile;
+mod connections;
 mod control_plane;
+mod drain_mark;
 mod exchange;
 mod exchange_state;
 mod experiment;
+mod generations;
+mod leases;
+mod ledger;
+mod ledger_race;
 mod limits;
 mod load;
+mod load_picker;
+mod membership;
 mod peer_calls;
+mod probe_budget;
 mod processes;
 mod result_codes;
 mod scenario_runner;
--- a/tests/testsuite/scenario_runner/world.rs
+++ b/tests/testsuite/scenario_runner/world.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinSet;
 
 use super::entry_node::EntryNode;
+use super::ledger_network::LedgerNetwork;
 use super::log_capture;
 use super::node_store::{NodeGate, NodePower, NodeStore};
 use super::request::{AnswerLog, CallerRequest};
@@ -35,6 +36,7 @@
     fleet: ScriptedFleet,
     nodes: BTreeMap<String, Arc<EntryNode>>,
     network: Arc<MemoryNetwork>,
+    ledgers: Arc<LedgerNetwork>,
     answers: AnswerLog,
     transcript: Transcript,
     requests: JoinSet<()>,
@@ -49,6 +51,7 @@
             fleet: ScriptedFleet::default(),
             nodes: BTreeMap::new(),
             network: Arc::default(),
+            ledgers: Arc::default(),
             answers: AnswerLog::default(),
             transcript,
             requests: JoinSet::new(),
@@ -218,7 +221,14 @@
             failure_domain,
             state: VmState::Live,
         });
-        let node = EntryNode::start(identity, seeds, Arc::new(store), client, &self.network);
+        let node = EntryNode::start(
+            identity,
+            seeds,
+            Arc::new(store),
+            client,
+            &self.network,
+            &self.ledgers,
+        );
         self.nodes.insert(name, Arc::new(node));
         Ok(())
     }
