--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,8 +2,8 @@
 
 #![allow(clippy::expect_used, clippy::unwrap_used, reason = "a test panics to fail")]
 
-mod client;
 mod addresses;
+mod client;
 mod compile;
 mod connections;
 mod control_plane;
--- a/tests/testsuite/scenario_runner/entry_node.rs
+++ b/tests/testsuite/scenario_runner/entry_node.rs
@@ -4,15 +4,17 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use heatherfall::balance::RandomPicker;
+use heatherfall::balance::{LoadPicker, PickerSettings};
 use heatherfall::config::GenerationHolder;
 use heatherfall::core::SharedSnapshot;
 use heatherfall::kernel::{
-    ConfigService, ConfigServiceArgs, MembershipService, ServiceKernel, ServiceName,
+    ConfigService, ConfigServiceArgs, DrainService, DrainServiceArgs, MembershipService,
+    ServiceKernel, ServiceName,
 };
 use heatherfall::ledger::{EntryIdentity, LedgerParts, LedgerSettings, NodeLedger, WallClock};
 use heatherfall::membership::{
-    AddressBook, ConfigFreshness, ControlNode, MembershipDriverArgs, NodeIdentity, SharedMembership,
+    AddressBook, AssignmentSettings, ConfigFreshness, ControlNode, MembershipDriverArgs,
+    NodeIdentity, SharedMembership,
 };
 use heatherfall::peer::generated::peer::{ExchangeReply, ExchangeRequest};
 use heatherfall::peer::{PeerError, PeerTransport};
@@ -57,7 +59,7 @@
     pub(super) freshness: Arc<ConfigFreshness>,
     pub(super) addresses: AddressBook,
     pub(super) kernel: ServiceKernel,
-    plane: RequestPlane<ScriptedClient, RandomPicker, ScenarioLedger>,
+    plane: RequestPlane<ScriptedClient, LoadPicker, ScenarioLedger>,
 }
 
 impl EntryNode {
@@ -70,6 +72,7 @@
         ledgers: &Arc<LedgerNetwork>,
     ) -> Self {
         let entry = EntryIdentity { vm: identity.vm.clone(), incarnation: identity.incarnation };
+        let failure_domain = identity.failure_domain.clone();
         let peer_addr: SocketAddr = identity.peer_address.parse().expect("peer address");
         let gate = store.gate.clone();
         let snapshot = SharedSnapshot::default();
@@ -98,6 +101,9 @@
             ServiceName::Membership,
             members,
         );
+        let drains =
+            DrainServiceArgs { snapshot: Arc::clone(&snapshot), node: Arc::clone(&control) };
+        kernel.start::<DrainService>(ServiceName::Drain, drains);
         let ledger = NodeLedger::new(LedgerParts {
             store,
             transport: GatedLedgerTransport { network: Arc::clone(ledgers), gate: gate.clone() },
@@ -108,15 +114,18 @@
             settings: LedgerSettings::default(),
         });
         ledgers.join(peer_addr, ledger.clone(), gate.clone());
+        let random = SeededRandom::new(NODE_SEED);
+        let picker = LoadPicker::new(failure_domain, PickerSettings::default(), random);
         let plane = RequestPlane::new(
             Arc::clone(&snapshot),
             client,
-            RandomPicker::new(SeededRandom::new(NODE_SEED)),
+            picker,
             ledger,
             Arc::clone(&freshness),
             ExchangeSettings::default(),
         );
-        let addresses = AddressBook::new(membership);
+        let addresses =
+            AddressBook::new(membership, Arc::clone(&snapshot), AssignmentSettings::default());
         Self { gate, peer_addr, control, snapshot, freshness, addresses, kernel, plane }
     }
 
