tests: tell the stories of repeated keys, outages and paused owners

Keys carry the time of their first use as callers make them; every node has a seed of its own, since equal seeds gave two nodes the same claim identities and freed a claim that was not theirs. A transcript is printed with a broken promise.

--- a/tests/testsuite/scenario_runner/entry_node.rs
+++ b/tests/testsuite/scenario_runner/entry_node.rs
@@ -1,6 +1,6 @@
 //! One entry node made of library parts.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -27,7 +27,8 @@
 use super::scripted_upstream::ScriptedClient;
 use crate::support::{MemoryNetwork, MemoryTransport, TEST_ORIGIN_MS};
 
-/// Seed of every node's random numbers.
+/// Added to the seeds of nodes, which differ as their addresses do: claims are told apart by random
+/// identities.
 const NODE_SEED: u64 = 7;
 
 /// Calls of peers that stop with their node.
@@ -74,6 +75,7 @@
         let entry = EntryIdentity { vm: identity.vm.clone(), incarnation: identity.incarnation };
         let failure_domain = identity.failure_domain.clone();
         let peer_addr: SocketAddr = identity.peer_address.parse().expect("peer address");
+        let seed = NODE_SEED + u64::from(peer_addr.port()) + last_octet(peer_addr);
         let gate = store.gate.clone();
         let snapshot = SharedSnapshot::default();
         let membership = SharedMembership::default();
@@ -95,7 +97,7 @@
             store: Arc::clone(&store),
             transport: Arc::new(GatedTransport { gate: gate.clone(), transport }),
             seeds,
-            random: SeededRandom::new(NODE_SEED),
+            random: SeededRandom::new(seed),
         };
         kernel.start::<MembershipService<NodeStore, GatedTransport>>(
             ServiceName::Membership,
@@ -104,17 +106,18 @@
         let drains =
             DrainServiceArgs { snapshot: Arc::clone(&snapshot), node: Arc::clone(&control) };
         kernel.start::<DrainService>(ServiceName::Drain, drains);
+        let unix_ms = TEST_ORIGIN_MS + store.transcript.elapsed().as_millis() as u64;
         let ledger = NodeLedger::new(LedgerParts {
             store,
             transport: GatedLedgerTransport { network: Arc::clone(ledgers), gate: gate.clone() },
             membership: Arc::clone(&membership),
             identity: entry,
-            clock: WallClock::starting_at(TEST_ORIGIN_MS),
-            random: SeededRandom::new(NODE_SEED),
+            clock: WallClock::starting_at(unix_ms),
+            random: SeededRandom::new(seed),
             settings: LedgerSettings::default(),
         });
         ledgers.join(peer_addr, ledger.clone(), gate.clone());
-        let random = SeededRandom::new(NODE_SEED);
+        let random = SeededRandom::new(seed);
         let picker = LoadPicker::new(failure_domain, PickerSettings::default(), random);
         let plane = RequestPlane::new(
             Arc::clone(&snapshot),
@@ -138,3 +141,10 @@
         }
     }
 }
+
+fn last_octet(addr: SocketAddr) -> u64 {
+    match addr.ip() {
+        IpAddr::V4(ip) => u64::from(ip.octets()[3]),
+        IpAddr::V6(ip) => u64::from(ip.octets()[15]),
+    }
+}
--- a/tests/testsuite/scenario_runner/request.rs
+++ b/tests/testsuite/scenario_runner/request.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use heatherfall::core::{
     DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER, RESULT_CODE_HEADER,
+    ResultCode,
 };
 use http::Request;
 use http::request::Parts;
@@ -14,6 +15,7 @@
 use super::entry_node::EntryNode;
 use super::scripted_upstream::{ScriptedFleet, text_of};
 use super::transcript::Transcript;
+use crate::support::TEST_ORIGIN_MS;
 
 /// One line of a `send`: `ID NODE METHOD PATH [key=K] [deadline=MS] [body=TEXT] [once]`.
 #[derive(Clone, Debug)]
@@ -57,12 +59,12 @@
         Ok(request)
     }
 
-    fn parts(&self) -> Result<Parts, String> {
+    fn parts(&self, key: Option<&str>) -> Result<Parts, String> {
         let mut builder = Request::builder()
             .method(self.method.as_str())
             .uri(&self.path)
             .header(REQUEST_ID_HEADER, &self.id);
-        if let Some(key) = &self.key {
+        if let Some(key) = key {
             builder = builder.header(IDEMPOTENCY_KEY_HEADER, key);
         }
         if let Some(millis) = &self.deadline_ms {
@@ -107,6 +109,14 @@
     requests: Vec<CallerRequest>,
     answers: BTreeMap<String, CallerAnswer>,
     faults: Vec<String>,
+    /// Body and time stamp of the first request with each key.
+    keys: BTreeMap<String, FirstUse>,
+}
+
+#[derive(Clone, Debug)]
+struct FirstUse {
+    body: String,
+    unix_ms: u64,
 }
 
 /// All requests and answers of a scenario; clones share them.
@@ -128,11 +138,12 @@
         let said = format!("{} {} {}", request.node, request.method, request.path);
         transcript.say(&format!("caller {id} -> {said}"));
         self.lock().requests.push(request.clone());
-        let Ok(parts) = request.parts() else {
+        let key = self.stamped_key(&request, &transcript);
+        let Ok(parts) = request.parts(key.as_deref()) else {
             self.lock().faults.push(format!("{id} is not a request"));
             return;
         };
-        let response = node.serve(parts, Bytes::from(request.body)).await;
+        let response = node.serve(parts, Bytes::from(request.body.clone())).await;
         let (head, mut body) = response.into_parts();
         let mut answer = CallerAnswer {
             code: text_of(&head.headers, RESULT_CODE_HEADER),
@@ -153,7 +164,7 @@
             }
         }
         transcript.say(&format!("caller {id} <- {}", answer.describe()));
-        self.judge_answer(&id, &answer, &fleet);
+        self.judge_answer(&request, &answer, &fleet);
         self.lock().answers.insert(id, answer);
     }
 
@@ -162,15 +173,47 @@
     }
 
     /// An answer is the caller's own and whole, and "not run" is true.
-    fn judge_answer(&self, id: &str, answer: &CallerAnswer, fleet: &ScriptedFleet) {
+    fn judge_answer(&self, request: &CallerRequest, answer: &CallerAnswer, fleet: &ScriptedFleet) {
+        let id = &request.id;
         let is_success = answer.status == 200;
-        let is_own = answer.body.starts_with(&format!("{id} ")) && answer.body.len() > id.len() + 1;
+        let is_own = self.ids_with(request).iter().any(|id| {
+            answer.body.starts_with(&format!("{id} ")) && answer.body.len() > id.len() + 1
+        });
         if is_success && !answer.is_cut && !is_own {
             self.lock().faults.push(format!("{id} got {:?} as its whole answer", answer.body));
         }
-        if answer.is_not_run && fleet.runs_of(id) > 0 {
-            self.lock().faults.push(format!("{id} was refused as not run and had run"));
+        // HF-1024 speaks of this send alone (docs/PROOFS.md, "What is not proved").
+        let knows_key = answer.code != ResultCode::LedgerUnavailable.to_string();
+        let repeated = request.key.iter().filter(|_| knows_key).filter(|key| {
+            self.lock().keys.get(*key).is_some_and(|first| first.body == request.body)
+        });
+        let runs: u64 = repeated.chain([id]).map(|id| fleet.runs_of(id)).sum();
+        if answer.is_not_run && runs > 0 {
+            self.lock()
+                .faults
+                .push(format!("{id} was refused as not run by {} and had run", answer.code));
+        }
+    }
+
+    /// The request's key with the time of its first use, as callers make them.
+    fn stamped_key(&self, request: &CallerRequest, transcript: &Transcript) -> Option<String> {
+        let key = request.key.as_ref()?;
+        let now = TEST_ORIGIN_MS + transcript.elapsed().as_millis() as u64;
+        let mut state = self.lock();
+        let first = state.keys.entry(key.clone());
+        let first = first.or_insert_with(|| FirstUse { body: request.body.clone(), unix_ms: now });
+        Some(format!("{}-{key}", first.unix_ms))
+    }
+
+    /// Identities whose answer the request may get: its own, and those of the same key.
+    fn ids_with(&self, request: &CallerRequest) -> Vec<String> {
+        let mut ids = vec![request.id.clone()];
+        for other in &self.lock().requests {
+            if request.key.is_some() && other.key == request.key && other.body == request.body {
+                ids.push(other.id.clone());
+            }
         }
+        ids
     }
 
     /// What has been broken so far.
--- a/tests/testsuite/scenario_runner/scripted_upstream.rs
+++ b/tests/testsuite/scenario_runner/scripted_upstream.rs
@@ -112,6 +112,8 @@
             let Some(id) = headers.get(header).and_then(|value| value.to_str().ok()) else {
                 continue;
             };
+            // A key is told by its name: the time of its first use is left out.
+            let id = id.split_once('-').map_or(id, |(_, name)| name);
             *self.lock().runs.entry(id.to_owned()).or_default() += 1;
         }
     }
--- a/tests/testsuite/scenario_runner/transcript.rs
+++ b/tests/testsuite/scenario_runner/transcript.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use tokio::time::Instant;
 
@@ -26,6 +27,11 @@
         Self { state: Arc::new(Mutex::new(state)) }
     }
 
+    /// Time since the start.
+    pub(super) fn elapsed(&self) -> Duration {
+        self.lock().started.elapsed()
+    }
+
     /// Adds a line with the time since the start.
     pub(super) fn say(&self, line: &str) {
         let mut state = self.lock();
--- a/tests/testsuite/scenario_runner/world.rs
+++ b/tests/testsuite/scenario_runner/world.rs
@@ -90,8 +90,9 @@
         }
         case.expect_empty().map_err(|error| error.to_string())?;
         tokio::time::sleep(SETTLE_TIME).await;
-        self.check()?;
-        Ok(self.transcript.take())
+        let output = self.transcript.take();
+        self.check().map_err(|fault| format!("{fault}\n{output}"))?;
+        Ok(output)
     }
 
     /// Stops what still runs and checks a last time.
