--- a/src/core/upstream.rs
+++ b/src/core/upstream.rs
@@ -7,6 +7,7 @@
 
 use crate::core::identity::FailureDomain;
 use crate::core::label::LabelSet;
+use crate::core::load_view::LoadView;
 use crate::core::object::UpstreamSpec;
 
 slotmap::new_key_type! {
@@ -23,6 +24,7 @@
     inflight: AtomicU32,
     is_marked_draining: AtomicBool,
     is_hinted_draining: AtomicBool,
+    load: LoadView,
 }
 
 /// One upstream under one configuration, with the counters of this node.
@@ -61,6 +63,11 @@
         self.counters.inflight.load(Ordering::Relaxed)
     }
 
+    /// Load and health as learnt from answers.
+    pub fn load(&self) -> &LoadView {
+        &self.counters.load
+    }
+
     /// Whether the upstream gets no new work, by its spec, its own mark or another node's word.
     pub fn is_draining(&self) -> bool {
         self.spec.draining
--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -11,7 +11,7 @@
 use tokio_util::sync::CancellationToken;
 use tonic::service::Routes;
 
-use crate::balance::RandomPicker;
+use crate::balance::{LoadPicker, PickerSettings};
 use crate::config::GenerationHolder;
 use crate::core::{FailureDomain, ResultCode, SharedSnapshot, VmId};
 use crate::kernel::{
@@ -40,7 +40,7 @@
 const KEY_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
 /// The request plane's service in the daemon.
-type NodeFront = FrontService<HttpUpstreamClient, RandomPicker>;
+type NodeFront = FrontService<HttpUpstreamClient, LoadPicker>;
 
 /// A running node.
 pub struct RunningNode {
@@ -141,6 +141,8 @@
     let server_settings = CallerServerSettings {
         header_timeout: limits.header_timeout,
         max_head_bytes: limits.max_head_bytes,
+        write_timeout: limits.write_timeout,
+        ..CallerServerSettings::default()
     };
     let server = CallerServer::bind(settings.listen.callers, server_settings)
         .await
@@ -191,12 +193,20 @@
     let plane = RequestPlane::new(
         snapshot,
         HttpUpstreamClient::new(ConnectionPool::new(PoolSettings::default())),
-        RandomPicker::new(SeededRandom::from_entropy()),
+        LoadPicker::new(
+            FailureDomain::new(&settings.failure_domain),
+            PickerSettings::default(),
+            SeededRandom::from_entropy(),
+        ),
         freshness,
         ExchangeSettings::default(),
     );
-    let front_settings =
-        FrontSettings { max_body_bytes: limits.max_body_bytes, body_timeout: limits.body_timeout };
+    let front_settings = FrontSettings {
+        max_body_bytes: limits.max_body_bytes,
+        body_timeout: limits.body_timeout,
+        max_held_bytes: limits.max_held_bytes,
+        ..FrontSettings::default()
+    };
     let front = Arc::new(FrontService::new(plane, addresses, metrics, front_settings));
     let stop_callers = CancellationToken::new();
     let stop_admin = CancellationToken::new();
