--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -5,6 +5,7 @@
 //! its relay, talks to the platform and is the root of the tree that feeds the others.
 
 mod address_book;
+mod answer;
 mod assignment;
 mod board;
 mod control_node;
@@ -13,6 +14,7 @@
 mod fanout;
 mod freshness;
 mod lease;
+mod peer_cursor;
 mod reconcile;
 mod relay_driver;
 mod view;
@@ -20,7 +22,9 @@
 
 pub use self::address_book::{AddressBook, AddressQuery, EntryAddress};
 pub use self::assignment::{AssignedEntry, AssignmentSettings, DomainAssignment, assign};
-pub use self::board::{HEARTBEAT_TIMEOUT, HeartbeatBoard, HeartbeatSource, MergeEffect};
+pub use self::board::{
+    HEARTBEAT_TIMEOUT, HeartbeatBoard, HeartbeatSource, MergeEffect, MergeOutcome,
+};
 pub use self::control_node::{ControlNode, MAX_EXCHANGE_WAIT, NodeIdentity};
 pub use self::drain_board::{DrainBoard, DrainNews};
 pub use self::driver::{MembershipDriver, MembershipDriverArgs};
