ops: show the control plane in status and metrics

Change: /status and /metrics name the generation, the age of its confirmation, the relay, unheard VMs and refused peer calls.

--- a/src/membership/control_node.rs
+++ b/src/membership/control_node.rs
@@ -189,6 +189,17 @@
         state_of(self.lock().own())
     }
 
+    /// Time since the configuration was confirmed as the newest.
+    pub fn confirmed_age(&self) -> Option<Duration> {
+        self.freshness.age()
+    }
+
+    /// VMs that the platform lists and that this node, if it is a relay, does not hear.
+    pub fn missing(&self) -> Vec<String> {
+        let board = self.lock();
+        if board.is_relay() { board.missing() } else { Vec::new() }
+    }
+
     /// Records a confirmation by the platform that is `age` old.
     pub fn confirm(&self, age: Duration) {
         self.freshness.confirm(age);
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -1,5 +1,6 @@
 //! What the commands do, without their arguments.
 
+pub mod control_metrics;
 pub mod dev;
 pub mod experiment;
 pub mod load;
--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -21,6 +21,7 @@
     AddressBook, ConfigFreshness, ControlNode, EntryState, MembershipDriverArgs, NodeIdentity,
     SharedMembership,
 };
+use crate::ops::control_metrics::ControlMetrics;
 use crate::ops::node_settings::NodeSettings;
 use crate::ops::node_status::StatusSource;
 use crate::peer::generated::peer::peer_exchange_server::PeerExchangeServer;
@@ -148,16 +149,6 @@
         .await
         .into_diagnostic()
         .wrap_err_with(|| listen_failed(settings.listen.callers))?;
-    let status = Arc::new(StatusSource {
-        vm: VmId::new(&settings.vm),
-        failure_domain: FailureDomain::new(&settings.failure_domain),
-        snapshot: Arc::clone(&snapshot),
-        membership: Arc::clone(&membership),
-    });
-    let admin = AdminServer::bind(settings.listen.admin, registry, Arc::clone(&status))
-        .await
-        .into_diagnostic()
-        .wrap_err_with(|| listen_failed(settings.listen.admin))?;
     let auth = PeerAuth::new(VmId::new(&settings.vm), keys);
     let peers = PeerServer::bind(settings.listen.peers, auth.clone())
         .await
@@ -165,7 +156,6 @@
         .wrap_err_with(|| listen_failed(settings.listen.peers))?;
     let peer_addr = peers.local_addr().into_diagnostic()?;
     let caller_addr = server.local_addr().into_diagnostic()?;
-    let admin_addr = admin.local_addr().into_diagnostic()?;
 
     let identity = NodeIdentity {
         vm: VmId::new(&settings.vm),
@@ -176,7 +166,23 @@
     };
     let freshness = Arc::new(ConfigFreshness::default());
     let holder = Arc::new(GenerationHolder::new(Arc::clone(&snapshot)));
-    let control = Arc::new(ControlNode::new(identity, holder, Arc::clone(&freshness), membership));
+    let control =
+        ControlNode::new(identity, holder, Arc::clone(&freshness), Arc::clone(&membership));
+    let control = Arc::new(control);
+    ControlMetrics::register(&registry, Arc::clone(&control), auth.clone()).into_diagnostic()?;
+    let status = Arc::new(StatusSource {
+        vm: VmId::new(&settings.vm),
+        failure_domain: FailureDomain::new(&settings.failure_domain),
+        snapshot: Arc::clone(&snapshot),
+        membership,
+        control: Arc::clone(&control),
+    });
+    let admin = AdminServer::bind(settings.listen.admin, registry, Arc::clone(&status))
+        .await
+        .into_diagnostic()
+        .wrap_err_with(|| listen_failed(settings.listen.admin))?;
+    let admin_addr = admin.local_addr().into_diagnostic()?;
+
     let kernel = ServiceKernel::default();
     let config = ConfigServiceArgs { store: Arc::clone(&store), node: Arc::clone(&control) };
     kernel.start::<ConfigService<S>>(ServiceName::Config, config);
--- a/src/ops/node_status.rs
+++ b/src/ops/node_status.rs
@@ -1,6 +1,7 @@
 //! The status that a node reports on its admin port.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
@@ -11,7 +12,7 @@
 use serde::Serialize;
 
 use crate::core::{FailureDomain, GenerationNumber, ResultCode, SharedSnapshot, VmId};
-use crate::membership::{MembershipView, SharedMembership};
+use crate::membership::{ControlNode, MembershipView, SharedMembership};
 
 /// Where the status comes from.
 #[derive(Debug)]
@@ -24,6 +25,8 @@
     pub snapshot: SharedSnapshot,
     /// Entry VMs.
     pub membership: SharedMembership,
+    /// The node's part in the exchange between entries.
+    pub control: Arc<ControlNode>,
 }
 
 #[derive(Debug, Serialize)]
@@ -31,6 +34,9 @@
     vm: &'a VmId,
     failure_domain: &'a FailureDomain,
     generation: Option<GenerationNumber>,
+    confirmed_age_ms: Option<u64>,
+    is_relay: bool,
+    missing: Vec<String>,
     membership: &'a MembershipView,
     upstreams: Vec<UpstreamStatus>,
 }
@@ -71,6 +77,9 @@
         let status = NodeStatus {
             vm: &self.vm,
             failure_domain: &self.failure_domain,
+            confirmed_age_ms: self.control.confirmed_age().map(|age| age.as_millis() as u64),
+            is_relay: self.control.is_relay(),
+            missing: self.control.missing(),
             generation: snapshot.map(|snapshot| snapshot.generation),
             membership: &membership,
             upstreams,
--- a/tests/testsuite/control_plane.rs
+++ b/tests/testsuite/control_plane.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use heatherfall::config::{ObjectStatus, RolloutPhase};
+use heatherfall::config::{MAX_FORMAT, ObjectStatus, RolloutPhase};
 use heatherfall::core::ObjectKind;
 use heatherfall::membership::{EntryState, MAX_CONFIRMED_AGE};
+use heatherfall::peer::generated::peer::{ExchangeRequest, HeartbeatRecord};
 use heatherfall::platform::PlatformStore;
 use heatherfall_standins::platform::FaultSettings;
 use serde_json::json;
@@ -253,3 +254,30 @@
     println!("unrepeated mark ended after {ended:?}");
     assert!(ended > Duration::from_secs(30), "{ended:?}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_change_waits_for_a_live_node_that_does_not_read_the_format_and_not_for_a_dead_one() {
+    let fleet = ControlFleet::started(3, 1).await;
+    let generation = fleet.nodes[&0].generation();
+    let relay = fleet.relay_of(0).expect("a relay");
+    let old_node = ExchangeRequest {
+        sender: Some(HeartbeatRecord {
+            vm: "entry-old".to_owned(),
+            failure_domain: "fd-0".to_owned(),
+            incarnation: 1,
+            max_format: MAX_FORMAT - 1,
+            ..HeartbeatRecord::default()
+        }),
+        view_digest: Some(0),
+        ..ExchangeRequest::default()
+    };
+    fleet.nodes[&relay].node.answer(old_node).await;
+    fleet.apply_upstream("lookups-1", 4).await;
+    wait_phase(&fleet, "Upstream", "lookups-1", RolloutPhase::Rejected).await;
+    let status = status(&fleet, "Upstream", "lookups-1").await.expect("a status");
+    assert_eq!(status.code.as_deref(), Some("HF-2006"));
+    assert_eq!(fleet.nodes[&0].generation(), generation);
+    // The node is not heard again and no longer counts.
+    wait_phase(&fleet, "Upstream", "lookups-1", RolloutPhase::InForce).await;
+    fleet.wait("change", |node| node.generation() == generation + 1).await;
+}
