membership: replace a relay that alone has lost the platform

Cause: children whose relay answers do not try for its lease, so a relay cut off from the platform alone kept its domain unconfirmed; a deposed relay that nobody calls never learned of it; a compiler that hears nobody told 'in force' at once; a child that cannot read a generation was sent it with every call. Change: the first child tries while confirmations are late; the holder of the lease calls rivals that still claim it; listed VMs that are not heard count as waited for; a refused generation is not asked for again. Failed try on the way: inheriting a view kept records heard long ago in place of the view's, which hid the rival.

--- a/src/config/holder.rs
+++ b/src/config/holder.rs
@@ -6,10 +6,12 @@
 //! generation stay beside the new ones: while some nodes apply the old generation and others the
 //! new one, a request is at-most-once if either says so.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
+use serde::Deserialize;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -50,6 +52,12 @@
     },
 }
 
+/// The part of a content that every format has.
+#[derive(Debug, Deserialize)]
+struct NamedNumber {
+    number: GenerationNumber,
+}
+
 #[derive(Debug, Default)]
 struct HolderState {
     held: Option<Arc<HeldGeneration>>,
@@ -68,13 +76,15 @@
     snapshot: SharedSnapshot,
     state: Mutex<HolderState>,
     number: watch::Sender<GenerationNumber>,
+    /// Highest number that was refused.
+    refused: AtomicU64,
 }
 
 impl GenerationHolder {
     /// Creates a holder without a generation that publishes to `snapshot`.
     pub fn new(snapshot: SharedSnapshot) -> Self {
         let number = watch::Sender::new(GenerationNumber::default());
-        Self { snapshot, state: Mutex::default(), number }
+        Self { snapshot, state: Mutex::default(), number, refused: AtomicU64::new(0) }
     }
 
     /// Number of the generation in force; 0 before the first.
@@ -82,6 +92,12 @@
         *self.number.borrow()
     }
 
+    /// Highest number of a generation that this node could not use; 0 if there was none. Peers
+    /// need not send it again.
+    pub fn refused(&self) -> GenerationNumber {
+        GenerationNumber(self.refused.load(Ordering::Relaxed))
+    }
+
     /// Tells when the number changes.
     pub fn subscribe(&self) -> watch::Receiver<GenerationNumber> {
         self.number.subscribe()
@@ -99,6 +115,15 @@
 
     /// Applies an encoded generation if it is newer than the one in force.
     pub fn offer(&self, bytes: &Bytes) -> OfferOutcome {
+        let outcome = self.take(bytes);
+        if matches!(outcome, OfferOutcome::Rejected { .. }) {
+            let number = serde_json::from_slice(bytes).map(|named: NamedNumber| named.number);
+            self.refused.fetch_max(number.unwrap_or_default().0, Ordering::Relaxed);
+        }
+        outcome
+    }
+
+    fn take(&self, bytes: &Bytes) -> OfferOutcome {
         let content: GenerationContent = match serde_json::from_slice(bytes) {
             Ok(content) => content,
             Err(error) => return rejected(ResultCode::GenerationUnreadable, &error.to_string()),
--- a/src/membership/board.rs
+++ b/src/membership/board.rs
@@ -202,11 +202,17 @@
             }
             let is_own_domain = record.failure_domain == self.own.failure_domain;
             let source = if is_own_domain { HeartbeatSource::Tree } else { HeartbeatSource::Relay };
+            let known = self.heard.get(&record.vm);
             let mut record = record.clone();
-            record.relay_term = if is_own_domain { 0 } else { record.relay_term };
-            let known = self.heard.entry(record.vm.clone());
-            let heard = HeardRecord { record, heard: now, source };
-            known.and_modify(|known| known.heard = now).or_insert(heard);
+            if let Some(known) =
+                known.filter(|known| known.record.incarnation >= record.incarnation)
+            {
+                // A record that was heard itself is younger than the view.
+                let is_late = known.heard.elapsed() > HEARTBEAT_TIMEOUT;
+                record = if is_late { record } else { known.record.clone() };
+                record.sequence = known.record.sequence;
+            }
+            self.heard.insert(record.vm.clone(), HeardRecord { record, heard: now, source });
         }
     }
 
--- a/src/membership/control_node.rs
+++ b/src/membership/control_node.rs
@@ -16,10 +16,10 @@
 use tokio::time::Instant;
 
 use crate::config::{GenerationHolder, MAX_FORMAT, MIN_FORMAT, NodeGeneration, OfferOutcome};
-use crate::core::{FailureDomain, VmId};
+use crate::core::{FailureDomain, GenerationNumber, VmId};
 use crate::membership::board::{HeartbeatBoard, HeartbeatSource, MergeEffect};
 use crate::membership::drain_board::DrainBoard;
-use crate::membership::fanout::{ParentCandidate, candidates, relay_of};
+use crate::membership::fanout::{ParentCandidate, candidates, relay_of, rival_relays};
 use crate::membership::freshness::ConfigFreshness;
 use crate::membership::peer_cursor::PeerCursor;
 use crate::membership::view::{EntryRecord, EntryState, MembershipView, SharedMembership};
@@ -247,6 +247,24 @@
         candidates(&view, self.identity.failure_domain.as_str(), self.identity.vm.as_str())
     }
 
+    /// Other nodes that claim to be the relay of this node's failure domain.
+    pub fn rival_relays(&self) -> Vec<ParentCandidate> {
+        let view = self.lock().view();
+        rival_relays(&view, self.identity.failure_domain.as_str(), self.identity.vm.as_str())
+    }
+
+    /// Whether this node comes first after the relay of its failure domain.
+    pub fn is_first_child(&self) -> bool {
+        let view = self.lock().view();
+        let domain = self.identity.failure_domain.as_str();
+        let relay = relay_of(&view, domain).map(|relay| &relay.vm);
+        let mut others = view
+            .records()
+            .iter()
+            .filter(|record| record.failure_domain == domain && Some(&record.vm) != relay);
+        others.next().is_some_and(|record| record.vm == self.identity.vm.as_str())
+    }
+
     /// Term of the relay that the node knows for its own failure domain; 0 if it knows none.
     pub fn known_relay_term(&self) -> u64 {
         let view = self.lock().view();
@@ -254,13 +272,17 @@
         relay.map_or(0, |relay| relay.relay_term)
     }
 
-    /// Generations that the live entries apply.
+    /// Generations that the live entries apply. A VM that is listed and not heard may run an entry
+    /// that this node is cut off from, and counts as without one.
     pub fn node_generations(&self) -> Vec<NodeGeneration> {
         let mut nodes = Vec::new();
         for record in self.lock().view().records() {
             let vm = VmId::new(&record.vm);
             nodes.push(NodeGeneration { vm, generation: generation_of(record) });
         }
+        for vm in self.missing() {
+            nodes.push(NodeGeneration { vm: VmId::new(&vm), generation: GenerationNumber(0) });
+        }
         nodes
     }
 
@@ -287,7 +309,7 @@
             heartbeats,
             drain_hints: cursor.drain_news(&self.drains).hints,
             drain_cursor: cursor.drains_heard(),
-            known_generation: self.holder.number().0,
+            known_generation: self.holder.number().max(self.holder.refused()).0,
             wait_ms: if is_child { MAX_EXCHANGE_WAIT.as_millis() as u64 } else { 0 },
             view_digest: is_child.then(|| board.view().digest()),
         }
--- a/src/membership/driver.rs
+++ b/src/membership/driver.rs
@@ -16,6 +16,7 @@
 use crate::membership::board::HeartbeatSource;
 use crate::membership::control_node::ControlNode;
 use crate::membership::fanout::ParentCandidate;
+use crate::membership::freshness::MAX_CONFIRMED_AGE;
 use crate::membership::lease::{LEASE_RENEWAL, LeaseKeeper, LeaseSpec, LeaseState};
 use crate::membership::view::EntryState;
 use crate::peer::{PeerError, PeerTransport};
@@ -269,7 +270,8 @@
             let answered = self.lock().last_answer;
             let is_orphan = answered.is_none_or(|last| last.elapsed() >= ORPHAN_AFTER);
             let is_leaving = self.node.state() == EntryState::Leaving;
-            if lease.term().is_some() || (is_orphan && !is_leaving) {
+            let is_wanted = is_orphan || self.is_relay_unconfirmed();
+            if lease.term().is_some() || (is_wanted && !is_leaving) {
                 self.lease_step(lease).await;
             }
             let pause = if lease.term().is_some() { LEASE_RENEWAL } else { ORPHAN_STEP };
@@ -278,6 +280,13 @@
         }
     }
 
+    /// Whether the relay answers and has lost the platform. One node then tries in its place; in
+    /// an outage for all, one more node of each failure domain calls the platform.
+    fn is_relay_unconfirmed(&self) -> bool {
+        let age = self.node.confirmed_age();
+        age.is_some_and(|age| age > MAX_CONFIRMED_AGE) && self.node.is_first_child()
+    }
+
     async fn lease_step(&self, lease: &mut LeaseKeeper) {
         match lease.step(&*self.store).await {
             Ok(LeaseState::Held { term }) => self.node.set_relay_term(term),
--- a/src/membership/fanout.rs
+++ b/src/membership/fanout.rs
@@ -73,6 +73,18 @@
     candidates
 }
 
+/// Other nodes that claim to be the relay of `failure_domain`: whoever holds the lease tells them.
+pub fn rival_relays(view: &ViewTable, failure_domain: &str, vm: &str) -> Vec<ParentCandidate> {
+    let mut rivals = Vec::new();
+    for record in view.records() {
+        let is_rival = record.relay_term > 0 && record.vm != vm;
+        if is_rival && record.failure_domain == failure_domain {
+            rivals.extend(candidate_of(record, failure_domain));
+        }
+    }
+    rivals
+}
+
 fn candidate_of(record: &HeartbeatRecord, failure_domain: &str) -> Option<ParentCandidate> {
     Some(ParentCandidate {
         vm: record.vm.clone(),
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -26,7 +26,7 @@
 pub use self::control_node::{ControlNode, MAX_EXCHANGE_WAIT, NodeIdentity};
 pub use self::drain_board::{DrainBoard, DrainNews};
 pub use self::driver::{MembershipDriver, MembershipDriverArgs};
-pub use self::fanout::{ParentCandidate, candidates, relay_of};
+pub use self::fanout::{ParentCandidate, candidates, relay_of, rival_relays};
 pub use self::freshness::{ConfigFreshness, MAX_CONFIRMED_AGE};
 pub use self::lease::{
     LEASE_KIND, LEASE_LIFETIME, LEASE_RENEWAL, LeaseKeeper, LeaseSpec, LeaseState,
--- a/src/membership/relay_driver.rs
+++ b/src/membership/relay_driver.rs
@@ -144,6 +144,7 @@
 
     fn other_relays(&self) -> Vec<ParentCandidate> {
         let mut relays = self.node.candidates();
+        relays.extend(self.node.rival_relays());
         for address in self.lock().leased_relays.clone() {
             if relays.iter().any(|relay| relay.address == address) {
                 continue;
--- a/tests/testsuite/control_plane.rs
+++ b/tests/testsuite/control_plane.rs
@@ -1,5 +1,6 @@
 //! The control planes of whole fleets: rollout, recovery, membership and what they cost.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use heatherfall::config::{MAX_FORMAT, ObjectStatus, RolloutPhase};
@@ -281,3 +282,41 @@
     wait_phase(&fleet, "Upstream", "lookups-1", RolloutPhase::InForce).await;
     fleet.wait("change", |node| node.generation() == generation + 1).await;
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_compiler_that_hears_nobody_does_not_say_in_force_before_the_others_would_be_restricted()
+{
+    let fleet = ControlFleet::started(6, 3).await;
+    let lease = fleet.platform.get("Lease", "compiler").await.expect("a lease");
+    let holder = lease.spec["holder"].as_str().expect("a holder").to_owned();
+    let holder = (0..6).find(|index| ControlFleet::vm_of(*index) == holder).expect("a node");
+    fleet.cut_off(holder);
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    assert_eq!(fleet.nodes[&holder].ready(), 1, "the node still hears somebody");
+    fleet.apply_upstream("lookups-1", 4).await;
+    wait_phase(&fleet, "Upstream", "lookups-1", RolloutPhase::Accepted).await;
+    let accepted = status(&fleet, "Upstream", "lookups-1").await.expect("a status");
+    assert_eq!(accepted.waiting_for.len(), 5, "{accepted:?}");
+    let told = wait_phase(&fleet, "Upstream", "lookups-1", RolloutPhase::InForce).await;
+    assert!(told > MAX_CONFIRMED_AGE - Duration::from_millis(500), "{told:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_relay_that_alone_loses_the_platform_is_replaced() {
+    let mut fleet = ControlFleet::new(1);
+    fleet.apply_upstream("lookups-0", 1).await;
+    for index in 0..4 {
+        fleet.start(index, Vec::new());
+    }
+    fleet.wait("start", |node| node.generation() > 0 && node.ready() == 4).await;
+    let relay = fleet.relay_of(0).expect("a relay");
+    fleet.nodes[&relay].platform_down.store(true, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let started = Instant::now();
+    while fleet.relay_of(0) == Some(relay) || fleet.relay_of(0).is_none() {
+        assert!(started.elapsed() < Duration::from_secs(30), "{}", fleet.describe());
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    println!("relay without the platform replaced after {:?}", started.elapsed());
+    fleet.wait("confirmed", |node| node.freshness.is_confirmed()).await;
+}
--- a/tests/testsuite/generations.rs
+++ b/tests/testsuite/generations.rs
@@ -338,6 +338,7 @@
         assert!(matches!(refused, OfferOutcome::Rejected { .. }), "{refused:?}");
     }
     assert_eq!(holder.number().0, 3);
+    assert_eq!(holder.refused().0, 4, "a peer would send it again and again");
 }
 
 #[tokio::test(start_paused = true)]
--- a/tests/testsuite/support/control_fleet.rs
+++ b/tests/testsuite/support/control_fleet.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -14,7 +15,10 @@
 use heatherfall::ops::objects::{self, ObjectManifest};
 use heatherfall::peer::generated::peer::{ExchangeReply, ExchangeRequest};
 use heatherfall::peer::{PeerError, PeerTransport};
-use heatherfall::platform::{VmRecord, VmState};
+use heatherfall::platform::{
+    ObjectDraft, ObjectEnvelope, ObjectList, PlatformStore, Precondition, Revision, StoreError,
+    VmList, VmRecord, VmState, WatchBatch, WatchRequest,
+};
 use heatherfall::util::SeededRandom;
 use heatherfall_standins::platform::StandinPlatform;
 use prost::Message;
@@ -77,6 +81,67 @@
     }
 }
 
+/// The platform as one node reaches it.
+#[derive(Debug)]
+struct NodeStore {
+    platform: StandinPlatform,
+    is_down: Arc<AtomicBool>,
+}
+
+impl NodeStore {
+    fn reach(&self) -> Result<&StandinPlatform, StoreError> {
+        if self.is_down.load(Ordering::Relaxed) {
+            return Err(StoreError::Unavailable("not reached by this node".to_owned()));
+        }
+        Ok(&self.platform)
+    }
+}
+
+impl PlatformStore for NodeStore {
+    async fn get(&self, kind: &str, name: &str) -> Result<ObjectEnvelope, StoreError> {
+        self.reach()?.get(kind, name).await
+    }
+
+    async fn list(&self, kind: &str, prefix: &str) -> Result<ObjectList, StoreError> {
+        self.reach()?.list(kind, prefix).await
+    }
+
+    async fn put(
+        &self,
+        draft: ObjectDraft,
+        precondition: Precondition,
+    ) -> Result<ObjectEnvelope, StoreError> {
+        self.reach()?.put(draft, precondition).await
+    }
+
+    async fn put_status(
+        &self,
+        kind: &str,
+        name: &str,
+        spec_version: Revision,
+        status: Value,
+    ) -> Result<ObjectEnvelope, StoreError> {
+        self.reach()?.put_status(kind, name, spec_version, status).await
+    }
+
+    async fn delete(
+        &self,
+        kind: &str,
+        name: &str,
+        spec_version: Revision,
+    ) -> Result<(), StoreError> {
+        self.reach()?.delete(kind, name, spec_version).await
+    }
+
+    async fn watch(&self, request: WatchRequest) -> Result<WatchBatch, StoreError> {
+        self.reach()?.watch(request).await
+    }
+
+    async fn vms(&self) -> Result<VmList, StoreError> {
+        self.reach()?.vms().await
+    }
+}
+
 /// One running node.
 pub(crate) struct FleetNode {
     pub(crate) node: Arc<ControlNode>,
@@ -84,6 +149,8 @@
     pub(crate) freshness: Arc<ConfigFreshness>,
     pub(crate) membership: SharedMembership,
     pub(crate) address: SocketAddr,
+    /// The platform refuses every call of this node.
+    pub(crate) platform_down: Arc<AtomicBool>,
     stop: CancellationToken,
     tasks: Vec<tokio::task::JoinHandle<()>>,
 }
@@ -166,9 +233,14 @@
         self.network.nodes.lock().unwrap().insert(address, Arc::clone(&node));
         self.network.silent.lock().unwrap().remove(&address);
         let stop = CancellationToken::new();
+        let platform_down = Arc::new(AtomicBool::new(false));
+        let store = Arc::new(NodeStore {
+            platform: self.platform.clone(),
+            is_down: Arc::clone(&platform_down),
+        });
         let driver = MembershipDriver::new(MembershipDriverArgs {
             node: Arc::clone(&node),
-            store: Arc::new(self.platform.clone()),
+            store: Arc::clone(&store),
             transport: Arc::new(MemoryTransport {
                 network: Arc::clone(&self.network),
                 from: address,
@@ -176,13 +248,22 @@
             seeds,
             random: SeededRandom::new(index as u64),
         });
-        let compiler = ConfigCompiler::new(Arc::clone(&node), Arc::new(self.platform.clone()));
+        let compiler = ConfigCompiler::new(Arc::clone(&node), store);
         let (driver_stop, compiler_stop) = (stop.clone(), stop.clone());
         let tasks = vec![
             tokio::spawn(async move { driver.run(driver_stop).await }),
             tokio::spawn(async move { compiler.run(compiler_stop).await }),
         ];
-        let node = FleetNode { node, snapshot, freshness, membership, address, stop, tasks };
+        let node = FleetNode {
+            node,
+            snapshot,
+            freshness,
+            membership,
+            address,
+            platform_down,
+            stop,
+            tasks,
+        };
         self.nodes.insert(index, node);
     }
 
@@ -227,6 +308,11 @@
         self.platform.remove_vm(&Self::vm_of(index));
     }
 
+    /// Cuts a node off from its peers and not from the platform.
+    pub(crate) fn cut_off(&self, index: usize) {
+        self.network.silent.lock().unwrap().insert(Self::address_of(index));
+    }
+
     /// The relay of a failure domain.
     pub(crate) fn relay_of(&self, domain: usize) -> Option<usize> {
         let mut indexes = self.nodes.iter().filter(|(index, _)| *index % self.domains == domain);
@@ -243,14 +329,15 @@
         started.elapsed()
     }
 
-    fn describe(&self) -> String {
+    pub(crate) fn describe(&self) -> String {
         let mut text = String::new();
         for (index, node) in &self.nodes {
             text.push_str(&format!(
-                "\n{index}: generation={} ready={} relay={} age={:?}",
+                "\n{index}: generation={} ready={} relay={} term={} age={:?}",
                 node.generation(),
                 node.ready(),
                 node.node.is_relay(),
+                node.node.known_relay_term(),
                 node.freshness.age(),
             ));
         }
