--- a/src/membership/control_node.rs
+++ b/src/membership/control_node.rs
@@ -132,34 +132,15 @@
         self.reports.subscribe()
     }
 
-    /// Tells the others of marks that this node's answers carry, and applies those of others.
-    fn sync_drains(&self) {
-        let Some(snapshot) = self.holder.snapshot() else { return };
-        let own_vm = self.identity.vm.as_str();
-        let mut is_news = false;
-        let is_quiet = self.drains.is_empty();
-        for upstream in snapshot.upstreams.values() {
-            if is_quiet && !upstream.is_marked_draining() {
-                upstream.set_hinted_draining(false);
-                continue;
-            }
-            if self.drains.is_outlived(own_vm, &upstream.name) {
-                upstream.set_marked_draining(false);
-            }
-            let is_marked = upstream.is_marked_draining();
-            if is_marked || self.drains.is_known(own_vm, &upstream.name) {
-                is_news |= self.drains.report(own_vm, &upstream.name, is_marked);
-            }
-            upstream.set_hinted_draining(self.drains.is_draining(&upstream.name));
-        }
-        if is_news {
+    /// Records that this node sees an upstream draining, or no longer; the others hear of it.
+    pub fn report_drain(&self, upstream: &str, is_draining: bool) {
+        if self.drains.report(self.identity.vm.as_str(), upstream, is_draining) {
             self.tell_all();
         }
     }
 
     pub(super) fn merge_drains(&self, hints: &[DrainHint]) {
         if self.drains.merge(hints) {
-            self.sync_drains();
             self.tell_all();
         }
     }
@@ -213,7 +194,6 @@
     /// Records that a generation was applied, the state that follows, and the time's passing.
     pub fn refresh(&self) {
         self.holder.end_transitions();
-        self.sync_drains();
         let generation = self.holder.number();
         let changed = {
             let mut board = self.lock();
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -6,6 +6,7 @@
 
 mod address_book;
 mod answer;
+mod assignment;
 mod board;
 mod control_node;
 mod drain_board;
@@ -19,7 +20,8 @@
 mod view;
 mod view_table;
 
-pub use self::address_book::{AddressBook, EntryAddress};
+pub use self::address_book::{AddressBook, AddressQuery, EntryAddress};
+pub use self::assignment::{AssignedEntry, AssignmentSettings, DomainAssignment, assign};
 pub use self::board::{
     HEARTBEAT_TIMEOUT, HeartbeatBoard, HeartbeatSource, MergeEffect, MergeOutcome,
 };
--- a/src/request/plane.rs
+++ b/src/request/plane.rs
@@ -10,13 +10,16 @@
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TE, TRANSFER_ENCODING, UPGRADE};
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Uri};
+use tokio::sync::oneshot;
 use tokio::time::Instant;
+use tokio_util::task::TaskTracker;
 
 use crate::balance::UpstreamPicker;
 use crate::core::{
     ConfigSnapshot, Criticality, DEADLINE_HEADER, InflightGuard, REQUEST_ID_HEADER,
     RETRY_ALLOWANCE_HEADER, ResultCode, SharedSnapshot,
 };
+use crate::ledger::ClaimLedger;
 use crate::limits::{GatePermit, GateRequest, LimitTable, RouteLimits};
 use crate::membership::ConfigFreshness;
 use crate::request::answer::{
@@ -25,6 +28,7 @@
 use crate::request::attempt::UpstreamClient;
 use crate::request::classify::{RequestClass, RequestHead, classify};
 use crate::request::exchange::{ExchangeEnd, ExchangeSettings, ExchangeTools, RequestExchange};
+use crate::request::keyed::{claim_intent, claim_key};
 use crate::request::request_shape::check_shape;
 
 /// Headers that concern one connection only, beside those that `Connection` names.
@@ -64,27 +68,53 @@
     pub deadline: Instant,
 }
 
-/// Decides about requests and runs them.
+/// What runs requests; tasks of keyed requests share it.
 #[derive(Debug)]
-pub struct RequestPlane<C, P> {
-    snapshot: SharedSnapshot,
+pub(super) struct PlaneCore<C, P, L> {
     client: C,
     picker: P,
     freshness: Arc<ConfigFreshness>,
-    limits: LimitTable,
     settings: ExchangeSettings,
+    pub(super) ledger: L,
+}
+
+impl<C, P, L> PlaneCore<C, P, L> {
+    pub(super) fn tools(&self) -> ExchangeTools<'_, C, P> {
+        ExchangeTools {
+            client: &self.client,
+            picker: &self.picker,
+            freshness: &self.freshness,
+            settings: &self.settings,
+        }
+    }
+}
+
+/// Decides about requests and runs them.
+#[derive(Debug)]
+pub struct RequestPlane<C, P, L> {
+    snapshot: SharedSnapshot,
+    limits: LimitTable,
+    core: Arc<PlaneCore<C, P, L>>,
+    keyed: TaskTracker,
 }
 
-impl<C: UpstreamClient, P: UpstreamPicker> RequestPlane<C, P> {
+impl<C: UpstreamClient, P: UpstreamPicker, L: ClaimLedger> RequestPlane<C, P, L> {
     /// Creates the plane over the pointer to the present configuration.
     pub fn new(
         snapshot: SharedSnapshot,
         client: C,
         picker: P,
+        ledger: L,
         freshness: Arc<ConfigFreshness>,
         settings: ExchangeSettings,
     ) -> Self {
-        Self { snapshot, client, picker, freshness, limits: LimitTable::default(), settings }
+        let core = Arc::new(PlaneCore { client, picker, freshness, settings, ledger });
+        Self { snapshot, limits: LimitTable::default(), core, keyed: TaskTracker::new() }
+    }
+
+    /// The tasks of keyed requests. Each ends when the outcome of its request has been recorded.
+    pub fn keyed_tasks(&self) -> TaskTracker {
+        self.keyed.clone()
     }
 
     /// Admits a request by its head.
@@ -139,31 +169,36 @@
             deadline,
             retry_allowance: allowance.map(|allowed| allowed.min(u64::from(u32::MAX)) as u32),
         };
-        let tools = ExchangeTools {
-            client: &self.client,
-            picker: &self.picker,
-            freshness: &self.freshness,
-            settings: &self.settings,
-        };
-        match exchange.run(tools).await {
+        match claim_key(&parts.headers, exchange.class.mode, &self.core.freshness) {
+            Ok(None) => {}
+            Ok(Some(key)) => return self.run_keyed(key, exchange, permit).await,
+            Err(code) => return refusal(code),
+        }
+        match exchange.run(self.core.tools()).await {
             ExchangeEnd::Answered { answer, inflight } => {
                 let guard = AnswerGuard { _inflight: inflight, _permit: permit };
                 let mut response = answer
                     .response
                     .map(|body| AnswerBody::Stream(AnswerStream::new(body, deadline, guard)));
-                if response.headers().contains_key(TRANSFER_ENCODING) {
-                    // The chunks count; a length beside them is not to be believed.
-                    response.headers_mut().remove(CONTENT_LENGTH);
-                }
-                remove_hop_by_hop(response.headers_mut());
-                for name in OWN_ANSWER_HEADERS {
-                    response.headers_mut().remove(name);
-                }
+                clean_answer_headers(response.headers_mut());
                 response
             }
             ExchangeEnd::Failed(code) => refusal(code),
         }
     }
+
+    /// Runs a keyed request in a task of its own, which survives its caller.
+    async fn run_keyed(
+        &self,
+        key: &str,
+        exchange: RequestExchange,
+        permit: GatePermit,
+    ) -> PlaneAnswer<C> {
+        let intent = claim_intent(key, &exchange);
+        let (tx, rx) = oneshot::channel();
+        self.keyed.spawn(Arc::clone(&self.core).run_keyed(exchange, intent, permit, tx));
+        rx.await.unwrap_or_else(|_| refusal(ResultCode::OutcomeUnknown))
+    }
 }
 
 fn retry_after(class: Criticality) -> Duration {
@@ -204,6 +239,19 @@
     headers
 }
 
+/// Removes from an upstream's answer what only this system may say to callers, and what concerns
+/// the upstream's connection.
+pub(super) fn clean_answer_headers(headers: &mut HeaderMap) {
+    if headers.contains_key(TRANSFER_ENCODING) {
+        // The chunks count; a length beside them is not to be believed.
+        headers.remove(CONTENT_LENGTH);
+    }
+    remove_hop_by_hop(headers);
+    for name in OWN_ANSWER_HEADERS {
+        headers.remove(name);
+    }
+}
+
 fn remove_hop_by_hop(headers: &mut HeaderMap) {
     let mut named = Vec::new();
     for value in headers.get_all(CONNECTION) {
--- a/src/serve/front.rs
+++ b/src/serve/front.rs
@@ -16,6 +16,7 @@
 
 use crate::balance::UpstreamPicker;
 use crate::core::{IdempotenceMode, RESULT_CODE_HEADER, ResultCode};
+use crate::ledger::ClaimLedger;
 use crate::membership::AddressBook;
 use crate::request::{
     AnswerBody, PlaneAnswer, RequestAdmission, RequestClass, RequestPlane, UpstreamClient, refusal,
@@ -50,22 +51,37 @@
     }
 }
 
+/// Tells a [`FrontService`] that its node is leaving; clones share the state.
+#[derive(Clone, Debug, Default)]
+pub struct LeaveSwitch(Arc<AtomicBool>);
+
+impl LeaveSwitch {
+    /// From now on answers tell callers on HTTP/1.1 to close their connection.
+    pub fn set_leaving(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// Answers callers' requests.
 #[derive(Debug)]
-pub struct FrontService<C, P> {
-    plane: RequestPlane<C, P>,
+pub struct FrontService<C, P, L> {
+    plane: RequestPlane<C, P, L>,
     addresses: Arc<AddressBook>,
     metrics: LatencyMetrics,
     settings: FrontSettings,
     bodies: Arc<BodyBudget>,
     running: TaskTracker,
-    is_leaving: AtomicBool,
+    leave_switch: LeaveSwitch,
 }
 
-impl<C: UpstreamClient, P: UpstreamPicker> FrontService<C, P> {
+impl<C: UpstreamClient, P: UpstreamPicker, L: ClaimLedger> FrontService<C, P, L> {
     /// Creates the service.
     pub fn new(
-        plane: RequestPlane<C, P>,
+        plane: RequestPlane<C, P, L>,
         addresses: Arc<AddressBook>,
         metrics: LatencyMetrics,
         settings: FrontSettings,
@@ -78,7 +94,7 @@
             settings,
             bodies,
             running: TaskTracker::new(),
-            is_leaving: AtomicBool::new(false),
+            leave_switch: LeaveSwitch::default(),
         }
     }
 
@@ -88,9 +104,9 @@
         self.running.wait().await;
     }
 
-    /// From now on answers tell callers on HTTP/1.1 to close their connection.
-    pub fn set_leaving(&self) {
-        self.is_leaving.store(true, Ordering::Relaxed);
+    /// Tells the service that the node is leaving.
+    pub fn leave_switch(&self) -> LeaveSwitch {
+        self.leave_switch.clone()
     }
 
     pub(super) async fn answer(
@@ -102,7 +118,7 @@
         if version == Version::HTTP_10 {
             response = self.with_known_length(response).await;
         }
-        let closes = self.is_leaving.load(Ordering::Relaxed) && version < Version::HTTP_2;
+        let closes = self.leave_switch.is_leaving() && version < Version::HTTP_2;
         if closes {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
