--- a/tests/testsuite/control_plane.rs
+++ b/tests/testsuite/control_plane.rs
@@ -1,16 +1,18 @@
 //! The control planes of whole fleets: rollout, recovery, membership and what they cost.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use heatherfall::config::{ObjectStatus, RolloutPhase};
+use heatherfall::config::{MAX_FORMAT, ObjectStatus, RolloutPhase};
 use heatherfall::core::ObjectKind;
 use heatherfall::membership::{EntryState, MAX_CONFIRMED_AGE};
+use heatherfall::peer::generated::peer::{ExchangeRequest, HeartbeatRecord};
 use heatherfall::platform::PlatformStore;
 use heatherfall_standins::platform::FaultSettings;
 use serde_json::json;
 use tokio::time::Instant;
 
-use crate::support::ControlFleet;
+use crate::support::{ControlFleet, FleetNode};
 
 /// Time within which an accepted change is in force everywhere.
 const ROLLOUT_TARGET: Duration = Duration::from_secs(5);
@@ -233,3 +235,82 @@
     println!("accepted after {accepted:?}, in force after {:?}", changed.elapsed());
     assert!(changed.elapsed() < ROLLOUT_TARGET + Duration::from_secs(1));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_drain_mark_that_one_node_sees_is_known_to_all_and_ends_if_nobody_repeats_it() {
+    let fleet = ControlFleet::started(19, 3).await;
+    let is_draining = |node: &FleetNode| node.node.drains().is_draining("lookups-0");
+    fleet.nodes[&7].node.report_drain("lookups-0", true);
+    let told = fleet.wait("drained", is_draining).await;
+    println!("drain mark known to 19 nodes after {told:?}");
+    assert!(told < Duration::from_secs(2), "{told:?}");
+    // Nobody sends it work, so nobody can see that it is back; the mark ends by itself.
+    let ended = fleet.wait("back", |node| !is_draining(node)).await;
+    println!("unrepeated mark ended after {ended:?}");
+    assert!(ended > Duration::from_secs(30), "{ended:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_waits_for_a_live_node_that_does_not_read_the_format_and_not_for_a_dead_one() {
+    let fleet = ControlFleet::started(3, 1).await;
+    let generation = fleet.nodes[&0].generation();
+    let relay = fleet.relay_of(0).expect("a relay");
+    let old_node = ExchangeRequest {
+        sender: Some(HeartbeatRecord {
+            vm: "entry-old".to_owned(),
+            failure_domain: "fd-0".to_owned(),
+            incarnation: 1,
+            max_format: MAX_FORMAT - 1,
+            ..HeartbeatRecord::default()
+        }),
+        view_digest: Some(0),
+        ..ExchangeRequest::default()
+    };
+    fleet.nodes[&relay].node.answer(old_node).await;
+    fleet.apply_upstream("lookups-1", 4).await;
+    wait_phase(&fleet, "Upstream", "lookups-1", RolloutPhase::Rejected).await;
+    let status = status(&fleet, "Upstream", "lookups-1").await.expect("a status");
+    assert_eq!(status.code.as_deref(), Some("HF-2006"));
+    assert_eq!(fleet.nodes[&0].generation(), generation);
+    // The node is not heard again and no longer counts.
+    wait_phase(&fleet, "Upstream", "lookups-1", RolloutPhase::InForce).await;
+    fleet.wait("change", |node| node.generation() == generation + 1).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_compiler_that_hears_nobody_does_not_say_in_force_before_the_others_would_be_restricted()
+{
+    let fleet = ControlFleet::started(6, 3).await;
+    let lease = fleet.platform.get("Lease", "compiler").await.expect("a lease");
+    let holder = lease.spec["holder"].as_str().expect("a holder").to_owned();
+    let holder = (0..6).find(|index| ControlFleet::vm_of(*index) == holder).expect("a node");
+    fleet.cut_off(holder);
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    assert_eq!(fleet.nodes[&holder].ready(), 1, "the node still hears somebody");
+    fleet.apply_upstream("lookups-1", 4).await;
+    wait_phase(&fleet, "Upstream", "lookups-1", RolloutPhase::Accepted).await;
+    let accepted = status(&fleet, "Upstream", "lookups-1").await.expect("a status");
+    assert_eq!(accepted.waiting_for.len(), 5, "{accepted:?}");
+    let told = wait_phase(&fleet, "Upstream", "lookups-1", RolloutPhase::InForce).await;
+    assert!(told > MAX_CONFIRMED_AGE - Duration::from_millis(500), "{told:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_relay_that_alone_loses_the_platform_is_replaced() {
+    let mut fleet = ControlFleet::new(1);
+    fleet.apply_upstream("lookups-0", 1).await;
+    for index in 0..4 {
+        fleet.start(index, Vec::new());
+    }
+    fleet.wait("start", |node| node.generation() > 0 && node.ready() == 4).await;
+    let relay = fleet.relay_of(0).expect("a relay");
+    fleet.nodes[&relay].platform_down.store(true, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let started = Instant::now();
+    while fleet.relay_of(0) == Some(relay) || fleet.relay_of(0).is_none() {
+        assert!(started.elapsed() < Duration::from_secs(30), "{}", fleet.describe());
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    println!("relay without the platform replaced after {:?}", started.elapsed());
+    fleet.wait("confirmed", |node| node.freshness.is_confirmed()).await;
+}
