tests: send arbitrary bytes to every reader and check the settings page

Selectors, settings, objects, generations, peer messages and HTTP heads of arbitrary content neither panic nor reach an upstream, and refusals carry a number. docs/SETTINGS.md is compared with the code's keys and defaults. Three daemons on stand-ins started by the client carry a load.

--- /dev/null
+++ b/tests/testsuite/hostile_input.rs
@@ -0,0 +1,200 @@
+//! Arbitrary bytes where operators, peers and callers can send them: nothing panics, and what is
+//! refused is refused with a numbered result.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use heatherfall::config::{GenerationHolder, OfferOutcome, check_object};
+use heatherfall::core::{CONFIG_KINDS, FailureDomain, LabelSelector, SharedSnapshot, VmId};
+use heatherfall::membership::{ControlNode, NodeIdentity, SharedMembership};
+use heatherfall::ops::dev::{DevDeployment, DevSettings, ServiceSize};
+use heatherfall::ops::node_settings::NodeSettings;
+use heatherfall::ops::objects;
+use heatherfall::peer::generated::ledger::{ClaimRequest, FinishRequest};
+use heatherfall::peer::generated::peer::ExchangeRequest;
+use heatherfall::request::{RequestHead, classify};
+use heatherfall::util::settings_file;
+use http::{HeaderMap, Method, Uri};
+use proptest::prelude::*;
+use prost::Message;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::support::TestCaller;
+
+/// Any JSON of small depth.
+fn any_json() -> impl Strategy<Value = Value> {
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(|number| json!(number)),
+        ".{0,40}".prop_map(Value::from),
+    ];
+    let key = prop_oneof![
+        Just("requests".to_owned()),
+        Just("upstreams".to_owned()),
+        Just("address".to_owned()),
+        Just("deadline".to_owned()),
+        Just("match".to_owned()),
+        Just("spec".to_owned()),
+        Just("kind".to_owned()),
+        "[a-z_]{1,12}",
+    ];
+    leaf.prop_recursive(4, 64, 8, move |inner| {
+        prop_oneof![
+            prop::collection::vec(inner.clone(), 0..8).prop_map(Value::from),
+            prop::collection::btree_map(key.clone(), inner, 0..8)
+                .prop_map(|map| Value::from_iter(map)),
+        ]
+    })
+}
+
+fn control_node() -> ControlNode {
+    let identity = NodeIdentity {
+        vm: VmId::new("entry-1"),
+        failure_domain: FailureDomain::new("fd-a"),
+        caller_address: "192.0.2.1:80".to_owned(),
+        peer_address: "192.0.2.1:81".to_owned(),
+        incarnation: 1,
+    };
+    let holder = Arc::new(GenerationHolder::new(SharedSnapshot::default()));
+    ControlNode::new(identity, holder, Default::default(), SharedMembership::default())
+}
+
+proptest! {
+    #[test]
+    fn selectors_of_any_text_are_read_or_refused_at_a_place_within_them(
+        text in prop_oneof![".{0,300}", "[a-z0-9=!(), notin]{0,300}"]
+    ) {
+        if let Err(error) = text.parse::<LabelSelector>() {
+            prop_assert!(error.offset <= text.len());
+        }
+    }
+
+    #[test]
+    fn settings_of_any_text_are_refused_with_a_number(text in ".{0,400}") {
+        let error = settings_file::parse::<NodeSettings>("node.jsonc", &text);
+        let error = error.expect_err("no text of this kind is complete");
+        prop_assert!(error.code().number() >= 5000);
+    }
+
+    #[test]
+    fn settings_of_any_json_are_refused_with_a_number(value in any_json()) {
+        let error = settings_file::parse::<NodeSettings>("node.jsonc", &value.to_string());
+        let error = error.expect_err("no value of this kind is complete");
+        prop_assert!(error.code().number() >= 5000);
+    }
+
+    #[test]
+    fn objects_of_any_json_are_read_or_refused_with_a_number(value in any_json()) {
+        for kind in CONFIG_KINDS {
+            if let Err(fault) = check_object(kind, "any", &value) {
+                prop_assert!((2000..3000).contains(&fault.code.number()));
+                prop_assert!(!fault.message.is_empty());
+            }
+        }
+        let _ = objects::parse_manifests(&value.to_string());
+    }
+
+    #[test]
+    fn generations_of_any_bytes_are_refused_and_change_nothing(
+        bytes in prop::collection::vec(any::<u8>(), 0..400)
+    ) {
+        let node = control_node();
+        let outcome = node.offer(&Bytes::from(bytes));
+        let is_rejected = matches!(outcome, OfferOutcome::Rejected { .. });
+        prop_assert!(is_rejected, "{:?}", outcome);
+        prop_assert_eq!(node.holder().number().0, 0);
+    }
+
+    #[test]
+    fn peer_messages_of_any_bytes_are_decoded_or_refused(
+        bytes in prop::collection::vec(any::<u8>(), 0..400)
+    ) {
+        let _ = ClaimRequest::decode(&*bytes);
+        let _ = FinishRequest::decode(&*bytes);
+        let Ok(mut request) = ExchangeRequest::decode(&*bytes) else { return Ok(()) };
+        request.wait_ms = 0;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("runtime");
+        let node = control_node();
+        runtime.block_on(node.answer(request));
+        prop_assert_eq!(node.holder().number().0, 0);
+    }
+
+    #[test]
+    fn classification_of_any_head_finds_no_route_without_configuration(
+        path in "/[ -~]{0,200}", value in prop::collection::vec(any::<u8>(), 0..100)
+    ) {
+        let Ok(uri) = path.parse::<Uri>() else { return Ok(()) };
+        let mut headers = HeaderMap::new();
+        if let Ok(value) = http::HeaderValue::from_bytes(&value) {
+            headers.insert(http::header::HOST, value);
+        }
+        let head = RequestHead { method: &Method::GET, uri: &uri, headers: &headers };
+        prop_assert!(classify(&Default::default(), head).route.is_none());
+    }
+}
+
+/// Sends bytes, ends the sending side and returns what comes back.
+async fn send_bytes(addr: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let mut stream = TcpStream::connect(addr).await.expect("listener accepts");
+    // The server may close before it has read everything.
+    let _ = stream.write_all(bytes).await;
+    let _ = stream.shutdown().await;
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    answer
+}
+
+fn is_refusal(answer: &[u8]) -> bool {
+    answer.is_empty()
+        || answer.starts_with(b"HTTP/1.1 4")
+        || answer.starts_with(b"HTTP/1.1 5")
+        // HTTP/2 frames: the connection began with its preface.
+        || answer.get(3) == Some(&4)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_listener_survives_heads_of_any_bytes_and_goes_on_serving() {
+    let settings = DevSettings {
+        first_port: 0,
+        services: vec![ServiceSize { app: "lookups", targets: 1, slots: 4 }],
+        announce: std::time::Duration::ZERO,
+    };
+    let deployment = DevDeployment::start(&settings).await.expect("deployment starts");
+    let entry = deployment.nodes[0].caller_addr();
+    let mut hostile: Vec<Vec<u8>> = vec![
+        b"GET / HTTP/1.1\r\n\r\n\r\n".to_vec(),
+        b"GET /cau-noi/lookup/a HTTP/9.9\r\nhost: x\r\n\r\n".to_vec(),
+        b"POST /cau-noi/donations HTTP/1.1\r\nhost: x\r\ncontent-length: -1\r\n\r\n".to_vec(),
+        b"POST /cau-noi/donations HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\
+          content-length: 6\r\n\r\nabcdef"
+            .to_vec(),
+        b"POST /cau-noi/donations HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n\
+          ffffffffffffffffff\r\n"
+            .to_vec(),
+        [b"GET / HTTP/1.1\r\nx: ".to_vec(), vec![b'a'; 200 << 10]].concat(),
+        b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\xff\xff\xff\xff\xff\xff\xff\xff\xff".to_vec(),
+    ];
+    let mut random = heatherfall::util::SeededRandom::new(11);
+    for _ in 0..64 {
+        let length = random.below(600);
+        hostile.push((0..length).map(|_| random.below(256) as u8).collect());
+    }
+    for bytes in &hostile {
+        let answer = send_bytes(entry, bytes).await;
+        assert!(is_refusal(&answer), "{:?}", String::from_utf8_lossy(&answer));
+    }
+    let runs: u64 = deployment.upstreams.iter().map(|one| one.upstream.total_runs()).sum();
+    assert_eq!(runs, 0, "a malformed request reached an upstream");
+    let reply = TestCaller::new().send(entry, Method::GET, "/cau-noi/lookup/a", &[]).await;
+    assert!(reply.expect("a whole answer").status.is_success());
+    deployment.stop().await;
+}
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -87,3 +87,82 @@
     assert_eq!(report.failed(), 0, "{report}");
     assert!(report.answered() > 0);
 }
+
+/// A stand-in started as README says; killed when dropped.
+struct StandinProcess {
+    child: std::process::Child,
+    addr: SocketAddr,
+}
+
+impl StandinProcess {
+    fn start(arguments: &[&str]) -> Self {
+        use std::io::BufRead;
+        let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_heatherfall"))
+            .arg("standin")
+            .args(arguments)
+            .args(["--listen", "127.0.0.1:0"])
+            .stdout(std::process::Stdio::piped())
+            .spawn()
+            .expect("stand-in starts");
+        let mut line = String::new();
+        let stdout = child.stdout.take().expect("stdout is piped");
+        std::io::BufReader::new(stdout).read_line(&mut line).expect("stand-in says its address");
+        let addr = line.trim().rsplit(' ').next().and_then(|addr| addr.parse().ok());
+        Self { child, addr: addr.expect("an address") }
+    }
+}
+
+impl Drop for StandinProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn three_daemons_on_stand_in_processes_carry_a_load_with_nothing_wrong() {
+    let platform = StandinProcess::start(&["platform"]);
+    let upstreams = [
+        StandinProcess::start(&["upstream", "--name", "lookups-0"]),
+        StandinProcess::start(&["upstream", "--name", "lookups-1"]),
+    ];
+    let mut objects: Vec<serde_json::Value> = Vec::new();
+    for (index, upstream) in upstreams.iter().enumerate() {
+        objects.push(serde_json::json!({
+            "kind": "Upstream", "name": format!("lookups-{index}"), "labels": { "app": "lookups" },
+            "spec": { "address": upstream.addr.to_string(), "failure_domain": "fd-a" },
+        }));
+    }
+    let file = tempfile::NamedTempFile::new().expect("temporary file");
+    std::fs::write(file.path(), serde_json::to_vec(&objects).expect("json")).expect("written");
+    let status = std::process::Command::new(env!("CARGO_BIN_EXE_heatherfall"))
+        .args(["--platform", &platform.addr.to_string(), "apply"])
+        .arg(concat!(env!("CARGO_MANIFEST_DIR"), "/examples/both-users.jsonc"))
+        .arg(file.path())
+        .stdout(std::process::Stdio::null())
+        .status()
+        .expect("client runs");
+    assert!(status.success());
+    let mut entries = Vec::new();
+    let mut daemons = Vec::new();
+    for (vm, failure_domain) in [("entry-1", "fd-a"), ("entry-2", "fd-b"), ("entry-3", "fd-c")] {
+        let daemon = DaemonProcess::start(vm, failure_domain, platform.addr);
+        wait_ready(&daemon).await;
+        entries.push(daemon.caller_addr);
+        daemons.push(daemon);
+    }
+    let settings = LoadSettings {
+        entries,
+        classes: vec![lookup_class()],
+        rate: 200.0,
+        duration: std::time::Duration::from_secs(1),
+        ..LoadSettings::default()
+    };
+    let report = load::run(&settings, &()).await.expect("load runs");
+    assert_eq!(report.failed(), 0, "{report}");
+    assert!(report.answered() > 0);
+    for daemon in &mut daemons {
+        daemon.terminate();
+        assert!(daemon.wait(), "a daemon ended with an error");
+    }
+}
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -55,3 +55,48 @@
         assert!(output.contains("HF-5002"), "{output}");
     }
 }
+
+/// Every key of the settings with its default, as `a.b` and JSON text; required keys without one.
+fn keys_in_code() -> std::collections::BTreeMap<String, String> {
+    let text = r#"{ "vm": "x", "failure_domain": "x",
+        "listen": { "callers": "127.0.0.1:1", "admin": "127.0.0.1:2", "peers": "127.0.0.1:3" },
+        "platform": { "address": "127.0.0.1:4" }, "peers": { "key_file": "/x" } }"#;
+    let given: serde_json::Value = serde_json::from_str(text).expect("json");
+    let settings: NodeSettings = settings_file::parse("node.jsonc", text).expect("valid");
+    let value = serde_json::to_value(settings).expect("settings serialize");
+    let mut keys = std::collections::BTreeMap::new();
+    flatten("", &value, Some(&given), &mut keys);
+    keys
+}
+
+fn flatten(
+    path: &str,
+    value: &serde_json::Value,
+    given: Option<&serde_json::Value>,
+    keys: &mut std::collections::BTreeMap<String, String>,
+) {
+    let Some(map) = value.as_object() else {
+        let default = match value {
+            _ if given.is_some() => "required".to_owned(),
+            serde_json::Value::String(text) => text.clone(),
+            other => other.to_string(),
+        };
+        keys.insert(path.to_owned(), default);
+        return;
+    };
+    for (name, value) in map {
+        let path = if path.is_empty() { name.clone() } else { format!("{path}.{name}") };
+        flatten(&path, value, given.and_then(|given| given.get(name)), keys);
+    }
+}
+
+#[test]
+fn the_documented_keys_and_defaults_are_those_of_the_code() {
+    let page = include_str!("../../docs/SETTINGS.md");
+    let mut documented = std::collections::BTreeMap::new();
+    for line in page.lines().filter(|line| line.starts_with("| `")) {
+        let cells: Vec<&str> = line.split('|').map(|cell| cell.trim().trim_matches('`')).collect();
+        documented.insert(cells[1].to_owned(), cells[3].to_owned());
+    }
+    assert_eq!(documented, keys_in_code());
+}
