--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::expect_used, clippy::unwrap_used, reason = "a test panics to fail")]
 
 mod addresses;
+mod client;
 mod compile;
 mod connections;
 mod control_plane;
@@ -15,6 +16,7 @@
 mod ledger;
 mod ledger_race;
 mod limits;
+mod load;
 mod load_picker;
 mod membership;
 mod peer_calls;
