--- a/tests/testsuite/control_plane.rs
+++ b/tests/testsuite/control_plane.rs
@@ -314,3 +314,28 @@
     println!("relay without the platform replaced after {:?}", started.elapsed());
     fleet.wait("confirmed", |node| node.freshness.is_confirmed()).await;
 }
+
+#[tokio::test(start_paused = true)]
+async fn many_objects_written_at_once_are_in_force_and_said_so_within_the_target() {
+    let fleet = ControlFleet::started(19, 3).await;
+    let delay = Duration::from_millis(3);
+    fleet.platform.set_faults(FaultSettings { delay, ..FaultSettings::default() });
+    for index in 0..200 {
+        fleet.apply_upstream(&format!("lookups-{index}"), 4).await;
+    }
+    let written = Instant::now();
+    let before = fleet.platform.counts().writes;
+    fleet
+        .wait("spread", |node| {
+            node.snapshot.load().as_ref().is_some_and(|one| one.upstreams.len() == 200)
+        })
+        .await;
+    let spread = written.elapsed();
+    for index in 0..200 {
+        let name = format!("lookups-{index}");
+        wait_phase(&fleet, "Upstream", &name, RolloutPhase::InForce).await;
+    }
+    let writes = fleet.platform.counts().writes - before;
+    println!("200 objects: spread {spread:?}, told {:?}, {writes} writes", written.elapsed());
+    assert!(written.elapsed() < ROLLOUT_TARGET, "{:?}", written.elapsed());
+}
