balance: look beyond the failure domain on a further attempt

Change: the network delay weighs 0.4 in a first choice and nothing in a further one. The comparison sends probes within each entry's part of the budget, gains probed in-flight and latency pools as a policy, and takes replaced targets out of the entries' arenas.

Conclusion: beyond the first attempt, finding a free slot is worth the network delay.

--- a/src/balance/load_picker.rs
+++ b/src/balance/load_picker.rs
@@ -75,7 +75,7 @@
     fn default() -> Self {
         Self {
             domain_delay: Duration::from_micros(1500),
-            domain_weight: 0.75,
+            domain_weight: 0.4,
             report_life: 0.25,
             load_spread: 2.0,
             slow_ratio: 1.75,
@@ -122,7 +122,7 @@
         2.0 * self.settings.domain_delay.as_secs_f32()
     }
 
-    fn best(&self, pool: &CandidatePool<'_>, now: Instant) -> Option<UpstreamKey> {
+    fn best(&self, pool: &CandidatePool<'_>, weight: f32, now: Instant) -> Option<UpstreamKey> {
         // Of a pool that is mostly new, none is held back in favour of the others.
         let is_gating = pool.warming as f32 <= WARMING_SHARE * pool.count as f32;
         let is_panic = pool.ejected as f32 > PANIC_SHARE * pool.count as f32;
@@ -136,7 +136,7 @@
             {
                 continue;
             }
-            let secs = self.expected_secs(candidate, pool.usual, now);
+            let secs = self.expected_secs(candidate, pool.usual, weight, now);
             let secs = secs * (1.0 + self.settings.jitter * self.unit());
             if secs < best_secs {
                 best_secs = secs;
@@ -146,8 +146,14 @@
         best
     }
 
-    /// Expected time to the answer of one more request.
-    fn expected_secs(&self, candidate: &PoolCandidate<'_>, usual: PoolUsual, now: Instant) -> f32 {
+    /// Expected time to the answer of one more request; `weight` is that of the network delay.
+    fn expected_secs(
+        &self,
+        candidate: &PoolCandidate<'_>,
+        usual: PoolUsual,
+        weight: f32,
+        now: Instant,
+    ) -> f32 {
         let upstream = candidate.upstream;
         let settings = &self.settings;
         let service = self.service_secs(candidate, usual, now);
@@ -156,7 +162,7 @@
         // A smooth maximum of the excess and zero: the estimate is off by about the spread.
         let spread = settings.load_spread;
         let queued = 0.5 * (excess + (excess * excess + spread * spread).sqrt());
-        let network = settings.domain_weight * self.network_secs(upstream);
+        let network = weight * self.network_secs(upstream);
         service * (1.0 + queued / slots) + network + self.error_secs(upstream, now)
     }
 
@@ -235,7 +241,9 @@
         let now = Instant::now();
         let start = (self.unit() * request.route.upstreams.len() as f32) as usize;
         let pool = CandidatePool::gather(request, start, request.tried, self.settings.warm_up, now);
-        if let Some(key) = self.best(&pool, now) {
+        // A further attempt looks beyond a failure domain that may be full.
+        let weight = if request.tried.is_empty() { self.settings.domain_weight } else { 0.0 };
+        if let Some(key) = self.best(&pool, weight, now) {
             return Some(key);
         }
         // Rather an upstream that is warming up, ejected or tried before than none.
--- a/src/ops/experiment/entry.rs
+++ b/src/ops/experiment/entry.rs
@@ -1,6 +1,7 @@
 //! One entry VM of a run: a picker and a configuration of its own.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use miette::IntoDiagnostic;
 use serde::de::DeserializeOwned;
@@ -19,6 +20,8 @@
     pub(super) snapshot: ConfigSnapshot,
     targets: FastMap<UpstreamKey, usize>,
     versions: Vec<u32>,
+    probe_tokens: f64,
+    refilled: Duration,
     slots: u32,
     failure_domains: usize,
 }
@@ -34,6 +37,8 @@
             snapshot: ConfigSnapshot::default(),
             targets: FastMap::default(),
             versions: vec![0; service.targets],
+            probe_tokens: 0.0,
+            refilled: Duration::ZERO,
             slots: service.slots,
             failure_domains: settings.failure_domains,
         };
@@ -54,12 +59,27 @@
         self.targets.get(&key).copied().unwrap_or_default()
     }
 
+    /// Whole probes that this entry's part of the deployment's budget allows at `now`.
+    pub(super) fn refill(&mut self, now: Duration, settings: &ExperimentSettings) -> usize {
+        let rate = settings.probes_per_second / settings.entries as f64;
+        let elapsed = (now - self.refilled).as_secs_f64();
+        self.probe_tokens = (self.probe_tokens + elapsed * rate).min(1.0);
+        self.refilled = now;
+        self.probe_tokens as usize
+    }
+
+    /// Takes probes from the entry's part of the budget.
+    pub(super) fn spend(&mut self, probes: usize) {
+        self.probe_tokens = (self.probe_tokens - probes as f64).max(0.0);
+    }
+
     /// Puts a new upstream in the place of `target`.
     pub(super) fn replace(&mut self, target: usize) -> miette::Result<()> {
         self.versions[target] += 1;
         let key = self.place(target)?;
         if let Some(route) = self.snapshot.routes.first_mut() {
-            route.upstreams[target] = key;
+            let old = std::mem::replace(&mut route.upstreams[target], key);
+            self.snapshot.upstreams.remove(old);
         }
         Ok(())
     }
--- a/src/ops/experiment/mod.rs
+++ b/src/ops/experiment/mod.rs
@@ -1,6 +1,6 @@
 //! The policy comparison: arrivals and a handful of fake targets on the runtime's paused clock.
 //!
-//! Each entry has a picker of its own, called through the daemon's [`UpstreamPicker`] trait: a
+//! Each entry has a picker of its own, called through the daemon's [`UpstreamPicker`](crate::balance::UpstreamPicker) trait: a
 //! pick for each attempt, and an observation, with the load report that rode on the answer, when
 //! the answer has crossed the network. Hedges are left out; a shed, a refused connection or an
 //! error leads to another attempt, as for idempotent requests.
@@ -8,6 +8,7 @@
 mod arrivals;
 mod baseline;
 mod entry;
+mod probing;
 mod report;
 mod run;
 mod scenario;
@@ -18,12 +19,13 @@
 
 use miette::IntoDiagnostic;
 
-use crate::balance::{LoadPicker, UpstreamPicker};
+use crate::balance::LoadPicker;
 use crate::core::FailureDomain;
 use crate::ops::experiment::baseline::{
     OraclePicker, PowerOfTwoPicker, RoundRobinPicker, TrueLoad, UniformPicker,
 };
 use crate::ops::experiment::entry::domain_name;
+use crate::ops::experiment::probing::{ComparedPicker, ProbePoolPicker};
 use crate::ops::experiment::run::{PolicyRun, RunTally};
 use crate::util::SeededRandom;
 
@@ -90,6 +92,9 @@
         PolicyKind::PowerOfTwo => {
             run_with(settings, plan, |entry, _| PowerOfTwoPicker::new(random(entry)))
         }
+        PolicyKind::ProbePool => run_with(settings, plan, |entry, _| {
+            ProbePoolPicker::new(random(entry), settings.pool_probes_per_request)
+        }),
         PolicyKind::Oracle => {
             run_with(settings, plan, |entry, load| OraclePicker::new(random(entry), load.clone()))
         }
@@ -100,7 +105,7 @@
     }
 }
 
-fn run_with<P: UpstreamPicker>(
+fn run_with<P: ComparedPicker>(
     settings: &ExperimentSettings,
     plan: &RunPlan,
     make_picker: impl Fn(usize, &TrueLoad) -> P,
--- /dev/null
+++ b/src/ops/experiment/probing.rs
@@ -0,0 +1,184 @@
+//! Probes within a run.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::balance::{
+    AttemptReport, AttemptResult, LoadPicker, LoadReport, ObserveSettings, PickRequest,
+    ProbeSettings, UpstreamPicker, learn_probe, mark_probed, next_probe,
+};
+use crate::core::{ConfigSnapshot, UpstreamKey, UpstreamState};
+use crate::ops::experiment::baseline::{
+    OraclePicker, PowerOfTwoPicker, RoundRobinPicker, UniformPicker,
+};
+use crate::util::SeededRandom;
+
+/// Samples that a probed pool keeps.
+const POOL_SAMPLES: usize = 16;
+/// Time for which a sample is used.
+const SAMPLE_LIFETIME: Duration = Duration::from_secs(1);
+/// Picks for which a sample is used.
+const SAMPLE_USES: u32 = 2;
+/// Quantile of the pool's loads from which on a sample counts as hot.
+const HOT_QUANTILE: f64 = 0.8;
+
+/// A picker of the comparison, with the probes it asks for.
+pub(super) trait ComparedPicker: UpstreamPicker {
+    /// Upstreams to probe at an arrival; `tokens` are the whole probes that the entry's part of
+    /// the deployment's budget allows.
+    fn probes(&self, _snapshot: &ConfigSnapshot, _tokens: usize) -> Vec<UpstreamKey> {
+        Vec::new()
+    }
+
+    /// Learns from the answer to a probe.
+    fn observe_probe(&self, _key: UpstreamKey, _upstream: &UpstreamState, _report: AttemptReport) {}
+}
+
+impl ComparedPicker for OraclePicker {}
+impl ComparedPicker for PowerOfTwoPicker {}
+impl ComparedPicker for RoundRobinPicker {}
+impl ComparedPicker for UniformPicker {}
+
+impl ComparedPicker for LoadPicker {
+    fn probes(&self, snapshot: &ConfigSnapshot, tokens: usize) -> Vec<UpstreamKey> {
+        let mut keys = Vec::new();
+        while keys.len() < tokens {
+            let Some(key) = next_probe(snapshot, &ProbeSettings::default()) else { break };
+            let Some(upstream) = snapshot.upstreams.get(key) else { break };
+            mark_probed(upstream);
+            keys.push(key);
+        }
+        keys
+    }
+
+    fn observe_probe(&self, _key: UpstreamKey, upstream: &UpstreamState, report: AttemptReport) {
+        learn_probe(upstream, report, &ObserveSettings::default());
+    }
+}
+
+/// One sample of a probed pool.
+#[derive(Clone, Copy, Debug)]
+struct PoolSample {
+    key: UpstreamKey,
+    inflight: u32,
+    latency: Duration,
+    arrived: Instant,
+    uses: u32,
+}
+
+/// Probed in-flight and latency pools with the hot/cold rule (B. Wydrowski, R. Kleinberg,
+/// S. Rumble, A. Archer, "Load is not what you should balance: Introducing Prequal", 2024): probes
+/// go to random upstreams at each request, outside any budget.
+#[derive(Debug)]
+pub(super) struct ProbePoolPicker {
+    state: Mutex<ProbePoolState>,
+    probes_per_request: f64,
+}
+
+#[derive(Debug)]
+struct ProbePoolState {
+    random: SeededRandom,
+    samples: VecDeque<PoolSample>,
+}
+
+impl ProbePoolPicker {
+    pub(super) fn new(random: SeededRandom, probes_per_request: f64) -> Self {
+        let state = ProbePoolState { random, samples: VecDeque::new() };
+        Self { state: Mutex::new(state), probes_per_request }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ProbePoolState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl ProbePoolState {
+    /// The cold sample of the lowest latency, or else the hot one of the lowest load.
+    fn choose(&self, request: PickRequest<'_>) -> Option<usize> {
+        let mut loads: Vec<u32> = self.samples.iter().map(|sample| sample.inflight).collect();
+        loads.sort_unstable();
+        let hot = *loads.get((loads.len() as f64 * HOT_QUANTILE) as usize)?;
+        let mut best = None;
+        let mut best_rank = (true, u32::MAX, Duration::MAX);
+        for (index, sample) in self.samples.iter().enumerate() {
+            let Some(upstream) = request.snapshot.upstreams.get(sample.key) else { continue };
+            let is_listed = request.route.upstreams.contains(&sample.key);
+            if !is_listed || upstream.is_draining() || request.tried.contains(&sample.key) {
+                continue;
+            }
+            let is_hot = sample.inflight >= hot.max(1);
+            let rank = if is_hot {
+                (true, sample.inflight, sample.latency)
+            } else {
+                (false, 0, sample.latency)
+            };
+            if rank < best_rank {
+                best_rank = rank;
+                best = Some(index);
+            }
+        }
+        best
+    }
+}
+
+impl UpstreamPicker for ProbePoolPicker {
+    fn pick(&self, request: PickRequest<'_>) -> Option<UpstreamKey> {
+        let mut state = self.lock();
+        state.samples.retain(|sample| sample.arrived.elapsed() < SAMPLE_LIFETIME);
+        if let Some(index) = state.choose(request) {
+            let sample = &mut state.samples[index];
+            let key = sample.key;
+            sample.inflight += 1;
+            sample.uses += 1;
+            if sample.uses >= SAMPLE_USES {
+                state.samples.remove(index);
+            }
+            return Some(key);
+        }
+        let upstreams = &request.route.upstreams;
+        for _ in 0..upstreams.len() * 4 {
+            let key = upstreams[state.random.below(upstreams.len())];
+            let upstream = request.snapshot.upstreams.get(key)?;
+            if !upstream.is_draining() && !request.tried.contains(&key) {
+                return Some(key);
+            }
+        }
+        None
+    }
+
+    fn observe(&self, upstream: &Arc<UpstreamState>, report: AttemptReport) {
+        if report.result == AttemptResult::Answered {
+            upstream.see_drain_mark(report.is_draining, report.latency);
+            let latency = &upstream.load().latency_secs;
+            latency.blend(report.latency.as_secs_f32(), 0.1);
+        }
+    }
+}
+
+impl ComparedPicker for ProbePoolPicker {
+    fn probes(&self, snapshot: &ConfigSnapshot, _tokens: usize) -> Vec<UpstreamKey> {
+        let mut state = self.lock();
+        let Some(route) = snapshot.routes.first() else { return Vec::new() };
+        let fraction = self.probes_per_request.fract();
+        let extra = usize::from(state.random.unit() < fraction);
+        let mut keys = Vec::new();
+        for _ in 0..self.probes_per_request as usize + extra {
+            keys.push(route.upstreams[state.random.below(route.upstreams.len())]);
+        }
+        keys
+    }
+
+    fn observe_probe(&self, key: UpstreamKey, upstream: &UpstreamState, report: AttemptReport) {
+        let Some(LoadReport { inflight }) = report.load else { return };
+        let latency = Duration::from_secs_f32(upstream.load().latency_secs.get().max(0.0));
+        let mut state = self.lock();
+        if state.samples.len() == POOL_SAMPLES {
+            state.samples.pop_front();
+        }
+        let arrived = Instant::now();
+        state.samples.push_back(PoolSample { key, inflight, latency, arrived, uses: 0 });
+    }
+}
--- a/src/ops/experiment/run.rs
+++ b/src/ops/experiment/run.rs
@@ -12,11 +12,12 @@
 use hdrhistogram::Histogram;
 use miette::IntoDiagnostic;
 
-use crate::balance::{AttemptReport, AttemptResult, LoadReport, PickRequest, UpstreamPicker};
+use crate::balance::{AttemptReport, AttemptResult, LoadReport, PickRequest};
 use crate::core::{InflightGuard, UpstreamKey};
 use crate::ops::experiment::arrivals::ArrivalProcess;
 use crate::ops::experiment::baseline::TrueLoad;
 use crate::ops::experiment::entry::EntryFake;
+use crate::ops::experiment::probing::ComparedPicker;
 use crate::ops::experiment::scenario::ScenarioScript;
 use crate::ops::experiment::settings::{ExperimentSettings, ScenarioKind, ServiceSettings};
 
@@ -47,6 +48,7 @@
     arrivals: ArrivalProcess,
     true_load: TrueLoad,
     requests: Vec<RequestFake>,
+    probes: Vec<ProbeFake>,
     events: BinaryHeap<Reverse<TimedEvent>>,
     sequence: u64,
     now: Duration,
@@ -67,6 +69,8 @@
     Finish { request: u32 },
     ReachEntry { request: u32, result: ReturnedResult },
     Replace { target: u32 },
+    ReachTargetProbe { probe: u32 },
+    ReachEntryProbe { probe: u32, result: ReturnedResult },
 }
 
 /// What comes back from a target.
@@ -92,6 +96,14 @@
     queue: VecDeque<u32>,
 }
 
+#[derive(Debug)]
+struct ProbeFake {
+    entry: usize,
+    key: UpstreamKey,
+    target: usize,
+    sent: Duration,
+}
+
 #[derive(Debug)]
 struct RequestFake {
     entry: usize,
@@ -103,7 +115,7 @@
     inflight: Option<InflightGuard>,
 }
 
-impl<'a, P: UpstreamPicker> PolicyRun<'a, P> {
+impl<'a, P: ComparedPicker> PolicyRun<'a, P> {
     pub(super) fn new(
         settings: &'a ExperimentSettings,
         service: &ServiceSettings,
@@ -127,6 +139,7 @@
             arrivals: ArrivalProcess::new(settings, service),
             true_load,
             requests: Vec::new(),
+            probes: Vec::new(),
             events: BinaryHeap::new(),
             sequence: 0,
             now: Duration::ZERO,
@@ -157,6 +170,10 @@
                 RunEvent::ReachTarget { request } => self.reach_target(request, slots),
                 RunEvent::Finish { request } => self.finish(request),
                 RunEvent::ReachEntry { request, result } => self.reach_entry(request, result),
+                RunEvent::ReachTargetProbe { probe } => self.reach_target_probe(probe),
+                RunEvent::ReachEntryProbe { probe, result } => {
+                    self.reach_entry_probe(probe, result)
+                }
                 RunEvent::Replace { target } => self.replace(target as usize)?,
             }
         }
@@ -184,6 +201,44 @@
             inflight: None,
         });
         self.attempt(index);
+        self.send_probes(arrival.entry);
+    }
+
+    fn send_probes(&mut self, index: usize) {
+        let entry = &mut self.entries[index];
+        let tokens = entry.refill(self.now, self.settings);
+        let keys = entry.picker.probes(&entry.snapshot, tokens);
+        entry.spend(keys.len());
+        for key in keys {
+            let target = self.entries[index].target_of(key);
+            let probe = self.probes.len() as u32;
+            self.probes.push(ProbeFake { entry: index, key, target, sent: self.now });
+            if self.now >= self.settings.warm_up {
+                self.tally.probes += 1;
+            }
+            let at = self.now + self.delay_between(index, target);
+            self.schedule(at, RunEvent::ReachTargetProbe { probe });
+        }
+    }
+
+    fn reach_target_probe(&mut self, index: u32) {
+        let probe = &self.probes[index as usize];
+        let (entry, target) = (probe.entry, probe.target);
+        let condition = self.script.condition(target, self.now);
+        let kind = if condition.is_gone { ReturnedKind::Refused } else { ReturnedKind::Answered };
+        let inflight = if condition.is_lying { 0 } else { self.targets[target].inflight() };
+        let result =
+            ReturnedResult { kind, inflight: Some(inflight), is_draining: condition.is_draining };
+        let at = self.now + REFUSAL_TIME + self.delay_between(entry, target);
+        self.schedule(at, RunEvent::ReachEntryProbe { probe: index, result });
+    }
+
+    fn reach_entry_probe(&mut self, index: u32, result: ReturnedResult) {
+        let probe = &self.probes[index as usize];
+        let entry = &self.entries[probe.entry];
+        if let Some(upstream) = entry.snapshot.upstreams.get(probe.key) {
+            entry.picker.observe_probe(probe.key, upstream, result.report(self.now - probe.sent));
+        }
     }
 
     fn attempt(&mut self, index: u32) {
@@ -303,8 +358,12 @@
 
     fn delay(&self, index: u32) -> Duration {
         let request = &self.requests[index as usize];
+        self.delay_between(request.entry, request.target)
+    }
+
+    fn delay_between(&self, entry: usize, target: usize) -> Duration {
         let domains = self.settings.failure_domains;
-        let is_local = request.entry % domains == request.target % domains;
+        let is_local = entry % domains == target % domains;
         if is_local { self.settings.local_delay } else { self.settings.remote_delay }
     }
 }
--- a/src/ops/experiment/settings.rs
+++ b/src/ops/experiment/settings.rs
@@ -41,6 +41,10 @@
     pub picker: PickerSettings,
     /// Attempts of one request; a shed, a refused connection or an error leads to another.
     pub max_attempts: usize,
+    /// Probes a second of the whole deployment, for policies that keep to a budget.
+    pub probes_per_second: f64,
+    /// Probes that the probed pool sends with each request, outside the budget.
+    pub pool_probes_per_request: f64,
     /// Services to run.
     pub services: Vec<ServiceSettings>,
     /// Scenarios to run.
@@ -98,6 +102,8 @@
     RoundRobin,
     /// The less loaded of two random targets by own in-flight.
     PowerOfTwo,
+    /// Probed in-flight and latency pools.
+    ProbePool,
     /// The daemon's picker.
     Heatherfall,
     /// The least loaded target by the true load, which no entry can know.
@@ -117,10 +123,11 @@
 ];
 
 /// Every policy in the order of reports.
-pub const ALL_POLICIES: [PolicyKind; 5] = [
+pub const ALL_POLICIES: [PolicyKind; 6] = [
     PolicyKind::Random,
     PolicyKind::RoundRobin,
     PolicyKind::PowerOfTwo,
+    PolicyKind::ProbePool,
     PolicyKind::Heatherfall,
     PolicyKind::Oracle,
 ];
@@ -140,6 +147,8 @@
             shift_depth: 0.5,
             picker: PickerSettings::default(),
             max_attempts: 3,
+            probes_per_second: 50.0,
+            pool_probes_per_request: 2.0,
             services: vec![
                 ServiceSettings::new("lookups", 17, 4, 5, 0.4),
                 ServiceSettings::new("repository-reads", 22, 3, 20, 0.7),
@@ -221,6 +230,7 @@
             Self::Random => "random",
             Self::RoundRobin => "round-robin",
             Self::PowerOfTwo => "power-of-two",
+            Self::ProbePool => "probe-pool",
             Self::Heatherfall => "heatherfall",
             Self::Oracle => "oracle",
         }
