--- a/tests/testsuite/drain_mark.rs
+++ b/tests/testsuite/drain_mark.rs
@@ -83,7 +83,7 @@
         if agreeing == fleet.nodes.len() {
             return started.elapsed();
         }
-        assert!(started.elapsed() < Duration::from_secs(30), "{agreeing} agree");
+        assert!(started.elapsed() < MARK_LIFETIME * 2, "{agreeing} agree");
         tokio::time::sleep(Duration::from_millis(250)).await;
     }
 }
@@ -100,3 +100,14 @@
     let time = spread(&fleet, false).await;
     assert!(time <= Duration::from_secs(3), "{time:?}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_mark_that_nobody_renews_ends_on_every_entry_since_nobody_can_see_it_gone() {
+    let fleet = ControlFleet::started(19, 3).await;
+    let first = fleet.nodes[&7].snapshot.load_full().unwrap();
+    first.upstreams.values().next().unwrap().see_drain_mark(true, LATENCY);
+    let told = spread(&fleet, true).await;
+    assert!(told < Duration::from_secs(2), "{told:?}");
+    let ended = spread(&fleet, false).await;
+    assert!(ended > Duration::from_secs(30), "{ended:?}");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod addresses;
 mod compile;
+mod connections;
 mod control_plane;
 mod drain_mark;
 mod exchange;
@@ -11,6 +12,8 @@
 mod experiment;
 mod generations;
 mod leases;
+mod ledger;
+mod ledger_race;
 mod limits;
 mod load_picker;
 mod membership;
@@ -18,6 +21,8 @@
 mod probe_budget;
 mod processes;
 mod result_codes;
+mod scenario_runner;
+mod scenarios;
 mod selectors;
 mod settings;
 mod support;
--- a/tests/testsuite/support/raw_http.rs
+++ b/tests/testsuite/support/raw_http.rs
@@ -20,6 +20,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use crate::support::single_ledger;
 use crate::support::snapshot_for;
 
 /// What the upstream does with the n-th request; the last one goes on for ever.
@@ -167,8 +168,12 @@
         let route = json!({ "deadline": "10s" });
         let plane = RequestPlane::new(
             snapshot_for(&[upstream.addr], route, BudgetSpec::default()),
-            HttpUpstreamClient::new(ConnectionPool::new(PoolSettings::default())),
+            HttpUpstreamClient::new(ConnectionPool::new(
+                PoolSettings::default(),
+                SharedMembership::default(),
+            )),
             RandomPicker::new(SeededRandom::new(3)),
+            single_ledger(),
             freshness,
             ExchangeSettings::default(),
         );
