--- a/tests/testsuite/experiment.rs
+++ b/tests/testsuite/experiment.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use heatherfall::ops::experiment::{
-    ExperimentReport, ExperimentSettings, PolicyKind, ScenarioKind, ServiceSettings, compare,
+    ALL_SCENARIOS, ExperimentReport, ExperimentSettings, PolicyKind, ScenarioKind, ServiceSettings,
+    compare,
 };
 
 const SERVICE: &str = "lookups";
@@ -58,3 +59,26 @@
     assert!(find(ScenarioKind::SlowDown).p99_us > 2 * find(ScenarioKind::Steady).p99_us);
     assert!(find(ScenarioKind::FastFailure).errors > 100);
 }
+
+#[test]
+fn the_daemons_picker_has_no_worse_p99_than_power_of_two_in_any_scenario() {
+    let mut settings = short_settings(ALL_SCENARIOS.to_vec());
+    settings.policies = vec![PolicyKind::PowerOfTwo, PolicyKind::Heatherfall];
+    settings.services = vec![ServiceSettings::new(SERVICE, 12, 4, 5, 0.4)];
+    settings.entries = 12;
+    let report = compare(&settings, 2).unwrap();
+    for scenario in ALL_SCENARIOS {
+        let figures = report.find(SERVICE, scenario, PolicyKind::Heatherfall).unwrap();
+        let ratios = figures.ratios.unwrap();
+        assert!(ratios.p99 <= 1.05, "{scenario:?}: {ratios:?}");
+        assert!(figures.probes_per_1000 <= 50.0, "{scenario:?}: {}", figures.probes_per_1000);
+    }
+}
+
+#[test]
+fn the_example_settings_can_be_used() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/experiment.jsonc");
+    let settings: ExperimentSettings =
+        heatherfall::util::settings_file::load(path.as_ref()).unwrap();
+    assert_eq!(settings.services.len(), 2);
+}
--- a/tests/testsuite/load_picker.rs
+++ b/tests/testsuite/load_picker.rs
@@ -248,3 +248,12 @@
     let fixture = PickerFixture::new(&[]);
     assert_eq!(fixture.pick(&[]), None);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_further_attempt_looks_beyond_the_failure_domain() {
+    let fixture = PickerFixture::new(&[HOME, HOME, AWAY]);
+    fixture.settle().await;
+    let _request = fixture.enter(fixture.key(1));
+    assert_eq!(fixture.count(2), 0);
+    assert_eq!(fixture.pick(&[fixture.key(0)]), Some(fixture.key(2)));
+}
