--- a/src/membership/control_node.rs
+++ b/src/membership/control_node.rs
@@ -16,10 +16,10 @@
 use tokio::time::Instant;
 
 use crate::config::{GenerationHolder, MAX_FORMAT, MIN_FORMAT, NodeGeneration, OfferOutcome};
-use crate::core::{FailureDomain, VmId};
+use crate::core::{FailureDomain, GenerationNumber, VmId};
 use crate::membership::board::{HeartbeatBoard, HeartbeatSource, MergeEffect};
 use crate::membership::drain_board::DrainBoard;
-use crate::membership::fanout::{ParentCandidate, candidates, relay_of};
+use crate::membership::fanout::{ParentCandidate, candidates, relay_of, rival_relays};
 use crate::membership::freshness::ConfigFreshness;
 use crate::membership::peer_cursor::PeerCursor;
 use crate::membership::view::{EntryRecord, EntryState, MembershipView, SharedMembership};
@@ -132,7 +132,7 @@
         self.reports.subscribe()
     }
 
-    /// Records that this upstream is, or is no longer, draining; the other nodes hear of it.
+    /// Records that this node sees an upstream draining, or no longer; the others hear of it.
     pub fn report_drain(&self, upstream: &str, is_draining: bool) {
         if self.drains.report(self.identity.vm.as_str(), upstream, is_draining) {
             self.tell_all();
@@ -170,6 +170,17 @@
         state_of(self.lock().own())
     }
 
+    /// Time since the configuration was confirmed as the newest.
+    pub fn confirmed_age(&self) -> Option<Duration> {
+        self.freshness.age()
+    }
+
+    /// VMs that the platform lists and that this node, if it is a relay, does not hear.
+    pub fn missing(&self) -> Vec<String> {
+        let board = self.lock();
+        if board.is_relay() { board.missing() } else { Vec::new() }
+    }
+
     /// Records a confirmation by the platform that is `age` old.
     pub fn confirm(&self, age: Duration) {
         self.freshness.confirm(age);
@@ -216,6 +227,24 @@
         candidates(&view, self.identity.failure_domain.as_str(), self.identity.vm.as_str())
     }
 
+    /// Other nodes that claim to be the relay of this node's failure domain.
+    pub fn rival_relays(&self) -> Vec<ParentCandidate> {
+        let view = self.lock().view();
+        rival_relays(&view, self.identity.failure_domain.as_str(), self.identity.vm.as_str())
+    }
+
+    /// Whether this node comes first after the relay of its failure domain.
+    pub fn is_first_child(&self) -> bool {
+        let view = self.lock().view();
+        let domain = self.identity.failure_domain.as_str();
+        let relay = relay_of(&view, domain).map(|relay| &relay.vm);
+        let mut others = view
+            .records()
+            .iter()
+            .filter(|record| record.failure_domain == domain && Some(&record.vm) != relay);
+        others.next().is_some_and(|record| record.vm == self.identity.vm.as_str())
+    }
+
     /// Term of the relay that the node knows for its own failure domain; 0 if it knows none.
     pub fn known_relay_term(&self) -> u64 {
         let view = self.lock().view();
@@ -223,13 +252,17 @@
         relay.map_or(0, |relay| relay.relay_term)
     }
 
-    /// Generations that the live entries apply.
+    /// Generations that the live entries apply. A VM that is listed and not heard may run an entry
+    /// that this node is cut off from, and counts as without one.
     pub fn node_generations(&self) -> Vec<NodeGeneration> {
         let mut nodes = Vec::new();
         for record in self.lock().view().records() {
             let vm = VmId::new(&record.vm);
             nodes.push(NodeGeneration { vm, generation: generation_of(record) });
         }
+        for vm in self.missing() {
+            nodes.push(NodeGeneration { vm: VmId::new(&vm), generation: GenerationNumber(0) });
+        }
         nodes
     }
 
@@ -256,7 +289,7 @@
             heartbeats,
             drain_hints: cursor.drain_news(&self.drains).hints,
             drain_cursor: cursor.drains_heard(),
-            known_generation: self.holder.number().0,
+            known_generation: self.holder.number().max(self.holder.refused()).0,
             wait_ms: if is_child { MAX_EXCHANGE_WAIT.as_millis() as u64 } else { 0 },
             view_digest: is_child.then(|| board.view().digest()),
         }
