tests: show that a compiler that loses the race applies nothing

With the conflict of the conditional write taken for success, no test failed: a node could have held another content under the same number. Now this one does.

--- a/tests/testsuite/generations.rs
+++ b/tests/testsuite/generations.rs
@@ -387,3 +387,22 @@
     holder.end_transitions();
     assert_eq!(mode(), IdempotenceMode::Idempotent);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_compiler_that_loses_the_race_applies_nothing_of_its_own() {
+    let platform = StandinPlatform::default();
+    put(&platform, "Upstream", "u0", upstream(1)).await;
+    let compiler = Compiler::new(&platform);
+    let source = ObjectSource::new(Arc::new(platform.clone()));
+    let objects = source.list().await.expect("lists");
+    let publisher =
+        GenerationPublisher::new(Arc::clone(&compiler.store), Arc::clone(&compiler.holder));
+    publisher.publish(&objects, MAX_FORMAT).await.expect("first generation");
+    put(&platform, "Upstream", "u1", upstream(1)).await;
+    let objects = source.list().await.expect("lists");
+    platform.set_faults(FaultSettings { overtaken_writes: 1, ..FaultSettings::default() });
+    let result = publisher.publish(&objects, MAX_FORMAT).await;
+    assert!(matches!(result, Err(PublishError::Conflict)), "{result:?}");
+    assert_eq!(compiler.holder.number(), current(&platform).await.expect("a generation").number);
+    assert!(current(&platform).await.expect("a generation").find("Upstream", "u1").is_none());
+}
