--- a/tests/testsuite/load.rs
+++ b/tests/testsuite/load.rs
@@ -48,6 +48,8 @@
     assert!(first.classes.iter().all(|class| class.answered > 0), "{first}");
     let runs: u64 = deployment.upstreams.iter().map(|one| one.upstream.total_runs()).sum();
     assert_eq!(runs, first.answered(), "{first}");
+    // The stand-ins work for 2 ms on each request.
+    assert!(first.classes.iter().all(|class| class.p50_us >= 2000), "{first}");
 
     let second = load::run(&settings, &()).await.expect("load runs");
     assert_eq!(sent(&first), sent(&second));
