balance: give surplus probe shares back within a second

Cause: in heatherfall dev the first node took most of the 20 shares while it saw itself alone and kept them until its next renewal 10 s later: the third node was allowed 0 probes a second 18 s after the start (7.5, 17.5 and 0 of 50).

Change: a node looks at its wanted number every second and gives the surplus back at once; free shares are still taken at the next renewal only, so that lists stay at one in 10 s for each node.

Conclusion: the budget held all along; its use is shared out sooner.

--- a/src/balance/probe_budget.rs
+++ b/src/balance/probe_budget.rs
@@ -137,6 +137,11 @@
         }
     }
 
+    /// Shares that this process wrote last.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
     /// Renews the shares held and claims free ones up to `wanted`.
     ///
     /// # Errors
--- a/src/kernel/probe_service.rs
+++ b/src/kernel/probe_service.rs
@@ -30,6 +30,8 @@
 
 /// Time between two looks for silent upstreams.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two looks at how many shares this node should hold.
+const WANTED_INTERVAL: Duration = Duration::from_secs(1);
 /// Path of a probe; a HEAD request that every HTTP server answers in some way.
 const PROBE_PATH: &str = "/";
 
@@ -128,18 +130,23 @@
     stop: CancellationToken,
 ) {
     let mut was_faulty = false;
+    let mut due = Instant::now();
     loop {
         let entries = membership.load().ready().count().max(1);
         let wanted = (PROBE_SHARES as usize).div_ceil(entries);
-        let step = stop.run_until_cancelled(keeper.step(&*store, &wallet, wanted)).await;
-        let Some(result) = step else { break };
-        if let Err(error) = &result
-            && !was_faulty
-        {
-            log::warn!(target: "probe", "shares not renewed reason={error}");
+        // Surplus shares go back at once: a node that starts sees itself alone at first.
+        if Instant::now() >= due || keeper.held() > wanted {
+            let step = stop.run_until_cancelled(keeper.step(&*store, &wallet, wanted)).await;
+            let Some(result) = step else { break };
+            if let Err(error) = &result
+                && !was_faulty
+            {
+                log::warn!(target: "probe", "shares not renewed reason={error}");
+            }
+            was_faulty = result.is_err();
+            due = Instant::now() + SHARE_RENEWAL;
         }
-        was_faulty = result.is_err();
-        if stop.run_until_cancelled(sleep(SHARE_RENEWAL)).await.is_none() {
+        if stop.run_until_cancelled(sleep(WANTED_INTERVAL)).await.is_none() {
             break;
         }
     }
