--- a/src/config/compiler.rs
+++ b/src/config/compiler.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use heatherfall_platform_api::{ObjectEnvelope, PlatformStore};
+use heatherfall_platform_api::{ObjectEnvelope, PlatformStore, WatchEvent};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -38,7 +38,7 @@
 /// Shortest time between two updates of the nodes that a rollout waits for.
 const WAITING_INTERVAL: Duration = Duration::from_secs(1);
 /// Status writes of one round.
-const MAX_STATUS_WRITES: usize = 64;
+const MAX_STATUS_WRITES: usize = 256;
 /// Time for the release of the lease.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -131,12 +131,20 @@
             }
             self.report(&objects, clock).await;
             let batch = self.source.watch(objects.revision(), WATCH_WAIT).await?;
-            is_changed |= !batch.events.is_empty();
+            is_changed |= batch.events.iter().any(|event| self.is_news(event));
             objects.apply(batch);
         }
         Ok(())
     }
 
+    /// Whether an event is more than a status write of this compiler's own.
+    fn is_news(&self, event: &WatchEvent) -> bool {
+        let WatchEvent::Put { object } = event else { return true };
+        let held = self.node.holder().held();
+        let seen = held.map(|held| held.content.seen_version(&object.kind, &object.name));
+        seen.is_none_or(|seen| object.spec_version > seen)
+    }
+
     /// Publishes what changed; returns whether nothing is left to publish.
     async fn publish(&self, objects: &ObjectSet) -> Result<bool, PublishError> {
         let error = match self.publisher.publish(objects, self.node.oldest_format()).await {
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -5,7 +5,7 @@
 use heatherfall::core::ObjectKind;
 use heatherfall::ops::load::{self, ClassLoad, LoadSettings, WorkloadKind};
 use heatherfall::ops::objects::{self, ObjectManifest};
-use heatherfall_standins::platform::{self, StandinPlatform};
+use heatherfall_standins::platform::{self, FaultSettings, StandinPlatform};
 use heatherfall_standins::upstream::{self, StandinUpstream, UpstreamBehaviour};
 use http::Method;
 
@@ -87,3 +87,18 @@
     assert_eq!(report.failed(), 0, "{report}");
     assert!(report.answered() > 0);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_second_signal_and_a_platform_that_is_down_do_not_keep_a_process_from_leaving_cleanly() {
+    let platform = StandinPlatform::default();
+    let server = platform::serve(platform.clone(), any_port()).await.expect("platform is served");
+    for manifest in objects::parse_manifests(SAMPLE_OBJECTS).expect("sample parses") {
+        objects::apply(&platform, manifest).await.expect("sample applies");
+    }
+    let mut daemon = DaemonProcess::start("entry-1", "fd-a", server.addr());
+    wait_ready(&daemon).await;
+    platform.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+    daemon.terminate();
+    daemon.terminate();
+    assert!(daemon.wait(), "the daemon ended with an error");
+}
