load: measure what an entry adds to a call and what it costs

Change: heatherfall-load path starts stand-ins, an entry and callers on threads of their own; callers alternate between an upstream directly and the entry, and processor time is read for the entry's threads alone.

--- a/src/bin/heatherfall-load/main.rs
+++ b/src/bin/heatherfall-load/main.rs
@@ -1,6 +1,7 @@
 //! The load and experiment tool.
 
 mod experiment;
+mod path;
 mod run;
 mod slopes;
 
@@ -22,6 +23,8 @@
     Run(run::RunArgs),
     /// Compares policies for choosing upstreams, without sockets.
     Experiment(experiment::ExperimentArgs),
+    /// Measures what an entry adds to a call, in one process with stand-ins.
+    Path(path::PathArgs),
     /// Measures how state and work grow with targets and rules.
     Slopes(slopes::SlopeArgs),
 }
@@ -30,6 +33,7 @@
     match LoadArgs::parse().command {
         LoadCommand::Run(args) => run::execute(args),
         LoadCommand::Experiment(args) => experiment::execute(&args),
+        LoadCommand::Path(args) => path::execute(&args),
         LoadCommand::Slopes(args) => slopes::execute(&args),
     }
 }
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -8,6 +8,7 @@
 pub mod node_settings;
 pub mod node_status;
 pub mod objects;
+pub mod path_load;
 pub mod slopes;
 pub mod smoke;
 
--- /dev/null
+++ b/src/ops/path_load.rs
@@ -0,0 +1,308 @@
+//! Measures what an entry adds to a call, and what a call costs it.
+//!
+//! Upstream stand-ins that answer at once, one entry node, and callers run in one process, each on
+//! threads of their own. Callers alternate between an upstream directly and the entry, so both are
+//! measured under the same conditions. Processor time is that of the entry's threads.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use heatherfall_standins::ServerHandle;
+use heatherfall_standins::platform::{self, StandinPlatform};
+use heatherfall_standins::upstream::{self, StandinUpstream, UpstreamBehaviour};
+use http::Request;
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use miette::{IntoDiagnostic, miette};
+use serde::Serialize;
+use serde_json::json;
+use tokio::net::TcpStream;
+use tokio::runtime::{Builder, Runtime};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::core::ObjectKind;
+use crate::ops::node::{self, RunningNode};
+use crate::ops::node_settings::{
+    ListenSettings, LogSettings, NodeSettings, PeerSettings, PlatformSettings,
+};
+use crate::ops::objects::{self, ObjectManifest};
+use crate::peer::PeerKeys;
+use crate::platform::{VmRecord, VmState};
+use crate::util::SeededRandom;
+
+/// Objects of both users, without upstreams.
+const SAMPLE_OBJECTS: &str = include_str!("../../examples/both-users.jsonc");
+/// Key of the entry, which has no peers here.
+const PEER_KEY: &str = "1:000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
+/// Path of the measured call.
+const PATH: &str = "/cau-noi/lookup/hello";
+/// Name of the entry's threads.
+const ENTRY_THREAD: &str = "entry";
+/// Ticks of processor time a second in `/proc`.
+const TICKS_PER_SEC: f64 = 100.0;
+/// Upstream stand-ins.
+const TARGETS: usize = 17;
+/// Latencies up to this many microseconds are told apart.
+const MAX_LATENCY_US: u64 = 60_000_000;
+/// Time for the entry to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What to measure.
+#[derive(Clone, Debug)]
+pub struct PathSettings {
+    /// Callers, each with a connection to an upstream and one to the entry.
+    pub callers: usize,
+    /// Mean pause of a caller between two calls while latency is measured.
+    pub pause: Duration,
+    /// Length of each of the two parts.
+    pub duration: Duration,
+    /// Threads of the entry.
+    pub entry_threads: usize,
+    /// Seed of the pauses.
+    pub seed: u64,
+}
+
+/// What was measured.
+#[derive(Clone, Debug, Serialize)]
+pub struct PathReport {
+    /// Calls of each kind while latency was measured.
+    pub calls: u64,
+    /// Calls that were not answered with success, of both parts.
+    pub failed: u64,
+    /// Median of direct calls in microseconds.
+    pub direct_p50_us: u64,
+    /// 99th percentile of direct calls in microseconds.
+    pub direct_p99_us: u64,
+    /// Median through the entry in microseconds.
+    pub through_p50_us: u64,
+    /// 99th percentile through the entry in microseconds.
+    pub through_p99_us: u64,
+    /// Calls a second through the entry while callers made no pauses.
+    pub calls_per_sec: f64,
+    /// Calls through the entry for each second of processor time of its threads.
+    pub calls_per_core_sec: f64,
+}
+
+#[derive(Debug)]
+struct PathTally {
+    direct_us: Histogram<u64>,
+    through_us: Histogram<u64>,
+    failed: u64,
+}
+
+impl PathTally {
+    fn new() -> miette::Result<Self> {
+        let histogram = || Histogram::new_with_max(MAX_LATENCY_US, 3).into_diagnostic();
+        Ok(Self { direct_us: histogram()?, through_us: histogram()?, failed: 0 })
+    }
+}
+
+/// Runs both parts and reports.
+///
+/// # Errors
+///
+/// Returns an error if something cannot be started.
+pub fn run(settings: &PathSettings) -> miette::Result<PathReport> {
+    let upstream_runtime = runtime("upstream", settings.entry_threads * 2)?;
+    let entry_runtime = runtime(ENTRY_THREAD, settings.entry_threads)?;
+    let caller_runtime = runtime("caller", settings.entry_threads * 2)?;
+    let platform = StandinPlatform::default();
+    let servers = upstream_runtime.block_on(start_upstreams(&platform))?;
+    let targets: Vec<SocketAddr> = servers.iter().map(ServerHandle::addr).collect();
+    let api = upstream_runtime.block_on(platform::serve(platform.clone(), loopback()));
+    let api = api.into_diagnostic()?;
+    let node = entry_runtime.block_on(entry_runtime.spawn(start_entry(platform, api.addr())));
+    let node = node.into_diagnostic()??;
+    let entry = node.caller_addr();
+    let tally = caller_runtime.block_on(measure_latency(settings, &targets, entry))?;
+    let before = entry_cpu_secs();
+    let started = std::time::Instant::now();
+    let (calls, failed) = caller_runtime.block_on(saturate(settings, entry))?;
+    let elapsed = started.elapsed().as_secs_f64();
+    let cpu_secs = entry_cpu_secs() - before;
+    Ok(PathReport {
+        calls: tally.direct_us.len(),
+        failed: tally.failed + failed,
+        direct_p50_us: tally.direct_us.value_at_quantile(0.5),
+        direct_p99_us: tally.direct_us.value_at_quantile(0.99),
+        through_p50_us: tally.through_us.value_at_quantile(0.5),
+        through_p99_us: tally.through_us.value_at_quantile(0.99),
+        calls_per_sec: calls as f64 / elapsed,
+        calls_per_core_sec: calls as f64 / cpu_secs,
+    })
+}
+
+fn runtime(name: &str, threads: usize) -> miette::Result<Runtime> {
+    let mut builder = Builder::new_multi_thread();
+    builder.worker_threads(threads).thread_name(name).enable_all().build().into_diagnostic()
+}
+
+async fn start_upstreams(platform: &StandinPlatform) -> miette::Result<Vec<ServerHandle>> {
+    for manifest in objects::parse_manifests(SAMPLE_OBJECTS)? {
+        objects::apply(platform, manifest).await?;
+    }
+    let mut servers = Vec::new();
+    for index in 0..TARGETS {
+        let name = format!("lookups-{index}");
+        let behaviour =
+            UpstreamBehaviour { service_time: Duration::ZERO, ..UpstreamBehaviour::default() };
+        let standin = StandinUpstream::new(&name, behaviour);
+        let server = upstream::serve(standin, loopback()).await.into_diagnostic()?;
+        let spec = json!({ "address": server.addr().to_string(), "failure_domain": "fd-a" });
+        let labels = [("app".to_owned(), "lookups".to_owned())].into();
+        let manifest = ObjectManifest { kind: ObjectKind::Upstream, name, labels, spec };
+        objects::apply(platform, manifest).await?;
+        servers.push(server);
+    }
+    Ok(servers)
+}
+
+async fn start_entry(platform: StandinPlatform, api: SocketAddr) -> miette::Result<RunningNode> {
+    let settings = NodeSettings {
+        vm: "entry-1".to_owned(),
+        failure_domain: "fd-a".to_owned(),
+        listen: ListenSettings { callers: loopback(), admin: loopback(), peers: loopback() },
+        platform: PlatformSettings { address: api, timeout: Duration::from_secs(2) },
+        peers: PeerSettings::default(),
+        limits: Default::default(),
+        log: LogSettings::default(),
+        shutdown: Default::default(),
+    };
+    let keys = PeerKeys::parse(PEER_KEY).into_diagnostic()?;
+    let node = node::start_with_keys(settings, Arc::new(platform.clone()), keys).await?;
+    platform.put_vm(VmRecord {
+        id: "entry-1".to_owned(),
+        address: node.caller_addr().to_string(),
+        peer_address: node.peer_addr().to_string(),
+        failure_domain: "fd-a".to_owned(),
+        state: VmState::Live,
+    });
+    let end = Instant::now() + READY_TIMEOUT;
+    while !node.is_ready() || node.known_entries() == 0 {
+        if Instant::now() > end {
+            return Err(miette!("the entry did not become ready"));
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    Ok(node)
+}
+
+async fn measure_latency(
+    settings: &PathSettings,
+    targets: &[SocketAddr],
+    entry: SocketAddr,
+) -> miette::Result<PathTally> {
+    let mut callers = JoinSet::new();
+    for index in 0..settings.callers {
+        let target = targets[index % targets.len()];
+        callers.spawn(alternate(settings.clone(), index as u64, target, entry));
+    }
+    let mut total = PathTally::new()?;
+    while let Some(tally) = callers.join_next().await {
+        let tally = tally.into_diagnostic()??;
+        total.direct_us.add(&tally.direct_us).into_diagnostic()?;
+        total.through_us.add(&tally.through_us).into_diagnostic()?;
+        total.failed += tally.failed;
+    }
+    Ok(total)
+}
+
+async fn alternate(
+    settings: PathSettings,
+    index: u64,
+    target: SocketAddr,
+    entry: SocketAddr,
+) -> miette::Result<PathTally> {
+    let mut random = SeededRandom::new(settings.seed + index);
+    let mut direct = connect(target).await?;
+    let mut through = connect(entry).await?;
+    let mut tally = PathTally::new()?;
+    let end = Instant::now() + settings.duration;
+    while Instant::now() < end {
+        let pause = settings.pause.mul_f64(-(1.0 - random.unit()).ln());
+        tokio::time::sleep(pause).await;
+        let direct_time = timed_call(&mut direct).await;
+        tokio::time::sleep(pause).await;
+        let through_time = timed_call(&mut through).await;
+        match (direct_time, through_time) {
+            (Some(direct), Some(through)) => {
+                tally.direct_us.saturating_record(direct.as_micros() as u64);
+                tally.through_us.saturating_record(through.as_micros() as u64);
+            }
+            _ => tally.failed += 1,
+        }
+    }
+    Ok(tally)
+}
+
+async fn saturate(settings: &PathSettings, entry: SocketAddr) -> miette::Result<(u64, u64)> {
+    let end = Instant::now() + settings.duration;
+    let mut callers = JoinSet::new();
+    for _ in 0..settings.callers {
+        callers.spawn(async move {
+            let mut sender = connect(entry).await?;
+            let (mut calls, mut failed) = (0, 0);
+            while Instant::now() < end {
+                match timed_call(&mut sender).await {
+                    Some(_) => calls += 1,
+                    None => failed += 1,
+                }
+            }
+            Ok::<_, miette::Report>((calls, failed))
+        });
+    }
+    let (mut calls, mut failed) = (0, 0);
+    while let Some(result) = callers.join_next().await {
+        let (own_calls, own_failed) = result.into_diagnostic()??;
+        calls += own_calls;
+        failed += own_failed;
+    }
+    Ok((calls, failed))
+}
+
+async fn connect(addr: SocketAddr) -> miette::Result<SendRequest<Empty<Bytes>>> {
+    let stream = TcpStream::connect(addr).await.into_diagnostic()?;
+    stream.set_nodelay(true).into_diagnostic()?;
+    let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.into_diagnostic()?;
+    tokio::spawn(driver);
+    Ok(sender)
+}
+
+/// Makes a call and returns the time to the end of a successful answer.
+async fn timed_call(sender: &mut SendRequest<Empty<Bytes>>) -> Option<Duration> {
+    let request = Request::builder().uri(PATH).header(http::header::HOST, "measure");
+    let request = request.body(Empty::new()).ok()?;
+    sender.ready().await.ok()?;
+    let started = Instant::now();
+    let response = sender.send_request(request).await.ok()?;
+    let is_success = response.status().is_success();
+    response.into_body().collect().await.ok()?;
+    is_success.then(|| started.elapsed())
+}
+
+/// Processor time of the entry's threads so far, in seconds.
+fn entry_cpu_secs() -> f64 {
+    let mut ticks = 0;
+    let Ok(threads) = std::fs::read_dir("/proc/self/task") else { return 0.0 };
+    for thread in threads.flatten() {
+        let Ok(stat) = std::fs::read_to_string(thread.path().join("stat")) else { continue };
+        let Some((name, fields)) = stat.rsplit_once(") ") else { continue };
+        if !name.ends_with(ENTRY_THREAD) {
+            continue;
+        }
+        // utime and stime are the 14th and 15th fields of the line, the state being the third.
+        for field in fields.split(' ').skip(11).take(2) {
+            ticks += field.parse::<u64>().unwrap_or(0);
+        }
+    }
+    ticks as f64 / TICKS_PER_SEC
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
