--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -9,38 +9,45 @@
 use prometheus::Registry;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use tonic::service::Routes;
 
-use crate::balance::RandomPicker;
+use crate::balance::{LoadPicker, PickerSettings};
 use crate::config::GenerationHolder;
 use crate::core::{FailureDomain, ResultCode, SharedSnapshot, VmId};
 use crate::kernel::{
-    ConfigService, ConfigServiceArgs, MembershipService, ServiceKernel, ServiceName,
+    ConfigService, ConfigServiceArgs, DrainService, DrainServiceArgs, MembershipService,
+    ProbeMetrics, ProbeService, ProbeServiceArgs, ServiceKernel, ServiceName,
 };
+use crate::ledger::{EntryIdentity, LedgerParts, LedgerSettings, NodeLedger, WallClock};
 use crate::membership::{
-    AddressBook, ConfigFreshness, ControlNode, EntryState, MembershipDriverArgs, NodeIdentity,
-    SharedMembership,
+    AddressBook, AssignmentSettings, ConfigFreshness, ControlNode, EntryState,
+    MembershipDriverArgs, NodeIdentity, SharedMembership,
 };
 use crate::ops::node_settings::NodeSettings;
 use crate::ops::node_status::StatusSource;
 use crate::peer::generated::peer::peer_exchange_server::PeerExchangeServer;
 use crate::peer::{
-    ExchangeService, MAX_MESSAGE_BYTES, PeerAuth, PeerChannels, PeerKeys, PeerServer,
-    TonicTransport,
+    ExchangeService, LedgerService, MAX_MESSAGE_BYTES, PeerAuth, PeerChannels, PeerKeys,
+    PeerServer, TonicLedgerTransport, TonicTransport,
 };
 use crate::platform::PlatformStore;
 use crate::request::{ExchangeSettings, RequestPlane};
 use crate::serve::{
     AdminServer, CallerServer, CallerServerSettings, ConnectionPool, FrontService, FrontSettings,
-    HttpUpstreamClient, LatencyMetrics, PoolSettings,
+    HttpUpstreamClient, LatencyMetrics, LeaveSwitch, PoolSettings,
 };
 use crate::util::SeededRandom;
 
 /// Time between two reads of the key file.
 const KEY_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Longest time that a leaving node waits for the record of outcomes.
+const RECORD_TIME: Duration = Duration::from_secs(10);
+
 /// The request plane's service in the daemon.
-type NodeFront = FrontService<HttpUpstreamClient, RandomPicker>;
+type NodeFront<S> =
+    FrontService<HttpUpstreamClient, LoadPicker, NodeLedger<S, TonicLedgerTransport>>;
 
 /// A running node.
 pub struct RunningNode {
@@ -51,7 +58,8 @@
     control: Arc<ControlNode>,
     settings: NodeSettings,
     kernel: ServiceKernel,
-    front: Arc<NodeFront>,
+    leave_switch: LeaveSwitch,
+    keyed_tasks: TaskTracker,
     status: Arc<StatusSource>,
     stop_callers: CancellationToken,
     stop_admin: CancellationToken,
@@ -90,12 +98,16 @@
     pub async fn leave(self) {
         log::info!(target: "node", "leaving vm={}", self.settings.vm);
         self.control.set_state(EntryState::Leaving);
-        self.front.set_leaving();
+        self.leave_switch.set_leaving();
         tokio::time::sleep(self.settings.shutdown.announce).await;
         self.stop_callers.cancel();
         if tokio::time::timeout(self.settings.shutdown.drain, self.callers).await.is_err() {
             log::error!(target: "node", "requests still in flight at the end of the drain time");
         }
+        self.keyed_tasks.close();
+        if tokio::time::timeout(RECORD_TIME, self.keyed_tasks.wait()).await.is_err() {
+            log::error!(target: "node", "outcomes of keyed requests not recorded");
+        }
         self.kernel.stop().await;
         self.stop_peers.cancel();
         self.stop_admin.cancel();
@@ -134,9 +146,14 @@
 ) -> miette::Result<RunningNode> {
     let snapshot = SharedSnapshot::default();
     let membership = SharedMembership::default();
-    let addresses = Arc::new(AddressBook::new(Arc::clone(&membership)));
+    let addresses = Arc::new(AddressBook::new(
+        Arc::clone(&membership),
+        Arc::clone(&snapshot),
+        AssignmentSettings::default(),
+    ));
     let registry = Registry::new();
     let metrics = LatencyMetrics::new(&registry).into_diagnostic()?;
+    let probe_metrics = ProbeMetrics::new(&registry).into_diagnostic()?;
     let limits = &settings.limits;
     let server_settings = CallerServerSettings {
         header_timeout: limits.header_timeout,
@@ -167,34 +184,71 @@
     let caller_addr = server.local_addr().into_diagnostic()?;
     let admin_addr = admin.local_addr().into_diagnostic()?;
 
+    let incarnation = seconds_since_epoch();
     let identity = NodeIdentity {
         vm: VmId::new(&settings.vm),
         failure_domain: FailureDomain::new(&settings.failure_domain),
         caller_address: caller_addr.to_string(),
         peer_address: peer_addr.to_string(),
-        incarnation: seconds_since_epoch(),
+        incarnation,
     };
-    let pool = ConnectionPool::new(PoolSettings::default(), Arc::clone(&membership));
     let freshness = Arc::new(ConfigFreshness::default());
     let holder = Arc::new(GenerationHolder::new(Arc::clone(&snapshot)));
-    let control = Arc::new(ControlNode::new(identity, holder, Arc::clone(&freshness), membership));
+    let control = Arc::new(ControlNode::new(
+        identity,
+        holder,
+        Arc::clone(&freshness),
+        Arc::clone(&membership),
+    ));
     let kernel = ServiceKernel::default();
     let config = ConfigServiceArgs { store: Arc::clone(&store), node: Arc::clone(&control) };
     kernel.start::<ConfigService<S>>(ServiceName::Config, config);
-    let transport = TonicTransport::new(PeerChannels::default(), auth.clone());
+    let channels = PeerChannels::default();
+    let transport = TonicTransport::new(channels.clone(), auth.clone());
     let members = MembershipDriverArgs {
         node: Arc::clone(&control),
-        store,
+        store: Arc::clone(&store),
         transport: Arc::new(transport),
         seeds: settings.peers.seeds.clone(),
         random: SeededRandom::from_entropy(),
     };
     kernel.start::<MembershipService<S, TonicTransport>>(ServiceName::Membership, members);
 
+    let pool = ConnectionPool::new(PoolSettings::default(), Arc::clone(&membership));
+    let client = HttpUpstreamClient::new(pool.clone());
+    let probes = ProbeServiceArgs {
+        vm: VmId::new(&settings.vm),
+        store: Arc::clone(&store),
+        client: client.clone(),
+        snapshot: Arc::clone(&snapshot),
+        membership: Arc::clone(&membership),
+        metrics: probe_metrics,
+        random: SeededRandom::from_entropy(),
+    };
+    let drains = DrainServiceArgs { snapshot: Arc::clone(&snapshot), node: Arc::clone(&control) };
+    kernel.start::<DrainService>(ServiceName::Drain, drains);
+    kernel.start::<ProbeService<S, HttpUpstreamClient>>(ServiceName::Probe, probes);
+
+    let ledger = NodeLedger::new(LedgerParts {
+        store,
+        transport: TonicLedgerTransport::new(channels, auth.clone()),
+        membership,
+        identity: EntryIdentity { vm: VmId::new(&settings.vm), incarnation },
+        clock: WallClock::system(),
+        random: SeededRandom::from_entropy(),
+        settings: LedgerSettings::default(),
+    });
+    let prepared = ledger.clone();
+    tokio::spawn(async move { prepared.prepare().await });
     let plane = RequestPlane::new(
         snapshot,
-        HttpUpstreamClient::new(pool.clone()),
-        RandomPicker::new(SeededRandom::from_entropy()),
+        client,
+        LoadPicker::new(
+            FailureDomain::new(&settings.failure_domain),
+            PickerSettings::default(),
+            SeededRandom::from_entropy(),
+        ),
+        ledger.clone(),
         freshness,
         ExchangeSettings::default(),
     );
@@ -204,14 +258,16 @@
         max_held_bytes: limits.max_held_bytes,
         ..FrontSettings::default()
     };
-    let front = Arc::new(FrontService::new(plane, addresses, metrics, front_settings));
+    let keyed_tasks = plane.keyed_tasks();
+    let front: Arc<NodeFront<S>> =
+        Arc::new(FrontService::new(plane, addresses, metrics, front_settings));
     let stop_callers = CancellationToken::new();
     let stop_admin = CancellationToken::new();
     let stop_peers = CancellationToken::new();
     let exchange = PeerExchangeServer::new(ExchangeService::new(Arc::clone(&control)))
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
-    let routes = Routes::new(exchange);
+    let routes = Routes::new(exchange).add_service(LedgerService::server(ledger));
     tokio::spawn(peers.run(routes, stop_peers.clone()));
     let callers = tokio::spawn(server.run(Arc::clone(&front), stop_callers.clone()));
     tokio::spawn(admin.run(stop_admin.clone()));
@@ -229,7 +285,8 @@
         control,
         settings,
         kernel,
-        front,
+        leave_switch: front.leave_switch(),
+        keyed_tasks,
         status,
         stop_callers,
         stop_admin,
--- /dev/null
+++ b/tests/testsuite/drain_mark.rs
@@ -0,0 +1,102 @@
+//! Drain marks of upstreams.
+
+use std::time::Duration;
+
+use heatherfall::core::{DrainMark, DrainSight, FLAP_HOLD, MARK_LIFETIME};
+use heatherfall::kernel::exchange_marks;
+use tokio::time::{Instant, advance};
+
+use crate::support::ControlFleet;
+
+const LATENCY: Duration = Duration::from_millis(5);
+
+#[tokio::test(start_paused = true)]
+async fn a_mark_counts_at_once() {
+    let mark = DrainMark::default();
+    assert_eq!(mark.sight(), DrainSight::Unseen);
+    mark.see(true, LATENCY);
+    assert!(mark.is_set());
+    assert_eq!(mark.sight(), DrainSight::Marked);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_from_before_the_mark_does_not_clear_it() {
+    let mark = DrainMark::default();
+    mark.see(true, LATENCY);
+    advance(Duration::from_millis(2)).await;
+    mark.see(false, LATENCY);
+    assert!(mark.is_set());
+    advance(LATENCY).await;
+    mark.see(false, LATENCY);
+    assert!(!mark.is_set());
+    assert_eq!(mark.sight(), DrainSight::Cleared);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_flapping_mark_does_not_take_an_upstream_out() {
+    let mark = DrainMark::default();
+    let mut absent = 0;
+    for _ in 0..20 {
+        mark.see(true, LATENCY);
+        absent += u32::from(mark.is_set());
+        advance(Duration::from_millis(500)).await;
+        mark.see(false, LATENCY);
+        advance(Duration::from_millis(500)).await;
+    }
+    assert_eq!(absent, 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_upstream_that_flapped_and_then_leaves_gets_no_work_after_a_few_seconds() {
+    let mark = DrainMark::default();
+    for _ in 0..5 {
+        mark.see(true, LATENCY);
+        advance(Duration::from_millis(500)).await;
+        mark.see(false, LATENCY);
+        advance(Duration::from_millis(500)).await;
+    }
+    mark.see(true, LATENCY);
+    assert!(!mark.is_set());
+    advance(FLAP_HOLD).await;
+    assert!(mark.is_set());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_mark_that_nothing_renews_ends() {
+    let mark = DrainMark::default();
+    mark.see(true, LATENCY);
+    advance(MARK_LIFETIME + Duration::from_secs(1)).await;
+    assert!(!mark.is_set());
+}
+
+/// Rounds of the drain service on every node until all say `is_draining`; the time it took.
+async fn spread(fleet: &ControlFleet, is_draining: bool) -> Duration {
+    let started = Instant::now();
+    loop {
+        let mut agreeing = 0;
+        for node in fleet.nodes.values() {
+            let snapshot = node.snapshot.load_full().unwrap();
+            exchange_marks(&snapshot, &node.node);
+            let upstream = snapshot.upstreams.values().next().unwrap();
+            agreeing += usize::from(upstream.is_draining() == is_draining);
+        }
+        if agreeing == fleet.nodes.len() {
+            return started.elapsed();
+        }
+        assert!(started.elapsed() < Duration::from_secs(30), "{agreeing} agree");
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn every_entry_stops_sending_work_within_seconds_of_the_first_to_see_the_mark() {
+    let fleet = ControlFleet::started(9, 3).await;
+    let first = fleet.nodes[&4].snapshot.load_full().unwrap();
+    let upstream = first.upstreams.values().next().unwrap();
+    upstream.see_drain_mark(true, LATENCY);
+    let time = spread(&fleet, true).await;
+    assert!(time <= Duration::from_secs(3), "{time:?}");
+    upstream.see_drain_mark(false, LATENCY);
+    let time = spread(&fleet, false).await;
+    assert!(time <= Duration::from_secs(3), "{time:?}");
+}
--- a/tests/testsuite/support/raw_http.rs
+++ b/tests/testsuite/support/raw_http.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use heatherfall::balance::RandomPicker;
-use heatherfall::core::BudgetSpec;
-use heatherfall::membership::{AddressBook, ConfigFreshness, SharedMembership};
+use heatherfall::core::{BudgetSpec, SharedSnapshot};
+use heatherfall::membership::{AddressBook, AssignmentSettings, ConfigFreshness, SharedMembership};
 use heatherfall::request::{ExchangeSettings, RequestPlane};
 use heatherfall::serve::{
     CallerServer, CallerServerSettings, ConnectionPool, FrontService, FrontSettings,
@@ -20,6 +20,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use crate::support::single_ledger;
 use crate::support::snapshot_for;
 
 /// What the upstream does with the n-th request; the last one goes on for ever.
@@ -172,12 +173,17 @@
                 SharedMembership::default(),
             )),
             RandomPicker::new(SeededRandom::new(3)),
+            single_ledger(),
             freshness,
             ExchangeSettings::default(),
         );
         let front = FrontService::new(
             plane,
-            Arc::new(AddressBook::new(SharedMembership::default())),
+            Arc::new(AddressBook::new(
+                SharedMembership::default(),
+                SharedSnapshot::default(),
+                AssignmentSettings::default(),
+            )),
             LatencyMetrics::new(&Registry::new()).unwrap(),
             FrontSettings { max_body_bytes: 1 << 16, ..FrontSettings::default() },
         );
