request: keep one copy of a request's headers less

Cause: on the way of a request its headers were copied once before the attempts and once for each, its labels and class once more for the metrics alone, and the freshness of the configuration was locked at every step.

Change: the headers are moved into the exchange, only tenant and class are kept for the metrics, and the freshness is read only where another attempt may be allowed.

--- a/src/request/exchange.rs
+++ b/src/request/exchange.rs
@@ -130,7 +130,7 @@
         let mut other_slot = pin!(None);
         let mut event = ExchangeEvent::Begun;
         loop {
-            match state.step(event, self.context(&tools)) {
+            match state.step(event, context(&event, tools.freshness)) {
                 ExchangeAction::Start(role) => {
                     match self.prepare(role, route, &tools, &mut tried) {
                         Ok(start) => {
@@ -182,13 +182,6 @@
         }
     }
 
-    fn context<C, P>(&self, tools: &ExchangeTools<'_, C, P>) -> StepContext {
-        let is_confirmed = tools.freshness.is_confirmed();
-        let standing =
-            if is_confirmed { ConfigStanding::Confirmed } else { ConfigStanding::Unconfirmed };
-        StepContext { now: Instant::now(), standing }
-    }
-
     /// Chooses the upstream of an attempt and pays for it.
     fn prepare<C: UpstreamClient, P: UpstreamPicker>(
         &self,
@@ -273,6 +266,15 @@
     }
 }
 
+/// Circumstances of a step. The standing matters only where a further attempt may be allowed.
+fn context(event: &ExchangeEvent, freshness: &ConfigFreshness) -> StepContext {
+    let is_decision = matches!(event, ExchangeEvent::Ended { .. } | ExchangeEvent::TimerFired);
+    let is_confirmed = is_decision && freshness.is_confirmed();
+    let standing =
+        if is_confirmed { ConfigStanding::Confirmed } else { ConfigStanding::Unconfirmed };
+    StepContext { now: Instant::now(), standing }
+}
+
 /// Waits for the end of the attempt in a slot and empties it; an empty slot never ends.
 async fn slot_end<F: Future>(mut slot: Pin<&mut Option<F>>) -> F::Output {
     std::future::poll_fn(|cx| {
--- a/src/request/plane.rs
+++ b/src/request/plane.rs
@@ -158,20 +158,23 @@
         admission.limits.retries.record_request(budget.retry_ratio);
         admission.limits.hedges.record_request(budget.hedge_ratio);
         let allowance = number_in(&parts.headers, RETRY_ALLOWANCE_HEADER);
+        let key = claim_key(&parts.headers, admission.class.mode, &self.core.freshness);
+        let key = key.map(|key| key.map(str::to_owned));
+        let uri = origin_form(&parts.uri);
         let exchange = RequestExchange {
             snapshot: admission.snapshot,
             class: admission.class,
             limits: admission.limits,
-            uri: origin_form(&parts.uri),
-            headers: forwarded_headers(&parts),
+            headers: forwarded_headers(parts.headers, &parts.uri),
+            uri,
             method: parts.method,
             body,
             deadline,
             retry_allowance: allowance.map(|allowed| allowed.min(u64::from(u32::MAX)) as u32),
         };
-        match claim_key(&parts.headers, exchange.class.mode, &self.core.freshness) {
+        match key {
             Ok(None) => {}
-            Ok(Some(key)) => return self.run_keyed(key, exchange, permit).await,
+            Ok(Some(key)) => return self.run_keyed(&key, exchange, permit).await,
             Err(code) => return refusal(code),
         }
         match exchange.run(self.core.tools()).await {
@@ -219,13 +222,12 @@
     path.map(Uri::from).unwrap_or_else(|| Uri::from_static("/"))
 }
 
-fn forwarded_headers(parts: &Parts) -> HeaderMap {
-    let mut headers = parts.headers.clone();
+fn forwarded_headers(mut headers: HeaderMap, uri: &Uri) -> HeaderMap {
     remove_hop_by_hop(&mut headers);
     headers.remove(CONTENT_LENGTH);
     // The body is held whole, so the upstream is not asked whether it wants it.
     headers.remove(EXPECT);
-    if let Some(authority) = parts.uri.authority()
+    if let Some(authority) = uri.authority()
         && let Ok(value) = HeaderValue::from_str(authority.as_str())
     {
         headers.insert(HOST, value);
--- a/src/serve/front.rs
+++ b/src/serve/front.rs
@@ -15,11 +15,11 @@
 use tokio_util::task::TaskTracker;
 
 use crate::balance::UpstreamPicker;
-use crate::core::{IdempotenceMode, RESULT_CODE_HEADER, ResultCode};
+use crate::core::{IdempotenceMode, RESULT_CODE_HEADER, ResultCode, TenantId};
 use crate::ledger::ClaimLedger;
 use crate::membership::AddressBook;
 use crate::request::{
-    AnswerBody, PlaneAnswer, RequestAdmission, RequestClass, RequestPlane, UpstreamClient, refusal,
+    AnswerBody, PlaneAnswer, RequestAdmission, RequestPlane, UpstreamClient, refusal,
 };
 use crate::serve::latency_metrics::LatencyMetrics;
 use crate::serve::request_body::{BodyBounds, BodyBudget, HeldBody, read_body};
@@ -142,7 +142,8 @@
             Ok(body) => body,
             Err(code) => {
                 let response = refusal(code);
-                self.record(&admission.class, &response, admission.started);
+                let class = &admission.class;
+                self.record(&class.tenant, &class.class, &response, admission.started);
                 return response;
             }
         };
@@ -161,9 +162,10 @@
         parts: Parts,
         body: HeldBody,
     ) -> PlaneAnswer<C> {
-        let (class, started) = (admission.class.clone(), admission.started);
+        let (tenant, class) = (admission.class.tenant.clone(), admission.class.class.clone());
+        let started = admission.started;
         let response = self.plane.run(admission, parts, body.bytes.clone()).await;
-        self.record(&class, &response, started);
+        self.record(&tenant, &class, &response, started);
         response
     }
 
@@ -190,9 +192,9 @@
         response
     }
 
-    fn record(&self, class: &RequestClass, response: &PlaneAnswer<C>, started: Instant) {
+    fn record(&self, tenant: &TenantId, class: &str, response: &PlaneAnswer<C>, started: Instant) {
         let code = response.headers().get(RESULT_CODE_HEADER);
         let result = code.and_then(|value| value.to_str().ok()).unwrap_or("ok");
-        self.metrics.record(class.tenant.as_str(), &class.class, result, started.elapsed());
+        self.metrics.record(tenant.as_str(), class, result, started.elapsed());
     }
 }
--- a/tests/testsuite/scenario_runner/entry_node.rs
+++ b/tests/testsuite/scenario_runner/entry_node.rs
@@ -12,7 +12,8 @@
 };
 use heatherfall::ledger::{EntryIdentity, LedgerParts, LedgerSettings, NodeLedger, WallClock};
 use heatherfall::membership::{
-    AddressBook, ConfigFreshness, ControlNode, MembershipDriverArgs, NodeIdentity, SharedMembership,
+    AddressBook, AssignmentSettings, ConfigFreshness, ControlNode, MembershipDriverArgs,
+    NodeIdentity, SharedMembership,
 };
 use heatherfall::peer::generated::peer::{ExchangeReply, ExchangeRequest};
 use heatherfall::peer::{PeerError, PeerTransport};
@@ -116,7 +117,8 @@
             Arc::clone(&freshness),
             ExchangeSettings::default(),
         );
-        let addresses = AddressBook::new(membership);
+        let addresses =
+            AddressBook::new(membership, Arc::clone(&snapshot), AssignmentSettings::default());
         Self { gate, peer_addr, control, snapshot, freshness, addresses, kernel, plane }
     }
 
