load: report latencies at their length

Cause: the histogram was made to grow by itself, but saturating_record does not make it grow, so every latency was reported as 2 us.

Change: the histogram covers 60 s from the start.

Figures: upstreams that take 20 ms: p50 2 us before; the new test, which failed with that, asks for 20,000 us or more.

--- a/src/ops/load/report.rs
+++ b/src/ops/load/report.rs
@@ -12,6 +12,8 @@
 
 /// Significant digits of recorded latencies.
 const HISTOGRAM_DIGITS: u8 = 3;
+/// Longest latency that is told apart, in microseconds.
+const MAX_LATENCY_US: u64 = 60_000_000;
 /// Steps for each halving of the distance to the 100th percentile.
 const POINTS_PER_HALF: u32 = 4;
 
@@ -74,8 +76,8 @@
 
 impl ClassTally {
     pub(super) fn new() -> miette::Result<Self> {
-        let latency_us =
-            Histogram::new(HISTOGRAM_DIGITS).map_err(|error| miette::miette!("{error}"))?;
+        let latency_us = Histogram::new_with_max(MAX_LATENCY_US, HISTOGRAM_DIGITS)
+            .map_err(|error| miette::miette!("{error}"))?;
         Ok(Self { latency_us, figures: ClassFigures::default() })
     }
 
--- a/tests/testsuite/load.rs
+++ b/tests/testsuite/load.rs
@@ -99,3 +99,19 @@
     let error = load::run(&LoadSettings::default(), &()).await.expect_err("no address");
     assert!(error.to_string().contains("HF-5003"), "{error}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_latency_is_reported_at_its_length() {
+    let deployment = deployment().await;
+    for one in &deployment.upstreams {
+        let service_time = Duration::from_millis(20);
+        one.upstream.set_behaviour(UpstreamBehaviour { service_time, ..Default::default() });
+    }
+    let settings = LoadSettings { rate: 50.0, ..settings(&deployment) };
+    let report = load::run(&settings, &()).await.expect("load runs");
+    for class in &report.classes {
+        assert!(class.answered == 0 || class.p50_us >= 20_000, "{class:?}");
+    }
+    assert!(report.answered() > 0);
+    deployment.stop().await;
+}
