--- a/src/bin/heatherfall-load/main.rs
+++ b/src/bin/heatherfall-load/main.rs
@@ -2,6 +2,7 @@
 
 mod compare;
 mod experiment;
+mod path;
 mod run;
 mod slopes;
 
@@ -25,6 +26,8 @@
     Compare(compare::CompareArgs),
     /// Compares policies for choosing upstreams, without sockets.
     Experiment(experiment::ExperimentArgs),
+    /// Measures what an entry adds to a call, in one process with stand-ins.
+    Path(path::PathArgs),
     /// Measures how state and work grow with targets and rules.
     Slopes(slopes::SlopeArgs),
 }
@@ -34,6 +37,7 @@
         LoadCommand::Run(args) => run::execute(args),
         LoadCommand::Compare(args) => compare::execute(&args),
         LoadCommand::Experiment(args) => experiment::execute(&args),
+        LoadCommand::Path(args) => path::execute(&args),
         LoadCommand::Slopes(args) => slopes::execute(&args),
     }
 }
