--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -16,7 +16,8 @@
 use crate::config::GenerationHolder;
 use crate::core::{FailureDomain, ResultCode, SharedSnapshot, VmId};
 use crate::kernel::{
-    ConfigService, ConfigServiceArgs, MembershipService, ServiceKernel, ServiceName,
+    ConfigService, ConfigServiceArgs, DrainService, DrainServiceArgs, MembershipService,
+    ProbeMetrics, ProbeService, ProbeServiceArgs, ServiceKernel, ServiceName,
 };
 use crate::ledger::{EntryIdentity, LedgerParts, LedgerSettings, NodeLedger, WallClock};
 use crate::membership::{
@@ -148,6 +149,7 @@
     let addresses = Arc::new(AddressBook::new(Arc::clone(&membership)));
     let registry = Registry::new();
     let metrics = LatencyMetrics::new(&registry).into_diagnostic()?;
+    let probe_metrics = ProbeMetrics::new(&registry).into_diagnostic()?;
     let limits = &settings.limits;
     let server_settings = CallerServerSettings {
         header_timeout: limits.header_timeout,
@@ -209,6 +211,19 @@
     };
     kernel.start::<MembershipService<S, TonicTransport>>(ServiceName::Membership, members);
 
+    let client = HttpUpstreamClient::new(pool.clone());
+    let probes = ProbeServiceArgs {
+        vm: VmId::new(&settings.vm),
+        store: Arc::clone(&store),
+        client: client.clone(),
+        snapshot: Arc::clone(&snapshot),
+        membership: Arc::clone(&status.membership),
+        metrics: probe_metrics,
+        random: SeededRandom::from_entropy(),
+    };
+    let drains = DrainServiceArgs { snapshot: Arc::clone(&snapshot), node: Arc::clone(&control) };
+    kernel.start::<DrainService>(ServiceName::Drain, drains);
+    kernel.start::<ProbeService<S, HttpUpstreamClient>>(ServiceName::Probe, probes);
     let ledger = NodeLedger::new(LedgerParts {
         store,
         transport: TonicLedgerTransport::new(channels, auth.clone()),
@@ -222,7 +237,7 @@
     tokio::spawn(async move { prepared.prepare().await });
     let plane = RequestPlane::new(
         snapshot,
-        HttpUpstreamClient::new(pool.clone()),
+        client,
         LoadPicker::new(
             FailureDomain::new(&settings.failure_domain),
             PickerSettings::default(),
