--- a/src/bin/heatherfall-load/main.rs
+++ b/src/bin/heatherfall-load/main.rs
@@ -1,6 +1,7 @@
 //! The load and experiment tool.
 
 mod experiment;
+mod ledger;
 mod run;
 mod slopes;
 
@@ -22,6 +23,8 @@
     Run(run::RunArgs),
     /// Compares policies for choosing upstreams, without sockets.
     Experiment(experiment::ExperimentArgs),
+    /// Measures the at-most-once ledger, without sockets.
+    Ledger(ledger::LedgerArgs),
     /// Measures how state and work grow with targets and rules.
     Slopes(slopes::SlopeArgs),
 }
@@ -30,6 +33,7 @@
     match LoadArgs::parse().command {
         LoadCommand::Run(args) => run::execute(args),
         LoadCommand::Experiment(args) => experiment::execute(&args),
+        LoadCommand::Ledger(args) => ledger::execute(&args),
         LoadCommand::Slopes(args) => slopes::execute(&args),
     }
 }
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod dev;
 pub mod experiment;
+pub mod ledger_bench;
 pub mod load;
 pub mod log_output;
 pub mod node;
--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -21,8 +21,8 @@
 };
 use crate::ledger::{EntryIdentity, LedgerParts, LedgerSettings, NodeLedger, WallClock};
 use crate::membership::{
-    AddressBook, ConfigFreshness, ControlNode, EntryState, MembershipDriverArgs, NodeIdentity,
-    SharedMembership,
+    AddressBook, AssignmentSettings, ConfigFreshness, ControlNode, EntryState,
+    MembershipDriverArgs, NodeIdentity, SharedMembership,
 };
 use crate::ops::node_settings::NodeSettings;
 use crate::ops::node_status::StatusSource;
@@ -146,7 +146,11 @@
 ) -> miette::Result<RunningNode> {
     let snapshot = SharedSnapshot::default();
     let membership = SharedMembership::default();
-    let addresses = Arc::new(AddressBook::new(Arc::clone(&membership)));
+    let addresses = Arc::new(AddressBook::new(
+        Arc::clone(&membership),
+        Arc::clone(&snapshot),
+        AssignmentSettings::default(),
+    ));
     let registry = Registry::new();
     let metrics = LatencyMetrics::new(&registry).into_diagnostic()?;
     let probe_metrics = ProbeMetrics::new(&registry).into_diagnostic()?;
@@ -188,7 +192,6 @@
         peer_address: peer_addr.to_string(),
         incarnation,
     };
-    let pool = ConnectionPool::new(PoolSettings::default(), Arc::clone(&membership));
     let freshness = Arc::new(ConfigFreshness::default());
     let holder = Arc::new(GenerationHolder::new(Arc::clone(&snapshot)));
     let control = Arc::new(ControlNode::new(
@@ -211,19 +214,21 @@
     };
     kernel.start::<MembershipService<S, TonicTransport>>(ServiceName::Membership, members);
 
+    let pool = ConnectionPool::new(PoolSettings::default(), Arc::clone(&membership));
     let client = HttpUpstreamClient::new(pool.clone());
     let probes = ProbeServiceArgs {
         vm: VmId::new(&settings.vm),
         store: Arc::clone(&store),
         client: client.clone(),
         snapshot: Arc::clone(&snapshot),
-        membership: Arc::clone(&status.membership),
+        membership: Arc::clone(&membership),
         metrics: probe_metrics,
         random: SeededRandom::from_entropy(),
     };
     let drains = DrainServiceArgs { snapshot: Arc::clone(&snapshot), node: Arc::clone(&control) };
     kernel.start::<DrainService>(ServiceName::Drain, drains);
     kernel.start::<ProbeService<S, HttpUpstreamClient>>(ServiceName::Probe, probes);
+
     let ledger = NodeLedger::new(LedgerParts {
         store,
         transport: TonicLedgerTransport::new(channels, auth.clone()),
--- a/tests/testsuite/scenario_runner/entry_node.rs
+++ b/tests/testsuite/scenario_runner/entry_node.rs
@@ -10,9 +10,10 @@
 use heatherfall::kernel::{
     ConfigService, ConfigServiceArgs, MembershipService, ServiceKernel, ServiceName,
 };
-use heatherfall::ledger::{EntryIdentity, LedgerParts, NoTransport, NodeLedger, WallClock};
+use heatherfall::ledger::{EntryIdentity, LedgerParts, LedgerSettings, NodeLedger, WallClock};
 use heatherfall::membership::{
-    AddressBook, ConfigFreshness, ControlNode, MembershipDriverArgs, NodeIdentity, SharedMembership,
+    AddressBook, AssignmentSettings, ConfigFreshness, ControlNode, MembershipDriverArgs,
+    NodeIdentity, SharedMembership,
 };
 use heatherfall::peer::generated::peer::{ExchangeReply, ExchangeRequest};
 use heatherfall::peer::{PeerError, PeerTransport};
@@ -20,9 +21,10 @@
 use heatherfall::util::SeededRandom;
 use http::request::Parts;
 
+use super::ledger_network::{GatedLedgerTransport, LedgerNetwork, ScenarioLedger};
 use super::node_store::{NodeGate, NodeStore, SharedNodeStore};
 use super::scripted_upstream::ScriptedClient;
-use crate::support::{MemoryNetwork, MemoryTransport, TEST_ORIGIN_MS, ledger_settings};
+use crate::support::{MemoryNetwork, MemoryTransport, TEST_ORIGIN_MS};
 
 /// Seed of every node's random numbers.
 const NODE_SEED: u64 = 7;
@@ -56,7 +58,7 @@
     pub(super) freshness: Arc<ConfigFreshness>,
     pub(super) addresses: AddressBook,
     pub(super) kernel: ServiceKernel,
-    plane: RequestPlane<ScriptedClient, RandomPicker, NodeLedger<NodeStore, NoTransport>>,
+    plane: RequestPlane<ScriptedClient, RandomPicker, ScenarioLedger>,
 }
 
 impl EntryNode {
@@ -66,11 +68,11 @@
         store: SharedNodeStore,
         client: ScriptedClient,
         network: &Arc<MemoryNetwork>,
+        ledgers: &Arc<LedgerNetwork>,
     ) -> Self {
+        let entry = EntryIdentity { vm: identity.vm.clone(), incarnation: identity.incarnation };
         let peer_addr: SocketAddr = identity.peer_address.parse().expect("peer address");
         let gate = store.gate.clone();
-        let ledger_store = Arc::clone(&store);
-        let entry = EntryIdentity { vm: identity.vm.clone(), incarnation: identity.incarnation };
         let snapshot = SharedSnapshot::default();
         let membership = SharedMembership::default();
         let freshness = Arc::new(ConfigFreshness::default());
@@ -88,7 +90,7 @@
         let transport = MemoryTransport::new(Arc::clone(network), peer_addr);
         let members = MembershipDriverArgs {
             node: Arc::clone(&control),
-            store,
+            store: Arc::clone(&store),
             transport: Arc::new(GatedTransport { gate: gate.clone(), transport }),
             seeds,
             random: SeededRandom::new(NODE_SEED),
@@ -97,16 +99,16 @@
             ServiceName::Membership,
             members,
         );
-        // Without a way to other entries each serves the ledger itself, and the log decides.
         let ledger = NodeLedger::new(LedgerParts {
-            store: ledger_store,
-            transport: NoTransport,
+            store,
+            transport: GatedLedgerTransport { network: Arc::clone(ledgers), gate: gate.clone() },
             membership: Arc::clone(&membership),
             identity: entry,
             clock: WallClock::starting_at(TEST_ORIGIN_MS),
-            random: SeededRandom::new(NODE_SEED ^ u64::from(peer_addr.port())),
-            settings: ledger_settings(),
+            random: SeededRandom::new(NODE_SEED),
+            settings: LedgerSettings::default(),
         });
+        ledgers.join(peer_addr, ledger.clone(), gate.clone());
         let plane = RequestPlane::new(
             Arc::clone(&snapshot),
             client,
@@ -115,7 +117,8 @@
             Arc::clone(&freshness),
             ExchangeSettings::default(),
         );
-        let addresses = AddressBook::new(membership);
+        let addresses =
+            AddressBook::new(membership, Arc::clone(&snapshot), AssignmentSettings::default());
         Self { gate, peer_addr, control, snapshot, freshness, addresses, kernel, plane }
     }
 
--- a/tests/testsuite/scenario_runner/mod.rs
+++ b/tests/testsuite/scenario_runner/mod.rs
@@ -7,6 +7,7 @@
 //! regenerated.
 
 mod entry_node;
+mod ledger_network;
 mod log_capture;
 mod node_store;
 mod request;
