--- a/src/membership/drain_board.rs
+++ b/src/membership/drain_board.rs
@@ -2,7 +2,8 @@
 //!
 //! A node that sees an upstream's mark change reports it under its own name with a sequence
 //! number. Each exchange carries the marks that changed since the last one with that peer. Of the
-//! marks of several nodes about one upstream the youngest holds; ages travel, not times.
+//! marks of several nodes about one upstream the youngest holds; ages travel, not times. A mark
+//! counts for a limited time: an upstream that gets no work cannot show that it is back.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
