--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -8,6 +8,7 @@
 mod claim;
 mod key;
 mod log_object;
+mod metrics;
 mod node_ledger;
 mod ownership;
 mod partition;
@@ -22,6 +23,7 @@
 };
 pub use self::key::{KeyId, LedgerKey, WallClock};
 pub use self::log_object::{ARCHIVE_KIND, LAYOUT_KIND, LAYOUT_NAME, LedgerLayout, SEGMENT_KIND};
+pub use self::metrics::LedgerMetrics;
 pub use self::node_ledger::{LedgerParts, NodeLedger};
 pub use self::ownership::{owner_of, ranked_owner};
 pub use self::partition::LedgerCounters;
--- a/src/ledger/node_ledger.rs
+++ b/src/ledger/node_ledger.rs
@@ -123,7 +123,7 @@
             ownership: ViewOwnership { membership: parts.membership, identity: parts.identity },
             settings: parts.settings,
             clock: parts.clock,
-            counters: LedgerCounters::default(),
+            counters: Arc::default(),
         };
         Self {
             shared: Arc::new(LedgerShared {
@@ -142,7 +142,7 @@
     }
 
     /// What the ledger has counted.
-    pub fn counters(&self) -> &LedgerCounters {
+    pub fn counters(&self) -> &Arc<LedgerCounters> {
         &self.shared.context.counters
     }
 
--- a/src/ledger/partition.rs
+++ b/src/ledger/partition.rs
@@ -149,7 +149,7 @@
     pub(super) ownership: O,
     pub(super) settings: LedgerSettings,
     pub(super) clock: WallClock,
-    pub(super) counters: LedgerCounters,
+    pub(super) counters: Arc<LedgerCounters>,
 }
 
 /// A log and the state that it amounts to.
--- a/src/ops/dev.rs
+++ b/src/ops/dev.rs
@@ -131,6 +131,7 @@
                 },
                 peers: PeerSettings::default(),
                 limits: Default::default(),
+                ledger: Default::default(),
                 log: LogSettings::default(),
                 shutdown: ShutdownSettings { announce: settings.announce, ..Default::default() },
             };
--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -19,7 +19,7 @@
     ConfigService, ConfigServiceArgs, DrainService, DrainServiceArgs, MembershipService,
     ProbeMetrics, ProbeService, ProbeServiceArgs, ServiceKernel, ServiceName,
 };
-use crate::ledger::{EntryIdentity, LedgerParts, LedgerSettings, NodeLedger, WallClock};
+use crate::ledger::{EntryIdentity, LedgerMetrics, LedgerParts, NodeLedger, WallClock};
 use crate::membership::{
     AddressBook, AssignmentSettings, ConfigFreshness, ControlNode, EntryState,
     MembershipDriverArgs, NodeIdentity, SharedMembership,
@@ -171,7 +171,7 @@
         snapshot: Arc::clone(&snapshot),
         membership: Arc::clone(&membership),
     });
-    let admin = AdminServer::bind(settings.listen.admin, registry, Arc::clone(&status))
+    let admin = AdminServer::bind(settings.listen.admin, registry.clone(), Arc::clone(&status))
         .await
         .into_diagnostic()
         .wrap_err_with(|| listen_failed(settings.listen.admin))?;
@@ -236,8 +236,9 @@
         identity: EntryIdentity { vm: VmId::new(&settings.vm), incarnation },
         clock: WallClock::system(),
         random: SeededRandom::from_entropy(),
-        settings: LedgerSettings::default(),
+        settings: settings.ledger.limits(),
     });
+    LedgerMetrics::register(&registry, Arc::clone(ledger.counters())).into_diagnostic()?;
     let prepared = ledger.clone();
     tokio::spawn(async move { prepared.prepare().await });
     let plane = RequestPlane::new(
--- a/src/ops/node_settings.rs
+++ b/src/ops/node_settings.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::ledger::LedgerSettings;
 use crate::util::duration_text;
 use crate::util::settings_file::{CheckedSettings, FieldFault};
 
@@ -26,6 +27,9 @@
     /// Limits on callers.
     #[serde(default)]
     pub limits: LimitSettings,
+    /// At-most-once ledger.
+    #[serde(default)]
+    pub ledger: LedgerNodeSettings,
     /// Logs.
     #[serde(default)]
     pub log: LogSettings,
@@ -107,6 +111,46 @@
     }
 }
 
+/// At-most-once ledger; the same on all nodes of a deployment.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LedgerNodeSettings {
+    /// Time for which a key is remembered, from the creation time that it carries.
+    #[serde(with = "duration_text")]
+    pub retention: Duration,
+    /// Platform writes a second of all nodes together.
+    pub writes_per_second: f64,
+    /// Keys that one node remembers.
+    pub max_keys: usize,
+    /// Bytes of answer bodies that one node keeps.
+    pub max_body_bytes: usize,
+}
+
+impl Default for LedgerNodeSettings {
+    fn default() -> Self {
+        let limits = LedgerSettings::default();
+        Self {
+            retention: limits.retention,
+            writes_per_second: limits.writes_per_second,
+            max_keys: limits.max_keys,
+            max_body_bytes: limits.max_body_bytes,
+        }
+    }
+}
+
+impl LedgerNodeSettings {
+    /// The limits that these settings stand for.
+    pub fn limits(&self) -> LedgerSettings {
+        LedgerSettings {
+            retention: self.retention,
+            writes_per_second: self.writes_per_second,
+            max_keys: self.max_keys,
+            max_body_bytes: self.max_body_bytes,
+            ..LedgerSettings::default()
+        }
+    }
+}
+
 /// Form of log lines.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -178,6 +222,13 @@
                 help: format!("set at least {MIN_HEAD_BYTES}"),
             });
         }
+        if !(self.ledger.writes_per_second >= 1.0 && self.ledger.writes_per_second.is_finite()) {
+            return Err(FieldFault {
+                field: "writes_per_second",
+                message: format!("{} writes a second cannot serve", self.ledger.writes_per_second),
+                help: "set at least 1".to_owned(),
+            });
+        }
         if self.platform.timeout.is_zero() {
             return Err(FieldFault {
                 field: "timeout",
--- /dev/null
+++ b/tests/testsuite/ledger_wire.rs
@@ -0,0 +1,69 @@
+//! Keyed requests through the entries of a whole deployment, over sockets.
+
+use std::time::Duration;
+
+use heatherfall::ops::dev::{DevDeployment, DevSettings, ServiceSize};
+use http::{Method, StatusCode};
+
+use crate::support::TestCaller;
+
+async fn start() -> DevDeployment {
+    let settings = DevSettings {
+        first_port: 0,
+        services: vec![ServiceSize { app: "donations", targets: 3, slots: 4 }],
+        announce: Duration::ZERO,
+    };
+    DevDeployment::start(&settings).await.expect("deployment starts")
+}
+
+fn total_runs(deployment: &DevDeployment) -> u64 {
+    deployment.upstreams.iter().map(|one| one.upstream.total_runs()).sum()
+}
+
+#[tokio::test]
+async fn repeats_through_other_entries_and_after_a_leave_get_the_first_answer() {
+    let mut deployment = start().await;
+    let caller = TestCaller::new();
+    let mut first_answers = Vec::new();
+    for index in 0..12 {
+        let key = uuid::Uuid::now_v7().to_string();
+        let entry = deployment.nodes[index % 3].caller_addr();
+        let headers = [("idempotency-key", key.as_str())];
+        let reply = caller.send(entry, Method::POST, "/cau-noi/donations", &headers).await;
+        let reply = reply.expect("a whole answer");
+        assert_eq!(reply.status, StatusCode::OK, "{}", reply.body);
+        first_answers.push((key, reply.body));
+    }
+    assert_eq!(total_runs(&deployment), 12);
+    // An outcome is recorded after its answer has been passed on.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    deployment.nodes.remove(0).leave().await;
+    for (key, first) in &first_answers {
+        for node in &deployment.nodes {
+            let headers = [("idempotency-key", key.as_str())];
+            let entry = node.caller_addr();
+            let reply = caller.send(entry, Method::POST, "/cau-noi/donations", &headers).await;
+            let reply = reply.expect("a whole answer");
+            assert_eq!(reply.status, StatusCode::OK, "{}", reply.body);
+            assert_eq!(reply.headers["heatherfall-replayed"], "true");
+            assert_eq!(&reply.body, first);
+        }
+    }
+    assert_eq!(total_runs(&deployment), 12);
+    deployment.stop().await;
+}
+
+#[tokio::test]
+async fn a_key_without_a_time_is_refused_as_not_run() {
+    let deployment = start().await;
+    let entry = deployment.nodes[0].caller_addr();
+    let headers = [("idempotency-key", "donation-17")];
+    let caller = TestCaller::new();
+    let reply = caller.send(entry, Method::POST, "/cau-noi/donations", &headers).await;
+    let reply = reply.expect("a whole answer");
+    assert_eq!(reply.status, StatusCode::BAD_REQUEST);
+    assert_eq!(reply.headers["heatherfall-result"], "HF-1023");
+    assert_eq!(reply.headers["heatherfall-not-run"], "true");
+    assert_eq!(total_runs(&deployment), 0);
+    deployment.stop().await;
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod leases;
 mod ledger;
 mod ledger_race;
+mod ledger_wire;
 mod limits;
 mod load_picker;
 mod membership;
