--- a/src/ledger/settings.rs
+++ b/src/ledger/settings.rs
@@ -50,7 +50,7 @@
             claim_patience: Duration::from_millis(900),
             finish_patience: Duration::from_secs(60),
             outcome_delay: Duration::from_millis(50),
-            max_keys: 400_000,
+            max_keys: 200_000,
             max_body_bytes: 16 << 20,
             max_segment_bytes: 96 << 10,
             archive_bytes: 256 << 10,
