ops: give the measured node its ledger settings

Cause: the ledger's settings and the path measurement landed side by side and did not build together. Change: the default settings. Before: no build. After: builds, tests pass. Conclusion: none beyond that.

--- a/src/ops/path_load.rs
+++ b/src/ops/path_load.rs
@@ -169,6 +169,7 @@
         listen: ListenSettings { callers: loopback(), admin: loopback(), peers: loopback() },
         platform: PlatformSettings { address: api, timeout: Duration::from_secs(2) },
         peers: PeerSettings::default(),
+        ledger: Default::default(),
         limits: Default::default(),
         log: LogSettings::default(),
         shutdown: Default::default(),
