limits: show places, waits and budgets of each route on the metrics

Cause: an operator could not see whether a refusal came from the limit, or whether retries stopped because their budget was spent.

Change: LimitMetrics reads the limits of each route when it is scraped; budgets count what they paid for and what they refused.

Shown: after 100 failing requests the metric of retries spent equals the attempts that the counting upstream saw beyond 100.

--- a/src/limits/hedge_budget.rs
+++ b/src/limits/hedge_budget.rs
@@ -1,6 +1,6 @@
 //! Hedges as a bounded share of requests.
 
-use crate::limits::ratio_budget::{BudgetFloor, RatioBudget};
+use crate::limits::ratio_budget::{BudgetFloor, BudgetUsage, RatioBudget};
 
 /// Tokens that a busy route may save up.
 const MAX_TOKENS: f64 = 10.0;
@@ -36,4 +36,9 @@
     pub fn try_spend(&self) -> bool {
         self.budget.try_take()
     }
+
+    /// How many hedges were asked for so far.
+    pub fn usage(&self) -> BudgetUsage {
+        self.budget.usage()
+    }
 }
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -22,5 +22,6 @@
 pub use self::fair_queue::{FairQueue, QueueShare};
 pub use self::hedge_budget::HedgeBudget;
 pub use self::latency_window::LatencyWindow;
+pub use self::ratio_budget::BudgetUsage;
 pub use self::retry_budget::RetryBudget;
-pub use self::route_limits::{LimitTable, RouteLimits};
+pub use self::route_limits::{LimitTable, NamedLimits, RouteLimits};
--- a/src/limits/ratio_budget.rs
+++ b/src/limits/ratio_budget.rs
@@ -17,6 +17,15 @@
     pub(super) per_second: f64,
 }
 
+/// What a budget was asked for.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct BudgetUsage {
+    /// Attempts that were paid for.
+    pub spent: u64,
+    /// Attempts that were not made because the budget was spent.
+    pub refused: u64,
+}
+
 /// Tokens between zero and a cap.
 #[derive(Debug)]
 pub(super) struct RatioBudget {
@@ -25,6 +34,8 @@
     cap: i64,
     parts: AtomicI64,
     filled_nanos: AtomicU64,
+    spent: AtomicU64,
+    refused: AtomicU64,
 }
 
 impl RatioBudget {
@@ -35,6 +46,8 @@
             cap: parts_of(cap),
             parts: AtomicI64::new(parts_of(floor.initial)),
             filled_nanos: AtomicU64::new(0),
+            spent: AtomicU64::new(0),
+            refused: AtomicU64::new(0),
         }
     }
 
@@ -50,7 +63,17 @@
         self.fill();
         let token = PARTS_PER_TOKEN as i64;
         let update = |parts: i64| (parts >= token).then_some(parts - token);
-        self.parts.fetch_update(Ordering::Relaxed, Ordering::Relaxed, update).is_ok()
+        let taken = self.parts.fetch_update(Ordering::Relaxed, Ordering::Relaxed, update).is_ok();
+        let counter = if taken { &self.spent } else { &self.refused };
+        counter.fetch_add(1, Ordering::Relaxed);
+        taken
+    }
+
+    pub(super) fn usage(&self) -> BudgetUsage {
+        BudgetUsage {
+            spent: self.spent.load(Ordering::Relaxed),
+            refused: self.refused.load(Ordering::Relaxed),
+        }
     }
 
     /// Tokens that are left.
--- a/src/limits/retry_budget.rs
+++ b/src/limits/retry_budget.rs
@@ -1,6 +1,6 @@
 //! Retries as a bounded share of requests.
 
-use crate::limits::ratio_budget::{BudgetFloor, RatioBudget};
+use crate::limits::ratio_budget::{BudgetFloor, BudgetUsage, RatioBudget};
 
 /// Tokens that a busy route may save up for a burst of failures.
 const MAX_TOKENS: f64 = 20.0;
@@ -47,4 +47,9 @@
     pub fn tokens(&self) -> f64 {
         self.budget.tokens()
     }
+
+    /// How many retries were asked for so far.
+    pub fn usage(&self) -> BudgetUsage {
+        self.budget.usage()
+    }
 }
--- a/src/limits/route_limits.rs
+++ b/src/limits/route_limits.rs
@@ -44,6 +44,15 @@
     kept: Mutex<KeptLimits>,
 }
 
+/// The limits of one route and its name.
+#[derive(Clone, Debug)]
+pub struct NamedLimits {
+    /// Name.
+    pub name: String,
+    /// Limits.
+    pub limits: Arc<RouteLimits>,
+}
+
 /// What outlives a snapshot.
 #[derive(Debug, Default)]
 struct KeptLimits {
@@ -71,6 +80,16 @@
         self.rebuild(snapshot).routes.get(key.0 as usize).cloned()
     }
 
+    /// Limits of all routes of the present configuration that requests have asked for.
+    pub fn routes(&self) -> Vec<NamedLimits> {
+        let kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut routes = Vec::with_capacity(kept.routes.len());
+        for (name, limits) in &kept.routes {
+            routes.push(NamedLimits { name: name.clone(), limits: Arc::clone(limits) });
+        }
+        routes
+    }
+
     fn rebuild(&self, snapshot: &Arc<ConfigSnapshot>) -> Arc<SnapshotLimits> {
         let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
         let mut next = KeptLimits::default();
--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -36,7 +36,7 @@
 use crate::request::{ExchangeSettings, RequestPlane};
 use crate::serve::{
     AdminServer, CallerServer, CallerServerSettings, ConnectionPool, FrontService, FrontSettings,
-    HttpUpstreamClient, LatencyMetrics, LeaveSwitch, PoolSettings,
+    HttpUpstreamClient, LatencyMetrics, LeaveSwitch, LimitMetrics, PoolSettings,
 };
 use crate::util::SeededRandom;
 
@@ -195,7 +195,7 @@
         membership: Arc::clone(&membership),
         control: Arc::clone(&control),
     });
-    let admin = AdminServer::bind(settings.listen.admin, registry, Arc::clone(&status))
+    let admin = AdminServer::bind(settings.listen.admin, registry.clone(), Arc::clone(&status))
         .await
         .into_diagnostic()
         .wrap_err_with(|| listen_failed(settings.listen.admin))?;
@@ -259,6 +259,7 @@
         max_held_bytes: limits.max_held_bytes,
         ..FrontSettings::default()
     };
+    LimitMetrics::register(&registry, plane.limits()).into_diagnostic()?;
     let keyed_tasks = plane.keyed_tasks();
     let front: Arc<NodeFront<S>> =
         Arc::new(FrontService::new(plane, addresses, metrics, front_settings));
--- a/src/request/plane.rs
+++ b/src/request/plane.rs
@@ -93,7 +93,7 @@
 #[derive(Debug)]
 pub struct RequestPlane<C, P, L> {
     snapshot: SharedSnapshot,
-    limits: LimitTable,
+    limits: Arc<LimitTable>,
     core: Arc<PlaneCore<C, P, L>>,
     keyed: TaskTracker,
 }
@@ -109,7 +109,7 @@
         settings: ExchangeSettings,
     ) -> Self {
         let core = Arc::new(PlaneCore { client, picker, freshness, settings, ledger });
-        Self { snapshot, limits: LimitTable::default(), core, keyed: TaskTracker::new() }
+        Self { snapshot, limits: Arc::default(), core, keyed: TaskTracker::new() }
     }
 
     /// The tasks of keyed requests. Each ends when the outcome of its request has been recorded.
@@ -117,6 +117,11 @@
         self.keyed.clone()
     }
 
+    /// Limits of the routes.
+    pub fn limits(&self) -> Arc<LimitTable> {
+        Arc::clone(&self.limits)
+    }
+
     /// Admits a request by its head.
     ///
     /// # Errors
--- /dev/null
+++ b/src/serve/limit_metrics.rs
@@ -0,0 +1,82 @@
+//! Metrics of the limits of each route, read when they are scraped.
+
+use std::sync::Arc;
+
+use prometheus::core::{Collector, Desc};
+use prometheus::proto::MetricFamily;
+use prometheus::{GaugeVec, Opts, Registry};
+
+use crate::limits::LimitTable;
+
+/// Gauges of all routes of one node.
+#[derive(Debug)]
+pub struct LimitMetrics {
+    limits: Arc<LimitTable>,
+    limit: GaugeVec,
+    in_flight: GaugeVec,
+    waiting: GaugeVec,
+    retry_tokens: GaugeVec,
+    retries: GaugeVec,
+    hedges: GaugeVec,
+}
+
+impl LimitMetrics {
+    /// Registers the metrics of `limits`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the registry's error if a name is taken.
+    pub fn register(registry: &Registry, limits: Arc<LimitTable>) -> prometheus::Result<()> {
+        let gauge = |name, help| GaugeVec::new(Opts::new(name, help), &["route"]);
+        let attempts = |name, help| GaugeVec::new(Opts::new(name, help), &["route", "budget"]);
+        let metrics = Self {
+            limits,
+            limit: gauge("heatherfall_limit", "Requests that may be in flight.")?,
+            in_flight: gauge("heatherfall_limit_in_flight", "Requests in flight.")?,
+            waiting: gauge("heatherfall_limit_waiting", "Requests that wait for a place.")?,
+            retry_tokens: gauge("heatherfall_retry_tokens", "Retries that may be made now.")?,
+            retries: attempts("heatherfall_retries", "Retries asked for, by the budget's answer.")?,
+            hedges: attempts("heatherfall_hedges", "Hedges asked for, by the budget's answer.")?,
+        };
+        registry.register(Box::new(metrics))
+    }
+
+    fn vecs(&self) -> [&GaugeVec; 6] {
+        [
+            &self.limit,
+            &self.in_flight,
+            &self.waiting,
+            &self.retry_tokens,
+            &self.retries,
+            &self.hedges,
+        ]
+    }
+}
+
+impl Collector for LimitMetrics {
+    fn desc(&self) -> Vec<&Desc> {
+        self.vecs().into_iter().flat_map(Collector::desc).collect()
+    }
+
+    fn collect(&self) -> Vec<MetricFamily> {
+        for vec in self.vecs() {
+            // Routes that are gone are no longer shown.
+            vec.reset();
+        }
+        for route in self.limits.routes() {
+            let name = [route.name.as_str()];
+            let (gate, limits) = (&route.limits.gate, &route.limits);
+            self.limit.with_label_values(&name).set(f64::from(gate.limit()));
+            self.in_flight.with_label_values(&name).set(f64::from(gate.in_flight()));
+            self.waiting.with_label_values(&name).set(f64::from(gate.waiting()));
+            self.retry_tokens.with_label_values(&name).set(limits.retries.tokens());
+            let budgets =
+                [(&self.retries, limits.retries.usage()), (&self.hedges, limits.hedges.usage())];
+            for (vec, usage) in budgets {
+                vec.with_label_values(&[name[0], "spent"]).set(usage.spent as f64);
+                vec.with_label_values(&[name[0], "refused"]).set(usage.refused as f64);
+            }
+        }
+        self.vecs().into_iter().flat_map(Collector::collect).collect()
+    }
+}
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -7,6 +7,7 @@
 mod host_pool;
 mod http_client;
 mod latency_metrics;
+mod limit_metrics;
 mod request_body;
 mod stall_guard;
 
@@ -19,3 +20,4 @@
 };
 pub use self::http_client::{HttpUpstreamClient, UpstreamBody};
 pub use self::latency_metrics::LatencyMetrics;
+pub use self::limit_metrics::LimitMetrics;
--- a/tests/testsuite/exchange.rs
+++ b/tests/testsuite/exchange.rs
@@ -8,10 +8,12 @@
 use heatherfall::core::BudgetSpec;
 use heatherfall::membership::ConfigFreshness;
 use heatherfall::request::{AnswerBody, AnswerError, AnswerStream, ExchangeSettings, RequestPlane};
+use heatherfall::serve::LimitMetrics;
 use heatherfall::util::SeededRandom;
 use http::{HeaderMap, Request, StatusCode};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
+use prometheus::{Registry, TextEncoder};
 use serde_json::json;
 use tokio::time::Instant;
 
@@ -238,3 +240,19 @@
     assert!(matches!(frame, Err(AnswerError::DeadlineExceeded)));
     assert!(started.elapsed() < Duration::from_millis(305));
 }
+
+#[tokio::test(start_paused = true)]
+async fn retries_spent_and_refused_are_on_the_metrics() {
+    let client = FakeClient::new(vec![FakeStep::Answer { after: Duration::ZERO, status: 500 }]);
+    let (plane, _) = plane(&client, json!({ "hedge": { "enabled": false } }));
+    let registry = Registry::new();
+    LimitMetrics::register(&registry, plane.limits()).unwrap();
+    for index in 0..100 {
+        send(&plane, "/read", &format!("r-{index}"), None).await;
+    }
+    let text = TextEncoder::new().encode_to_string(&registry.gather()).unwrap();
+    let retries = client.ledger.attempts() - 100;
+    let spent = format!("heatherfall_retries{{budget=\"spent\",route=\"only\"}} {retries}\n");
+    assert!(text.contains(&spent), "{retries} in {text}");
+    assert!(text.contains("heatherfall_limit{route=\"only\"} "), "{text}");
+}
