--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -36,7 +36,7 @@
 use crate::request::{ExchangeSettings, RequestPlane};
 use crate::serve::{
     AdminServer, CallerServer, CallerServerSettings, ConnectionPool, FrontService, FrontSettings,
-    HttpUpstreamClient, LatencyMetrics, LeaveSwitch, PoolSettings,
+    HttpUpstreamClient, LatencyMetrics, LeaveSwitch, LimitMetrics, PoolSettings,
 };
 use crate::util::SeededRandom;
 
@@ -260,6 +260,7 @@
         max_held_bytes: limits.max_held_bytes,
         ..FrontSettings::default()
     };
+    LimitMetrics::register(&registry, plane.limits()).into_diagnostic()?;
     let keyed_tasks = plane.keyed_tasks();
     let front: Arc<NodeFront<S>> =
         Arc::new(FrontService::new(plane, addresses, metrics, front_settings));
