ledger: split its large files and test keyed requests at the plane

Change: batches, flags, messages, the entry's side and the resolved write have files of their own, nothing else changes in them; tests/testsuite/keyed_requests.rs.

--- /dev/null
+++ b/src/ledger/claim_message.rs
@@ -0,0 +1,39 @@
+//! Between the ledger's own types and the messages that entries send each other.
+
+use std::sync::Arc;
+
+use crate::core::{GenerationNumber, TenantId, VmId};
+use crate::ledger::key::{KeyId, LedgerKey};
+use crate::ledger::table::{ClaimClose, EntryIdentity, KeyClaim, KeyState};
+use crate::peer::generated::ledger::{ClaimReply, ClaimRequest, ClaimVerdict, FinishRequest};
+
+/// A reply without an outcome.
+pub(super) fn reply(verdict: ClaimVerdict) -> ClaimReply {
+    ClaimReply { verdict: verdict.into(), outcome: None }
+}
+
+/// The claim that a request stands for; `None` if it is malformed.
+pub(super) fn claim_of(request: &ClaimRequest) -> Option<KeyClaim> {
+    let key = LedgerKey::parse(&TenantId::new(&request.tenant), &request.key)?;
+    Some(KeyClaim {
+        key,
+        digest: request.request_digest.get(..16)?.try_into().ok()?,
+        claim_id: request.claim_id.as_ref().try_into().ok()?,
+        entry: EntryIdentity {
+            vm: VmId::new(&request.entry_vm),
+            incarnation: request.entry_incarnation,
+        },
+        generation: GenerationNumber(request.generation),
+    })
+}
+
+/// The end that a request tells, without the key.
+pub(super) fn close_of(request: &FinishRequest) -> Option<ClaimClose> {
+    let state = match &request.outcome {
+        Some(outcome) => KeyState::Ran(Arc::new(outcome.clone().into())),
+        None if request.did_not_run => KeyState::Released,
+        None => KeyState::Unknown,
+    };
+    let claim_id = request.claim_id.as_ref().try_into().ok()?;
+    Some(ClaimClose { id: KeyId([0; 16]), claim_id, state })
+}
--- /dev/null
+++ b/src/ledger/entry_claim.rs
@@ -0,0 +1,94 @@
+//! The entry's side of a claim: its identity, its answer for the request plane, and its end.
+
+use bytes::Bytes;
+use heatherfall_platform_api::PlatformStore;
+use tokio::time::Instant;
+
+use crate::core::ResultCode;
+use crate::ledger::claim::{ClaimDecision, ClaimEnd, ClaimIntent, ClaimLedger, ClaimTicket};
+use crate::ledger::claim_message::reply;
+use crate::ledger::key::LedgerKey;
+use crate::ledger::node_ledger::NodeLedger;
+use crate::ledger::table::ClaimId;
+use crate::ledger::transport::LedgerTransport;
+use crate::peer::generated::ledger::{ClaimRequest, ClaimVerdict, FinishRequest};
+
+impl<S: PlatformStore, T: LedgerTransport> ClaimLedger for NodeLedger<S, T> {
+    async fn claim(&self, intent: ClaimIntent) -> ClaimDecision {
+        let Some(key) = LedgerKey::parse(&intent.tenant, &intent.key) else {
+            return ClaimDecision::Refused(ResultCode::KeyMalformed);
+        };
+        if self.check_time(key.time_ms) == Some(ClaimVerdict::Malformed) {
+            return ClaimDecision::Refused(ResultCode::KeyMalformed);
+        }
+        let identity = &self.shared.context.ownership.identity;
+        let claim_id = self.new_claim_id();
+        let request = ClaimRequest {
+            tenant: intent.tenant.as_str().to_owned(),
+            key: intent.key.clone(),
+            request_digest: Bytes::copy_from_slice(&intent.digest),
+            claim_id: Bytes::copy_from_slice(&claim_id),
+            generation: intent.generation.0,
+            entry_vm: identity.vm.as_str().to_owned(),
+            entry_incarnation: identity.incarnation,
+            is_owner_unreachable: false,
+        };
+        let ticket = ClaimTicket { tenant: intent.tenant, key: intent.key, claim_id };
+        let patience = Instant::now() + self.shared.context.settings.claim_patience;
+        let end = patience.min(intent.deadline);
+        let asked = tokio::time::timeout_at(end, self.claim_until_decided(&request)).await;
+        let answer = asked.unwrap_or_else(|_| reply(ClaimVerdict::Unavailable));
+        match answer.verdict() {
+            ClaimVerdict::Granted => ClaimDecision::Granted(ticket),
+            ClaimVerdict::Finished => {
+                ClaimDecision::Finished(answer.outcome.unwrap_or_default().into())
+            }
+            ClaimVerdict::InProgress => ClaimDecision::Refused(ResultCode::KeyInProgress),
+            ClaimVerdict::Unknown => ClaimDecision::Refused(ResultCode::OutcomeUnknown),
+            ClaimVerdict::Mismatch => ClaimDecision::Refused(ResultCode::KeyMismatch),
+            ClaimVerdict::Expired => ClaimDecision::Refused(ResultCode::KeyExpired),
+            ClaimVerdict::Malformed => ClaimDecision::Refused(ResultCode::KeyMalformed),
+            ClaimVerdict::Full => ClaimDecision::Refused(ResultCode::LedgerFull),
+            ClaimVerdict::Unspecified | ClaimVerdict::NotOwner | ClaimVerdict::Unavailable => {
+                self.give_up(ticket);
+                ClaimDecision::Refused(ResultCode::LedgerUnavailable)
+            }
+        }
+    }
+
+    async fn finish(&self, ticket: ClaimTicket, end: ClaimEnd) {
+        self.finish_until_recorded(self.finish_request(ticket, end)).await;
+    }
+}
+
+impl<S: PlatformStore, T: LedgerTransport> NodeLedger<S, T> {
+    fn new_claim_id(&self) -> ClaimId {
+        let mut id = [0; 16];
+        id[..8].copy_from_slice(&self.bits().to_be_bytes());
+        id[8..].copy_from_slice(&self.bits().to_be_bytes());
+        id
+    }
+
+    fn finish_request(&self, ticket: ClaimTicket, end: ClaimEnd) -> FinishRequest {
+        let did_not_run = end == ClaimEnd::DidNotRun;
+        let outcome = match &end {
+            ClaimEnd::Ran(outcome) => Some(outcome.into()),
+            ClaimEnd::DidNotRun | ClaimEnd::Unknown => None,
+        };
+        FinishRequest {
+            tenant: ticket.tenant.as_str().to_owned(),
+            key: ticket.key,
+            claim_id: Bytes::copy_from_slice(&ticket.claim_id),
+            outcome,
+            did_not_run,
+            is_owner_unreachable: false,
+        }
+    }
+
+    /// Frees the key of a claim that was not granted and may be durable all the same.
+    fn give_up(&self, ticket: ClaimTicket) {
+        let ledger = self.clone();
+        let request = self.finish_request(ticket, ClaimEnd::DidNotRun);
+        tokio::spawn(async move { ledger.finish_until_recorded(request).await });
+    }
+}
--- a/src/ledger/log_object.rs
+++ b/src/ledger/log_object.rs
@@ -2,10 +2,14 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use heatherfall_platform_api::{ObjectDraft, ObjectEnvelope};
+use heatherfall_platform_api::{
+    ObjectDraft, ObjectEnvelope, PlatformStore, Precondition, StoreError,
+};
 use prost::Message;
 use serde::{Deserialize, Serialize};
 
+use crate::ledger::settings::LedgerSettings;
+
 /// Kind of the objects that make up the rings of the partitions.
 pub const SEGMENT_KIND: &str = "LedgerSegment";
 /// Kind of the objects that hold what the rings no longer hold.
@@ -74,3 +78,26 @@
     let data = object.spec.get("data")?.as_str()?;
     M::decode(STANDARD.decode(data).ok()?.as_slice()).ok()
 }
+
+/// Reads the layout, or writes it if this is the first node of the deployment.
+pub(super) async fn read_layout<S: PlatformStore>(
+    store: &S,
+    settings: &LedgerSettings,
+) -> Result<LedgerLayout, StoreError> {
+    let own = LedgerLayout { partitions: settings.partitions, ring_slots: settings.ring_slots };
+    let spec = serde_json::to_value(own);
+    let draft = ObjectDraft {
+        kind: LAYOUT_KIND.to_owned(),
+        name: LAYOUT_NAME.to_owned(),
+        spec: spec.map_err(|error| StoreError::Protocol(error.to_string()))?,
+        ..ObjectDraft::default()
+    };
+    let object = match store.get(LAYOUT_KIND, LAYOUT_NAME).await {
+        Err(StoreError::NotFound) => match store.put(draft, Precondition::Absent).await {
+            Err(StoreError::Conflict(Some(object))) => *object,
+            other => other?,
+        },
+        other => other?,
+    };
+    serde_json::from_value(object.spec).map_err(|error| StoreError::Protocol(error.to_string()))
+}
--- a/src/ledger/metrics.rs
+++ b/src/ledger/metrics.rs
@@ -1,13 +1,30 @@
 //! The ledger's counters for Prometheus.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
 use prometheus::core::{Collector, Desc};
 use prometheus::proto::MetricFamily;
 use prometheus::{IntCounter, IntGauge, Registry};
 
-use crate::ledger::partition::LedgerCounters;
+/// Counts of one node's ledger.
+#[derive(Debug, Default)]
+pub struct LedgerCounters {
+    /// Keys remembered.
+    pub keys: AtomicUsize,
+    /// Bytes of answer bodies in memory.
+    pub body_bytes: AtomicUsize,
+    /// Claims made durable.
+    pub claims: AtomicU64,
+    /// Batches made durable.
+    pub segments: AtomicU64,
+    /// Bytes of the records of those batches.
+    pub record_bytes: AtomicU64,
+    /// Batches that met another owner's.
+    pub fenced: AtomicU64,
+    /// Logs read.
+    pub replays: AtomicU64,
+}
 
 /// Reads the counters of one node whenever they are asked for.
 #[derive(Debug)]
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -6,13 +6,18 @@
 //! durable, and records how the request ended.
 
 mod claim;
+mod claim_message;
+mod entry_claim;
 mod key;
 mod log_object;
 mod metrics;
 mod node_ledger;
 mod ownership;
 mod partition;
+mod partition_batch;
+mod partition_flags;
 mod partition_log;
+mod resolved_put;
 mod settings;
 mod table;
 mod transport;
@@ -23,10 +28,9 @@
 };
 pub use self::key::{KeyId, LedgerKey, WallClock};
 pub use self::log_object::{ARCHIVE_KIND, LAYOUT_KIND, LAYOUT_NAME, LedgerLayout, SEGMENT_KIND};
-pub use self::metrics::LedgerMetrics;
+pub use self::metrics::{LedgerCounters, LedgerMetrics};
 pub use self::node_ledger::{LedgerParts, NodeLedger};
 pub use self::ownership::{owner_of, ranked_owner};
-pub use self::partition::LedgerCounters;
 pub use self::settings::{LedgerSettings, MAX_KEPT_BODY_BYTES};
 pub use self::table::EntryIdentity;
 pub use self::transport::{LedgerTransport, NoTransport, TransportError};
--- a/src/ledger/node_ledger.rs
+++ b/src/ledger/node_ledger.rs
@@ -12,23 +12,22 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
-use heatherfall_platform_api::{ObjectDraft, PlatformStore, Precondition, StoreError};
+use heatherfall_platform_api::{PlatformStore, StoreError};
 use tokio::sync::{OnceCell, mpsc, oneshot};
 use tokio::time::Instant;
 
-use crate::core::{GenerationNumber, ResultCode, TenantId, VmId};
-use crate::ledger::claim::{ClaimDecision, ClaimEnd, ClaimIntent, ClaimLedger, ClaimTicket};
-use crate::ledger::key::{KeyId, LedgerKey, WallClock, millis};
-use crate::ledger::log_object::{LAYOUT_KIND, LAYOUT_NAME, LedgerLayout};
+use crate::core::TenantId;
+use crate::ledger::claim_message::{claim_of, close_of, reply};
+use crate::ledger::key::{LedgerKey, WallClock, millis};
+use crate::ledger::log_object::read_layout;
+use crate::ledger::metrics::LedgerCounters;
 use crate::ledger::ownership::{owner_of, ranked_owner};
-use crate::ledger::partition::{
-    EndReceipt, LedgerCounters, OwnershipHint, PartitionAnswer, PartitionCommand, PartitionContext,
-    PartitionFlags, PartitionTask,
-};
+use crate::ledger::partition::{OwnershipHint, PartitionContext, PartitionTask};
+use crate::ledger::partition_batch::{EndReceipt, PartitionAnswer, PartitionCommand};
+use crate::ledger::partition_flags::PartitionFlags;
 use crate::ledger::partition_log::LogSite;
 use crate::ledger::settings::LedgerSettings;
-use crate::ledger::table::{ClaimClose, ClaimId, EntryIdentity, KeyClaim, KeyState};
+use crate::ledger::table::{ClaimClose, EntryIdentity, KeyClaim};
 use crate::ledger::transport::LedgerTransport;
 use crate::membership::{EntryRecord, SharedMembership};
 use crate::peer::generated::ledger::{
@@ -63,7 +62,7 @@
 /// The ledger of one node; clones share it.
 #[derive(Debug)]
 pub struct NodeLedger<S, T> {
-    shared: Arc<LedgerShared<S, T>>,
+    pub(super) shared: Arc<LedgerShared<S, T>>,
 }
 
 impl<S, T> Clone for NodeLedger<S, T> {
@@ -73,18 +72,18 @@
 }
 
 #[derive(Debug)]
-struct LedgerShared<S, T> {
+pub(super) struct LedgerShared<S, T> {
     transport: T,
     random: Mutex<SeededRandom>,
-    context: Arc<PartitionContext<S, ViewOwnership>>,
+    pub(super) context: Arc<PartitionContext<S, ViewOwnership>>,
     partitions: OnceCell<Vec<PartitionHandle>>,
 }
 
 /// Ownership by the membership view at hand.
 #[derive(Debug)]
-struct ViewOwnership {
-    membership: SharedMembership,
-    identity: EntryIdentity,
+pub(super) struct ViewOwnership {
+    pub(super) membership: SharedMembership,
+    pub(super) identity: EntryIdentity,
 }
 
 impl OwnershipHint for ViewOwnership {
@@ -236,7 +235,7 @@
     }
 
     /// Refuses keys that are too old to be remembered, or from the future.
-    fn check_time(&self, time_ms: u64) -> Option<ClaimVerdict> {
+    pub(super) fn check_time(&self, time_ms: u64) -> Option<ClaimVerdict> {
         let settings = &self.shared.context.settings;
         let now = self.shared.context.clock.now_ms();
         if time_ms > now + millis(settings.clock_tolerance) {
@@ -287,7 +286,7 @@
     }
 
     /// Asks the owner, and those that rank after it if it does not serve, until one decides.
-    async fn claim_until_decided(&self, request: &ClaimRequest) -> ClaimReply {
+    pub(super) async fn claim_until_decided(&self, request: &ClaimRequest) -> ClaimReply {
         let mut pause = MIN_ROUTE_PAUSE;
         let mut rank = 0;
         loop {
@@ -303,7 +302,7 @@
         }
     }
 
-    async fn finish_until_recorded(&self, request: FinishRequest) {
+    pub(super) async fn finish_until_recorded(&self, request: FinishRequest) {
         let end = Instant::now() + self.shared.context.settings.finish_patience;
         let mut pause = MIN_ROUTE_PAUSE;
         let mut rank = 0;
@@ -368,112 +367,9 @@
         Ok(handles)
     }
 
-    fn bits(&self) -> u64 {
+    pub(super) fn bits(&self) -> u64 {
         self.shared.random.lock().unwrap_or_else(PoisonError::into_inner).bits()
     }
-
-    fn new_claim_id(&self) -> ClaimId {
-        let mut id = [0; 16];
-        id[..8].copy_from_slice(&self.bits().to_be_bytes());
-        id[8..].copy_from_slice(&self.bits().to_be_bytes());
-        id
-    }
-
-    fn finish_request(&self, ticket: ClaimTicket, end: ClaimEnd) -> FinishRequest {
-        let did_not_run = end == ClaimEnd::DidNotRun;
-        let outcome = match &end {
-            ClaimEnd::Ran(outcome) => Some(outcome.into()),
-            ClaimEnd::DidNotRun | ClaimEnd::Unknown => None,
-        };
-        FinishRequest {
-            tenant: ticket.tenant.as_str().to_owned(),
-            key: ticket.key,
-            claim_id: Bytes::copy_from_slice(&ticket.claim_id),
-            outcome,
-            did_not_run,
-            is_owner_unreachable: false,
-        }
-    }
-}
-
-impl<S: PlatformStore, T: LedgerTransport> ClaimLedger for NodeLedger<S, T> {
-    async fn claim(&self, intent: ClaimIntent) -> ClaimDecision {
-        let Some(key) = LedgerKey::parse(&intent.tenant, &intent.key) else {
-            return ClaimDecision::Refused(ResultCode::KeyMalformed);
-        };
-        if self.check_time(key.time_ms) == Some(ClaimVerdict::Malformed) {
-            return ClaimDecision::Refused(ResultCode::KeyMalformed);
-        }
-        let identity = &self.shared.context.ownership.identity;
-        let claim_id = self.new_claim_id();
-        let request = ClaimRequest {
-            tenant: intent.tenant.as_str().to_owned(),
-            key: intent.key.clone(),
-            request_digest: Bytes::copy_from_slice(&intent.digest),
-            claim_id: Bytes::copy_from_slice(&claim_id),
-            generation: intent.generation.0,
-            entry_vm: identity.vm.as_str().to_owned(),
-            entry_incarnation: identity.incarnation,
-            is_owner_unreachable: false,
-        };
-        let ticket = ClaimTicket { tenant: intent.tenant, key: intent.key, claim_id };
-        let patience = Instant::now() + self.shared.context.settings.claim_patience;
-        let end = patience.min(intent.deadline);
-        let asked = tokio::time::timeout_at(end, self.claim_until_decided(&request)).await;
-        let answer = asked.unwrap_or_else(|_| reply(ClaimVerdict::Unavailable));
-        match answer.verdict() {
-            ClaimVerdict::Granted => ClaimDecision::Granted(ticket),
-            ClaimVerdict::Finished => {
-                ClaimDecision::Finished(answer.outcome.unwrap_or_default().into())
-            }
-            ClaimVerdict::InProgress => ClaimDecision::Refused(ResultCode::KeyInProgress),
-            ClaimVerdict::Unknown => ClaimDecision::Refused(ResultCode::OutcomeUnknown),
-            ClaimVerdict::Mismatch => ClaimDecision::Refused(ResultCode::KeyMismatch),
-            ClaimVerdict::Expired => ClaimDecision::Refused(ResultCode::KeyExpired),
-            ClaimVerdict::Malformed => ClaimDecision::Refused(ResultCode::KeyMalformed),
-            ClaimVerdict::Full => ClaimDecision::Refused(ResultCode::LedgerFull),
-            ClaimVerdict::Unspecified | ClaimVerdict::NotOwner | ClaimVerdict::Unavailable => {
-                self.give_up(ticket);
-                ClaimDecision::Refused(ResultCode::LedgerUnavailable)
-            }
-        }
-    }
-
-    async fn finish(&self, ticket: ClaimTicket, end: ClaimEnd) {
-        self.finish_until_recorded(self.finish_request(ticket, end)).await;
-    }
-}
-
-impl<S: PlatformStore, T: LedgerTransport> NodeLedger<S, T> {
-    /// Frees the key of a claim that was not granted and may be durable all the same.
-    fn give_up(&self, ticket: ClaimTicket) {
-        let ledger = self.clone();
-        let request = self.finish_request(ticket, ClaimEnd::DidNotRun);
-        tokio::spawn(async move { ledger.finish_until_recorded(request).await });
-    }
-}
-
-/// Reads the layout, or writes it if this is the first node of the deployment.
-async fn read_layout<S: PlatformStore>(
-    store: &S,
-    settings: &LedgerSettings,
-) -> Result<LedgerLayout, StoreError> {
-    let own = LedgerLayout { partitions: settings.partitions, ring_slots: settings.ring_slots };
-    let spec = serde_json::to_value(own);
-    let draft = ObjectDraft {
-        kind: LAYOUT_KIND.to_owned(),
-        name: LAYOUT_NAME.to_owned(),
-        spec: spec.map_err(|error| StoreError::Protocol(error.to_string()))?,
-        ..ObjectDraft::default()
-    };
-    let object = match store.get(LAYOUT_KIND, LAYOUT_NAME).await {
-        Err(StoreError::NotFound) => match store.put(draft, Precondition::Absent).await {
-            Err(StoreError::Conflict(Some(object))) => *object,
-            other => other?,
-        },
-        other => other?,
-    };
-    serde_json::from_value(object.spec).map_err(|error| StoreError::Protocol(error.to_string()))
 }
 
 async fn finish_here(handle: &PartitionHandle, close: ClaimClose) -> EndReceipt {
@@ -484,33 +380,3 @@
     }
     rx.await.unwrap_or(EndReceipt::NotSettled)
 }
-
-fn reply(verdict: ClaimVerdict) -> ClaimReply {
-    ClaimReply { verdict: verdict.into(), outcome: None }
-}
-
-/// The claim that a request stands for; `None` if it is malformed.
-fn claim_of(request: &ClaimRequest) -> Option<KeyClaim> {
-    let key = LedgerKey::parse(&TenantId::new(&request.tenant), &request.key)?;
-    Some(KeyClaim {
-        key,
-        digest: request.request_digest.get(..16)?.try_into().ok()?,
-        claim_id: request.claim_id.as_ref().try_into().ok()?,
-        entry: EntryIdentity {
-            vm: VmId::new(&request.entry_vm),
-            incarnation: request.entry_incarnation,
-        },
-        generation: GenerationNumber(request.generation),
-    })
-}
-
-/// The end that a request tells, without the key.
-fn close_of(request: &FinishRequest) -> Option<ClaimClose> {
-    let state = match &request.outcome {
-        Some(outcome) => KeyState::Ran(Arc::new(outcome.clone().into())),
-        None if request.did_not_run => KeyState::Released,
-        None => KeyState::Unknown,
-    };
-    let claim_id = request.claim_id.as_ref().try_into().ok()?;
-    Some(ClaimClose { id: KeyId([0; 16]), claim_id, state })
-}
--- a/src/ledger/partition.rs
+++ b/src/ledger/partition.rs
@@ -5,26 +5,26 @@
 //! claims wait until they can be.
 
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
 use heatherfall_platform_api::PlatformStore;
-use prost::Message;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::ledger::claim::StoredOutcome;
 use crate::ledger::key::{WallClock, millis};
 use crate::ledger::log_object::{LAYOUT_KIND, LAYOUT_NAME};
-use crate::ledger::partition_log::{AppendEnd, LogSite, PartitionLog, StallObserver};
-use crate::ledger::settings::{LedgerSettings, MAX_KEPT_BODY_BYTES};
-use crate::ledger::table::{
-    ClaimClose, EntryIdentity, KeyClaim, KeyState, KeyTable, TableAnswer, TableUndo,
+use crate::ledger::metrics::LedgerCounters;
+use crate::ledger::partition_batch::{
+    EndReceipt, PartitionAnswer, PartitionBatch, PartitionCommand,
 };
+use crate::ledger::partition_flags::PartitionFlags;
+use crate::ledger::partition_log::{AppendEnd, LogSite, PartitionLog};
+use crate::ledger::resolved_put::StallObserver;
+use crate::ledger::settings::LedgerSettings;
+use crate::ledger::table::{KeyTable, TableAnswer};
 use crate::ledger::write_bucket::WriteBucket;
-use crate::peer::generated::ledger::KeyRecord;
 use crate::util::SeededRandom;
 
 /// First pause after the platform has failed.
@@ -36,112 +36,15 @@
 /// Age of the last proof that a table is not out of date, up to which a claim that is in progress
 /// by the table is taken to be so.
 const MAX_VERIFIED_AGE: Duration = Duration::from_millis(500);
-/// Time for which an entry serves a partition in place of an owner that another cannot reach.
-const SUBSTITUTE_TIME: Duration = Duration::from_secs(2);
 /// Ends of claims that are kept while the platform is out, for each partition.
 const MAX_WAITING_ENDS: usize = 4096;
 
-/// What a partition says to a claim.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(super) enum PartitionAnswer {
-    /// The claim is durable and exclusive.
-    Granted,
-    /// Another claim holds the key, without an outcome.
-    Taken(EntryIdentity),
-    /// The request ran.
-    Ran(Arc<StoredOutcome>),
-    /// Nobody knows whether the request ran.
-    Unknown,
-    /// The key was used with another digest.
-    Mismatch,
-    /// The key is older than what is remembered.
-    Expired,
-    /// This node does not own the partition.
-    NotOwner,
-    /// The claim was not granted: the platform cannot take it now.
-    Unavailable,
-    /// The node remembers as many keys as it may.
-    Full,
-}
-
-/// What became of the end of a claim.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum EndReceipt {
-    /// It is durable, or there was no such claim to end.
-    Settled,
-    /// It was not recorded; try again, at the owner.
-    NotSettled,
-}
-
-/// A request to a partition.
-#[derive(Debug)]
-pub(super) enum PartitionCommand {
-    Claim { claim: KeyClaim, reply: oneshot::Sender<PartitionAnswer> },
-    Finish { close: ClaimClose, is_rechecked: bool, reply: oneshot::Sender<EndReceipt> },
-}
-
-/// Counts of one node's ledger.
-#[derive(Debug, Default)]
-pub struct LedgerCounters {
-    /// Keys remembered.
-    pub keys: AtomicUsize,
-    /// Bytes of answer bodies in memory.
-    pub body_bytes: AtomicUsize,
-    /// Claims made durable.
-    pub claims: AtomicU64,
-    /// Batches made durable.
-    pub segments: AtomicU64,
-    /// Bytes of the records of those batches.
-    pub record_bytes: AtomicU64,
-    /// Batches that met another owner's.
-    pub fenced: AtomicU64,
-    /// Logs read.
-    pub replays: AtomicU64,
-}
-
 /// Decides whether this node should serve a partition.
 pub(super) trait OwnershipHint: Send + Sync + 'static {
     /// Whether this node is the one to try.
     fn is_owner(&self, partition: u32) -> bool;
 }
 
-/// What a partition's task and those who ask it tell each other.
-#[derive(Debug, Default)]
-pub(super) struct PartitionFlags {
-    /// The platform's last answer about the partition was a failure, or is missing.
-    is_stalled: AtomicBool,
-    /// Until when the node serves the partition in place of an owner that cannot be reached.
-    substitute_until: Mutex<Option<Instant>>,
-}
-
-impl PartitionFlags {
-    /// Whether claims cannot be made durable now.
-    pub(super) fn is_stalled(&self) -> bool {
-        self.is_stalled.load(Ordering::Relaxed)
-    }
-
-    fn clear(&self) {
-        self.is_stalled.store(false, Ordering::Relaxed);
-    }
-
-    /// Serves the partition for a while, whoever owns it.
-    pub(super) fn substitute(&self) {
-        let until = Instant::now() + SUBSTITUTE_TIME;
-        *self.substitute_until.lock().unwrap_or_else(PoisonError::into_inner) = Some(until);
-    }
-
-    fn is_substitute(&self) -> bool {
-        let until = *self.substitute_until.lock().unwrap_or_else(PoisonError::into_inner);
-        until.is_some_and(|until| Instant::now() < until)
-    }
-}
-
-impl StallObserver for PartitionFlags {
-    fn stalled(&self) {
-        self.is_stalled.store(true, Ordering::Relaxed);
-    }
-}
-
 /// What the tasks of all partitions of a node share.
 #[derive(Debug)]
 pub(super) struct PartitionContext<S, O> {
@@ -168,17 +71,6 @@
     body_bytes: usize,
 }
 
-/// A batch that is about to be written.
-#[derive(Debug, Default)]
-struct PartitionBatch {
-    records: Vec<KeyRecord>,
-    bytes: usize,
-    undos: Vec<TableUndo>,
-    commands: Vec<PartitionCommand>,
-    /// Commands that can be decided about only by a table that is not out of date.
-    unsure: Vec<PartitionCommand>,
-}
-
 /// The task.
 #[derive(Debug)]
 pub(super) struct PartitionTask<S, O> {
@@ -506,73 +398,3 @@
         self.counted = now;
     }
 }
-
-impl PartitionBatch {
-    fn push(&mut self, record: KeyRecord, undo: TableUndo, command: PartitionCommand) {
-        self.bytes += record.encoded_len();
-        self.records.push(record);
-        self.undos.push(undo);
-        self.commands.push(command);
-    }
-
-    fn gather_claim(
-        &mut self,
-        table: &mut KeyTable,
-        sequence: u64,
-        claim: KeyClaim,
-        reply: oneshot::Sender<PartitionAnswer>,
-        answer: TableAnswer,
-    ) {
-        if reply.is_closed() {
-            return;
-        }
-        let answer = match answer {
-            TableAnswer::Full => PartitionAnswer::Full,
-            TableAnswer::Free => {
-                let (record, undo) = table.claim(&claim, sequence);
-                self.push(record, undo, PartitionCommand::Claim { claim, reply });
-                return;
-            }
-            TableAnswer::Held => {
-                self.commands.push(PartitionCommand::Claim { claim, reply });
-                return;
-            }
-            TableAnswer::Taken(entry) => PartitionAnswer::Taken(entry),
-            TableAnswer::Ran(outcome) => PartitionAnswer::Ran(outcome),
-            TableAnswer::Unknown => PartitionAnswer::Unknown,
-            TableAnswer::Mismatch => PartitionAnswer::Mismatch,
-            TableAnswer::Expired => PartitionAnswer::Expired,
-            TableAnswer::GivenUp => PartitionAnswer::Unavailable,
-        };
-        let _ = reply.send(answer);
-    }
-}
-
-impl PartitionCommand {
-    /// Whether the command may wait for others to share a write with.
-    fn is_patient(&self) -> bool {
-        match self {
-            Self::Claim { .. } => false,
-            Self::Finish { close, .. } => close.state != KeyState::Released,
-        }
-    }
-
-    fn reject(self, answer: PartitionAnswer) {
-        match self {
-            Self::Claim { reply, .. } => drop(reply.send(answer)),
-            Self::Finish { reply, .. } => drop(reply.send(EndReceipt::NotSettled)),
-        }
-    }
-}
-
-impl ClaimClose {
-    /// Drops the body of an outcome that is longer than `max_bytes`.
-    fn bound_body(&mut self, max_bytes: usize) {
-        let KeyState::Ran(outcome) = &mut self.state else { return };
-        if outcome.body.len() > max_bytes.min(MAX_KEPT_BODY_BYTES) {
-            let outcome = Arc::make_mut(outcome);
-            outcome.body = Bytes::new();
-            outcome.is_body_dropped = true;
-        }
-    }
-}
--- a/src/ledger/partition_log.rs
+++ b/src/ledger/partition_log.rs
@@ -10,27 +10,22 @@
 //! names them.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use futures_util::stream::{self, StreamExt, TryStreamExt};
-use heatherfall_platform_api::{ObjectDraft, PlatformStore, Precondition, Revision, StoreError};
+use heatherfall_platform_api::{PlatformStore, Precondition, Revision, StoreError};
 use prost::Message;
 
 use crate::ledger::log_object::{
     ARCHIVE_KIND, LedgerLayout, ObjectPlace, SEGMENT_KIND, decode, encode, name_prefix, slot_name,
     slot_of,
 };
+use crate::ledger::resolved_put::{PutEnd, StallObserver, put_resolved};
 use crate::ledger::table::KeyTable;
 use crate::peer::generated::ledger::{ArchiveRef, KeyRecord, LedgerArchive, LedgerSegment};
 use crate::util::SeededRandom;
 
 /// Archives that are read at the same time.
 const PARALLEL_READS: usize = 8;
-/// First pause before a write whose effect is unknown is sent again.
-const MIN_RESOLVE_PAUSE: Duration = Duration::from_millis(50);
-/// Longest such pause.
-const MAX_RESOLVE_PAUSE: Duration = Duration::from_secs(1);
-
 /// How an append ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum AppendEnd {
@@ -53,12 +48,6 @@
     NotWhole(String),
 }
 
-/// Called while a write's effect is unknown.
-pub(super) trait StallObserver {
-    /// The last write has neither succeeded nor failed.
-    fn stalled(&self);
-}
-
 /// Who writes, and where.
 #[derive(Clone, Debug)]
 pub(super) struct LogSite {
@@ -367,48 +356,3 @@
     let object = store.get(ARCHIVE_KIND, name).await?;
     decode(&object).ok_or_else(|| LoadError::NotWhole(format!("archive unreadable name={name}")))
 }
-
-/// How a write ended whose every doubt has been resolved.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum PutEnd {
-    Written(Revision),
-    NoEffect,
-    Conflict,
-}
-
-/// Writes, and after a lost answer writes the same again until the platform says what happened:
-/// a conflict with our own change id means that an earlier try took effect.
-async fn put_resolved<S: PlatformStore>(
-    store: &S,
-    draft: ObjectDraft,
-    precondition: Precondition,
-    observer: &impl StallObserver,
-) -> PutEnd {
-    let mut is_in_doubt = false;
-    let mut pause = MIN_RESOLVE_PAUSE;
-    loop {
-        match store.put(draft.clone(), precondition).await {
-            Ok(object) => return PutEnd::Written(object.spec_version),
-            Err(StoreError::Conflict(Some(object))) if object.change_id == draft.change_id => {
-                return PutEnd::Written(object.spec_version);
-            }
-            Err(StoreError::Conflict(Some(_))) => return PutEnd::Conflict,
-            Err(StoreError::Conflict(None)) => match store.get(&draft.kind, &draft.name).await {
-                Ok(object) if object.change_id == draft.change_id => {
-                    return PutEnd::Written(object.spec_version);
-                }
-                Ok(_) | Err(StoreError::NotFound) => return PutEnd::Conflict,
-                Err(_) => is_in_doubt = true,
-            },
-            Err(error) => {
-                is_in_doubt |= error.is_effect_unknown();
-                if !is_in_doubt {
-                    return PutEnd::NoEffect;
-                }
-            }
-        }
-        observer.stalled();
-        tokio::time::sleep(pause).await;
-        pause = (pause * 2).min(MAX_RESOLVE_PAUSE);
-    }
-}
--- /dev/null
+++ b/tests/testsuite/keyed_requests.rs
@@ -0,0 +1,132 @@
+//! Keyed requests through the request plane of one entry, on the paused clock.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use heatherfall::balance::RandomPicker;
+use heatherfall::core::BudgetSpec;
+use heatherfall::ledger::{ClaimDecision, ClaimEnd, ClaimIntent, ClaimLedger, ClaimTicket};
+use heatherfall::membership::ConfigFreshness;
+use heatherfall::request::{ExchangeSettings, RequestPlane};
+use heatherfall::util::SeededRandom;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::BodyExt;
+use serde_json::json;
+
+use crate::support::{
+    FakeClient, FakeStep, TEST_ORIGIN_MS, TestLedger, plane_fixture, single_ledger,
+};
+
+/// Grants after a time of its own.
+struct SlowLedger {
+    inner: TestLedger,
+    delay: Duration,
+}
+
+impl ClaimLedger for SlowLedger {
+    async fn claim(&self, intent: ClaimIntent) -> ClaimDecision {
+        let decision = self.inner.claim(intent).await;
+        tokio::time::sleep(self.delay).await;
+        decision
+    }
+
+    async fn finish(&self, ticket: ClaimTicket, end: ClaimEnd) {
+        self.inner.finish(ticket, end).await;
+    }
+}
+
+type KeyedPlane = RequestPlane<FakeClient, RandomPicker, SlowLedger>;
+
+fn plane(client: &FakeClient, ledger: &TestLedger, delay: Duration) -> KeyedPlane {
+    RequestPlane::new(
+        plane_fixture(json!({ "deadline": "1s" }), BudgetSpec::default()),
+        client.clone(),
+        RandomPicker::new(SeededRandom::new(7)),
+        SlowLedger { inner: ledger.clone(), delay },
+        Arc::new(ConfigFreshness::default()),
+        ExchangeSettings::default(),
+    )
+}
+
+struct KeyedAnswer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+async fn send(plane: &KeyedPlane, path: &str, id: &str) -> KeyedAnswer {
+    let builder = Request::builder()
+        .method("POST")
+        .uri(path)
+        .header("x-request-id", id)
+        .header("idempotency-key", format!("{TEST_ORIGIN_MS}-k"));
+    let (parts, ()) = builder.body(()).unwrap().into_parts();
+    let admission = plane.admit(&parts).expect("route selects it");
+    let response = plane.run(admission, parts, Bytes::new()).await;
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await.expect("a whole answer").to_bytes();
+    KeyedAnswer { status: parts.status, headers: parts.headers, body }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_whose_caller_leaves_goes_on_and_its_outcome_is_kept() {
+    let client = FakeClient::new(vec![FakeStep::answer(50)]);
+    let plane = plane(&client, &single_ledger(), Duration::ZERO);
+    let left = tokio::time::timeout(Duration::from_millis(20), send(&plane, "/write", "a")).await;
+    assert!(left.is_err());
+    let early = send(&plane, "/write", "b").await;
+    assert_eq!(early.status, StatusCode::CONFLICT);
+    assert_eq!(early.headers["heatherfall-result"], "HF-1020");
+    assert!(early.headers.contains_key("retry-after"));
+    assert!(!early.headers.contains_key("heatherfall-not-run"));
+    plane.keyed_tasks().close();
+    plane.keyed_tasks().wait().await;
+    let repeat = send(&plane, "/write", "c").await;
+    assert_eq!((repeat.status, repeat.body.as_ref()), (StatusCode::OK, b"a".as_slice()));
+    assert_eq!(repeat.headers["heatherfall-replayed"], "true");
+    let runs = ["a", "b", "c"].map(|id| client.ledger.runs_of(id));
+    assert_eq!(runs, [1, 0, 0]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_grant_that_comes_after_the_deadline_is_released_and_not_dispatched() {
+    let client = FakeClient::new(vec![FakeStep::answer(1)]);
+    let ledger = single_ledger();
+    let late = send(&plane(&client, &ledger, Duration::from_secs(2)), "/write", "late").await;
+    assert_eq!(late.headers["heatherfall-result"], "HF-1003");
+    assert_eq!(late.headers["heatherfall-not-run"], "true");
+    assert_eq!(client.ledger.attempts(), 0);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let next = send(&plane(&client, &ledger, Duration::ZERO), "/write", "next").await;
+    assert_eq!((next.status, next.body.as_ref()), (StatusCode::OK, b"next".as_slice()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn without_a_confirmed_configuration_every_request_with_a_key_is_claimed() {
+    let client = FakeClient::new(vec![FakeStep::answer(1)]);
+    let plane = plane(&client, &single_ledger(), Duration::ZERO);
+    let first = send(&plane, "/read", "a").await;
+    assert_eq!(first.body.as_ref(), b"a");
+    plane.keyed_tasks().close();
+    plane.keyed_tasks().wait().await;
+    let repeat = send(&plane, "/read", "b").await;
+    assert_eq!(repeat.body.as_ref(), b"a");
+    assert_eq!(client.ledger.runs_of("b"), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_too_long_to_keep_is_passed_on_whole_and_repeats_learn_that_it_ran() {
+    let client = FakeClient::new(vec![FakeStep::answer(1)]);
+    let plane = plane(&client, &single_ledger(), Duration::ZERO);
+    // The fake upstream answers with the identity of the request.
+    let long = "x".repeat(5000);
+    let first = send(&plane, "/write", &long).await;
+    assert_eq!(first.body.len(), 5000);
+    plane.keyed_tasks().close();
+    plane.keyed_tasks().wait().await;
+    let repeat = send(&plane, "/write", "b").await;
+    assert_eq!(repeat.status, StatusCode::CONFLICT);
+    assert_eq!(repeat.headers["heatherfall-result"], "HF-1026");
+    assert!(!repeat.headers.contains_key("heatherfall-not-run"));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod exchange_state;
 mod experiment;
 mod generations;
+mod keyed_requests;
 mod leases;
 mod ledger;
 mod ledger_race;
