--- a/src/bin/heatherfall-load/main.rs
+++ b/src/bin/heatherfall-load/main.rs
@@ -2,6 +2,8 @@
 
 mod compare;
 mod experiment;
+mod ledger;
+mod path;
 mod run;
 mod slopes;
 
@@ -25,6 +27,10 @@
     Compare(compare::CompareArgs),
     /// Compares policies for choosing upstreams, without sockets.
     Experiment(experiment::ExperimentArgs),
+    /// Measures what an entry adds to a call, in one process with stand-ins.
+    Path(path::PathArgs),
+    /// Measures the at-most-once ledger, without sockets.
+    Ledger(ledger::LedgerArgs),
     /// Measures how state and work grow with targets and rules.
     Slopes(slopes::SlopeArgs),
 }
@@ -34,6 +40,8 @@
         LoadCommand::Run(args) => run::execute(args),
         LoadCommand::Compare(args) => compare::execute(&args),
         LoadCommand::Experiment(args) => experiment::execute(&args),
+        LoadCommand::Path(args) => path::execute(&args),
+        LoadCommand::Ledger(args) => ledger::execute(&args),
         LoadCommand::Slopes(args) => slopes::execute(&args),
     }
 }
--- a/src/ops/load/report.rs
+++ b/src/ops/load/report.rs
@@ -12,8 +12,8 @@
 
 /// Significant digits of recorded latencies.
 const HISTOGRAM_DIGITS: u8 = 3;
-/// Longest recorded latency, in microseconds; longer ones count as this long.
-const MAX_LATENCY_US: u64 = 3_600_000_000;
+/// Longest latency that is told apart, in microseconds.
+const MAX_LATENCY_US: u64 = 60_000_000;
 /// Steps for each halving of the distance to the 100th percentile.
 const POINTS_PER_HALF: u32 = 4;
 
--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -19,7 +19,7 @@
     ConfigService, ConfigServiceArgs, DrainService, DrainServiceArgs, MembershipService,
     ProbeMetrics, ProbeService, ProbeServiceArgs, ServiceKernel, ServiceName,
 };
-use crate::ledger::{EntryIdentity, LedgerParts, LedgerSettings, NodeLedger, WallClock};
+use crate::ledger::{EntryIdentity, LedgerMetrics, LedgerParts, NodeLedger, WallClock};
 use crate::membership::{
     AddressBook, AssignmentSettings, ConfigFreshness, ControlNode, EntryState,
     MembershipDriverArgs, NodeIdentity, SharedMembership,
@@ -36,7 +36,7 @@
 use crate::request::{ExchangeSettings, RequestPlane};
 use crate::serve::{
     AdminServer, CallerServer, CallerServerSettings, ConnectionPool, FrontService, FrontSettings,
-    HttpUpstreamClient, LatencyMetrics, LeaveSwitch, PoolSettings,
+    HttpUpstreamClient, LatencyMetrics, LeaveSwitch, LimitMetrics, PoolSettings,
 };
 use crate::util::SeededRandom;
 
@@ -195,7 +195,7 @@
         membership: Arc::clone(&membership),
         control: Arc::clone(&control),
     });
-    let admin = AdminServer::bind(settings.listen.admin, registry, Arc::clone(&status))
+    let admin = AdminServer::bind(settings.listen.admin, registry.clone(), Arc::clone(&status))
         .await
         .into_diagnostic()
         .wrap_err_with(|| listen_failed(settings.listen.admin))?;
@@ -237,8 +237,9 @@
         identity: EntryIdentity { vm: VmId::new(&settings.vm), incarnation },
         clock: WallClock::system(),
         random: SeededRandom::from_entropy(),
-        settings: LedgerSettings::default(),
+        settings: settings.ledger.limits(),
     });
+    LedgerMetrics::register(&registry, Arc::clone(ledger.counters())).into_diagnostic()?;
     let prepared = ledger.clone();
     tokio::spawn(async move { prepared.prepare().await });
     let plane = RequestPlane::new(
@@ -259,6 +260,7 @@
         max_held_bytes: limits.max_held_bytes,
         ..FrontSettings::default()
     };
+    LimitMetrics::register(&registry, plane.limits()).into_diagnostic()?;
     let keyed_tasks = plane.keyed_tasks();
     let front: Arc<NodeFront<S>> =
         Arc::new(FrontService::new(plane, addresses, metrics, front_settings));
