--- a/src/bin/heatherfall-load/main.rs
+++ b/src/bin/heatherfall-load/main.rs
@@ -2,6 +2,7 @@
 
 mod compare;
 mod experiment;
+mod ledger;
 mod path;
 mod run;
 mod slopes;
@@ -28,6 +29,8 @@
     Experiment(experiment::ExperimentArgs),
     /// Measures what an entry adds to a call, in one process with stand-ins.
     Path(path::PathArgs),
+    /// Measures the at-most-once ledger, without sockets.
+    Ledger(ledger::LedgerArgs),
     /// Measures how state and work grow with targets and rules.
     Slopes(slopes::SlopeArgs),
 }
@@ -38,6 +41,7 @@
         LoadCommand::Compare(args) => compare::execute(&args),
         LoadCommand::Experiment(args) => experiment::execute(&args),
         LoadCommand::Path(args) => path::execute(&args),
+        LoadCommand::Ledger(args) => ledger::execute(&args),
         LoadCommand::Slopes(args) => slopes::execute(&args),
     }
 }
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -4,6 +4,7 @@
 pub mod dev;
 pub mod experiment;
 pub mod explain;
+pub mod ledger_bench;
 pub mod load;
 pub mod log_output;
 pub mod node;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod leases;
 mod ledger;
 mod ledger_race;
+mod ledger_wire;
 mod limits;
 mod load;
 mod load_picker;
