--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,8 @@
 mod exchange_state;
 mod experiment;
 mod generations;
+mod keyed_requests;
+mod hostile_input;
 mod leases;
 mod ledger;
 mod ledger_race;
