tests: run fleets through random faults from fixed seeds

Checked: with the age of confirmations ignored over hops this test still passes, since its faults never leave a relay without the platform that its children go on asking; a test of the hops by themselves was added, and it fails then.

--- /dev/null
+++ b/tests/testsuite/fleet_faults.rs
@@ -0,0 +1,153 @@
+//! Random faults on whole fleets, from fixed seeds.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use heatherfall::config::{GENERATION_KIND, GENERATION_NAME};
+use heatherfall::membership::MAX_CONFIRMED_AGE;
+use heatherfall::platform::PlatformStore;
+use heatherfall::util::SeededRandom;
+use heatherfall_standins::platform::{FaultSettings, StandinPlatform};
+use tokio::time::Instant;
+
+use crate::support::ControlFleet;
+
+/// Nodes of the fleet, in three failure domains.
+const NODES: usize = 9;
+/// Seeds of the runs.
+const SEEDS: std::ops::Range<u64> = 0..24;
+/// Faults of one run.
+const STEPS: usize = 30;
+/// Time between two looks at the fleet.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// What was published when, and what each node applied.
+#[derive(Default)]
+struct Witness {
+    published: Vec<(u64, Instant)>,
+    applied: BTreeMap<usize, u64>,
+}
+
+impl Witness {
+    async fn look(&mut self, fleet: &ControlFleet, seed: u64) {
+        // Reads past the faults: the newest generation as the store has it.
+        let faults = fleet.platform.faults();
+        fleet.platform.set_faults(FaultSettings::default());
+        let newest = fleet.platform.get(GENERATION_KIND, GENERATION_NAME).await;
+        fleet.platform.set_faults(faults);
+        let newest = newest.map_or(0, |object| object.spec["number"].as_u64().unwrap_or(0));
+        let last = self.published.last().map_or(0, |last| last.0);
+        assert!(newest >= last, "seed {seed}: generation {newest} after {last}");
+        if newest > last {
+            self.published.push((newest, Instant::now()));
+        }
+        let mut required = 0;
+        for (number, seen) in &self.published {
+            if seen.elapsed() > MAX_CONFIRMED_AGE {
+                required = *number;
+            }
+        }
+        for (index, node) in &fleet.nodes {
+            let applied = node.generation();
+            let before = self.applied.insert(*index, applied).unwrap_or(0);
+            assert!(applied >= before, "seed {seed}: node {index} from {before} to {applied}");
+            if node.freshness.is_confirmed() {
+                assert!(
+                    applied >= required,
+                    "seed {seed}: node {index} counts {applied} as the newest, {required} is due"
+                );
+            }
+        }
+    }
+
+    async fn watch(&mut self, fleet: &ControlFleet, time: Duration, seed: u64) {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            self.look(fleet, seed).await;
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+}
+
+fn random_faults(random: &mut SeededRandom) -> FaultSettings {
+    let none = FaultSettings::default();
+    match random.below(7) {
+        0 => FaultSettings { down: true, ..none },
+        1 => FaultSettings { delay: Duration::from_millis(400), ..none },
+        2 => FaultSettings { lose_write_answers: 5, ..none },
+        3 => FaultSettings { silent_watches: true, ..none },
+        4 => FaultSettings { stale_revisions: 3, ..none },
+        5 => FaultSettings { freeze_vm_list: true, ..none },
+        _ => none,
+    }
+}
+
+async fn apply_step(
+    fleet: &mut ControlFleet,
+    witness: &mut Witness,
+    random: &mut SeededRandom,
+    changes: &mut u32,
+) {
+    let index = random.below(NODES);
+    match random.below(8) {
+        0 if fleet.nodes.len() > 3 && fleet.nodes.contains_key(&index) => {
+            fleet.kill(index, random.below(2) == 0);
+            witness.applied.remove(&index);
+        }
+        1 | 2 if !fleet.nodes.contains_key(&index) => {
+            fleet.start(index, vec![ControlFleet::address_of(random.below(NODES))]);
+        }
+        3 => fleet.cut_off(index),
+        4 => fleet.heal(index),
+        5 => fleet.platform.set_faults(random_faults(random)),
+        _ => {
+            *changes += 1;
+            write(&fleet.platform, *changes).await;
+        }
+    }
+}
+
+/// Writes as an operator whose own calls do not fail.
+async fn write(platform: &StandinPlatform, change: u32) {
+    let faults = platform.faults();
+    platform.set_faults(FaultSettings::default());
+    let fleet = ControlFleet::on(platform.clone());
+    fleet.apply_upstream("lookups-0", change).await;
+    platform.set_faults(faults);
+}
+
+async fn run(seed: u64) {
+    let mut random = SeededRandom::new(seed);
+    let mut fleet = ControlFleet::started(NODES, 3).await;
+    let mut witness = Witness::default();
+    let mut changes = 1;
+    for _ in 0..STEPS {
+        apply_step(&mut fleet, &mut witness, &mut random, &mut changes).await;
+        let pause = Duration::from_millis(50 + random.below(4000) as u64);
+        witness.watch(&fleet, pause, seed).await;
+    }
+    fleet.platform.set_faults(FaultSettings::default());
+    for index in 0..NODES {
+        fleet.heal(index);
+    }
+    changes += 1;
+    write(&fleet.platform, changes).await;
+    witness.watch(&fleet, Duration::from_secs(15), seed).await;
+    let live = fleet.nodes.len();
+    fleet
+        .wait(&format!("seed {seed}"), |node| {
+            let snapshot = node.snapshot.load();
+            let slots = snapshot.as_ref().and_then(|one| one.upstreams.values().next());
+            slots.is_some_and(|upstream| upstream.spec.slots == changes)
+                && node.ready() == live
+                && node.freshness.is_confirmed()
+        })
+        .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_node_goes_back_or_counts_a_replaced_generation_as_the_newest_whatever_fails() {
+    for seed in SEEDS {
+        run(seed).await;
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod exchange_state;
 mod experiment;
+mod fleet_faults;
 mod generations;
 mod leases;
 mod ledger;
--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -184,3 +184,28 @@
     assert!(!exchange(&restarted).await);
     assert!(restarted.node_generations().iter().any(|node| node.vm.as_str() == "entry-001"));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_confirmation_grows_old_over_every_hop_and_none_comes_from_a_parent_that_never_had_one() {
+    let address = "10.0.0.0:7400".parse().expect("an address");
+    let to = ParentCandidate { vm: String::new(), address, is_own_domain: true };
+    let (relay, middle, leaf) = (node(0), node(1), node(2));
+    let ask = async |child: &ControlNode, parent: &ControlNode| {
+        let request = child.request(&to, HeartbeatSource::Tree);
+        let sent = tokio::time::Instant::now();
+        let reply = parent.answer(request).await;
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        child.take_reply(&to, reply, sent);
+    };
+    ask(&middle, &relay).await;
+    assert_eq!(middle.confirmed_age(), None);
+    relay.confirm(Duration::from_secs(1));
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    ask(&middle, &relay).await;
+    ask(&leaf, &middle).await;
+    let (top, bottom) = (relay.confirmed_age(), leaf.confirmed_age());
+    assert!(bottom >= top && bottom >= Some(Duration::from_secs(11)), "{top:?} {bottom:?}");
+    // Waiting is not counted twice: the two ways of 30 ms are what may be added.
+    let added = bottom.expect("confirmed") - top.expect("confirmed");
+    assert!(added < Duration::from_millis(100), "{added:?}");
+}
--- a/tests/testsuite/support/control_fleet.rs
+++ b/tests/testsuite/support/control_fleet.rs
@@ -182,6 +182,14 @@
     tasks: Vec<tokio::task::JoinHandle<()>>,
 }
 
+impl Drop for FleetNode {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
 impl FleetNode {
     pub(crate) fn generation(&self) -> u64 {
         self.node.holder().number().0
@@ -213,6 +221,11 @@
         }
     }
 
+    /// A fleet without nodes on a platform that exists.
+    pub(crate) fn on(platform: StandinPlatform) -> Self {
+        Self { platform, ..Self::new(1) }
+    }
+
     /// A fleet of `size` nodes that all apply a first configuration.
     pub(crate) async fn started(size: usize, domains: usize) -> Self {
         let mut fleet = Self::new(domains);
@@ -310,9 +323,6 @@
     /// Ends a node without a word; calls to it are refused, or with `is_silent` never answered.
     pub(crate) fn kill(&mut self, index: usize, is_silent: bool) {
         let node = self.nodes.remove(&index).expect("node runs");
-        for task in &node.tasks {
-            task.abort();
-        }
         self.network.leave(node.address);
         if is_silent {
             self.network.silence(node.address);
@@ -322,9 +332,9 @@
 
     /// Stops a node that has been told that it leaves.
     pub(crate) async fn stop(&mut self, index: usize) {
-        let node = self.nodes.remove(&index).expect("node runs");
+        let mut node = self.nodes.remove(&index).expect("node runs");
         node.stop.cancel();
-        for task in node.tasks {
+        for task in std::mem::take(&mut node.tasks) {
             task.await.expect("task ends");
         }
         self.network.leave(node.address);
@@ -336,6 +346,11 @@
         self.network.silent.lock().unwrap().insert(Self::address_of(index));
     }
 
+    /// Ends what [`ControlFleet::cut_off`] began.
+    pub(crate) fn heal(&self, index: usize) {
+        self.network.silent.lock().unwrap().remove(&Self::address_of(index));
+    }
+
     /// The relay of a failure domain.
     pub(crate) fn relay_of(&self, domain: usize) -> Option<usize> {
         let mut indexes = self.nodes.iter().filter(|(index, _)| *index % self.domains == domain);
