--- a/src/peer/ledger_service.rs
+++ b/src/peer/ledger_service.rs
@@ -1,8 +1,10 @@
 //! The ledger's calls between entry nodes, over `tonic`.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use tokio::time::Instant;
 use tonic::service::interceptor::InterceptedService;
 use tonic::transport::Channel;
 use tonic::{Request, Response, Status, async_trait};
@@ -15,9 +17,13 @@
 use crate::peer::generated::ledger::{ClaimReply, ClaimRequest, FinishReply, FinishRequest};
 use crate::peer::transport::PeerChannels;
 use crate::platform::PlatformStore;
+use crate::util::FastMap;
 
-/// Time for the answer of an owner, which may have to wait for the platform.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for the answer of an owner, which may have to wait for the platform. Shorter than the
+/// patience of a claim, so that another entry can still be asked.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which an entry that gave no answer is not asked again.
+const SUSPECT_TIME: Duration = Duration::from_secs(2);
 
 /// Answers other entries' ledger requests.
 #[derive(Debug)]
@@ -51,18 +57,23 @@
 pub struct TonicLedgerTransport {
     channels: PeerChannels,
     auth: PeerAuth,
+    /// Entries that gave no answer, and until when they are not asked.
+    suspects: Arc<Mutex<FastMap<SocketAddr, Instant>>>,
 }
 
 impl TonicLedgerTransport {
     /// Creates a transport that signs its calls with `auth`.
     pub fn new(channels: PeerChannels, auth: PeerAuth) -> Self {
-        Self { channels, auth }
+        Self { channels, auth, suspects: Arc::default() }
     }
 
     fn client(
         &self,
         to: SocketAddr,
     ) -> Result<ClaimLedgerClient<InterceptedService<Channel, PeerAuth>>, TransportError> {
+        if self.is_suspect(to) {
+            return Err(TransportError("gave no answer just now".to_owned()));
+        }
         let channel = self.channels.channel(to);
         let channel = channel.map_err(|error| TransportError(error.to_string()))?;
         Ok(ClaimLedgerClient::with_interceptor(channel, self.auth.clone()))
@@ -80,8 +91,23 @@
             Err(_) => format!("no answer in {ANSWER_TIMEOUT:?}"),
         };
         self.channels.forget(to);
+        self.suspects().insert(to, Instant::now() + SUSPECT_TIME);
         Err(TransportError(reason))
     }
+
+    fn is_suspect(&self, to: SocketAddr) -> bool {
+        let mut suspects = self.suspects();
+        let Some(until) = suspects.get(&to) else { return false };
+        if Instant::now() < *until {
+            return true;
+        }
+        suspects.remove(&to);
+        false
+    }
+
+    fn suspects(&self) -> MutexGuard<'_, FastMap<SocketAddr, Instant>> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl LedgerTransport for TonicLedgerTransport {
