request: say "not run" of a key only under its claim

It was true of the repeat and false of the donation. Ruled out: a second run (there was none).

Change: a request with an idempotency key that is refused without its claim carries heatherfall-not-dispatched instead, which speaks of this send alone; heatherfall-not-run is said of a key only by the send that held its claim. The standing check of the scenarios takes every code again.

Also: the first attempt of an idempotent request leaves half of the time to another one, as long as the configuration is confirmed. A lookup that met a silent connection before latencies were known was lost to its 2 s deadline.

Conclusion: the promise about "not run" holds over all sends of a key.

--- a/src/core/header.rs
+++ b/src/core/header.rs
@@ -4,6 +4,9 @@
 pub const RESULT_CODE_HEADER: &str = "heatherfall-result";
 /// Present on an answer to a caller only when the request provably did not run.
 pub const NOT_RUN_HEADER: &str = "heatherfall-not-run";
+/// Present on a refusal of a request with an idempotency key that this send got no claim for: no
+/// upstream saw this send, while an earlier send with the same key may have run.
+pub const NOT_DISPATCHED_HEADER: &str = "heatherfall-not-dispatched";
 /// Remaining time for the call in milliseconds, set by callers and on every attempt.
 pub const DEADLINE_HEADER: &str = "heatherfall-deadline-ms";
 /// Attempts beside the first that a call may make, set on every attempt for the calls below it.
--- a/src/request/answer.rs
+++ b/src/request/answer.rs
@@ -6,16 +6,19 @@
 
 use bytes::Bytes;
 use http::header::{self, CONTENT_TYPE};
-use http::{HeaderValue, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 use tokio::time::{Instant, Sleep};
 
-use crate::core::{NOT_RUN_HEADER, RESULT_CODE_HEADER, ResultCode, UPSTREAM_NOT_RUN_HEADER};
+use crate::core::{
+    IDEMPOTENCY_KEY_HEADER, NOT_DISPATCHED_HEADER, NOT_RUN_HEADER, RESULT_CODE_HEADER, ResultCode,
+    UPSTREAM_NOT_RUN_HEADER,
+};
 use crate::request::relay::RelayedBody;
 
 /// Headers that only this node may set on answers to its callers.
-pub(super) const OWN_ANSWER_HEADERS: [&str; 3] =
-    [NOT_RUN_HEADER, RESULT_CODE_HEADER, UPSTREAM_NOT_RUN_HEADER];
+pub(super) const OWN_ANSWER_HEADERS: [&str; 4] =
+    [NOT_DISPATCHED_HEADER, NOT_RUN_HEADER, RESULT_CODE_HEADER, UPSTREAM_NOT_RUN_HEADER];
 
 /// Time after which a refused caller may come back.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -159,6 +162,32 @@
     response
 }
 
+/// Builds a refusal of a request with `headers` that holds no claim.
+///
+/// An earlier send with the same idempotency key may have run, so such a request is told that this
+/// send was not dispatched, and not that the request did not run.
+pub fn refusal_without_claim<B: Body, G>(
+    headers: &HeaderMap,
+    code: ResultCode,
+) -> CallerAnswer<B, G> {
+    tell_of_send_only(headers, refusal(code))
+}
+
+/// Turns a refusal as not run into one that speaks of this send alone, if the request with
+/// `headers` carries an idempotency key.
+pub(super) fn tell_of_send_only<B: Body, G>(
+    headers: &HeaderMap,
+    mut response: CallerAnswer<B, G>,
+) -> CallerAnswer<B, G> {
+    if !headers.contains_key(IDEMPOTENCY_KEY_HEADER) {
+        return response;
+    }
+    if let Some(mark) = response.headers_mut().remove(NOT_RUN_HEADER) {
+        response.headers_mut().insert(NOT_DISPATCHED_HEADER, mark);
+    }
+    response
+}
+
 /// Whether the code promises that no upstream ran the request.
 ///
 /// Codes are listed one by one, so that a new one promises nothing by accident.
--- a/src/request/exchange.rs
+++ b/src/request/exchange.rs
@@ -214,7 +214,7 @@
         route: &RouteRecord,
         tools: &ExchangeTools<'_, C, P>,
     ) -> FinishedAttempt<C::Body> {
-        let request = self.request_of(start.role, route);
+        let request = self.request_of(start.role, route, tools.freshness.is_confirmed());
         let deadline = request.deadline;
         let ratios = &self.snapshot.budget;
         let watch = AttemptWatch::new(tools.picker, &start.upstream, &self.limits, ratios);
@@ -231,15 +231,27 @@
         FinishedAttempt { index: start.index, end, answer, inflight: start.inflight }
     }
 
-    fn request_of(&self, role: AttemptRole, route: &RouteRecord) -> AttemptRequest {
+    fn request_of(
+        &self,
+        role: AttemptRole,
+        route: &RouteRecord,
+        is_confirmed: bool,
+    ) -> AttemptRequest {
         let is_idempotent = self.class.mode == IdempotenceMode::Idempotent;
         let now = Instant::now();
-        let attempt_end = now + route.spec.retry.attempt_timeout;
-        let deadline = if is_idempotent { attempt_end.min(self.deadline) } else { self.deadline };
+        let allowance = self.passed_allowance(role, route);
+        let mut deadline = self.deadline;
+        if is_idempotent {
+            deadline = deadline.min(now + route.spec.retry.attempt_timeout);
+        }
+        if is_idempotent && is_confirmed && allowance > 0 {
+            // The first attempt may meet a connection that has gone silent: half of the time is
+            // kept for another one.
+            deadline = deadline.min(now + self.deadline.saturating_duration_since(now) / 2);
+        }
         let connection =
             if is_idempotent { ConnectionChoice::Pooled } else { ConnectionChoice::Proven };
         let remaining = deadline.saturating_duration_since(now);
-        let allowance = self.passed_allowance(role, route);
         let mut headers = self.headers.clone();
         headers.insert(DEADLINE_HEADER, HeaderValue::from(remaining.as_millis() as u64));
         headers.insert(RETRY_ALLOWANCE_HEADER, HeaderValue::from(allowance));
--- a/src/request/keyed.rs
+++ b/src/request/keyed.rs
@@ -20,7 +20,9 @@
 };
 use crate::limits::GatePermit;
 use crate::membership::ConfigFreshness;
-use crate::request::answer::{AnswerBody, AnswerStream, is_not_run, refusal};
+use crate::request::answer::{
+    AnswerBody, AnswerStream, is_not_run, refusal, refusal_without_claim,
+};
 use crate::request::attempt::UpstreamClient;
 use crate::request::exchange::{ExchangeEnd, RequestExchange};
 use crate::request::plane::{PlaneAnswer, PlaneCore, clean_answer_headers};
@@ -82,7 +84,7 @@
                 let _ = answer.send(replayed::<C>(outcome));
             }
             ClaimDecision::Refused(code) => {
-                let _ = answer.send(refusal(code));
+                let _ = answer.send(refusal_without_claim(&exchange.headers, code));
             }
         }
     }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -21,6 +21,7 @@
 
 pub use self::answer::{
     AnswerBody, AnswerError, AnswerStream, CallerAnswer, is_not_run, refusal, refusal_after,
+    refusal_without_claim,
 };
 pub use self::attempt::{
     AttemptOutcome, AttemptRequest, ConnectionChoice, NotRunProof, UnknownCause, UpstreamAnswer,
--- a/src/request/plane.rs
+++ b/src/request/plane.rs
@@ -24,6 +24,7 @@
 use crate::membership::ConfigFreshness;
 use crate::request::answer::{
     AnswerBody, AnswerStream, CallerAnswer, OWN_ANSWER_HEADERS, refusal, refusal_after,
+    refusal_without_claim, tell_of_send_only,
 };
 use crate::request::attempt::UpstreamClient;
 use crate::request::classify::{RequestClass, RequestHead, classify};
@@ -157,7 +158,8 @@
             deadline,
         };
         let Ok(permit) = admission.limits.gate.acquire(&asked).await else {
-            return refusal_after(ResultCode::Overloaded, retry_after(admission.criticality));
+            let refused = refusal_after(ResultCode::Overloaded, retry_after(admission.criticality));
+            return tell_of_send_only(&parts.headers, refused);
         };
         let budget = &admission.snapshot.budget;
         admission.limits.retries.record_request(budget.retry_ratio);
@@ -180,7 +182,7 @@
         match key {
             Ok(None) => {}
             Ok(Some(key)) => return self.run_keyed(&key, exchange, permit).await,
-            Err(code) => return refusal(code),
+            Err(code) => return refusal_without_claim(&exchange.headers, code),
         }
         match exchange.run(self.core.tools()).await {
             ExchangeEnd::Answered { answer, inflight } => {
@@ -191,7 +193,7 @@
                 clean_answer_headers(response.headers_mut());
                 response
             }
-            ExchangeEnd::Failed(code) => refusal(code),
+            ExchangeEnd::Failed(code) => refusal_without_claim(&exchange.headers, code),
         }
     }
 
--- a/src/serve/front.rs
+++ b/src/serve/front.rs
@@ -20,6 +20,7 @@
 use crate::membership::AddressBook;
 use crate::request::{
     AnswerBody, PlaneAnswer, RequestAdmission, RequestPlane, UpstreamClient, refusal,
+    refusal_without_claim,
 };
 use crate::serve::latency_metrics::LatencyMetrics;
 use crate::serve::request_body::{BodyBounds, BodyBudget, HeldBody, read_body};
@@ -132,7 +133,7 @@
         let (parts, body) = request.into_parts();
         let admission = match self.plane.admit(&parts) {
             Ok(admission) => admission,
-            Err(code) => return refusal(code),
+            Err(code) => return refusal_without_claim(&parts.headers, code),
         };
         let bounds = BodyBounds {
             max_bytes: self.settings.max_body_bytes,
@@ -141,7 +142,7 @@
         let body = match read_body(body, bounds, &self.bodies).await {
             Ok(body) => body,
             Err(code) => {
-                let response = refusal(code);
+                let response = refusal_without_claim(&parts.headers, code);
                 let class = &admission.class;
                 self.record(&class.tenant, &class.class, &response, admission.started);
                 return response;
--- a/tests/testsuite/scenario_runner/world.rs
+++ b/tests/testsuite/scenario_runner/world.rs
@@ -329,6 +329,7 @@
         let holds = match wanted.as_str() {
             "whole" => answer.status == 200 && !answer.is_cut,
             "cut" => answer.is_cut,
+            "not-dispatched" => answer.is_not_dispatched,
             "not-run" => answer.is_not_run,
             "unknown" => !answer.is_not_run && !answer.code.is_empty(),
             code => answer.code == code,
--- a/tests/testsuite/scenarios.rs
+++ b/tests/testsuite/scenarios.rs
@@ -34,6 +34,7 @@
     a_leaving_entry_cuts_off_nothing: "entry_leaves.txt";
     a_repeated_key_runs_once_at_whichever_entry: "keyed_repeats.txt";
     an_outage_refuses_keyed_work_as_not_run_and_serves_the_rest: "keyed_outage.txt";
+    a_repeat_in_an_outage_is_not_told_that_the_first_send_did_not_run: "keyed_repeat_in_outage.txt";
     a_paused_owner_runs_nothing_twice: "paused_owner.txt";
     a_paused_node_goes_on_with_what_is_in_force: "paused_node.txt";
 }
