kernel: one worker service, and a health check that asks them

With a check that always says yes the new test hung at first; it has a limit on the paused clock now and fails with "the failure goes unnoticed".

Conclusion: a service costs its work and nothing else.

--- a/src/core/result_code.rs
+++ b/src/core/result_code.rs
@@ -97,6 +97,8 @@
     SettingsContradictory = 5003, "A setting is out of range or contradicts another.";
     /// A listener could not be opened.
     ListenFailed = 5004, "A listen address could not be opened.";
+    /// The work of a service of the node has ended by itself.
+    ServiceFailed = 5005, "A service of the node has ended by itself.";
 }
 
 impl fmt::Display for ResultCode {
--- a/src/kernel/drain_service.rs
+++ b/src/kernel/drain_service.rs
@@ -1,16 +1,14 @@
 //! Carries drain marks between the upstreams' counters, which the request plane reads, and the
 //! exchange between entries.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
-use kameo::Actor;
-use kameo::actor::{ActorRef, WeakActorRef};
-use kameo::error::ActorStopReason;
 use tokio_util::sync::CancellationToken;
 
 use crate::core::{ConfigSnapshot, DrainSight, SharedSnapshot};
+use crate::kernel::service_kernel::ServiceName;
+use crate::kernel::worker_service::ServiceWork;
 use crate::membership::ControlNode;
 
 /// Time between two rounds.
@@ -18,43 +16,21 @@
 
 /// What the service needs.
 #[derive(Debug)]
-pub struct DrainServiceArgs {
+pub struct DrainWork {
     /// The configuration, with the upstreams' counters.
     pub snapshot: SharedSnapshot,
     /// This node's part in the exchange between entries.
     pub node: Arc<ControlNode>,
 }
 
-/// The service.
-#[derive(Debug)]
-pub struct DrainService {
-    stop: CancellationToken,
-}
-
-impl Actor for DrainService {
-    type Args = DrainServiceArgs;
-    type Error = Infallible;
-
-    async fn on_start(args: Self::Args, _actor: ActorRef<Self>) -> Result<Self, Infallible> {
-        let stop = CancellationToken::new();
-        tokio::spawn(follow(args, stop.clone()));
-        Ok(Self { stop })
-    }
+impl ServiceWork for DrainWork {
+    const NAME: ServiceName = ServiceName::Drain;
 
-    async fn on_stop(
-        &mut self,
-        _actor: WeakActorRef<Self>,
-        _reason: ActorStopReason,
-    ) -> Result<(), Infallible> {
-        self.stop.cancel();
-        Ok(())
-    }
-}
-
-async fn follow(args: DrainServiceArgs, stop: CancellationToken) {
-    while stop.run_until_cancelled(tokio::time::sleep(DRAIN_INTERVAL)).await.is_some() {
-        let Some(snapshot) = args.snapshot.load_full() else { continue };
-        exchange_marks(&snapshot, &args.node);
+    async fn run(self, stop: CancellationToken) {
+        while stop.run_until_cancelled(tokio::time::sleep(DRAIN_INTERVAL)).await.is_some() {
+            let Some(snapshot) = self.snapshot.load_full() else { continue };
+            exchange_marks(&snapshot, &self.node);
+        }
     }
 }
 
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -9,9 +9,10 @@
 mod membership_service;
 mod probe_service;
 mod service_kernel;
+mod worker_service;
 
-pub use self::config_service::{ConfigService, ConfigServiceArgs};
-pub use self::drain_service::{DrainService, DrainServiceArgs, exchange_marks};
-pub use self::membership_service::MembershipService;
-pub use self::probe_service::{ProbeMetrics, ProbeService, ProbeServiceArgs};
+pub use self::config_service::ConfigWork;
+pub use self::drain_service::{DrainWork, exchange_marks};
+pub use self::probe_service::{ProbeMetrics, ProbeWork};
 pub use self::service_kernel::{ServiceKernel, ServiceName};
+pub use self::worker_service::{IsWorking, ServiceWork, WorkerService};
--- a/src/kernel/probe_service.rs
+++ b/src/kernel/probe_service.rs
@@ -1,16 +1,11 @@
 //! Probes silent upstreams within the deployment's budget.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
-use kameo::Actor;
-use kameo::actor::{ActorRef, WeakActorRef};
-use kameo::error::ActorStopReason;
 use prometheus::{Gauge, IntCounter, Registry};
-use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -21,6 +16,8 @@
 use crate::core::{
     SharedSnapshot, UPSTREAM_DRAIN_HEADER, UPSTREAM_NOT_RUN_HEADER, UpstreamState, VmId,
 };
+use crate::kernel::service_kernel::ServiceName;
+use crate::kernel::worker_service::ServiceWork;
 use crate::membership::SharedMembership;
 use crate::platform::PlatformStore;
 use crate::request::{
@@ -36,7 +33,7 @@
 const PROBE_PATH: &str = "/";
 
 /// What the service needs.
-pub struct ProbeServiceArgs<S, C> {
+pub struct ProbeWork<S, C> {
     /// Identity of this node.
     pub vm: VmId,
     /// The platform.
@@ -86,39 +83,15 @@
     }
 }
 
-/// The service.
-#[derive(Debug)]
-pub struct ProbeService<S: PlatformStore, C: UpstreamClient + Clone> {
-    stop: CancellationToken,
-    shares: Option<JoinHandle<()>>,
-    _types: std::marker::PhantomData<(S, C)>,
-}
-
-impl<S: PlatformStore, C: UpstreamClient + Clone> Actor for ProbeService<S, C> {
-    type Args = ProbeServiceArgs<S, C>;
-    type Error = Infallible;
+impl<S: PlatformStore, C: UpstreamClient + Clone> ServiceWork for ProbeWork<S, C> {
+    const NAME: ServiceName = ServiceName::Probe;
 
-    async fn on_start(mut args: Self::Args, _actor: ActorRef<Self>) -> Result<Self, Infallible> {
-        let stop = CancellationToken::new();
+    async fn run(mut self, stop: CancellationToken) {
         let wallet = Arc::new(ProbeWallet::default());
-        let keeper = ShareKeeper::new(args.vm.as_str(), &mut args.random);
-        let (store, membership) = (Arc::clone(&args.store), Arc::clone(&args.membership));
+        let keeper = ShareKeeper::new(self.vm.as_str(), &mut self.random);
+        let (store, membership) = (Arc::clone(&self.store), Arc::clone(&self.membership));
         let kept = keep_shares(keeper, store, Arc::clone(&wallet), membership, stop.clone());
-        let shares = tokio::spawn(kept);
-        tokio::spawn(probe(args, wallet, stop.clone()));
-        Ok(Self { stop, shares: Some(shares), _types: std::marker::PhantomData })
-    }
-
-    async fn on_stop(
-        &mut self,
-        _actor: WeakActorRef<Self>,
-        _reason: ActorStopReason,
-    ) -> Result<(), Infallible> {
-        self.stop.cancel();
-        if let Some(shares) = self.shares.take() {
-            let _ = shares.await;
-        }
-        Ok(())
+        tokio::join!(kept, probe(self, wallet, stop));
     }
 }
 
@@ -154,7 +127,7 @@
 }
 
 async fn probe<S, C: UpstreamClient + Clone>(
-    args: ProbeServiceArgs<S, C>,
+    args: ProbeWork<S, C>,
     wallet: Arc<ProbeWallet>,
     stop: CancellationToken,
 ) {
--- a/src/kernel/service_kernel.rs
+++ b/src/kernel/service_kernel.rs
@@ -1,5 +1,6 @@
 //! Starts, names and stops services.
 
+use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use futures_util::future::BoxFuture;
@@ -7,6 +8,8 @@
 use kameo::actor::{ActorRef, Spawn};
 use kameo::registry::ActorRegistry;
 
+use crate::kernel::worker_service::{IsWorking, ServiceWork, WorkerService};
+
 /// Name of a service.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum ServiceName {
@@ -35,11 +38,28 @@
 /// Stops one service and waits for its end.
 type StopService = Box<dyn FnOnce() -> BoxFuture<'static, ()> + Send>;
 
+/// Asks one service whether its work still runs.
+type CheckService = Arc<dyn Fn() -> BoxFuture<'static, bool> + Send + Sync>;
+
+#[derive(Clone)]
+struct ServiceCheck {
+    name: ServiceName,
+    check: CheckService,
+}
+
 /// The services of one node; clones share them.
 #[derive(Clone, Default)]
 pub struct ServiceKernel {
     registry: Arc<Mutex<ActorRegistry>>,
     stops: Arc<Mutex<Vec<(ServiceName, StopService)>>>,
+    checks: Arc<Mutex<Vec<ServiceCheck>>>,
+}
+
+impl fmt::Debug for ServiceKernel {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let names: Vec<ServiceName> = lock(&self.stops).iter().map(|(name, _)| *name).collect();
+        f.debug_struct("ServiceKernel").field("services", &names).finish()
+    }
 }
 
 impl ServiceKernel {
@@ -59,6 +79,31 @@
         service
     }
 
+    /// Starts the service that does `work` and registers it under the work's name.
+    pub fn start_work<W: ServiceWork>(&self, work: W) -> ActorRef<WorkerService<W>> {
+        let service = self.start::<WorkerService<W>>(W::NAME, work);
+        let asked = service.clone();
+        let check: CheckService = Arc::new(move || {
+            let asked = asked.clone();
+            // A service that does not answer has failed, too.
+            Box::pin(async move { asked.ask(IsWorking).await.unwrap_or(false) })
+        });
+        lock(&self.checks).push(ServiceCheck { name: W::NAME, check });
+        service
+    }
+
+    /// Services whose work has ended although nobody stopped them.
+    pub async fn failed(&self) -> Vec<ServiceName> {
+        let checks = lock(&self.checks).clone();
+        let mut failed = Vec::new();
+        for one in checks {
+            if !(one.check)().await {
+                failed.push(one.name);
+            }
+        }
+        failed
+    }
+
     /// Finds a service by name and type.
     pub fn find<A: Actor>(&self, name: ServiceName) -> Option<ActorRef<A>> {
         lock(&self.registry).get(name.as_str()).ok().flatten()
@@ -66,6 +111,7 @@
 
     /// Stops all services, the last started first.
     pub async fn stop(&self) {
+        lock(&self.checks).clear();
         loop {
             let Some((name, stop)) = lock(&self.stops).pop() else { return };
             stop().await;
--- a/src/serve/admin.rs
+++ b/src/serve/admin.rs
@@ -15,6 +15,8 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use crate::core::ResultCode;
+use crate::kernel::{ServiceKernel, ServiceName};
 use crate::ops::node_status::StatusSource;
 
 /// The admin server of a node.
@@ -23,6 +25,7 @@
     listener: TcpListener,
     registry: Registry,
     status: Arc<StatusSource>,
+    kernel: ServiceKernel,
 }
 
 impl AdminServer {
@@ -35,8 +38,9 @@
         addr: SocketAddr,
         registry: Registry,
         status: Arc<StatusSource>,
+        kernel: ServiceKernel,
     ) -> std::io::Result<Self> {
-        Ok(Self { listener: TcpListener::bind(addr).await?, registry, status })
+        Ok(Self { listener: TcpListener::bind(addr).await?, registry, status, kernel })
     }
 
     /// Address that the server listens on.
@@ -59,8 +63,10 @@
                     let server = Arc::clone(&server);
                     tokio::spawn(async move {
                         let service = service_fn(|request: Request<Incoming>| {
-                            let response = server.respond(request.uri().path());
-                            async move { Ok::<_, Infallible>(response) }
+                            let server = Arc::clone(&server);
+                            async move {
+                                Ok::<_, Infallible>(server.respond(request.uri().path()).await)
+                            }
                         });
                         let stream = TokioIo::new(stream);
                         let _ = http1::Builder::new().serve_connection(stream, service).await;
@@ -70,9 +76,9 @@
         }
     }
 
-    fn respond(&self, path: &str) -> Response<Full<Bytes>> {
+    async fn respond(&self, path: &str) -> Response<Full<Bytes>> {
         match path {
-            "/healthz" => reply(StatusCode::OK, "ok\n".into()),
+            "/healthz" => self.health().await,
             "/readyz" => self.readiness(),
             "/metrics" => self.metrics(),
             "/status" => reply(StatusCode::OK, self.status.to_json().into()),
@@ -80,6 +86,17 @@
         }
     }
 
+    async fn health(&self) -> Response<Full<Bytes>> {
+        let failed = self.kernel.failed().await;
+        if failed.is_empty() {
+            return reply(StatusCode::OK, "ok\n".into());
+        }
+        let names: Vec<&str> = failed.into_iter().map(ServiceName::as_str).collect();
+        let code = ResultCode::ServiceFailed;
+        let text = format!("{code}: {} services={}\n", code.summary(), names.join(","));
+        reply(StatusCode::SERVICE_UNAVAILABLE, text.into())
+    }
+
     fn readiness(&self) -> Response<Full<Bytes>> {
         match self.status.unready_reason() {
             None => reply(StatusCode::OK, "ready\n".into()),
--- /dev/null
+++ b/tests/testsuite/kernel.rs
@@ -0,0 +1,53 @@
+//! The micro-kernel: services by name, their end, and their failure.
+
+use std::time::Duration;
+
+use heatherfall::kernel::{IsWorking, ServiceKernel, ServiceName, ServiceWork, WorkerService};
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+
+/// Time on the paused clock after which a failure should have been noticed.
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// Work that ends when it is stopped, or fails when it is told to.
+struct FragileWork {
+    fail: oneshot::Receiver<()>,
+}
+
+impl ServiceWork for FragileWork {
+    const NAME: ServiceName = ServiceName::Drain;
+
+    async fn run(self, stop: CancellationToken) {
+        if let Some(Ok(())) = stop.run_until_cancelled(self.fail).await {
+            panic!("told to fail");
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_service_that_ends_by_itself_is_named_as_failed() {
+    let kernel = ServiceKernel::default();
+    let (tx, fail) = oneshot::channel();
+    kernel.start_work(FragileWork { fail });
+    assert_eq!(kernel.failed().await, []);
+    tx.send(()).expect("the work waits");
+    let noticed = async {
+        while kernel.failed().await.is_empty() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    assert!(tokio::time::timeout(LIMIT, noticed).await.is_ok(), "the failure goes unnoticed");
+    assert_eq!(kernel.failed().await, [ServiceName::Drain]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_service_is_found_by_name_until_it_is_stopped() {
+    let kernel = ServiceKernel::default();
+    let (_tx, fail) = oneshot::channel();
+    kernel.start_work(FragileWork { fail });
+    let found = kernel.find::<WorkerService<FragileWork>>(ServiceName::Drain).expect("a service");
+    assert!(found.ask(IsWorking).await.expect("an answer"));
+    kernel.stop().await;
+    assert!(kernel.find::<WorkerService<FragileWork>>(ServiceName::Drain).is_none());
+    assert_eq!(kernel.failed().await, []);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod fleet_faults;
 mod generations;
 mod hostile_input;
+mod kernel;
 mod keyed_requests;
 mod leases;
 mod ledger;
--- a/tests/testsuite/scenario_runner/entry_node.rs
+++ b/tests/testsuite/scenario_runner/entry_node.rs
@@ -7,10 +7,7 @@
 use heatherfall::balance::{LoadPicker, PickerSettings};
 use heatherfall::config::GenerationHolder;
 use heatherfall::core::SharedSnapshot;
-use heatherfall::kernel::{
-    ConfigService, ConfigServiceArgs, DrainService, DrainServiceArgs, MembershipService,
-    ServiceKernel, ServiceName,
-};
+use heatherfall::kernel::{ConfigWork, DrainWork, ServiceKernel};
 use heatherfall::ledger::{EntryIdentity, LedgerParts, LedgerSettings, NodeLedger, WallClock};
 use heatherfall::membership::{
     AddressBook, AssignmentSettings, ConfigFreshness, ControlNode, MembershipDriverArgs,
@@ -23,7 +20,7 @@
 use http::request::Parts;
 
 use super::ledger_network::{GatedLedgerTransport, LedgerNetwork, ScenarioLedger};
-use super::node_store::{NodeGate, NodeStore, SharedNodeStore};
+use super::node_store::{NodeGate, SharedNodeStore};
 use super::scripted_upstream::ScriptedClient;
 use crate::support::{MemoryNetwork, MemoryTransport, TEST_ORIGIN_MS};
 
@@ -89,8 +86,8 @@
         ));
         network.join(peer_addr, Arc::clone(&control));
         let kernel = ServiceKernel::default();
-        let config = ConfigServiceArgs { store: Arc::clone(&store), node: Arc::clone(&control) };
-        kernel.start::<ConfigService<NodeStore>>(ServiceName::Config, config);
+        let config = ConfigWork { store: Arc::clone(&store), node: Arc::clone(&control) };
+        kernel.start_work(config);
         let transport = MemoryTransport::new(Arc::clone(network), peer_addr);
         let members = MembershipDriverArgs {
             node: Arc::clone(&control),
@@ -99,13 +96,9 @@
             seeds,
             random: SeededRandom::new(seed),
         };
-        kernel.start::<MembershipService<NodeStore, GatedTransport>>(
-            ServiceName::Membership,
-            members,
-        );
-        let drains =
-            DrainServiceArgs { snapshot: Arc::clone(&snapshot), node: Arc::clone(&control) };
-        kernel.start::<DrainService>(ServiceName::Drain, drains);
+        kernel.start_work(members);
+        let drains = DrainWork { snapshot: Arc::clone(&snapshot), node: Arc::clone(&control) };
+        kernel.start_work(drains);
         let unix_ms = TEST_ORIGIN_MS + store.transcript.elapsed().as_millis() as u64;
         let ledger = NodeLedger::new(LedgerParts {
             store,
