membership: read the freshness of the configuration without a lock

Change: `ConfigFreshness` keeps the last confirmation as one atomic number; a later confirmation still wins, and one that was old on arrival counts with its age.

Before and after: 208 tests pass; behaviour is the same. The time of a call was not measured again.

Conclusion: the cheaper mechanism serves every reader, so none needs to avoid it.

--- a/src/membership/freshness.rs
+++ b/src/membership/freshness.rs
@@ -1,7 +1,6 @@
 //! Whether this node's configuration is known to be the newest.
 
-use std::sync::Mutex;
-use std::sync::PoisonError;
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -16,23 +15,42 @@
 ///
 /// Without a fresh confirmation a node goes on with idempotent requests, without hedges and
 /// without retries after unknown outcomes, and refuses keyed at-most-once requests as not run.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ConfigFreshness {
-    confirmed: Mutex<Option<Instant>>,
+    base: Instant,
+    /// Time of the last confirmation in microseconds after `base`; a confirmation that was old on
+    /// arrival may lie before it.
+    confirmed_us: AtomicI64,
+}
+
+/// Value of `confirmed_us` before the first confirmation.
+const NEVER: i64 = i64::MIN;
+
+impl Default for ConfigFreshness {
+    fn default() -> Self {
+        Self { base: Instant::now(), confirmed_us: AtomicI64::new(NEVER) }
+    }
 }
 
 impl ConfigFreshness {
     /// Records a confirmation that was `age` old when it arrived.
     pub fn confirm(&self, age: Duration) {
-        let Some(confirmed) = Instant::now().checked_sub(age) else { return };
-        let mut last = self.confirmed.lock().unwrap_or_else(PoisonError::into_inner);
-        *last = Some(last.map_or(confirmed, |last| last.max(confirmed)));
+        let confirmed = self.now_us().saturating_sub(micros(age));
+        self.confirmed_us.fetch_max(confirmed, Ordering::Relaxed);
     }
 
     /// Time since the last confirmation.
     pub fn age(&self) -> Option<Duration> {
-        let last = *self.confirmed.lock().unwrap_or_else(PoisonError::into_inner);
-        last.map(|last| last.elapsed())
+        let confirmed = self.confirmed_us.load(Ordering::Relaxed);
+        if confirmed == NEVER {
+            return None;
+        }
+        let age = self.now_us().saturating_sub(confirmed);
+        Some(Duration::from_micros(u64::try_from(age).unwrap_or(0)))
+    }
+
+    fn now_us(&self) -> i64 {
+        micros(self.base.elapsed())
     }
 
     /// Whether the configuration counts as the newest.
@@ -40,3 +58,7 @@
         self.age().is_some_and(|age| age <= MAX_CONFIRMED_AGE)
     }
 }
+
+fn micros(duration: Duration) -> i64 {
+    i64::try_from(duration.as_micros()).unwrap_or(i64::MAX)
+}
