--- a/src/balance/candidate_pool.rs
+++ b/src/balance/candidate_pool.rs
@@ -57,7 +57,7 @@
             warming: 0,
             usual: PoolUsual::UNKNOWN,
         };
-        let upstreams = &request.route.upstreams;
+        let upstreams = request.upstreams();
         for offset in 0..upstreams.len() {
             if pool.count == POOL_SIZE {
                 break;
--- /dev/null
+++ b/src/balance/completion_picker.rs
@@ -0,0 +1,261 @@
+//! Picks by what a request is worth to its caller at each upstream.
+//!
+//! ```text
+//! report (running, waiting, speed, age) + own in flight -> expected time -> chance to make the goal
+//!     chance - price of the bytes to another failure domain -> value; the highest is picked
+//! ```
+//!
+//! Upstreams share machines with others, which slows them down for a few hundred milliseconds at a
+//! time. A report says so at once but is soon out of date, so its weight falls with its age.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::balance::observe::{self, ObserveSettings};
+use crate::balance::pick::{PickDemand, PickPurpose, PickRequest, UpstreamPicker};
+use crate::balance::report::{AttemptReport, AttemptResult};
+use crate::core::{FailureDomain, UpstreamKey, UpstreamState};
+use crate::util::{SeededRandom, SharedRandom};
+
+/// Percent at which work takes its usual time.
+const USUAL_PERCENT: f32 = 100.0;
+/// Least part of an upstream's attempts that succeed, as far as choosing goes.
+const MIN_SUCCESS: f32 = 0.02;
+
+/// How values are weighed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CompletionSettings {
+    /// One-way network delay to another failure domain (`docs/design/choosing.md`).
+    pub domain_delay: Duration,
+    /// Value lost by each kilobyte that crosses to another failure domain, as a part of a request's
+    /// worth (`docs/design/choosing.md`).
+    pub kilobyte_price: f32,
+    /// Largest value that bytes can cost.
+    pub max_transfer_price: f32,
+    /// Length of a spell in which a machine is slow.
+    pub slow_spell: Duration,
+    /// Age at which a report of speed has lost most of its weight.
+    pub speed_life: Duration,
+    /// Time in which most of a failure's weight is lost.
+    pub failure_life: Duration,
+    /// Part of the time to the goal over which the chance to make it falls.
+    pub goal_softness: f32,
+    /// Value of an answer that misses the goal but makes the deadline.
+    pub late_value: f32,
+    /// Value lost by waiting for the whole time to the goal; keeps requests off longer queues
+    /// while all make it.
+    pub wait_price: f32,
+    /// Part of the slots from which an upstream may slow down.
+    pub knee: f32,
+    /// Factor by which it then does.
+    pub knee_factor: f32,
+    /// Factor by which an upstream is slower while it warms up.
+    pub cold_factor: f32,
+    /// Least value at which a hedge is worth its cost.
+    pub min_hedge_value: f32,
+    /// Relative size of the random part that spreads entries over equal upstreams.
+    pub jitter: f32,
+    /// How answers are learnt from.
+    pub observe: ObserveSettings,
+}
+
+impl Default for CompletionSettings {
+    fn default() -> Self {
+        Self {
+            domain_delay: Duration::from_micros(1500),
+            kilobyte_price: 0.06,
+            max_transfer_price: 0.6,
+            slow_spell: Duration::from_millis(500),
+            speed_life: Duration::from_millis(400),
+            failure_life: Duration::from_secs(3),
+            goal_softness: 0.15,
+            late_value: 0.1,
+            wait_price: 0.15,
+            knee: 0.8,
+            knee_factor: 1.3,
+            cold_factor: 2.0,
+            min_hedge_value: 0.4,
+            jitter: 0.01,
+            observe: ObserveSettings::default(),
+        }
+    }
+}
+
+/// Picks the upstream with the highest value.
+#[derive(Debug)]
+pub struct CompletionPicker {
+    failure_domain: FailureDomain,
+    settings: CompletionSettings,
+    draws: SharedRandom,
+}
+
+/// What is expected of one upstream.
+#[derive(Clone, Copy, Debug)]
+struct UpstreamOutlook {
+    key: UpstreamKey,
+    expected_secs: f32,
+    value: f32,
+}
+
+impl CompletionPicker {
+    /// Creates a picker for a node in `failure_domain`; `random` seeds its draws.
+    pub fn new(
+        failure_domain: FailureDomain,
+        settings: CompletionSettings,
+        random: SeededRandom,
+    ) -> Self {
+        Self { failure_domain, settings, draws: SharedRandom::new(random) }
+    }
+
+    fn is_remote(&self, upstream: &UpstreamState) -> bool {
+        upstream.failure_domain != self.failure_domain
+    }
+
+    /// The best upstream outside of `excluded`.
+    fn best(
+        &self,
+        request: PickRequest<'_>,
+        excluded: &[UpstreamKey],
+        now: Instant,
+    ) -> Option<UpstreamOutlook> {
+        let mut best: Option<UpstreamOutlook> = None;
+        for key in request.upstreams() {
+            let Some(upstream) = request.snapshot.upstreams.get(*key) else { continue };
+            if upstream.is_draining() || excluded.contains(key) {
+                continue;
+            }
+            let mut outlook = self.outlook(*key, upstream, request.demand, now);
+            outlook.value += self.settings.jitter * self.draws.unit();
+            if best.is_none_or(|best| outlook.value > best.value) {
+                best = Some(outlook);
+            }
+        }
+        best
+    }
+
+    fn outlook(
+        &self,
+        key: UpstreamKey,
+        upstream: &UpstreamState,
+        demand: PickDemand,
+        now: Instant,
+    ) -> UpstreamOutlook {
+        let mut expected_secs = self.expected_secs(upstream, demand.work, now);
+        let mut price = 0.0;
+        if self.is_remote(upstream) {
+            expected_secs += 2.0 * self.settings.domain_delay.as_secs_f32();
+            let transfer = demand.kilobytes * self.settings.kilobyte_price;
+            price = transfer.min(self.settings.max_transfer_price);
+        }
+        let value = self.use_of(expected_secs, demand) * self.success_part(upstream, now) - price;
+        UpstreamOutlook { key, expected_secs, value }
+    }
+
+    /// Use of an answer that is expected after this time, between 0 and 1.
+    fn use_of(&self, expected_secs: f32, demand: PickDemand) -> f32 {
+        let settings = &self.settings;
+        let goal_secs = demand.goal_left.as_secs_f32();
+        let time_secs = demand.time_left.as_secs_f32();
+        let in_time = chance(time_secs - expected_secs, settings.goal_softness * time_secs);
+        if goal_secs <= 0.0 {
+            let waited = expected_secs / (time_secs + expected_secs);
+            return settings.late_value * in_time * (1.0 - settings.wait_price * waited);
+        }
+        let on_time = chance(goal_secs - expected_secs, settings.goal_softness * goal_secs);
+        let waited = (expected_secs / goal_secs).min(2.0);
+        let late = settings.late_value * (1.0 - on_time) * in_time;
+        on_time + late - settings.wait_price * waited
+    }
+
+    /// Expected time to the answer of one more request, without the network.
+    fn expected_secs(&self, upstream: &UpstreamState, work: Duration, now: Instant) -> f32 {
+        let settings = &self.settings;
+        let work_secs = work.as_secs_f32();
+        let slots = upstream.spec.slots.max(1) as f32;
+        let load = estimated_load(upstream, work_secs, now) + 1.0;
+        let mut pace = 1.0;
+        if load >= settings.knee * slots {
+            pace *= settings.knee_factor;
+        }
+        if upstream.load().age_at(now, 0) < upstream.spec.warm_up {
+            pace *= settings.cold_factor;
+        }
+        let queued = (load - slots).max(0.0) / slots;
+        let usual_secs = work_secs * pace * (1.0 + queued);
+        usual_secs + self.slow_secs(upstream, usual_secs, now)
+    }
+
+    /// Time that the present slowness of the machine adds.
+    ///
+    /// The spell may end before the work does: what is left of it is passed at the slow pace and
+    /// the rest of the work at the usual one.
+    fn slow_secs(&self, upstream: &UpstreamState, work_secs: f32, now: Instant) -> f32 {
+        let view = upstream.load();
+        let factor = view.work_percent.get() / USUAL_PERCENT;
+        let Some(reported) = view.reported.get().filter(|_| factor > 1.0) else { return 0.0 };
+        let age_secs = view.age_at(now, reported).as_secs_f32();
+        let life_secs = self.settings.speed_life.as_secs_f32();
+        let trust = (1.0 - age_secs / life_secs).max(0.0);
+        let whole = work_secs * (factor - 1.0);
+        let in_spell = self.settings.slow_spell.as_secs_f32() * (1.0 - 1.0 / factor);
+        trust * whole.min(in_spell)
+    }
+
+    /// Expected part of attempts at the upstream that succeed. Old failures are forgotten, so that
+    /// the upstream is tried again.
+    fn success_part(&self, upstream: &UpstreamState, now: Instant) -> f32 {
+        let view = upstream.load();
+        if view.is_ejected(now) {
+            return MIN_SUCCESS;
+        }
+        let Some(failed) = view.failed.get() else { return 1.0 };
+        let age_secs = view.age_at(now, failed).as_secs_f32();
+        let left = (-age_secs / self.settings.failure_life.as_secs_f32()).exp();
+        (1.0 - view.error_share.get() * left).max(MIN_SUCCESS)
+    }
+}
+
+impl UpstreamPicker for CompletionPicker {
+    fn pick(&self, request: PickRequest<'_>) -> Option<UpstreamKey> {
+        let now = Instant::now();
+        let best = self.best(request, request.tried, now);
+        if request.purpose == PickPurpose::Hedge {
+            let best = best.filter(|best| best.value >= self.settings.min_hedge_value)?;
+            return Some(best.key);
+        }
+        let best = best.or_else(|| self.best(request, &[], now))?;
+        let is_hopeless = best.expected_secs > request.demand.time_left.as_secs_f32();
+        (!is_hopeless).then_some(best.key)
+    }
+
+    fn observe(&self, upstream: &Arc<UpstreamState>, report: AttemptReport) {
+        if matches!(report.result, AttemptResult::Answered | AttemptResult::Shed) {
+            upstream.see_drain_mark(report.is_draining, report.latency);
+        }
+        observe::learn(upstream, report, Duration::ZERO, &self.settings.observe);
+    }
+
+    fn retry_after(&self, request: PickRequest<'_>) -> Option<Duration> {
+        // Half of the work later some of what runs now has ended.
+        Some(request.demand.work / 2)
+    }
+}
+
+/// Requests at the upstream from all entries. What others had there at the last report is
+/// forgotten in the time that it takes to work it off.
+fn estimated_load(upstream: &UpstreamState, work_secs: f32, now: Instant) -> f32 {
+    let view = upstream.load();
+    let own = upstream.inflight() as f32;
+    let Some(reported) = view.reported.get() else { return own };
+    let age_secs = view.age_at(now, reported).as_secs_f32();
+    let left = (-age_secs / work_secs.max(f32::EPSILON)).exp();
+    let usual = view.usual_others.get();
+    own + usual + (view.reported_others.get() - usual) * left
+}
+
+/// Chance that there is time to spare, for an expected spare time and its spread.
+fn chance(spare_secs: f32, spread_secs: f32) -> f32 {
+    1.0 / (1.0 + (-spare_secs / spread_secs.max(f32::EPSILON)).exp())
+}
--- a/src/balance/load_picker.rs
+++ b/src/balance/load_picker.rs
@@ -13,7 +13,6 @@
 //! is ejected the signal is doubted and ejection is left out.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -24,7 +23,7 @@
 use crate::balance::pick::{PickRequest, UpstreamPicker};
 use crate::balance::report::{AttemptReport, AttemptResult};
 use crate::core::{FailureDomain, UpstreamKey, UpstreamState};
-use crate::util::{SeededRandom, duration_text};
+use crate::util::{SeededRandom, SharedRandom, duration_text};
 
 /// Share of a pool that may be ejected before ejection is doubted.
 const PANIC_SHARE: f32 = 0.5;
@@ -32,8 +31,6 @@
 const WARMING_SHARE: f32 = 0.5;
 /// Share of failed attempts below which failures are left out.
 const MIN_ERROR_SHARE: f32 = 0.001;
-/// Increment of the counter-based generator.
-const WEYL_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
 
 /// Settings of a [`LoadPicker`].
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -96,7 +93,7 @@
 pub struct LoadPicker {
     failure_domain: FailureDomain,
     settings: PickerSettings,
-    draws: AtomicU64,
+    draws: SharedRandom,
 }
 
 impl LoadPicker {
@@ -104,15 +101,9 @@
     pub fn new(
         failure_domain: FailureDomain,
         settings: PickerSettings,
-        mut random: SeededRandom,
+        random: SeededRandom,
     ) -> Self {
-        Self { failure_domain, settings, draws: AtomicU64::new(random.bits()) }
-    }
-
-    /// A number in `[0, 1)` from a counter-based generator, so that picks share no lock.
-    fn unit(&self) -> f32 {
-        let counter = self.draws.fetch_add(WEYL_STEP, Ordering::Relaxed);
-        (mixed_bits(counter) >> 40) as f32 / (1_u32 << 24) as f32
+        Self { failure_domain, settings, draws: SharedRandom::new(random) }
     }
 
     fn network_secs(&self, upstream: &UpstreamState) -> f32 {
@@ -137,7 +128,7 @@
                 continue;
             }
             let secs = self.expected_secs(candidate, pool.usual, weight, now);
-            let secs = secs * (1.0 + self.settings.jitter * self.unit());
+            let secs = secs * (1.0 + self.settings.jitter * self.draws.unit());
             if secs < best_secs {
                 best_secs = secs;
                 best = Some(candidate.key);
@@ -213,7 +204,7 @@
     fn is_warm(&self, age_secs: f32, pool_count: usize) -> bool {
         let progress = age_secs / self.settings.warm_up.as_secs_f32();
         let part = self.settings.warm_up_share + (1.0 - self.settings.warm_up_share) * progress;
-        self.unit() * (pool_count as f32) < part
+        self.draws.unit() * (pool_count as f32) < part
     }
 }
 
@@ -228,18 +219,10 @@
     half_life / (half_life + age_secs)
 }
 
-/// The finalizer of SplitMix64 (G. Steele, D. Lea, C. Flood, "Fast Splittable Pseudorandom Number
-/// Generators", 2014).
-fn mixed_bits(mut bits: u64) -> u64 {
-    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    bits ^ (bits >> 31)
-}
-
 impl UpstreamPicker for LoadPicker {
     fn pick(&self, request: PickRequest<'_>) -> Option<UpstreamKey> {
         let now = Instant::now();
-        let start = (self.unit() * request.route.upstreams.len() as f32) as usize;
+        let start = (self.draws.unit() * request.upstreams().len() as f32) as usize;
         let pool = CandidatePool::gather(request, start, request.tried, self.settings.warm_up, now);
         // A further attempt looks beyond a failure domain that may be full.
         let weight = if request.tried.is_empty() { self.settings.domain_weight } else { 0.0 };
--- a/src/balance/observe.rs
+++ b/src/balance/observe.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::balance::report::{AttemptReport, AttemptResult};
+use crate::balance::report::{AttemptReport, AttemptResult, LoadReport};
 use crate::core::{LoadView, UpstreamState};
 use crate::util::duration_text;
 
@@ -78,6 +78,29 @@
     learn_load(upstream, report, upstream.inflight(), settings);
 }
 
+/// Learns a report that came `age` ago from another entry, or from a probe; older ones than the
+/// last are not used.
+pub fn learn_shared(
+    upstream: &UpstreamState,
+    report: LoadReport,
+    age: Duration,
+    settings: &ObserveSettings,
+) {
+    let view = upstream.load();
+    let at = view.nanos_at(Instant::now()).saturating_sub(age.as_nanos() as u64);
+    if view.reported.get().is_some_and(|known| known > at) {
+        return;
+    }
+    record_load(view, report.inflight as f32 - upstream.inflight() as f32, at, settings);
+    record_percent(view, report);
+}
+
+fn record_percent(view: &LoadView, report: LoadReport) {
+    if let Some(percent) = report.work_percent {
+        view.work_percent.set(percent as f32);
+    }
+}
+
 fn learn_load(
     upstream: &UpstreamState,
     report: AttemptReport,
@@ -94,6 +117,7 @@
             view.error_share.blend(0.0, settings.sample_weight);
             if let Some(load) = report.load {
                 record_load(view, load.inflight as f32 - own, now, settings);
+                record_percent(view, load);
             }
         }
         AttemptResult::Shed => {
--- a/src/balance/pick.rs
+++ b/src/balance/pick.rs
@@ -5,11 +5,48 @@
 //! Balancing", 2001).
 
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use crate::balance::report::AttemptReport;
-use crate::core::{ConfigSnapshot, RouteRecord, UpstreamKey, UpstreamState};
+use crate::core::{ConfigSnapshot, PartIndex, RouteRecord, UpstreamKey, UpstreamState};
 use crate::util::SeededRandom;
 
+/// Why an upstream is wanted.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum PickPurpose {
+    /// For the first attempt.
+    #[default]
+    First,
+    /// For another one after a failure.
+    Retry,
+    /// For another one beside a slow first one; only an upstream that may be faster helps.
+    Hedge,
+}
+
+/// What a request is expected to cost, and how long it may take.
+#[derive(Clone, Copy, Debug)]
+pub struct PickDemand {
+    /// Time that an idle upstream at its usual speed takes.
+    pub work: Duration,
+    /// Size of the request and its answer, in kilobytes.
+    pub kilobytes: f32,
+    /// Time left to the response-time goal of the route; zero if there is none or it has passed.
+    pub goal_left: Duration,
+    /// Time left to the deadline.
+    pub time_left: Duration,
+}
+
+impl Default for PickDemand {
+    fn default() -> Self {
+        Self {
+            work: Duration::ZERO,
+            kilobytes: 0.0,
+            goal_left: Duration::ZERO,
+            time_left: Duration::MAX,
+        }
+    }
+}
+
 /// What a pick is made for.
 #[derive(Clone, Copy, Debug)]
 pub struct PickRequest<'a> {
@@ -19,6 +56,29 @@
     pub route: &'a RouteRecord,
     /// Upstreams that earlier attempts of the request went to.
     pub tried: &'a [UpstreamKey],
+    /// Part of a split route that the request belongs to.
+    pub part: Option<PartIndex>,
+    /// Why an upstream is wanted.
+    pub purpose: PickPurpose,
+    /// What the request is expected to cost.
+    pub demand: PickDemand,
+}
+
+impl<'a> PickRequest<'a> {
+    /// A first pick for a route that is not split, of unknown cost.
+    pub fn new(
+        snapshot: &'a ConfigSnapshot,
+        route: &'a RouteRecord,
+        tried: &'a [UpstreamKey],
+    ) -> Self {
+        let purpose = PickPurpose::default();
+        Self { snapshot, route, tried, part: None, purpose, demand: PickDemand::default() }
+    }
+
+    /// Upstreams among which the request may go.
+    pub fn upstreams(&self) -> &'a [UpstreamKey] {
+        self.route.upstreams_of(self.part)
+    }
 }
 
 /// Chooses an upstream.
@@ -28,6 +88,11 @@
 
     /// Learns from a finished attempt.
     fn observe(&self, upstream: &Arc<UpstreamState>, report: AttemptReport);
+
+    /// Time after which a request for which there was no upstream may find one.
+    fn retry_after(&self, _request: PickRequest<'_>) -> Option<Duration> {
+        None
+    }
 }
 
 /// Power of two choices on own in-flight counts.
@@ -66,8 +131,8 @@
 
 /// Upstreams of the route that are not draining and not in `excluded`.
 fn candidates(request: PickRequest<'_>, excluded: &[UpstreamKey]) -> Vec<UpstreamKey> {
-    let mut candidates = Vec::with_capacity(request.route.upstreams.len());
-    for key in &request.route.upstreams {
+    let mut candidates = Vec::with_capacity(request.upstreams().len());
+    for key in request.upstreams() {
         let Some(upstream) = request.snapshot.upstreams.get(*key) else { continue };
         if upstream.is_draining() || excluded.contains(key) {
             continue;
--- a/src/balance/report.rs
+++ b/src/balance/report.rs
@@ -4,7 +4,7 @@
 
 use http::HeaderMap;
 
-use crate::core::LOAD_METRICS_HEADER;
+use crate::core::{LOAD_METRICS_HEADER, LoadFormat};
 
 /// Name of the in-flight metric within a load report.
 const INFLIGHT_METRIC: &str = "named_metrics.inflight=";
@@ -33,6 +33,8 @@
 pub struct LoadReport {
     /// Requests in flight at the upstream from all entries, the answered one not counted.
     pub inflight: u32,
+    /// Time that work takes at present in percent of the usual one, if the upstream tells it.
+    pub work_percent: Option<u32>,
 }
 
 /// One finished attempt.
@@ -49,11 +51,34 @@
 }
 
 impl LoadReport {
-    /// Reads the report in the text form of Open Request Cost Aggregation from answer headers.
-    pub fn from_headers(headers: &HeaderMap) -> Option<Self> {
+    /// A report of the number in flight alone.
+    pub fn of_inflight(inflight: u32) -> Self {
+        Self { inflight, work_percent: None }
+    }
+
+    /// Reads the report from answer headers.
+    pub fn from_headers(headers: &HeaderMap, format: &LoadFormat) -> Option<Self> {
+        match format {
+            LoadFormat::Orca => Self::from_orca(headers),
+            LoadFormat::Counts(name) => Self::from_counts(headers.get(name)?.to_str().ok()?),
+        }
+    }
+
+    /// Reads `running,waiting,slots` with an optional fourth number, the work percentage.
+    fn from_counts(text: &str) -> Option<Self> {
+        let mut numbers = text.split(',').map(|number| number.trim().parse::<u32>().ok());
+        let running = numbers.next()??;
+        let waiting = numbers.next()??;
+        numbers.next()??;
+        let work_percent = numbers.next().flatten().filter(|percent| *percent > 0);
+        Some(Self { inflight: running.saturating_add(waiting), work_percent })
+    }
+
+    /// Reads the text form of Open Request Cost Aggregation.
+    fn from_orca(headers: &HeaderMap) -> Option<Self> {
         let text = headers.get(LOAD_METRICS_HEADER)?.to_str().ok()?;
         let (_, rest) = text.split_once(INFLIGHT_METRIC)?;
         let number = rest.split([',', ' ']).next()?;
-        Some(Self { inflight: number.parse().ok()? })
+        Some(Self::of_inflight(number.parse().ok()?))
     }
 }
--- a/src/config/compile.rs
+++ b/src/config/compile.rs
@@ -12,9 +12,9 @@
 
 use crate::config::object_set::ObjectSet;
 use crate::core::{
-    BudgetSpec, ConfigSnapshot, GenerationNumber, IdempotenceRule, IdempotenceSpec, LabelSet,
-    ObjectKind, RequestLabelSpec, RequestRule, ResultCode, RouteRecord, RouteSpec, TenantId,
-    UpstreamArena, UpstreamKey, UpstreamSpec, UpstreamState,
+    BudgetSpec, ConfigSnapshot, GenerationNumber, IdempotenceRule, IdempotenceSpec, LabelSelector,
+    LabelSet, ObjectKind, RequestLabelSpec, RequestRule, ResultCode, RouteRecord, RouteSpec,
+    TenantId, UpstreamArena, UpstreamKey, UpstreamSpec, UpstreamState, WeightedPart,
 };
 use crate::util::{FastMap, FastSet};
 
@@ -52,6 +52,10 @@
 ) -> CompileOutcome {
     let mut faults = Vec::new();
     let upstreams = compile_upstreams(objects, previous, &mut faults);
+    let mut upstream_names = FastMap::default();
+    for (key, upstream) in &upstreams {
+        upstream_names.insert(upstream.name.clone(), key);
+    }
     let snapshot = ConfigSnapshot {
         generation,
         replaced_rules: Vec::new(),
@@ -60,6 +64,7 @@
         idempotence_rules: compile_idempotence(objects, &mut faults),
         budget: compile_budget(objects, &mut faults),
         upstreams,
+        upstream_names,
     };
     CompileOutcome { snapshot, faults }
 }
@@ -190,17 +195,32 @@
     by_name.sort_by(|a, b| a.1.name.cmp(&b.1.name));
     let mut routes = Vec::with_capacity(specs.len());
     for (name, spec) in specs {
-        let mut selected = Vec::new();
-        for (key, upstream) in &by_name {
-            if spec.upstreams.matches(&upstream.labels) {
-                selected.push(*key);
-            }
+        let selected = select(&spec.upstreams, &by_name);
+        let mut parts = Vec::with_capacity(spec.parts.len());
+        for part in &spec.parts {
+            parts.push(WeightedPart {
+                weight: part.weight,
+                upstreams: select(&part.upstreams, &by_name),
+            });
         }
-        routes.push(RouteRecord { name, spec, upstreams: selected });
+        routes.push(RouteRecord { name, spec, upstreams: selected, parts });
     }
     routes
 }
 
+fn select(
+    selector: &LabelSelector,
+    by_name: &[(UpstreamKey, &Arc<UpstreamState>)],
+) -> Vec<UpstreamKey> {
+    let mut selected = Vec::new();
+    for (key, upstream) in by_name {
+        if selector.matches(&upstream.labels) {
+            selected.push(*key);
+        }
+    }
+    selected
+}
+
 fn compile_idempotence(objects: &ObjectSet, faults: &mut Vec<ObjectFault>) -> Vec<IdempotenceRule> {
     let specs: Vec<(String, IdempotenceSpec)> =
         read_specs(objects, ObjectKind::Idempotence, faults);
--- a/src/core/load_view.rs
+++ b/src/core/load_view.rs
@@ -65,6 +65,8 @@
     pub reported: AtomicTime,
     /// Requests of other entries at the time of the last report.
     pub reported_others: AtomicNumber,
+    /// Time that work took at the last report, in percent of the usual one; 0 if none was told.
+    pub work_percent: AtomicNumber,
     /// Moving average of the requests of other entries.
     pub usual_others: AtomicNumber,
     /// Moving average of latency in seconds without the network; 0 before the first answer.
@@ -93,6 +95,7 @@
             probed: AtomicTime::default(),
             reported: AtomicTime::default(),
             reported_others: AtomicNumber::default(),
+            work_percent: AtomicNumber::default(),
             usual_others: AtomicNumber::default(),
             latency_secs: AtomicNumber::default(),
             error_share: AtomicNumber::default(),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,8 +15,8 @@
 
 pub use self::drain_mark::{DrainMark, DrainSight, FLAP_HOLD, MARK_LIFETIME};
 pub use self::header::{
-    DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, LOAD_METRICS_HEADER, NOT_DISPATCHED_HEADER,
-    NOT_RUN_HEADER, REPLAYED_HEADER, REQUEST_ID_HEADER, RESULT_CODE_HEADER, RETRY_ALLOWANCE_HEADER,
+    DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, LOAD_METRICS_HEADER, LoadFormat, MessageHeaders,
+    NOT_DISPATCHED_HEADER, NOT_RUN_HEADER, REPLAYED_HEADER, REQUEST_ID_HEADER, RESULT_CODE_HEADER, RETRY_ALLOWANCE_HEADER,
     UPSTREAM_DRAIN_HEADER, UPSTREAM_NOT_RUN_HEADER,
 };
 pub use self::identity::{FailureDomain, GenerationNumber, TenantId, VmId};
@@ -24,12 +24,12 @@
 pub use self::load_view::{AtomicNumber, AtomicTime, LoadView};
 pub use self::object::{
     BudgetSpec, CONFIG_KINDS, Criticality, HedgePolicy, IdempotenceMode, IdempotenceSpec,
-    ObjectKind, RequestLabelSpec, RequestMatcher, RetryPolicy, RouteSpec, UpstreamSpec,
+    ObjectKind, RequestLabelSpec, RequestMatcher, RetryPolicy, RoutePart, RouteSpec, UpstreamSpec,
 };
 pub use self::result_code::ResultCode;
 pub use self::selector::{LabelSelector, SelectorError};
 pub use self::snapshot::{
-    ConfigSnapshot, IdempotenceRule, ReplacedRules, RequestRule, RouteKey, RouteRecord,
-    SharedSnapshot,
+    ConfigSnapshot, IdempotenceRule, PartIndex, ReplacedRules, RequestRule, RouteKey, RouteRecord,
+    SharedSnapshot, WeightedPart,
 };
 pub use self::upstream::{InflightGuard, UpstreamArena, UpstreamKey, UpstreamState};
--- a/src/core/object.rs
+++ b/src/core/object.rs
@@ -67,6 +67,12 @@
     /// Whether it is leaving and gets no new requests.
     #[serde(default)]
     pub draining: bool,
+    /// Path that answers with a load report at once; without one the upstream is not asked.
+    #[serde(default)]
+    pub health_path: Option<String>,
+    /// Time from its start for which it works more slowly.
+    #[serde(default, with = "duration_text")]
+    pub warm_up: Duration,
 }
 
 fn default_slots() -> u32 {
@@ -162,6 +168,16 @@
     }
 }
 
+/// Part of a route's requests.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RoutePart {
+    /// Selects the part's upstreams among those of the route.
+    pub upstreams: LabelSelector,
+    /// Share of the requests, relative to the weights of the other parts.
+    pub weight: u32,
+}
+
 /// Which requests go to which upstreams, and how.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -185,6 +201,15 @@
     /// Hedges.
     #[serde(default)]
     pub hedge: HedgePolicy,
+    /// Response-time goal: an answer within it has its full use for the caller.
+    #[serde(default, with = "duration_text")]
+    pub goal: Duration,
+    /// Order in which routes with the same upstreams are shed: higher ranks first.
+    #[serde(default)]
+    pub rank: u32,
+    /// Parts by which the requests are split; empty for a route that is not split.
+    #[serde(default)]
+    pub parts: Vec<RoutePart>,
 }
 
 fn default_deadline() -> Duration {
--- a/src/core/snapshot.rs
+++ b/src/core/snapshot.rs
@@ -12,6 +12,7 @@
 use crate::core::object::{BudgetSpec, IdempotenceMode, RequestMatcher, RouteSpec};
 use crate::core::selector::LabelSelector;
 use crate::core::upstream::{UpstreamArena, UpstreamKey};
+use crate::util::FastMap;
 
 /// Pointer to the present snapshot; empty until the first configuration has arrived.
 pub type SharedSnapshot = Arc<ArcSwapOption<ConfigSnapshot>>;
@@ -27,6 +28,8 @@
     pub generation: GenerationNumber,
     /// Upstreams by key.
     pub upstreams: UpstreamArena,
+    /// Keys of the upstreams by their names.
+    pub upstream_names: FastMap<String, UpstreamKey>,
     /// Request rules in order of precedence.
     pub request_rules: Vec<RequestRule>,
     /// Routes in order of precedence; [`RouteKey`] is the index.
@@ -73,6 +76,43 @@
     pub spec: RouteSpec,
     /// Upstreams that the route selects, in name order.
     pub upstreams: Vec<UpstreamKey>,
+    /// Parts by which its requests are split; empty for a route that is not split.
+    pub parts: Vec<WeightedPart>,
+}
+
+/// Index of a part within its route.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct PartIndex(pub u32);
+
+/// A compiled `RoutePart`.
+#[derive(Clone, Debug)]
+pub struct WeightedPart {
+    /// Weight.
+    pub weight: u32,
+    /// Upstreams of the part, in name order.
+    pub upstreams: Vec<UpstreamKey>,
+}
+
+impl RouteRecord {
+    /// Upstreams that a request of this part may go to; those of the route without a part.
+    pub fn upstreams_of(&self, part: Option<PartIndex>) -> &[UpstreamKey] {
+        let part = part.and_then(|index| self.parts.get(index.0 as usize));
+        part.map_or(&self.upstreams, |part| &part.upstreams)
+    }
+
+    /// The part at `position` in `[0, 1)` of the parts laid end to end by weight; none if the route
+    /// is not split.
+    pub fn part_at(&self, position: f64) -> Option<PartIndex> {
+        let total: u64 = self.parts.iter().map(|part| u64::from(part.weight)).sum();
+        let mut left = position * total as f64;
+        for (index, part) in self.parts.iter().enumerate() {
+            left -= f64::from(part.weight);
+            if left < 0.0 {
+                return Some(PartIndex(index as u32));
+            }
+        }
+        None
+    }
 }
 
 /// A compiled `Idempotence`.
--- /dev/null
+++ b/src/fleet/control_api.rs
@@ -0,0 +1,119 @@
+//! What the platform, callers and operators ask an entry: readiness, addresses, metrics.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use prometheus::{Encoder, Registry, TextEncoder};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::fleet::codec::DeploymentCodec;
+use crate::fleet::directory::{ADDRESS_LIFETIME, EntryDirectory};
+use crate::membership::{EntryState, SharedMembership};
+use crate::core::VmId;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers on the control listeners; each answers every path.
+#[derive(Debug)]
+pub struct ControlApi<D> {
+    codec: D,
+    vm: VmId,
+    membership: SharedMembership,
+    directory: EntryDirectory,
+    registry: Registry,
+}
+
+impl<D: DeploymentCodec> ControlApi<D> {
+    /// Creates the API of one entry.
+    pub fn new(
+        codec: D,
+        vm: VmId,
+        membership: SharedMembership,
+        directory: EntryDirectory,
+        registry: Registry,
+    ) -> Self {
+        Self { codec, vm, membership, directory, registry }
+    }
+
+    /// Serves one listener until `stop` is cancelled.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener, stop: CancellationToken) {
+        loop {
+            let accepted = tokio::select! {
+                () = stop.cancelled() => return,
+                accepted = listener.accept() => accepted,
+            };
+            let Ok((stream, _)) = accepted else { continue };
+            let api = Arc::clone(&self);
+            tokio::spawn(async move {
+                let service = service_fn(|request: Request<Incoming>| {
+                    let response = api.respond(request.uri().path(), request.uri().query());
+                    async move { Ok::<_, Infallible>(response) }
+                });
+                // An error is the other end's broken connection.
+                let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            });
+        }
+    }
+
+    /// Answers one request.
+    pub fn respond(&self, path: &str, query: Option<&str>) -> Response<Full<Bytes>> {
+        let names = self.codec.names();
+        if path == names.ready_path {
+            return self.readiness();
+        }
+        if path == names.directory_path {
+            return self.addresses(query.unwrap_or_default());
+        }
+        if path == METRICS_PATH {
+            return self.metrics();
+        }
+        reply(StatusCode::NOT_FOUND, Bytes::from_static(b"not found\n"))
+    }
+
+    fn readiness(&self) -> Response<Full<Bytes>> {
+        let state = self.membership.load().find(&self.vm).map(|entry| entry.state);
+        if state == Some(EntryState::Ready) {
+            return reply(StatusCode::OK, Bytes::from_static(b"ready\n"));
+        }
+        reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready\n"))
+    }
+
+    fn addresses(&self, query: &str) -> Response<Full<Bytes>> {
+        let query = self.codec.directory_query(query);
+        let addresses: Vec<SocketAddr> = self.directory.addresses();
+        if addresses.is_empty() {
+            log::info!(target: "directory", "no entry to name domain={}", query.failure_domain);
+            return reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"no entry\n"));
+        }
+        let mut response =
+            reply(StatusCode::OK, self.codec.directory_answer(&addresses, ADDRESS_LIFETIME));
+        let json = HeaderValue::from_static("application/json");
+        response.headers_mut().insert(CONTENT_TYPE, json);
+        response
+    }
+
+    fn metrics(&self) -> Response<Full<Bytes>> {
+        let mut buffer = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut buffer) {
+            Ok(()) => reply(StatusCode::OK, buffer.into()),
+            Err(error) => reply(StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into()),
+        }
+    }
+}
+
+fn reply(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/fleet/entry_node.rs
@@ -0,0 +1,298 @@
+//! Wires one entry: services, request plane, listeners, and a graceful end.
+//!
+//! ```text
+//! settings -> FleetState <- StoreWork, PeerWork, LoadWork (services of the kernel)
+//!                  |
+//!                  +-> ConfigSnapshot -> RequestPlane -> FrontService -> callers
+//!                  +-> MembershipView -> ControlApi -> readiness, addresses
+//! ```
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use miette::{IntoDiagnostic, WrapErr};
+use prometheus::{IntCounter, Registry};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::balance::{CompletionPicker, CompletionSettings};
+use crate::core::{FailureDomain, MessageHeaders, ResultCode, SharedSnapshot, VmId};
+use crate::fleet::codec::DeploymentCodec;
+use crate::fleet::control_api::ControlApi;
+use crate::fleet::directory::{ADDRESS_LIFETIME, EntryDirectory};
+use crate::fleet::entry_settings::EntrySettings;
+use crate::fleet::load_probe::{LoadLearner, LoadProbeSettings, LoadWork};
+use crate::fleet::peer_service::PeerWork;
+use crate::fleet::peer_table::{EntryRegistration, PeerTable};
+use crate::fleet::state::FleetState;
+use crate::fleet::store_follower::StoreWork;
+use crate::fleet::view::DeploymentView;
+use crate::kernel::ServiceKernel;
+use crate::ledger::{ClaimDecision, ClaimEnd, ClaimIntent, ClaimLedger, ClaimTicket};
+use crate::limits::LimitRules;
+use crate::membership::{
+    AddressBook, AssignmentSettings, ConfigFreshness, EntryRecord, EntryState, SharedMembership,
+};
+use crate::platform::PlatformStore;
+use crate::request::{ExchangeSettings, HedgeRule, RequestPlane, RetryAfterForm};
+use crate::serve::{
+    AnswerFraming, CallerServer, CallerServerSettings, ConnectionPool, FrontService, FrontSettings,
+    HostPoolSettings, HttpUpstreamClient, LatencyMetrics, LeaveSwitch, LimitMetrics, PoolSettings,
+};
+use crate::util::SeededRandom;
+
+/// Lifetimes of an address answer for which some callers keep it.
+const KEPT_LIFETIMES: u32 = 3;
+/// Part of the grace that is left when the listener closes at the latest, for requests in flight.
+const FINISH_PART: f64 = 0.33;
+/// Time before the end of the grace at which the process ends by itself.
+const END_RESERVE: Duration = Duration::from_millis(200);
+/// Idle time after which a connection to an upstream is closed; below the ten seconds after which
+/// upstreams close theirs.
+const UPSTREAM_IDLE_TIME: Duration = Duration::from_secs(8);
+/// Time to open a connection to an upstream; several round trips between failure domains.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for which a caller's connection may stay idle; above the fifteen seconds for which callers
+/// may rely on theirs.
+const CALLER_IDLE_TIME: Duration = Duration::from_secs(20);
+/// Largest request body; the platform bounds what callers send.
+const MAX_BODY_BYTES: usize = 64 << 20;
+/// Request bodies held at the same time, well below the memory of the smallest VM (160 MB).
+const MAX_HELD_BYTES: usize = 96 << 20;
+/// Time that is left for an attempt that is still worth starting.
+const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(5);
+
+/// A ledger for deployments whose requests carry no idempotency keys.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct KeylessLedger;
+
+impl ClaimLedger for KeylessLedger {
+    async fn claim(&self, _intent: ClaimIntent) -> ClaimDecision {
+        ClaimDecision::Refused(ResultCode::LedgerUnavailable)
+    }
+
+    async fn finish(&self, _ticket: ClaimTicket, _end: ClaimEnd) {}
+}
+
+/// A running entry.
+#[derive(Debug)]
+pub struct RunningEntry<D> {
+    state: Arc<FleetState<D>>,
+    settings: EntrySettings,
+    kernel: ServiceKernel,
+    leave_switch: LeaveSwitch,
+    stops: EntryStops,
+    callers: JoinHandle<()>,
+}
+
+/// What stops the listeners.
+#[derive(Clone, Debug, Default)]
+struct EntryStops {
+    callers: CancellationToken,
+    control: CancellationToken,
+}
+
+impl<D: DeploymentCodec> RunningEntry<D> {
+    /// Takes in changed settings. Addresses and identity stay those of the start; a VM that gets
+    /// others is restarted by its platform.
+    pub fn reload(&self, settings: &EntrySettings) {
+        let is_changed = *settings != self.settings;
+        log::info!(target: "node", "settings read again vm={} changed={is_changed}", settings.vm);
+    }
+
+    /// Leaves gracefully: the entry is no longer named to callers but serves those who still come
+    /// for as long as they may keep its address, then finishes what is in flight.
+    pub async fn leave(self) {
+        let grace = self.settings.shutdown.grace;
+        let finish = grace.mul_f64(FINISH_PART);
+        let announce = (ADDRESS_LIFETIME * (KEPT_LIFETIMES + 1)).min(grace - finish);
+        log::info!(target: "node", "leaving vm={} announce_ms={}", self.settings.vm, announce.as_millis());
+        self.state.set_state(EntryState::Leaving);
+        self.leave_switch.set_leaving();
+        tokio::time::sleep(announce).await;
+        self.stops.callers.cancel();
+        let left = grace - announce - END_RESERVE;
+        if tokio::time::timeout(left, self.callers).await.is_err() {
+            log::error!(target: "node", "requests still in flight at the end of the grace");
+        }
+        self.kernel.stop().await;
+        self.stops.control.cancel();
+        log::info!(target: "node", "left vm={}", self.settings.vm);
+    }
+}
+
+/// Starts an entry on `store`; `headers` are those of the platform's callers and upstreams.
+///
+/// # Errors
+///
+/// Returns HF-5004 if a listen address cannot be opened.
+pub async fn start<S: PlatformStore, D: DeploymentCodec>(
+    settings: EntrySettings,
+    store: Arc<S>,
+    codec: D,
+    headers: MessageHeaders,
+) -> miette::Result<RunningEntry<D>> {
+    let sockets = EntrySockets::bind(&settings).await?;
+    let registry = Registry::new();
+    let membership = SharedMembership::default();
+    let pool = ConnectionPool::new(pool_settings(), Arc::clone(&membership));
+    let client = HttpUpstreamClient::new(pool.clone()).with_framing(AnswerFraming::UntilClose);
+    let snapshot = SharedSnapshot::default();
+    let freshness = Arc::new(ConfigFreshness::default());
+    let load_format = headers.load.clone();
+    let failure_domain = FailureDomain::new(&settings.failure_domain);
+    let picker = CompletionPicker::new(
+        failure_domain.clone(),
+        CompletionSettings::default(),
+        SeededRandom::from_entropy(),
+    );
+    let plane = RequestPlane::new(
+        Arc::clone(&snapshot),
+        client.clone(),
+        picker,
+        KeylessLedger,
+        Arc::clone(&freshness),
+        exchange_settings(headers),
+    )
+    .with_limits(LimitRules { repeats: Some(settings.repeats.allowance()), is_ungated: true });
+    LimitMetrics::register(&registry, plane.limits()).into_diagnostic()?;
+
+    let state = Arc::new(FleetState::new(
+        DeploymentView::new(codec.clone()),
+        PeerTable::new(own_record(&settings)),
+        snapshot,
+        Arc::clone(&membership),
+        freshness,
+        plane.limits(),
+    ));
+    state.refresh_membership();
+    let kernel = ServiceKernel::default();
+    kernel.start_work(StoreWork {
+        store,
+        state: Arc::clone(&state),
+        registration: EntryRegistration {
+            failure_domain: settings.failure_domain.clone(),
+            caller_address: settings.listen.callers,
+            peer_address: settings.listen.peers,
+        },
+        random: SeededRandom::from_entropy(),
+    });
+    kernel.start_work(PeerWork {
+        socket: sockets.peers,
+        state: Arc::clone(&state),
+        learner: LoadLearner::default(),
+        random: SeededRandom::from_entropy(),
+    });
+    kernel.start_work(LoadWork {
+        client,
+        state: Arc::clone(&state),
+        settings: LoadProbeSettings {
+            interval: settings.probes.bounded_interval(),
+            format: load_format,
+        },
+        learner: LoadLearner::default(),
+        sent: probe_counter(&registry)?,
+    });
+
+    let stops = EntryStops::default();
+    let directory = EntryDirectory::new(Arc::clone(&membership), failure_domain);
+    let vm = VmId::new(&settings.vm);
+    let api = ControlApi::new(codec, vm, Arc::clone(&membership), directory, registry.clone());
+    let api = Arc::new(api);
+    for listener in sockets.control {
+        tokio::spawn(Arc::clone(&api).serve(listener, stops.control.clone()));
+    }
+    let addresses = Arc::new(AddressBook::new(
+        membership,
+        Arc::clone(&state.snapshot),
+        AssignmentSettings::default(),
+    ));
+    let metrics = LatencyMetrics::new(&registry).into_diagnostic()?;
+    let front = Arc::new(FrontService::new(plane, addresses, metrics, front_settings()));
+    let leave_switch = front.leave_switch();
+    let callers = tokio::spawn(sockets.callers.run(front, stops.callers.clone()));
+    tokio::spawn(pool.maintain(stops.control.clone()));
+    log::info!(
+        target: "node",
+        "started vm={} domain={} callers={} store={}",
+        settings.vm,
+        settings.failure_domain,
+        settings.listen.callers,
+        settings.store,
+    );
+    Ok(RunningEntry { state, settings, kernel, leave_switch, stops, callers })
+}
+
+/// The sockets of an entry.
+struct EntrySockets {
+    callers: CallerServer,
+    control: Vec<TcpListener>,
+    peers: UdpSocket,
+}
+
+impl EntrySockets {
+    async fn bind(settings: &EntrySettings) -> miette::Result<Self> {
+        let listen = &settings.listen;
+        let server_settings =
+            CallerServerSettings { header_timeout: CALLER_IDLE_TIME, ..Default::default() };
+        let callers = CallerServer::bind(listen.callers, server_settings);
+        let callers = callers.await.into_diagnostic().wrap_err_with(|| failed("callers"))?;
+        let mut control = Vec::new();
+        let addresses =
+            [("ready", listen.ready), ("directory", listen.directory), ("control", listen.control)];
+        for (name, address) in addresses {
+            let listener = TcpListener::bind(address).await;
+            control.push(listener.into_diagnostic().wrap_err_with(|| failed(name))?);
+        }
+        let peers = UdpSocket::bind(listen.peers).await;
+        let peers = peers.into_diagnostic().wrap_err_with(|| failed("peers"))?;
+        Ok(Self { callers, control, peers })
+    }
+}
+
+fn failed(name: &str) -> String {
+    format!("{}: listen.{name}", ResultCode::ListenFailed)
+}
+
+fn own_record(settings: &EntrySettings) -> EntryRecord {
+    EntryRecord {
+        vm: VmId::new(&settings.vm),
+        failure_domain: FailureDomain::new(&settings.failure_domain),
+        caller_address: settings.listen.callers,
+        peer_address: settings.listen.peers,
+        state: EntryState::Starting,
+    }
+}
+
+fn pool_settings() -> PoolSettings {
+    let host = HostPoolSettings { max_idle_time: UPSTREAM_IDLE_TIME, ..Default::default() };
+    PoolSettings { host, connect_timeout: CONNECT_TIMEOUT }
+}
+
+fn exchange_settings(headers: MessageHeaders) -> ExchangeSettings {
+    ExchangeSettings {
+        headers,
+        hedging: HedgeRule::Goal,
+        // A hedge goes out well before the deadline, so nothing has to be kept back for it.
+        first_attempt_share: 1.0,
+        min_attempt_time: MIN_ATTEMPT_TIME,
+        retry_after: RetryAfterForm::Milliseconds,
+        ..ExchangeSettings::default()
+    }
+}
+
+fn front_settings() -> FrontSettings {
+    FrontSettings {
+        max_body_bytes: MAX_BODY_BYTES,
+        max_held_bytes: MAX_HELD_BYTES,
+        ..FrontSettings::default()
+    }
+}
+
+fn probe_counter(registry: &Registry) -> miette::Result<IntCounter> {
+    let counter = IntCounter::new("heatherfall_probes_total", "Probes sent by this entry.");
+    let counter = counter.into_diagnostic()?;
+    registry.register(Box::new(counter.clone())).into_diagnostic()?;
+    Ok(counter)
+}
--- /dev/null
+++ b/src/fleet/entry_settings.rs
@@ -0,0 +1,148 @@
+//! Settings of an entry on a platform whose store holds the whole configuration.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::limits::WindowAllowance;
+use crate::ops::node_settings::LogSettings;
+use crate::util::duration_text;
+use crate::util::settings_file::{CheckedSettings, FieldFault};
+
+/// Settings of one entry, from its settings file.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// Identity of the VM.
+    pub vm: String,
+    /// Failure domain of the VM.
+    pub failure_domain: String,
+    /// Addresses to listen on.
+    pub listen: EntryListen,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Repeats that the whole deployment may send.
+    pub repeats: RepeatSettings,
+    /// Measuring the upstreams' load.
+    #[serde(default)]
+    pub probes: ProbeRate,
+    /// Graceful shutdown.
+    #[serde(default)]
+    pub shutdown: LeaveSettings,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// Addresses to listen on.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntryListen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the platform's readiness checks.
+    pub ready: SocketAddr,
+    /// For callers that ask for addresses.
+    pub directory: SocketAddr,
+    /// For operators and metrics.
+    pub control: SocketAddr,
+    /// For datagrams of other entries.
+    pub peers: SocketAddr,
+}
+
+/// Repeats that the whole deployment may send to the upstreams of a service within a window.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RepeatSettings {
+    /// Repeats as a share of requests, between 0 and 1.
+    pub ratio: f64,
+    /// Repeats beside that share.
+    pub extra: f64,
+    /// Length of the window.
+    #[serde(with = "duration_text")]
+    pub window: Duration,
+}
+
+/// Rate of probes.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ProbeRate {
+    /// Time between two probes of an upstream (`docs/MEASUREMENTS.md`, "Fresh load").
+    #[serde(with = "duration_text")]
+    pub interval: Duration,
+    /// Probes a second that an upstream may get; 0 for no bound.
+    pub max_per_second: f64,
+}
+
+impl Default for ProbeRate {
+    fn default() -> Self {
+        Self { interval: Duration::from_millis(100), max_per_second: 0.0 }
+    }
+}
+
+impl ProbeRate {
+    /// Time between two probes of an upstream, within the bound.
+    pub fn bounded_interval(&self) -> Duration {
+        if self.max_per_second <= 0.0 {
+            return self.interval;
+        }
+        self.interval.max(Duration::from_secs_f64(1.0 / self.max_per_second))
+    }
+}
+
+/// Graceful shutdown.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LeaveSettings {
+    /// Time from the signal to stop until the process is ended from outside.
+    #[serde(with = "duration_text")]
+    pub grace: Duration,
+}
+
+impl Default for LeaveSettings {
+    fn default() -> Self {
+        Self { grace: Duration::from_secs(6) }
+    }
+}
+
+/// Shortest time to stop: callers keep addresses for up to three lifetimes.
+const MIN_GRACE: Duration = Duration::from_secs(4);
+
+impl RepeatSettings {
+    /// The allowance that these settings describe.
+    pub fn allowance(&self) -> WindowAllowance {
+        WindowAllowance { ratio: self.ratio, extra: self.extra, window: self.window }
+    }
+}
+
+impl CheckedSettings for EntrySettings {
+    fn check(&self) -> Result<(), FieldFault> {
+        if self.vm.is_empty() {
+            return Err(fault("vm", "is empty", "the name of this VM"));
+        }
+        if self.failure_domain.is_empty() {
+            return Err(fault("failure_domain", "is empty", "the failure domain of this VM"));
+        }
+        if !(0.0..=1.0).contains(&self.repeats.ratio) {
+            return Err(fault("ratio", "is not a share", "a number between 0 and 1"));
+        }
+        if self.repeats.extra < 0.0 {
+            return Err(fault("extra", "is negative", "a number of repeats, 0 or more"));
+        }
+        if self.repeats.window.is_zero() {
+            return Err(fault("window", "is zero", "a duration such as \"10s\""));
+        }
+        if self.probes.interval.is_zero() {
+            return Err(fault("interval", "is zero", "a duration such as \"100ms\""));
+        }
+        if self.shutdown.grace < MIN_GRACE {
+            return Err(fault("grace", "is too short", "a duration of at least 4s"));
+        }
+        Ok(())
+    }
+}
+
+fn fault(field: &'static str, message: &str, help: &str) -> FieldFault {
+    FieldFault { field, message: message.to_owned(), help: help.to_owned() }
+}
--- /dev/null
+++ b/src/fleet/load_probe.rs
@@ -0,0 +1,143 @@
+//! Fresh load of the upstreams in an entry's failure domain.
+//!
+//! Machines slow down and recover within a few hundred milliseconds, so what an entry learns from
+//! its own answers is out of date by the next request. Each upstream of the domain is asked by one
+//! of its entries, chosen by rendezvous hashing, which tells the others at once.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Uri};
+use prometheus::IntCounter;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::balance::{LoadReport, ObserveSettings, learn_shared};
+use crate::core::{ConfigSnapshot, LoadFormat, UpstreamKey, UpstreamState};
+use crate::fleet::codec::DeploymentCodec;
+use crate::fleet::peer_message::MeasuredLoad;
+use crate::fleet::state::FleetState;
+use crate::kernel::{ServiceName, ServiceWork};
+use crate::request::{AttemptOutcome, AttemptRequest, ConnectionChoice, UpstreamClient};
+use crate::util::FastSet;
+
+/// Time for one probe; a load report is answered at once.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time that a round waits for its answers before they are told to the other entries.
+const ROUND_TIME: Duration = Duration::from_millis(6);
+
+/// How load is measured.
+#[derive(Clone, Debug)]
+pub struct LoadProbeSettings {
+    /// Time between two probes of an upstream.
+    pub interval: Duration,
+    /// How upstreams write their load.
+    pub format: LoadFormat,
+}
+
+/// Learns load that was measured by this entry or another one.
+#[derive(Clone, Debug, Default)]
+pub struct LoadLearner {
+    settings: ObserveSettings,
+}
+
+impl LoadLearner {
+    /// Learns loads that another entry measured.
+    pub fn learn(&self, snapshot: &ConfigSnapshot, loads: &[MeasuredLoad]) {
+        for load in loads {
+            let key = snapshot.upstream_names.get(&load.instance);
+            let Some(upstream) = key.and_then(|key| snapshot.upstreams.get(*key)) else { continue };
+            let report = LoadReport { inflight: load.inflight, work_percent: load.work_percent };
+            learn_shared(upstream, report, Duration::from_millis(load.age_ms), &self.settings);
+        }
+    }
+}
+
+/// The service.
+#[derive(Debug)]
+pub struct LoadWork<C, D> {
+    /// Sends probes.
+    pub client: C,
+    /// Shared state of the entry.
+    pub state: Arc<FleetState<D>>,
+    /// How load is measured.
+    pub settings: LoadProbeSettings,
+    /// Learns what this entry measures.
+    pub learner: LoadLearner,
+    /// Probes sent.
+    pub sent: IntCounter,
+}
+
+impl<C: UpstreamClient + Clone, D: DeploymentCodec> ServiceWork for LoadWork<C, D> {
+    const NAME: ServiceName = ServiceName::Load;
+
+    async fn run(self, stop: CancellationToken) {
+        let work = Arc::new(self);
+        let pending: PendingProbes = Arc::default();
+        let mut ticks = interval(work.settings.interval);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        while stop.run_until_cancelled(ticks.tick()).await.is_some() {
+            work.start_round(&pending);
+            sleep(ROUND_TIME).await;
+            work.state.outgoing.notify_one();
+        }
+    }
+}
+
+/// Upstreams whose probe is under way.
+type PendingProbes = Arc<Mutex<FastSet<UpstreamKey>>>;
+
+impl<C: UpstreamClient + Clone, D: DeploymentCodec> LoadWork<C, D> {
+    /// Probes the upstreams that are this entry's to measure.
+    fn start_round(self: &Arc<Self>, pending: &PendingProbes) {
+        let snapshot = self.state.snapshot.load_full();
+        let Some(snapshot) = snapshot else { return };
+        let now = Instant::now();
+        let table = self.state.table();
+        for (key, upstream) in &snapshot.upstreams {
+            let is_home = upstream.failure_domain == table.own().failure_domain;
+            if !is_home || upstream.is_draining() || !table.is_prober_of(&upstream.name, now) {
+                continue;
+            }
+            if !pending.lock().unwrap_or_else(PoisonError::into_inner).insert(key) {
+                continue;
+            }
+            let (work, pending) = (Arc::clone(self), Arc::clone(pending));
+            let upstream = Arc::clone(upstream);
+            tokio::spawn(async move {
+                work.probe(&upstream).await;
+                pending.lock().unwrap_or_else(PoisonError::into_inner).remove(&key);
+            });
+        }
+    }
+
+    async fn probe(&self, upstream: &Arc<UpstreamState>) {
+        let Some(path) = &upstream.spec.health_path else { return };
+        let Ok(uri) = Uri::try_from(path.as_str()) else { return };
+        self.sent.inc();
+        let request = AttemptRequest {
+            method: Method::GET,
+            uri,
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            deadline: Instant::now() + PROBE_TIMEOUT,
+            connection: ConnectionChoice::Pooled,
+        };
+        let sent = timeout(PROBE_TIMEOUT, self.client.send(upstream, request)).await;
+        let Ok(AttemptOutcome::Answered(answer)) = sent else { return };
+        let measured = Instant::now();
+        let report = LoadReport::from_headers(answer.response.headers(), &self.settings.format);
+        // The connection can be used again only once the answer has been read to its end.
+        let _ = http_body_util::BodyExt::collect(answer.response.into_body()).await;
+        let Some(report) = report else { return };
+        learn_shared(upstream, report, Duration::ZERO, &self.learner.settings);
+        let load = MeasuredLoad {
+            instance: upstream.name.clone(),
+            inflight: report.inflight,
+            work_percent: report.work_percent,
+            age_ms: 0,
+        };
+        self.state.tell_load(measured, load);
+    }
+}
--- /dev/null
+++ b/src/fleet/peer_table.rs
@@ -0,0 +1,174 @@
+//! The entries of a deployment as one of them sees them.
+//!
+//! Entries register in the store once, which tells how many there are. Those of the own failure
+//! domain are heard several times a second, which tells who is alive, who may be named to callers,
+//! and who reads the store for the domain.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::core::{FailureDomain, VmId};
+use crate::fleet::peer_message::PeerMessage;
+use crate::membership::{EntryRecord, EntryState, MembershipView, rendezvous_score};
+
+/// Silence after which an entry counts as gone: eight messages missed.
+pub const PEER_SILENCE: Duration = Duration::from_millis(800);
+
+/// How an entry registers in the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EntryRegistration {
+    /// Failure domain.
+    pub failure_domain: String,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for other entries.
+    pub peer_address: SocketAddr,
+}
+
+#[derive(Clone, Debug)]
+struct PeerEntry {
+    record: EntryRecord,
+    incarnation: u64,
+    sequence: u64,
+    heard: Option<Instant>,
+}
+
+/// The table.
+#[derive(Debug)]
+pub struct PeerTable {
+    own: EntryRecord,
+    peers: BTreeMap<VmId, PeerEntry>,
+}
+
+impl PeerTable {
+    /// Creates a table that knows only its own entry.
+    pub fn new(own: EntryRecord) -> Self {
+        Self { own, peers: BTreeMap::new() }
+    }
+
+    /// Own entry.
+    pub fn own(&self) -> &EntryRecord {
+        &self.own
+    }
+
+    /// Sets what the own entry is doing.
+    pub fn set_own_state(&mut self, state: EntryState) {
+        self.own.state = state;
+    }
+
+    /// Takes in what an entry registered in the store.
+    pub fn register(&mut self, vm: &str, registration: &EntryRegistration) {
+        let vm = VmId::new(vm);
+        if vm == self.own.vm {
+            return;
+        }
+        let record = EntryRecord {
+            vm: vm.clone(),
+            failure_domain: FailureDomain::new(&registration.failure_domain),
+            caller_address: registration.caller_address,
+            peer_address: registration.peer_address,
+            state: EntryState::Ready,
+        };
+        let fresh =
+            || PeerEntry { record: record.clone(), incarnation: 0, sequence: 0, heard: None };
+        let entry = self.peers.entry(vm).or_insert_with(fresh);
+        if entry.heard.is_none() {
+            entry.record = record;
+        }
+    }
+
+    /// Takes in a message; false if it is older than one that was heard.
+    pub fn hear(&mut self, message: &PeerMessage, from: SocketAddr, now: Instant) -> bool {
+        let vm = VmId::new(&message.vm);
+        if vm == self.own.vm {
+            return false;
+        }
+        let record = EntryRecord {
+            vm: vm.clone(),
+            failure_domain: FailureDomain::new(&message.failure_domain),
+            caller_address: message.caller_address,
+            peer_address: from,
+            state: message.state,
+        };
+        let entry = PeerEntry {
+            record,
+            incarnation: message.incarnation,
+            sequence: message.sequence,
+            heard: Some(now),
+        };
+        let Some(known) = self.peers.get_mut(&vm) else {
+            log::info!(target: "peer", "heard for the first time vm={vm} address={from}");
+            self.peers.insert(vm, entry);
+            return true;
+        };
+        if known.incarnation == entry.incarnation && known.sequence >= entry.sequence {
+            return false;
+        }
+        let is_back = known.heard.is_none_or(|at| now - at > PEER_SILENCE);
+        let is_changed = known.record.state != entry.record.state;
+        if is_back || is_changed {
+            log::info!(target: "peer", "vm={vm} state={:?} address={from}", entry.record.state);
+        }
+        *known = entry;
+        true
+    }
+
+    /// Entries that messages are sent to: those of the own failure domain.
+    pub fn audience(&self) -> Vec<SocketAddr> {
+        let mut audience = Vec::new();
+        for peer in self.peers.values() {
+            if peer.record.failure_domain == self.own.failure_domain {
+                audience.push(peer.record.peer_address);
+            }
+        }
+        audience
+    }
+
+    /// Entries of all failure domains, the own one included.
+    pub fn count(&self) -> u32 {
+        self.peers.len() as u32 + 1
+    }
+
+    /// Number of live entries of the own failure domain that read the store before this one.
+    pub fn rank(&self, now: Instant) -> u32 {
+        let mut rank = 0;
+        for (vm, peer) in &self.peers {
+            rank += u32::from(*vm < self.own.vm && self.is_live(peer, now));
+        }
+        rank
+    }
+
+    /// Whether this entry is the one of its failure domain that measures `upstream`.
+    pub fn is_prober_of(&self, upstream: &str, now: Instant) -> bool {
+        let own = rendezvous_score(upstream, self.own.vm.as_str(), 1.0);
+        for (vm, peer) in &self.peers {
+            if self.is_live(peer, now) && rendezvous_score(upstream, vm.as_str(), 1.0) > own {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// The entries: those of the own failure domain that are live, and all that are known of the
+    /// others.
+    pub fn view(&self, now: Instant) -> MembershipView {
+        let mut entries = vec![self.own.clone()];
+        for peer in self.peers.values() {
+            let is_own_domain = peer.record.failure_domain == self.own.failure_domain;
+            if !is_own_domain || self.is_live(peer, now) {
+                entries.push(peer.record.clone());
+            }
+        }
+        entries.sort_by(|a, b| a.vm.cmp(&b.vm));
+        MembershipView { entries }
+    }
+
+    fn is_live(&self, peer: &PeerEntry, now: Instant) -> bool {
+        let is_own_domain = peer.record.failure_domain == self.own.failure_domain;
+        is_own_domain && peer.heard.is_some_and(|at| now - at <= PEER_SILENCE)
+    }
+}
--- /dev/null
+++ b/src/fleet/state.rs
@@ -0,0 +1,200 @@
+//! What the services of one entry share.
+
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::core::SharedSnapshot;
+use crate::fleet::codec::DeploymentCodec;
+use crate::fleet::peer_message::{MeasuredLoad, MessageKey, ViewConfirmation};
+use crate::fleet::peer_table::PeerTable;
+use crate::fleet::view::{DeploymentView, ViewChange, ViewMark};
+use crate::limits::LimitTable;
+use crate::membership::{ConfigFreshness, EntryState, SharedMembership};
+
+/// What has to be told to the other entries.
+#[derive(Debug, Default)]
+pub(super) struct Outbox {
+    pub(super) loads: Vec<(Instant, MeasuredLoad)>,
+    pub(super) changes: Vec<ViewChange>,
+}
+
+/// What this entry is known to have missed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct ViewGap {
+    pub(super) upstreams: bool,
+    pub(super) config: bool,
+}
+
+impl ViewGap {
+    pub(super) fn is_open(self) -> bool {
+        self.upstreams || self.config
+    }
+}
+
+/// Shared state of one entry.
+#[derive(Debug)]
+pub struct FleetState<D> {
+    view: Mutex<DeploymentView<D>>,
+    table: Mutex<PeerTable>,
+    gap: Mutex<ViewGap>,
+    outbox: Mutex<Outbox>,
+    /// Wakes the peer service: there is something to tell.
+    pub(super) outgoing: Notify,
+    /// Wakes the store service: something was missed.
+    pub(super) missed: Notify,
+    /// Deployment's key, once it is known.
+    pub(super) key: OnceLock<MessageKey>,
+    /// Configuration that the request plane reads.
+    pub snapshot: SharedSnapshot,
+    /// Entries that callers are sent to.
+    pub membership: SharedMembership,
+    /// Age of the last confirmation of the view.
+    pub freshness: Arc<ConfigFreshness>,
+    limits: Arc<LimitTable>,
+}
+
+impl<D: DeploymentCodec> FleetState<D> {
+    /// Creates the state of an entry that knows nothing yet.
+    pub fn new(
+        view: DeploymentView<D>,
+        table: PeerTable,
+        snapshot: SharedSnapshot,
+        membership: SharedMembership,
+        freshness: Arc<ConfigFreshness>,
+        limits: Arc<LimitTable>,
+    ) -> Self {
+        Self {
+            view: Mutex::new(view),
+            table: Mutex::new(table),
+            gap: Mutex::default(),
+            outbox: Mutex::default(),
+            outgoing: Notify::new(),
+            missed: Notify::new(),
+            key: OnceLock::new(),
+            snapshot,
+            membership,
+            freshness,
+            limits,
+        }
+    }
+
+    pub(super) fn view(&self) -> MutexGuard<'_, DeploymentView<D>> {
+        lock(&self.view)
+    }
+
+    pub(super) fn table(&self) -> MutexGuard<'_, PeerTable> {
+        lock(&self.table)
+    }
+
+    /// Puts a change of the view in force here.
+    pub(super) fn put_in_force(&self) {
+        let previous = self.snapshot.load_full();
+        let compiled = self.view().compile(previous.as_deref());
+        let Some(snapshot) = compiled else { return };
+        let is_first = previous.is_none();
+        log::debug!(
+            target: "config",
+            "in force generation={} upstreams={}",
+            snapshot.generation,
+            snapshot.upstreams.len(),
+        );
+        self.snapshot.store(Some(Arc::new(snapshot)));
+        if is_first {
+            log::info!(target: "node", "ready, first configuration in force");
+            self.set_state(EntryState::Ready);
+        }
+    }
+
+    /// Puts a change that was read from the store in force and tells the other entries.
+    pub(super) fn publish(&self, change: ViewChange) {
+        if !change.is_empty() {
+            self.put_in_force();
+        }
+        if !change.is_empty() || change.revision > change.base {
+            lock(&self.outbox).changes.push(change);
+            self.outgoing.notify_one();
+        }
+    }
+
+    /// Takes in a change and a confirmation from another entry.
+    pub(super) fn take_in(
+        &self,
+        change: Option<ViewChange>,
+        confirmation: Option<ViewConfirmation>,
+    ) {
+        if let Some(change) = change {
+            let before = self.view().mark();
+            self.view().apply_change(change);
+            if self.view().mark() != before {
+                self.put_in_force();
+            }
+        }
+        let Some(confirmation) = confirmation else { return };
+        let own = self.view().mark();
+        let gap = gap_between(own, confirmation.mark);
+        if gap.is_open() {
+            log::debug!(target: "peer", "view behind own={own:?} peer={:?}", confirmation.mark);
+            *lock(&self.gap) = gap;
+            self.missed.notify_one();
+        } else if own == confirmation.mark {
+            self.freshness.confirm(Duration::from_millis(confirmation.age_ms));
+        }
+    }
+
+    pub(super) fn gap(&self) -> ViewGap {
+        *lock(&self.gap)
+    }
+
+    pub(super) fn close_gap(&self) {
+        *lock(&self.gap) = ViewGap::default();
+    }
+
+    pub(super) fn tell_load(&self, measured: Instant, load: MeasuredLoad) {
+        lock(&self.outbox).loads.push((measured, load));
+    }
+
+    pub(super) fn take_outbox(&self) -> Outbox {
+        std::mem::take(&mut lock(&self.outbox))
+    }
+
+    /// What this entry can confirm to others.
+    pub(super) fn confirmation(&self) -> Option<ViewConfirmation> {
+        let age = self.freshness.age()?;
+        Some(ViewConfirmation { mark: self.view().mark(), age_ms: age.as_millis() as u64 })
+    }
+
+    /// Sets what this entry is doing, and tells the others at once.
+    pub fn set_state(&self, state: EntryState) {
+        self.table().set_own_state(state);
+        self.refresh_membership();
+        self.outgoing.notify_one();
+    }
+
+    /// Publishes the membership as of now.
+    pub(super) fn refresh_membership(&self) {
+        let table = self.table();
+        let view = table.view(Instant::now());
+        self.limits.set_entries(table.count());
+        drop(table);
+        if **self.membership.load() != view {
+            self.membership.store(Arc::new(view));
+        }
+    }
+}
+
+/// What an entry with the view `own` has missed, if another one has `other`.
+fn gap_between(own: ViewMark, other: ViewMark) -> ViewGap {
+    let is_behind = other.revision > own.revision;
+    let is_different = other.revision == own.revision && other.digest != own.digest;
+    ViewGap {
+        upstreams: is_behind || is_different,
+        config: other.config_revision > own.config_revision,
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/fleet/store_follower.rs
@@ -0,0 +1,373 @@
+//! Reads the configuration and the upstreams from the platform's store.
+//!
+//! The live entry of the lowest name in a failure domain is its reader: it keeps one watch on the
+//! upstreams. A watch returns the revision of the whole store, so one that moved by more than the
+//! events that came with it says that something else changed, and the configuration is read. The
+//! other entries hear from the reader; each reads for itself as soon as the last confirmation is
+//! older than its limit, so that nothing rests on one entry, connection or datagram.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::fleet::codec::DeploymentCodec;
+use crate::fleet::peer_message::MessageKey;
+use crate::fleet::peer_table::EntryRegistration;
+use crate::fleet::state::FleetState;
+use crate::kernel::{ServiceName, ServiceWork};
+use crate::platform::{
+    ObjectDraft, ObjectEnvelope, PlatformStore, Precondition, StoreError, WatchRequest,
+};
+use crate::util::SeededRandom;
+
+/// Time that the reader's watch waits. A watch that has gone silent is found out after it, and the
+/// others must then still have time for a read of their own before a change is due in force.
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
+/// Time that the watch of an entry waits that only confirms its view.
+const CONFIRM_WAIT: Duration = Duration::from_millis(1);
+/// Age of the last confirmation at which an entry that is not the reader reads for itself: the
+/// reader's wait and some messages.
+const CONFIRM_LIMIT: Duration = Duration::from_millis(1250);
+/// Later start of each further entry, so that the first one's result saves the others their read.
+const RANK_STEP: Duration = Duration::from_millis(40);
+/// Rank from which entries start together.
+const MAX_RANK: u32 = 8;
+/// Time for the answer of a call beyond its own wait.
+const CALL_TIME: Duration = Duration::from_millis(700);
+/// Pause after a failed call; doubles up to the longest one.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause after a failed call.
+const MAX_PAUSE: Duration = Duration::from_millis(800);
+/// Times after the start at which the registered entries are listed again: all entries of a new
+/// deployment start within a fraction of a second, a late one is heard of by the second list.
+const ROLL_CALLS: [Duration; 2] = [Duration::ZERO, Duration::from_secs(4)];
+
+/// Kind of the registrations of entries.
+pub const ENTRY_KIND: &str = "heatherfall-entries";
+/// Kind of the deployment's key.
+pub const KEY_KIND: &str = "heatherfall-keys";
+/// Name of the key that messages between entries are sealed with.
+pub const KEY_NAME: &str = "peers";
+/// Words of 64 random bits of a new key.
+const KEY_WORDS: usize = 4;
+
+/// What the entry does next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StoreDuty {
+    /// Read all.
+    List,
+    /// Wait for changes, at most this long.
+    Watch(Duration),
+    /// Nothing before this time.
+    Rest(Instant),
+}
+
+/// The service.
+#[derive(Debug)]
+pub struct StoreWork<S, D> {
+    /// The store.
+    pub store: Arc<S>,
+    /// Shared state of the entry.
+    pub state: Arc<FleetState<D>>,
+    /// How the entry registers.
+    pub registration: EntryRegistration,
+    /// Source of random numbers.
+    pub random: SeededRandom,
+}
+
+impl<S: PlatformStore, D: DeploymentCodec> ServiceWork for StoreWork<S, D> {
+    const NAME: ServiceName = ServiceName::Store;
+
+    async fn run(mut self, stop: CancellationToken) {
+        let key_candidate = new_key(&mut self.random);
+        let reads = async {
+            let mut follower = StoreFollower::new(Arc::clone(&self.store), Arc::clone(&self.state));
+            follower.run(&mut self.random).await;
+        };
+        let vm = self.state.table().own().vm.to_string();
+        let enrolment = EntryEnrolment {
+            store: &*self.store,
+            state: &*self.state,
+            vm,
+            registration: &self.registration,
+            key_candidate,
+        };
+        stop.run_until_cancelled(async { tokio::join!(reads, enrolment.run()) }).await;
+    }
+}
+
+/// Follows the store.
+#[derive(Debug)]
+pub struct StoreFollower<S, D> {
+    store: Arc<S>,
+    state: Arc<FleetState<D>>,
+    lost: Option<Instant>,
+    pause: Duration,
+}
+
+impl<S: PlatformStore, D: DeploymentCodec> StoreFollower<S, D> {
+    /// Creates a follower that has read nothing yet.
+    pub fn new(store: Arc<S>, state: Arc<FleetState<D>>) -> Self {
+        Self { store, state, lost: None, pause: FIRST_PAUSE }
+    }
+
+    async fn run(&mut self, random: &mut SeededRandom) {
+        loop {
+            if let Err(error) = self.step().await {
+                self.note_lost(&error);
+                // Entries that failed together must not come back together.
+                sleep(self.pause.mul_f64(0.5 + random.unit())).await;
+                self.pause = (self.pause * 2).min(MAX_PAUSE);
+            }
+        }
+    }
+
+    /// Does what is due and waits until something is.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the store was not read.
+    pub async fn step(&mut self) -> Result<(), StoreError> {
+        let now = Instant::now();
+        let expired = self.state.view().expire(now);
+        self.state.publish(expired);
+        match self.duty(now) {
+            StoreDuty::List => self.list().await,
+            StoreDuty::Watch(wait) => self.watch(wait).await,
+            StoreDuty::Rest(until) => {
+                let missed = self.state.missed.notified();
+                let _ = timeout(until.saturating_duration_since(now), missed).await;
+                Ok(())
+            }
+        }
+    }
+
+    fn duty(&self, now: Instant) -> StoreDuty {
+        let view = self.state.view();
+        if view.revision() == 0 || !view.has_config() || self.state.gap().is_open() {
+            return StoreDuty::List;
+        }
+        let expiry = view.next_expiry();
+        drop(view);
+        let rank = self.state.table().rank(now);
+        if rank == 0 {
+            let wait = expiry.map_or(WATCH_WAIT, |at| WATCH_WAIT.min(at - now));
+            return StoreDuty::Watch(wait);
+        }
+        let limit = CONFIRM_LIMIT + RANK_STEP * rank.min(MAX_RANK);
+        let age = self.state.freshness.age().unwrap_or(limit);
+        if age >= limit {
+            return StoreDuty::Watch(CONFIRM_WAIT);
+        }
+        let due = now + (limit - age);
+        StoreDuty::Rest(expiry.map_or(due, |at| at.min(due)))
+    }
+
+    async fn list(&mut self) -> Result<(), StoreError> {
+        let names = self.names();
+        let gap = self.state.gap();
+        let (has_upstreams, has_config) = {
+            let view = self.state.view();
+            (view.revision() > 0, view.has_config())
+        };
+        let started = Instant::now();
+        if gap.upstreams || !has_upstreams {
+            let list = within(CALL_TIME, self.store.list(names.upstream_kind, "")).await?;
+            self.note_found(started);
+            let change = self.state.view().replace_upstreams(list, Instant::now());
+            log::info!(target: "store", "upstreams listed revision={}", change.revision);
+            self.state.publish(change);
+        }
+        if gap.config || !has_config {
+            self.read_config().await?;
+        }
+        self.state.close_gap();
+        self.state.freshness.confirm(started.elapsed());
+        Ok(())
+    }
+
+    async fn watch(&mut self, wait: Duration) -> Result<(), StoreError> {
+        let since = self.state.view().revision();
+        let kinds = vec![self.names().upstream_kind.to_owned()];
+        let request = WatchRequest { kinds, since, wait };
+        let batch = match within(wait + CALL_TIME, self.store.watch(request)).await {
+            Ok(batch) => batch,
+            Err(StoreError::Compacted) => {
+                log::info!(target: "store", "history is gone, listing again since={since}");
+                return self.relist().await;
+            }
+            Err(error) => return Err(error),
+        };
+        let returned = Instant::now();
+        self.note_found(returned);
+        let moved = batch.revision.saturating_sub(since);
+        let is_config_due = moved > batch.events.len() as u64;
+        let change = self.state.view().apply_batch(batch, returned);
+        self.state.publish(change);
+        if is_config_due {
+            self.read_config().await?;
+        }
+        self.state.freshness.confirm(returned.elapsed());
+        Ok(())
+    }
+
+    /// Reads all again, also what no gap is known of.
+    async fn relist(&mut self) -> Result<(), StoreError> {
+        let started = Instant::now();
+        let list = within(CALL_TIME, self.store.list(self.names().upstream_kind, "")).await?;
+        self.note_found(started);
+        let change = self.state.view().replace_upstreams(list, Instant::now());
+        self.state.publish(change);
+        self.read_config().await?;
+        self.state.close_gap();
+        self.state.freshness.confirm(started.elapsed());
+        Ok(())
+    }
+
+    async fn read_config(&mut self) -> Result<(), StoreError> {
+        let names = self.names();
+        let object =
+            match within(CALL_TIME, self.store.get(names.config_kind, names.config_name)).await {
+                Ok(object) => object,
+                // Nothing has been configured yet.
+                Err(StoreError::NotFound) => return Ok(()),
+                Err(error) => return Err(error),
+            };
+        let change = self.state.view().apply_config(object);
+        self.state.publish(change);
+        Ok(())
+    }
+
+    fn names(&self) -> crate::fleet::codec::PlatformNames {
+        self.state.view().names()
+    }
+
+    fn note_lost(&mut self, error: &StoreError) {
+        if self.lost.is_none() {
+            let age = self.state.freshness.age().unwrap_or_default();
+            log::warn!(target: "store", "lost reason={error} view_age_ms={}", age.as_millis());
+            self.lost = Some(Instant::now());
+        }
+    }
+
+    fn note_found(&mut self, now: Instant) {
+        self.pause = FIRST_PAUSE;
+        let Some(lost) = self.lost.take() else { return };
+        log::info!(target: "store", "regained after_ms={}", lost.elapsed().as_millis());
+        self.state.view().store_returned(now);
+    }
+}
+
+/// Makes the entry known and learns the deployment's key.
+struct EntryEnrolment<'a, S, D> {
+    store: &'a S,
+    state: &'a FleetState<D>,
+    vm: String,
+    registration: &'a EntryRegistration,
+    key_candidate: String,
+}
+
+impl<S: PlatformStore, D: DeploymentCodec> EntryEnrolment<'_, S, D> {
+    async fn run(self) {
+        while let Err(error) = self.enrol().await {
+            log::warn!(target: "peer", "not enrolled yet reason={error}");
+            sleep(MAX_PAUSE).await;
+        }
+        let enrolled = Instant::now();
+        for after in ROLL_CALLS {
+            sleep_until(enrolled + after).await;
+            while let Err(error) = self.call_roll().await {
+                log::warn!(target: "peer", "entries not listed reason={error}");
+                sleep(MAX_PAUSE).await;
+            }
+        }
+    }
+
+    async fn enrol(&self) -> Result<(), StoreError> {
+        let key = ObjectDraft {
+            kind: KEY_KIND.to_owned(),
+            name: KEY_NAME.to_owned(),
+            spec: self.key_candidate.clone().into(),
+            ..ObjectDraft::default()
+        };
+        // Whoever creates the key first has made it for all.
+        let object = match within(CALL_TIME, self.store.put(key, Precondition::Absent)).await {
+            Ok(object) => object,
+            Err(StoreError::Conflict(Some(present))) => *present,
+            Err(StoreError::Conflict(None)) => {
+                within(CALL_TIME, self.store.get(KEY_KIND, KEY_NAME)).await?
+            }
+            Err(error) => return Err(error),
+        };
+        self.register().await?;
+        self.take_key(&object)
+    }
+
+    fn take_key(&self, object: &ObjectEnvelope) -> Result<(), StoreError> {
+        let text = object.spec.as_str().unwrap_or_default();
+        let key = MessageKey::new(text.as_bytes()).filter(|_| !text.is_empty());
+        let Some(key) = key else {
+            return Err(StoreError::Protocol("the deployment's key is empty".to_owned()));
+        };
+        // A second enrolment finds the same key.
+        let _ = self.state.key.set(key);
+        Ok(())
+    }
+
+    async fn register(&self) -> Result<(), StoreError> {
+        let spec = serde_json::to_value(self.registration)
+            .map_err(|error| StoreError::Protocol(error.to_string()))?;
+        let draft = ObjectDraft {
+            kind: ENTRY_KIND.to_owned(),
+            name: self.vm.clone(),
+            spec,
+            ..ObjectDraft::default()
+        };
+        match within(CALL_TIME, self.store.put(draft.clone(), Precondition::Absent)).await {
+            Ok(_) => Ok(()),
+            Err(StoreError::Conflict(Some(present))) if present.spec == draft.spec => Ok(()),
+            Err(StoreError::Conflict(Some(present))) => {
+                let condition = Precondition::SpecVersion(present.spec_version);
+                within(CALL_TIME, self.store.put(draft, condition)).await.map(drop)
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn call_roll(&self) -> Result<(), StoreError> {
+        let list = within(CALL_TIME, self.store.list(ENTRY_KIND, "")).await?;
+        let mut table = self.state.table();
+        for object in list.items {
+            match serde_json::from_value(object.spec) {
+                Ok(registration) => table.register(&object.name, &registration),
+                Err(error) => {
+                    log::warn!(target: "peer", "registration unusable vm={} reason={error}", object.name);
+                }
+            }
+        }
+        drop(table);
+        self.state.refresh_membership();
+        Ok(())
+    }
+}
+
+/// Bounds a call; its answer is lost after `limit`.
+async fn within<T>(
+    limit: Duration,
+    call: impl Future<Output = Result<T, StoreError>>,
+) -> Result<T, StoreError> {
+    match timeout(limit, call).await {
+        Ok(result) => result,
+        Err(_) => Err(StoreError::AnswerLost(format!("no answer in {limit:?}"))),
+    }
+}
+
+fn new_key(random: &mut SeededRandom) -> String {
+    let mut key = String::new();
+    for _ in 0..KEY_WORDS {
+        key.push_str(&format!("{:016x}", random.bits()));
+    }
+    key
+}
--- /dev/null
+++ b/src/fleet/view.rs
@@ -0,0 +1,342 @@
+//! The last known configuration and upstreams of a deployment.
+//!
+//! The view never goes back to an older configuration. An upstream that is missing after the store
+//! was away is kept for a while, because entries may have lapsed meanwhile and come back.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::config::{ObjectSet, compile};
+use crate::core::{ConfigSnapshot, GenerationNumber};
+use crate::fleet::codec::{DeclaredConfig, DeploymentCodec, PlatformNames};
+use crate::fleet::objects::{put_config, put_upstreams};
+use crate::platform::{ObjectEnvelope, ObjectList, Revision, WatchBatch, WatchEvent};
+
+/// Time after the store's return for which a missing upstream is kept: the platform says that
+/// entries are back within about two seconds.
+const LAPSE_GRACE: Duration = Duration::from_millis(2200);
+/// Faulty objects that are logged between two good states, so that they cannot flood the log.
+const MAX_LOGGED_FAULTS: usize = 8;
+
+/// What changed between two states of the view, for the other entries.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ViewChange {
+    /// Revision that the change starts from.
+    pub base: Revision,
+    /// Revision that it leads to.
+    pub revision: Revision,
+    /// Upstream entries that are new or changed.
+    pub puts: Vec<ObjectEnvelope>,
+    /// Upstream entries that are gone.
+    pub deletes: Vec<String>,
+    /// The configuration, if it changed.
+    pub config: Option<ObjectEnvelope>,
+}
+
+impl ViewChange {
+    /// Whether nothing but the revision changed.
+    pub fn is_empty(&self) -> bool {
+        self.puts.is_empty() && self.deletes.is_empty() && self.config.is_none()
+    }
+}
+
+/// How far a view has come; equal marks mean equal views.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ViewMark {
+    /// Revision up to which upstreams are known.
+    pub revision: Revision,
+    /// Revision of the configuration.
+    pub config_revision: Revision,
+    /// Digest of the names and revisions of the upstreams.
+    pub digest: u64,
+}
+
+/// The view.
+#[derive(Debug)]
+pub struct DeploymentView<D> {
+    codec: D,
+    revision: Revision,
+    config: Option<(Revision, DeclaredConfig)>,
+    upstreams: BTreeMap<String, ObjectEnvelope>,
+    /// Until when entries that are missing after an outage are kept.
+    held: BTreeMap<String, Instant>,
+    returned: Option<Instant>,
+    objects: ObjectSet,
+    is_config_stale: bool,
+}
+
+impl<D: DeploymentCodec> DeploymentView<D> {
+    /// Creates an empty view.
+    pub fn new(codec: D) -> Self {
+        Self {
+            codec,
+            revision: 0,
+            config: None,
+            upstreams: BTreeMap::new(),
+            held: BTreeMap::new(),
+            returned: None,
+            objects: ObjectSet::default(),
+            is_config_stale: true,
+        }
+    }
+
+    /// Names of the platform.
+    pub fn names(&self) -> PlatformNames {
+        self.codec.names()
+    }
+
+    /// Revision up to which the upstreams are known; 0 before the first list.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Whether there is a configuration.
+    pub fn has_config(&self) -> bool {
+        self.config.is_some()
+    }
+
+    /// Number of the configuration.
+    pub fn generation(&self) -> Option<GenerationNumber> {
+        self.config.as_ref().map(|(_, config)| config.generation)
+    }
+
+    /// How far the view has come.
+    pub fn mark(&self) -> ViewMark {
+        let mut digest = 0_u64;
+        for (name, object) in &self.upstreams {
+            digest = digest.wrapping_add(entry_digest(name, object.version));
+        }
+        let config_revision = self.config.as_ref().map_or(0, |(revision, _)| *revision);
+        ViewMark { revision: self.revision, config_revision, digest }
+    }
+
+    /// Records that the store is back after it could not be reached.
+    pub fn store_returned(&mut self, now: Instant) {
+        self.returned = Some(now);
+    }
+
+    /// Takes in a complete list of the upstreams.
+    pub fn replace_upstreams(&mut self, list: ObjectList, now: Instant) -> ViewChange {
+        if list.revision < self.revision {
+            log::warn!(
+                target: "store",
+                "list is older than what is known, not used revision={} known={}",
+                list.revision,
+                self.revision,
+            );
+            return self.change_from(self.revision);
+        }
+        let mut change = self.change_from(self.revision);
+        let mut missing: Vec<String> = self.upstreams.keys().cloned().collect();
+        for object in list.items {
+            missing.retain(|name| *name != object.name);
+            self.put(object, &mut change);
+        }
+        for name in missing {
+            self.remove(&name, now, &mut change);
+        }
+        self.revision = list.revision;
+        change.revision = list.revision;
+        change
+    }
+
+    /// Takes in the changes of a watch.
+    pub fn apply_batch(&mut self, batch: WatchBatch, now: Instant) -> ViewChange {
+        let mut change = self.change_from(self.revision);
+        for event in batch.events {
+            match event {
+                WatchEvent::Put { object } => self.put(object, &mut change),
+                WatchEvent::Delete { name, revision, .. } => {
+                    let known = self.upstreams.get(&name).map_or(0, |object| object.version);
+                    if revision >= known {
+                        self.remove(&name, now, &mut change);
+                    }
+                }
+            }
+        }
+        self.revision = self.revision.max(batch.revision);
+        change.revision = self.revision;
+        change
+    }
+
+    /// Takes in the configuration object; an older one than the present is not used.
+    pub fn apply_config(&mut self, object: ObjectEnvelope) -> ViewChange {
+        let mut change = self.change_from(self.revision);
+        let known = self.config.as_ref();
+        if known.is_some_and(|(revision, _)| object.version <= *revision) {
+            return change;
+        }
+        let config = match self.codec.config(&object) {
+            Ok(config) => config,
+            Err(error) => {
+                log::error!(
+                    target: "config",
+                    "configuration not usable, last one kept revision={} reason={error}",
+                    object.version,
+                );
+                return change;
+            }
+        };
+        if known.is_some_and(|(_, present)| config.generation < present.generation) {
+            log::warn!(
+                target: "config",
+                "older generation not used generation={} present={:?}",
+                config.generation,
+                self.generation(),
+            );
+            return change;
+        }
+        log::info!(
+            target: "config",
+            "generation={} revision={} routes={} services={}",
+            config.generation,
+            object.version,
+            config.routes.len(),
+            config.services.len(),
+        );
+        self.config = Some((object.version, config));
+        self.is_config_stale = true;
+        change.config = Some(object);
+        change
+    }
+
+    /// Takes in a change that another entry read from the store. Returns whether it fits on what
+    /// is known; if not, the store has to be read.
+    pub fn apply_change(&mut self, change: ViewChange) -> bool {
+        if let Some(config) = change.config {
+            self.apply_config(config);
+        }
+        if change.base > self.revision {
+            return false;
+        }
+        if change.revision < self.revision {
+            return true;
+        }
+        let mut own = self.change_from(self.revision);
+        for object in change.puts {
+            self.put(object, &mut own);
+        }
+        for name in change.deletes {
+            self.upstreams.remove(&name);
+            self.held.remove(&name);
+            log::info!(target: "upstream", "gone instance={name} revision={} source=peer", change.revision);
+        }
+        self.revision = change.revision;
+        true
+    }
+
+    /// Removes the upstreams that have not come back after an outage.
+    pub fn expire(&mut self, now: Instant) -> ViewChange {
+        let mut change = self.change_from(self.revision);
+        let mut due = Vec::new();
+        for (name, until) in &self.held {
+            if *until <= now {
+                due.push(name.clone());
+            }
+        }
+        for name in due {
+            self.held.remove(&name);
+            self.upstreams.remove(&name);
+            log::info!(target: "upstream", "not back after the store's outage, gone instance={name}");
+            change.deletes.push(name);
+        }
+        change
+    }
+
+    /// When [`Self::expire`] has something to do.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.held.values().min().copied()
+    }
+
+    /// Compiles the view; none before there is a configuration.
+    pub fn compile(&mut self, previous: Option<&ConfigSnapshot>) -> Option<ConfigSnapshot> {
+        let (config_revision, config) = self.config.as_ref()?;
+        if self.is_config_stale {
+            put_config(&mut self.objects, config, *config_revision);
+            self.is_config_stale = false;
+        }
+        let mut upstreams = Vec::with_capacity(self.upstreams.len());
+        let mut faults = 0;
+        for object in self.upstreams.values() {
+            match self.codec.upstream(object) {
+                Ok(upstream) => upstreams.push(upstream),
+                Err(error) => {
+                    faults += 1;
+                    if faults <= MAX_LOGGED_FAULTS {
+                        log::warn!(target: "upstream", "entry names none instance={} reason={error}", object.name);
+                    }
+                }
+            }
+        }
+        put_upstreams(&mut self.objects, &upstreams, &config.services, self.revision);
+        let outcome = compile(&self.objects, config.generation, previous);
+        for fault in outcome.faults.iter().take(MAX_LOGGED_FAULTS) {
+            log::warn!(
+                target: "config",
+                "{}: object left out kind={} name={} reason={}",
+                fault.code,
+                fault.kind.as_str(),
+                fault.name,
+                fault.message,
+            );
+        }
+        Some(outcome.snapshot)
+    }
+
+    fn change_from(&self, base: Revision) -> ViewChange {
+        ViewChange { base, revision: self.revision, ..ViewChange::default() }
+    }
+
+    fn put(&mut self, object: ObjectEnvelope, change: &mut ViewChange) {
+        self.held.remove(&object.name);
+        let known = self.upstreams.get(&object.name);
+        if known.is_some_and(|known| known.version >= object.version) {
+            return;
+        }
+        if let Ok(upstream) = self.codec.upstream(&object) {
+            log::info!(
+                target: "upstream",
+                "instance={} service={} address={} domain={} draining={} revision={}",
+                upstream.instance,
+                upstream.service,
+                upstream.address,
+                upstream.failure_domain,
+                upstream.is_draining,
+                object.version,
+            );
+        }
+        change.puts.push(object.clone());
+        self.upstreams.insert(object.name.clone(), object);
+    }
+
+    fn remove(&mut self, name: &str, now: Instant, change: &mut ViewChange) {
+        if !self.upstreams.contains_key(name) {
+            return;
+        }
+        let grace_end = self.returned.map(|at| at + LAPSE_GRACE);
+        if let Some(until) = grace_end.filter(|until| *until > now) {
+            self.held.entry(name.to_owned()).or_insert(until);
+            log::info!(target: "upstream", "missing after the store's outage, kept for now instance={name}");
+            return;
+        }
+        self.held.remove(name);
+        self.upstreams.remove(name);
+        log::info!(target: "upstream", "gone instance={name} source=store");
+        change.deletes.push(name.to_owned());
+    }
+}
+
+/// Digest of one entry (FNV-1a over its name and revision); the sum over all does not depend on
+/// their order.
+fn entry_digest(name: &str, revision: Revision) -> u64 {
+    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    let mut hash = OFFSET_BASIS;
+    for byte in name.bytes().chain(revision.to_be_bytes()) {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(PRIME);
+    }
+    hash
+}
--- a/src/kernel/probe_service.rs
+++ b/src/kernel/probe_service.rs
@@ -14,7 +14,7 @@
     ProbeWallet, SHARE_RENEWAL, ShareKeeper, learn_probe, mark_probed, next_probe,
 };
 use crate::core::{
-    SharedSnapshot, UPSTREAM_DRAIN_HEADER, UPSTREAM_NOT_RUN_HEADER, UpstreamState, VmId,
+    LoadFormat, SharedSnapshot, UPSTREAM_DRAIN_HEADER, UPSTREAM_NOT_RUN_HEADER, UpstreamState, VmId,
 };
 use crate::kernel::service_kernel::ServiceName;
 use crate::kernel::worker_service::ServiceWork;
@@ -175,7 +175,7 @@
     match outcome {
         AttemptOutcome::Answered(answer) => {
             let headers = answer.response.headers();
-            report.load = LoadReport::from_headers(headers);
+            report.load = LoadReport::from_headers(headers, &LoadFormat::Orca);
             report.is_draining = headers.contains_key(UPSTREAM_DRAIN_HEADER);
             if headers.contains_key(UPSTREAM_NOT_RUN_HEADER) {
                 report.result = AttemptResult::Shed;
--- a/src/kernel/service_kernel.rs
+++ b/src/kernel/service_kernel.rs
@@ -21,6 +21,12 @@
     Drain,
     /// Probes silent upstreams within the budget.
     Probe,
+    /// Reads the configuration and the upstreams from the platform's store.
+    Store,
+    /// Talks to the other entries of the failure domain.
+    Peer,
+    /// Measures the load of the failure domain's upstreams.
+    Load,
 }
 
 impl ServiceName {
@@ -31,6 +37,9 @@
             Self::Membership => "membership",
             Self::Drain => "drain",
             Self::Probe => "probe",
+            Self::Store => "store",
+            Self::Peer => "peer",
+            Self::Load => "load",
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`platform`]: the object API that holds configuration and whatever must last.
 //! - [`config`]: objects into a [`core::ConfigSnapshot`].
 //! - [`membership`]: which entry VMs there are, and which of them callers use.
+//! - [`fleet`]: entries on a platform whose store holds the whole configuration.
 //! - [`peer`]: calls between entry nodes.
 //! - [`serve`]: sockets of callers, upstreams and operators.
 //! - [`request`]: classify a request, attempt it, answer it.
@@ -20,6 +21,7 @@
 pub mod balance;
 pub mod config;
 pub mod core;
+pub mod fleet;
 pub mod kernel;
 pub mod ledger;
 pub mod limits;
--- a/src/limits/route_limits.rs
+++ b/src/limits/route_limits.rs
@@ -1,17 +1,29 @@
 //! Limits of each route, kept while the configuration changes around them.
 
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use arc_swap::ArcSwapOption;
 
-use crate::core::{ConfigSnapshot, RouteKey};
+use crate::core::{ConfigSnapshot, PartIndex, RouteKey, RouteRecord};
 use crate::limits::admission_gate::{AdmissionGate, GateSettings};
+use crate::limits::demand::RouteDemand;
 use crate::limits::hedge_budget::HedgeBudget;
 use crate::limits::latency_window::LatencyWindow;
 use crate::limits::retry_budget::RetryBudget;
 use crate::limits::route_group::route_groups;
+use crate::limits::window_budget::{WindowAllowance, WindowBudget};
 use crate::util::FastMap;
 
+/// How the requests of all routes are limited.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LimitRules {
+    /// Allowance for repeats, in place of the budgets of each route.
+    pub repeats: Option<WindowAllowance>,
+    /// Whether requests pass without the adaptive gate; the picker then says when to refuse.
+    pub is_ungated: bool,
+}
+
 /// Limits of one route.
 #[derive(Debug)]
 pub struct RouteLimits {
@@ -23,6 +35,11 @@
     pub latency: LatencyWindow,
     /// Bounds what is in flight; shared by routes with an upstream in common.
     pub gate: Arc<AdmissionGate>,
+    /// Work and size of the route's requests.
+    pub demand: RouteDemand,
+    /// Repeats for each part of the route, in their order, or for the whole of one that is not
+    /// split; shared by routes with the same upstreams. Empty without an allowance.
+    windows: ArcSwapOption<Vec<Arc<WindowBudget>>>,
 }
 
 impl RouteLimits {
@@ -33,13 +50,24 @@
             hedges: HedgeBudget::default(),
             latency: LatencyWindow::default(),
             gate,
+            demand: RouteDemand::default(),
+            windows: ArcSwapOption::empty(),
         }
     }
+
+    /// The window that bounds the repeats of a part; none if the budgets of the route do.
+    pub fn window(&self, part: Option<PartIndex>) -> Option<Arc<WindowBudget>> {
+        let windows = self.windows.load();
+        let index = part.map_or(0, |part| part.0 as usize);
+        windows.as_ref()?.get(index).cloned()
+    }
 }
 
 /// Limits of all routes by name.
 #[derive(Debug, Default)]
 pub struct LimitTable {
+    rules: LimitRules,
+    entries: AtomicU32,
     present: ArcSwapOption<SnapshotLimits>,
     kept: Mutex<KeptLimits>,
 }
@@ -58,6 +86,8 @@
 struct KeptLimits {
     routes: FastMap<String, Arc<RouteLimits>>,
     gates: FastMap<String, Arc<AdmissionGate>>,
+    /// By the text of the selector of upstreams.
+    windows: FastMap<String, Arc<WindowBudget>>,
 }
 
 /// Limits in the order of one snapshot's routes.
@@ -68,6 +98,26 @@
 }
 
 impl LimitTable {
+    /// Creates an empty table.
+    pub fn new(rules: LimitRules) -> Self {
+        Self { rules, ..Self::default() }
+    }
+
+    /// How requests are limited.
+    pub fn rules(&self) -> &LimitRules {
+        &self.rules
+    }
+
+    /// Sets the number of entries that share the allowance for repeats.
+    pub fn set_entries(&self, entries: u32) {
+        self.entries.store(entries, Ordering::Relaxed);
+    }
+
+    /// Number of entries that share the allowance for repeats.
+    pub fn entries(&self) -> u32 {
+        self.entries.load(Ordering::Relaxed)
+    }
+
     /// Limits of a route of `snapshot`; a route of the same name in an earlier one shares them.
     pub fn of(&self, snapshot: &Arc<ConfigSnapshot>, key: RouteKey) -> Option<Arc<RouteLimits>> {
         let present = self.present.load();
@@ -105,6 +155,10 @@
                 Some(limits) if Arc::ptr_eq(&limits.gate, gate) => limits,
                 _ => Arc::new(RouteLimits::new(Arc::clone(gate))),
             };
+            if let Some(allowance) = self.rules.repeats {
+                let windows = windows_of(route, allowance, &kept.windows, &mut next.windows);
+                limits.windows.store(Some(Arc::new(windows)));
+            }
             next.routes.insert(route.name.clone(), Arc::clone(&limits));
             routes.push(limits);
         }
@@ -114,3 +168,28 @@
         limits
     }
 }
+
+/// Windows of a route's parts; those that `kept` knows go on.
+fn windows_of(
+    route: &RouteRecord,
+    allowance: WindowAllowance,
+    kept: &FastMap<String, Arc<WindowBudget>>,
+    next: &mut FastMap<String, Arc<WindowBudget>>,
+) -> Vec<Arc<WindowBudget>> {
+    let mut selectors = Vec::with_capacity(route.spec.parts.len().max(1));
+    for part in &route.spec.parts {
+        selectors.push(part.upstreams.to_string());
+    }
+    if selectors.is_empty() {
+        selectors.push(route.spec.upstreams.to_string());
+    }
+    let mut windows = Vec::with_capacity(selectors.len());
+    for selector in selectors {
+        let known = kept.get(&selector).cloned();
+        let window = next
+            .entry(selector)
+            .or_insert_with(|| known.unwrap_or_else(|| Arc::new(WindowBudget::new(allowance))));
+        windows.push(Arc::clone(window));
+    }
+    windows
+}
--- a/src/membership/assignment.rs
+++ b/src/membership/assignment.rs
@@ -76,7 +76,7 @@
 
 /// Weighted rendezvous score of a node for a key: the node of weight `w` has the highest score for
 /// a share of keys in proportion to `w`.
-fn rendezvous_score(key: &str, node: &str, weight: f64) -> f64 {
+pub fn rendezvous_score(key: &str, node: &str, weight: f64) -> f64 {
     let bits = stable_hash(key, node);
     // In (0, 1), so that the logarithm is finite and negative.
     let unit = ((bits >> 12) as f64 + 0.5) / (1_u64 << 52) as f64;
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -21,7 +21,9 @@
 mod view_table;
 
 pub use self::address_book::{AddressBook, AddressQuery, EntryAddress};
-pub use self::assignment::{AssignedEntry, AssignmentSettings, DomainAssignment, assign};
+pub use self::assignment::{
+    AssignedEntry, AssignmentSettings, DomainAssignment, assign, rendezvous_score,
+};
 pub use self::board::{
     HEARTBEAT_TIMEOUT, HeartbeatBoard, HeartbeatSource, MergeEffect, MergeOutcome,
 };
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::core::{FailureDomain, VmId};
 
@@ -12,7 +12,7 @@
 pub type SharedMembership = Arc<ArcSwap<MembershipView>>;
 
 /// What an entry VM is doing.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EntryState {
     /// Has no configuration yet.
--- a/src/ops/experiment/entry.rs
+++ b/src/ops/experiment/entry.rs
@@ -50,6 +50,7 @@
             name: service.name.clone(),
             spec: read_spec(json!({ "requests": "app=any", "upstreams": "app=any" }))?,
             upstreams,
+            parts: Vec::new(),
         });
         Ok(entry)
     }
--- a/src/ops/experiment/probing.rs
+++ b/src/ops/experiment/probing.rs
@@ -172,7 +172,7 @@
     }
 
     fn observe_probe(&self, key: UpstreamKey, upstream: &UpstreamState, report: AttemptReport) {
-        let Some(LoadReport { inflight }) = report.load else { return };
+        let Some(LoadReport { inflight, .. }) = report.load else { return };
         let latency = Duration::from_secs_f32(upstream.load().latency_secs.get().max(0.0));
         let mut state = self.lock();
         if state.samples.len() == POOL_SAMPLES {
--- a/src/ops/experiment/run.rs
+++ b/src/ops/experiment/run.rs
@@ -245,7 +245,7 @@
         let request = &mut self.requests[index as usize];
         let entry = &self.entries[request.entry];
         let Some(route) = entry.snapshot.routes.first() else { return };
-        let pick = PickRequest { snapshot: &entry.snapshot, route, tried: &request.tried };
+        let pick = PickRequest::new(&entry.snapshot, route, &request.tried);
         let Some(key) = entry.picker.pick(pick) else { return self.end(index, false) };
         let Some(upstream) = entry.snapshot.upstreams.get(key) else {
             return self.end(index, false);
@@ -385,7 +385,7 @@
         AttemptReport {
             latency,
             result,
-            load: self.inflight.map(|inflight| LoadReport { inflight }),
+            load: self.inflight.map(|inflight| LoadReport::of_inflight(inflight)),
             is_draining: self.is_draining,
         }
     }
--- a/src/request/answer.rs
+++ b/src/request/answer.rs
@@ -136,6 +136,34 @@
     }
 }
 
+/// How the time after which a refused caller may come back is written.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RetryAfterForm {
+    /// Whole seconds, as HTTP says (RFC 9110, section 10.2.3).
+    #[default]
+    WholeSeconds,
+    /// Seconds with three decimals, for callers known to read them.
+    Milliseconds,
+}
+
+/// Tells the caller of a refusal as not run when to come back.
+pub(super) fn set_retry_after<B: Body, G>(
+    response: &mut CallerAnswer<B, G>,
+    after: Duration,
+    form: RetryAfterForm,
+) {
+    if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+        return;
+    }
+    let text = match form {
+        RetryAfterForm::WholeSeconds => after.as_secs().max(1).to_string(),
+        RetryAfterForm::Milliseconds => format!("{:.3}", after.as_secs_f64()),
+    };
+    if let Ok(value) = HeaderValue::from_str(&text) {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+}
+
 /// Builds a refusal with its result code; the not-run header is set only for codes that promise
 /// it.
 pub fn refusal<B: Body, G>(code: ResultCode) -> CallerAnswer<B, G> {
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -55,9 +55,11 @@
     },
     /// HTTP/2 REFUSED_STREAM, or GOAWAY below the stream.
     StreamRefused,
+    /// Another upstream has the address by now; it refuses what is not meant for it.
+    WrongInstance,
 }
 
-/// Why an attempt ended without an answer and without proof.
+/// Why an attempt ended without an answer that may be passed on, and without proof.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum UnknownCause {
     /// The connection broke after the first byte.
@@ -66,6 +68,12 @@
     TimedOut,
     /// The answer cannot be verified as whole.
     AnswerNotWhole,
+    /// The answer belongs to another request.
+    ForeignAnswer,
+    /// A success without the upstream's proof, or not in the form that the upstream gave it.
+    AnswerUnproven,
+    /// A refusal that does not say whether the request ran.
+    UnmarkedRefusal,
 }
 
 /// How an attempt ended.
--- a/src/request/attempt_watch.rs
+++ b/src/request/attempt_watch.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::StatusCode;
+use http::header::CONTENT_ENCODING;
+use http::{HeaderValue, StatusCode};
 use tokio::time::Instant;
 
 use crate::balance::{AttemptReport, AttemptResult, LoadReport, UpstreamPicker};
-use crate::core::{BudgetSpec, UPSTREAM_DRAIN_HEADER, UPSTREAM_NOT_RUN_HEADER, UpstreamState};
+use crate::core::{BudgetSpec, MessageHeaders, RouteRecord, UpstreamState};
 use crate::limits::{CongestionSignal, RouteLimits};
 use crate::request::attempt::{AttemptOutcome, NotRunProof, UnknownCause, UpstreamAnswer};
 use crate::request::exchange_state::AttemptEnd;
@@ -19,28 +20,43 @@
 pub(super) struct AttemptWatch<'a, P: UpstreamPicker> {
     picker: &'a P,
     upstream: &'a Arc<UpstreamState>,
+    route: &'a RouteRecord,
     limits: &'a RouteLimits,
     ratios: &'a BudgetSpec,
+    headers: &'a MessageHeaders,
     started: Instant,
     is_finished: bool,
 }
 
+/// What a watch needs to know of its request.
+#[derive(Clone, Copy)]
+pub(super) struct WatchContext<'a> {
+    pub(super) route: &'a RouteRecord,
+    pub(super) limits: &'a RouteLimits,
+    pub(super) ratios: &'a BudgetSpec,
+    pub(super) headers: &'a MessageHeaders,
+}
+
 impl<'a, P: UpstreamPicker> AttemptWatch<'a, P> {
     pub(super) fn new(
         picker: &'a P,
         upstream: &'a Arc<UpstreamState>,
-        limits: &'a RouteLimits,
-        ratios: &'a BudgetSpec,
+        context: WatchContext<'a>,
     ) -> Self {
-        Self { picker, upstream, limits, ratios, started: Instant::now(), is_finished: false }
+        let WatchContext { route, limits, ratios, headers } = context;
+        let started = Instant::now();
+        Self { picker, upstream, route, limits, ratios, headers, started, is_finished: false }
     }
 
     /// Reports the outcome and says what it means for the request.
     pub(super) fn finish<B>(mut self, outcome: &AttemptOutcome<B>) -> AttemptEnd {
         self.is_finished = true;
-        let report = report_of(outcome, self.started.elapsed());
+        let report = report_of(outcome, self.started.elapsed(), self.headers);
         match report.result {
-            AttemptResult::Answered => self.limits.latency.record(report.latency),
+            AttemptResult::Answered => {
+                self.limits.latency.record(report.latency);
+                self.limits.demand.record_work(self.route, report.latency);
+            }
             AttemptResult::Shed | AttemptResult::TimedOut => {
                 self.limits.retries.record_overload(self.ratios.retry_ratio);
                 self.limits.hedges.record_overload(self.ratios.hedge_ratio);
@@ -87,17 +103,44 @@
     }
 }
 
-/// Takes an answer with the upstream's not-run mark as proof that the request did not run.
-pub(super) fn inspect<B>(outcome: AttemptOutcome<B>) -> AttemptOutcome<B> {
+/// Checks that an answer may be passed on to the caller of the request with this identity.
+///
+/// An answer with the upstream's not-run mark is proof that the request did not run. An answer to
+/// another request, a success without proof and a refusal that promises more than the upstream
+/// said tell nothing about this one.
+pub(super) fn inspect<B>(
+    outcome: AttemptOutcome<B>,
+    request_id: Option<&HeaderValue>,
+    names: &MessageHeaders,
+) -> AttemptOutcome<B> {
     let AttemptOutcome::Answered(answer) = outcome else { return outcome };
-    let is_marked = answer.response.headers().contains_key(UPSTREAM_NOT_RUN_HEADER);
-    if is_marked && answer.response.status() == StatusCode::SERVICE_UNAVAILABLE {
-        let is_draining = answer.response.headers().contains_key(UPSTREAM_DRAIN_HEADER);
+    let (status, headers) = (answer.response.status(), answer.response.headers());
+    if names.is_id_echoed && headers.get(&names.request_id) != request_id {
+        return AttemptOutcome::Unknown(UnknownCause::ForeignAnswer);
+    }
+    if names.expected_instance.is_some() && status == StatusCode::MISDIRECTED_REQUEST {
+        return AttemptOutcome::NotRun(NotRunProof::WrongInstance);
+    }
+    if headers.contains_key(&names.not_run) && names.not_run_statuses.contains(&status) {
+        let is_draining = has_drain_mark(&answer, names);
         return AttemptOutcome::NotRun(NotRunProof::UpstreamMark { is_draining });
     }
+    if names.promising_statuses.contains(&status) {
+        return AttemptOutcome::Unknown(UnknownCause::UnmarkedRefusal);
+    }
+    if status.is_success()
+        && let Some(proof) = &names.proof
+        && (!headers.contains_key(proof) || headers.contains_key(CONTENT_ENCODING))
+    {
+        return AttemptOutcome::Unknown(UnknownCause::AnswerUnproven);
+    }
     AttemptOutcome::Answered(answer)
 }
 
+fn has_drain_mark<B>(answer: &UpstreamAnswer<B>, names: &MessageHeaders) -> bool {
+    names.drain.as_ref().is_some_and(|name| answer.response.headers().contains_key(name))
+}
+
 fn end_of<B>(outcome: &AttemptOutcome<B>) -> AttemptEnd {
     match outcome {
         AttemptOutcome::Answered(answer) if is_failure(answer) => AttemptEnd::ServerError,
@@ -118,14 +161,17 @@
     )
 }
 
-fn report_of<B>(outcome: &AttemptOutcome<B>, latency: Duration) -> AttemptReport {
+fn report_of<B>(
+    outcome: &AttemptOutcome<B>,
+    latency: Duration,
+    names: &MessageHeaders,
+) -> AttemptReport {
     let mut report =
         AttemptReport { latency, result: AttemptResult::Answered, load: None, is_draining: false };
     match outcome {
         AttemptOutcome::Answered(answer) => {
-            let headers = answer.response.headers();
-            report.load = LoadReport::from_headers(headers);
-            report.is_draining = headers.contains_key(UPSTREAM_DRAIN_HEADER);
+            report.load = LoadReport::from_headers(answer.response.headers(), &names.load);
+            report.is_draining = has_drain_mark(answer, names);
             if answer.response.status().is_server_error() {
                 report.result = AttemptResult::ServerError;
             }
--- a/src/request/exchange.rs
+++ b/src/request/exchange.rs
@@ -13,37 +13,69 @@
 use http::{HeaderMap, HeaderValue, Method, Uri};
 use tokio::time::Instant;
 
-use crate::balance::{PickRequest, UpstreamPicker};
+use crate::balance::{PickDemand, PickPurpose, PickRequest, UpstreamPicker};
 use crate::core::{
-    ConfigSnapshot, DEADLINE_HEADER, IdempotenceMode, InflightGuard, RETRY_ALLOWANCE_HEADER,
-    ResultCode, RouteRecord, UpstreamKey, UpstreamState,
+    ConfigSnapshot, IdempotenceMode, InflightGuard, MessageHeaders, PartIndex, ResultCode,
+    RouteRecord, UpstreamKey, UpstreamState,
 };
-use crate::limits::RouteLimits;
+use crate::limits::{RouteLimits, WindowBudget};
 use crate::membership::ConfigFreshness;
+use crate::request::answer::RetryAfterForm;
 use crate::request::attempt::{
     AttemptOutcome, AttemptRequest, ConnectionChoice, UnknownCause, UpstreamAnswer, UpstreamClient,
 };
-use crate::request::attempt_watch::{AttemptWatch, inspect};
+use crate::request::attempt_watch::{AttemptWatch, WatchContext, inspect};
 use crate::request::classify::RequestClass;
 use crate::request::exchange_state::{
     AttemptEnd, AttemptIndex, AttemptRole, ConfigStanding, ExchangeAction, ExchangeEvent,
     ExchangePlan, ExchangeState, StartRefusal, StepContext,
 };
+use crate::request::trace::ExchangeTrace;
+
+/// Time that a hedge is given to make the goal, as a multiple of the usual work.
+const HEDGE_RESERVE: f32 = 1.3;
+/// Time within which a first attempt usually ends, as a multiple of the usual work.
+const HEDGE_PATIENCE: f32 = 1.25;
+/// Time after which a first attempt is late for certain, as a multiple of the usual work.
+const HEDGE_LIMIT: f32 = 2.0;
+
+/// When a second attempt is started beside a slow first one.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum HedgeRule {
+    /// At the quantile of recent latency that the route names.
+    #[default]
+    Quantile,
+    /// As late as the second attempt can still make the response-time goal of the route.
+    Goal,
+}
 
 /// Limits on the attempts of one request.
 #[derive(Clone, Debug)]
 pub struct ExchangeSettings {
+    /// Headers of callers and upstreams.
+    pub headers: MessageHeaders,
+    /// When hedges start.
+    pub hedging: HedgeRule,
+    /// Part of the remaining time that the first attempt of an idempotent request may take while
+    /// another one is allowed; it may meet a connection that has gone silent.
+    pub first_attempt_share: f64,
     /// Time that must be left for another attempt to be started.
     pub min_attempt_time: Duration,
     /// Shortest time before a hedge.
     pub min_hedge_delay: Duration,
+    /// How refusals say when to come back.
+    pub retry_after: RetryAfterForm,
 }
 
 impl Default for ExchangeSettings {
     fn default() -> Self {
         Self {
+            headers: MessageHeaders::default(),
+            hedging: HedgeRule::default(),
+            first_attempt_share: 0.5,
             min_attempt_time: Duration::from_millis(1),
             min_hedge_delay: Duration::from_millis(1),
+            retry_after: RetryAfterForm::default(),
         }
     }
 }
@@ -78,10 +110,25 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// When the request was admitted.
+    pub started: Instant,
     /// Time by which the answer must be whole.
     pub deadline: Instant,
     /// Attempts beside the first that the caller allows.
     pub retry_allowance: Option<u32>,
+    /// Part of a split route that the request belongs to.
+    pub part: Option<PartIndex>,
+    /// What pays for repeats in place of the route's own budgets.
+    pub repeat_share: Option<RepeatShare>,
+}
+
+/// This entry's share of the repeats that the deployment allows.
+#[derive(Clone, Debug)]
+pub struct RepeatShare {
+    /// The window.
+    pub window: Arc<WindowBudget>,
+    /// Entries that share the allowance.
+    pub entries: u32,
 }
 
 /// How an exchange ended.
@@ -94,8 +141,17 @@
         /// Counts the request as in flight at its upstream until the answer has been passed on.
         inflight: InflightGuard,
     },
-    /// No answer; the code says what is known.
-    Failed(ResultCode),
+    /// No answer.
+    Failed(ExchangeFailure),
+}
+
+/// Why there is no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ExchangeFailure {
+    /// What is known.
+    pub code: ResultCode,
+    /// Time after which another request may fare better, if that is known.
+    pub retry_after: Option<Duration>,
 }
 
 /// An attempt that has ended.
@@ -115,13 +171,15 @@
 }
 
 impl RequestExchange {
-    /// Runs attempts until one is answered or no further one is allowed.
+    /// Runs attempts until one is answered or no further one is allowed, and notes each in `trace`.
     pub async fn run<C: UpstreamClient, P: UpstreamPicker>(
         &self,
         tools: ExchangeTools<'_, C, P>,
+        trace: &mut ExchangeTrace,
     ) -> ExchangeEnd<C::Body> {
         let Some(route) = self.class.route.and_then(|key| self.snapshot.route(key)) else {
-            return ExchangeEnd::Failed(ResultCode::NoRoute);
+            let code = ResultCode::NoRoute;
+            return ExchangeEnd::Failed(ExchangeFailure { code, retry_after: None });
         };
         let mut state = ExchangeState::new(self.plan(route, tools.settings));
         let mut tried: Vec<UpstreamKey> = Vec::new();
@@ -134,6 +192,7 @@
                 ExchangeAction::Start(role) => {
                     match self.prepare(role, route, &tools, &mut tried) {
                         Ok(start) => {
+                            trace.started(start.role, &start.upstream);
                             let attempt = Some(self.attempt(start, route, &tools));
                             if slot.is_none() {
                                 slot.set(attempt)
@@ -142,7 +201,10 @@
                             }
                             event = ExchangeEvent::Started;
                         }
-                        Err(refusal) => event = ExchangeEvent::StartRefused(refusal),
+                        Err(refusal) => {
+                            trace.refused(role, refusal);
+                            event = ExchangeEvent::StartRefused(refusal);
+                        }
                     }
                 }
                 ExchangeAction::Wait { until } => {
@@ -155,13 +217,18 @@
                             continue;
                         }
                     };
+                    trace.ended(finished.index, finished.end);
                     event = ExchangeEvent::Ended { attempt: finished.index, end: finished.end };
                     if finished.answer.is_some() {
                         kept = Some(finished);
                     }
                 }
                 ExchangeAction::Answer(index) => return answered(kept, index),
-                ExchangeAction::Fail(code) => return ExchangeEnd::Failed(code),
+                ExchangeAction::Fail(code) => {
+                    let pick = self.pick_request(AttemptRole::Retry, route, &tried);
+                    let retry_after = tools.picker.retry_after(pick);
+                    return ExchangeEnd::Failed(ExchangeFailure { code, retry_after });
+                }
             }
         }
     }
@@ -172,13 +239,17 @@
         let allowed = self.retry_allowance.map_or(configured, |allowed| allowed.min(configured));
         let hedge = &route.spec.hedge;
         let may_hedge = hedge.enabled && self.class.mode == IdempotenceMode::Idempotent;
-        let quantile = may_hedge.then(|| self.limits.latency.quantile(hedge.quantile)).flatten();
+        let delay = match settings.hedging {
+            HedgeRule::Quantile => self.limits.latency.quantile(hedge.quantile),
+            HedgeRule::Goal => hedge_delay(route.spec.goal, self.limits.demand.work(route)),
+        };
+        let delay = delay.filter(|_| may_hedge);
         ExchangePlan {
             mode: self.class.mode,
             deadline: self.deadline,
             min_attempt_time: settings.min_attempt_time,
             retry_allowance: allowed,
-            hedge_delay: quantile.map(|delay| delay.max(settings.min_hedge_delay)),
+            hedge_delay: delay.map(|delay| delay.max(settings.min_hedge_delay)),
         }
     }
 
@@ -190,16 +261,13 @@
         tools: &ExchangeTools<'_, C, P>,
         tried: &mut Vec<UpstreamKey>,
     ) -> Result<AttemptStart, StartRefusal> {
-        let pick = PickRequest { snapshot: &self.snapshot, route, tried };
+        let pick = self.pick_request(role, route, tried);
         let key = tools.picker.pick(pick).ok_or(StartRefusal::NoUpstream)?;
         let upstream = self.snapshot.upstreams.get(key).ok_or(StartRefusal::NoUpstream)?;
-        let is_paid = match role {
-            AttemptRole::First => true,
-            AttemptRole::Retry => self.limits.retries.try_spend(),
-            AttemptRole::Hedge if tried.contains(&key) => return Err(StartRefusal::NoUpstream),
-            AttemptRole::Hedge => self.limits.hedges.try_spend(),
-        };
-        if !is_paid {
+        if role == AttemptRole::Hedge && tried.contains(&key) {
+            return Err(StartRefusal::NoUpstream);
+        }
+        if !self.pay(role) {
             return Err(StartRefusal::BudgetSpent);
         }
         let index = tried.len() as AttemptIndex;
@@ -208,19 +276,62 @@
         Ok(AttemptStart { index, role, upstream: Arc::clone(upstream), inflight })
     }
 
+    fn pick_request<'a>(
+        &'a self,
+        role: AttemptRole,
+        route: &'a RouteRecord,
+        tried: &'a [UpstreamKey],
+    ) -> PickRequest<'a> {
+        let now = Instant::now();
+        let goal = self.started + route.spec.goal;
+        let demand = PickDemand {
+            work: self.limits.demand.work(route),
+            kilobytes: self.limits.demand.kilobytes(),
+            goal_left: goal.saturating_duration_since(now),
+            time_left: self.deadline.saturating_duration_since(now),
+        };
+        let purpose = match role {
+            AttemptRole::First => PickPurpose::First,
+            AttemptRole::Retry => PickPurpose::Retry,
+            AttemptRole::Hedge => PickPurpose::Hedge,
+        };
+        PickRequest { snapshot: &self.snapshot, route, tried, part: self.part, purpose, demand }
+    }
+
+    /// Pays for an attempt; false if the budget is spent.
+    fn pay(&self, role: AttemptRole) -> bool {
+        match (role, &self.repeat_share) {
+            (AttemptRole::First, _) => true,
+            (_, Some(share)) => share.window.try_spend(share.entries),
+            (AttemptRole::Retry, None) => self.limits.retries.try_spend(),
+            (AttemptRole::Hedge, None) => self.limits.hedges.try_spend(),
+        }
+    }
+
     async fn attempt<C: UpstreamClient, P: UpstreamPicker>(
         &self,
         start: AttemptStart,
         route: &RouteRecord,
         tools: &ExchangeTools<'_, C, P>,
     ) -> FinishedAttempt<C::Body> {
-        let request = self.request_of(start.role, route, tools.freshness.is_confirmed());
+        let names = &tools.settings.headers;
+        let mut request = self.request_of(start.role, route, &tools);
+        if let Some(name) = &names.expected_instance
+            && let Ok(value) = HeaderValue::from_str(&start.upstream.name)
+        {
+            request.headers.insert(name, value);
+        }
         let deadline = request.deadline;
-        let ratios = &self.snapshot.budget;
-        let watch = AttemptWatch::new(tools.picker, &start.upstream, &self.limits, ratios);
+        let context = WatchContext {
+            route,
+            limits: &self.limits,
+            ratios: &self.snapshot.budget,
+            headers: names,
+        };
+        let watch = AttemptWatch::new(tools.picker, &start.upstream, context);
         let sent = tools.client.send(&start.upstream, request);
         let outcome = match tokio::time::timeout_at(deadline, sent).await {
-            Ok(outcome) => inspect(outcome),
+            Ok(outcome) => inspect(outcome, self.headers.get(&names.request_id), names),
             Err(_) => AttemptOutcome::Unknown(UnknownCause::TimedOut),
         };
         let end = watch.finish(&outcome);
@@ -231,12 +342,14 @@
         FinishedAttempt { index: start.index, end, answer, inflight: start.inflight }
     }
 
-    fn request_of(
+    fn request_of<C, P>(
         &self,
         role: AttemptRole,
         route: &RouteRecord,
-        is_confirmed: bool,
+        tools: &ExchangeTools<'_, C, P>,
     ) -> AttemptRequest {
+        let settings = tools.settings;
+        let is_confirmed = tools.freshness.is_confirmed();
         let is_idempotent = self.class.mode == IdempotenceMode::Idempotent;
         let now = Instant::now();
         let allowance = self.passed_allowance(role, route);
@@ -245,16 +358,18 @@
             deadline = deadline.min(now + route.spec.retry.attempt_timeout);
         }
         if is_idempotent && is_confirmed && allowance > 0 {
-            // The first attempt may meet a connection that has gone silent: half of the time is
-            // kept for another one.
-            deadline = deadline.min(now + self.deadline.saturating_duration_since(now) / 2);
+            let left = self.deadline.saturating_duration_since(now);
+            deadline = deadline.min(now + left.mul_f64(settings.first_attempt_share));
         }
         let connection =
             if is_idempotent { ConnectionChoice::Pooled } else { ConnectionChoice::Proven };
         let remaining = deadline.saturating_duration_since(now);
         let mut headers = self.headers.clone();
-        headers.insert(DEADLINE_HEADER, HeaderValue::from(remaining.as_millis() as u64));
-        headers.insert(RETRY_ALLOWANCE_HEADER, HeaderValue::from(allowance));
+        let names = &settings.headers;
+        headers.insert(&names.deadline, HeaderValue::from(remaining.as_millis() as u64));
+        if let Some(name) = &names.retry_allowance {
+            headers.insert(name, HeaderValue::from(allowance));
+        }
         AttemptRequest {
             method: self.method.clone(),
             uri: self.uri.clone(),
@@ -278,6 +393,16 @@
     }
 }
 
+/// Time after which a second attempt starts, so that it can still make `goal`.
+fn hedge_delay(goal: Duration, work: Duration) -> Option<Duration> {
+    if goal.is_zero() {
+        return None;
+    }
+    let latest = goal.saturating_sub(work.mul_f32(HEDGE_RESERVE));
+    let usual = work.mul_f32(HEDGE_PATIENCE);
+    Some(latest.min(work.mul_f32(HEDGE_LIMIT)).max(usual))
+}
+
 /// Circumstances of a step. The standing matters only where a further attempt may be allowed.
 fn context(event: &ExchangeEvent, freshness: &ConfigFreshness) -> StepContext {
     let is_decision = matches!(event, ExchangeEvent::Ended { .. } | ExchangeEvent::TimerFired);
@@ -305,6 +430,9 @@
         {
             ExchangeEnd::Answered { answer, inflight }
         }
-        _ => ExchangeEnd::Failed(ResultCode::OutcomeUnknown),
+        _ => ExchangeEnd::Failed(ExchangeFailure {
+            code: ResultCode::OutcomeUnknown,
+            retry_after: None,
+        }),
     }
 }
--- a/src/request/exchange_state.rs
+++ b/src/request/exchange_state.rs
@@ -278,8 +278,12 @@
 
 fn code_of(cause: UnknownCause) -> ResultCode {
     match cause {
-        UnknownCause::ConnectionBroken => ResultCode::OutcomeUnknown,
+        UnknownCause::ConnectionBroken | UnknownCause::UnmarkedRefusal => {
+            ResultCode::OutcomeUnknown
+        }
         UnknownCause::TimedOut => ResultCode::DeadlineExceeded,
-        UnknownCause::AnswerNotWhole => ResultCode::AnswerNotWhole,
+        UnknownCause::AnswerNotWhole
+        | UnknownCause::ForeignAnswer
+        | UnknownCause::AnswerUnproven => ResultCode::AnswerNotWhole,
     }
 }
--- a/src/request/keyed.rs
+++ b/src/request/keyed.rs
@@ -24,9 +24,10 @@
     AnswerBody, AnswerStream, is_not_run, refusal, refusal_without_claim,
 };
 use crate::request::attempt::UpstreamClient;
-use crate::request::exchange::{ExchangeEnd, RequestExchange};
+use crate::request::exchange::{ExchangeEnd, ExchangeFailure, RequestExchange};
 use crate::request::plane::{PlaneAnswer, PlaneCore, clean_answer_headers};
 use crate::request::relay::{AnswerRelay, KeptBody};
+use crate::request::trace::ExchangeTrace;
 
 /// Time after the head of an answer at which its outcome is recorded without the body.
 const MAX_RECORD_DELAY: Duration = Duration::from_secs(10);
@@ -74,7 +75,7 @@
         self: Arc<Self>,
         mut exchange: RequestExchange,
         intent: ClaimIntent,
-        permit: GatePermit,
+        permit: Option<GatePermit>,
         answer: oneshot::Sender<PlaneAnswer<C>>,
     ) {
         exchange.class.mode = IdempotenceMode::AtMostOnce;
@@ -93,7 +94,7 @@
         &self,
         exchange: RequestExchange,
         ticket: ClaimTicket,
-        permit: GatePermit,
+        permit: Option<GatePermit>,
         answer: oneshot::Sender<PlaneAnswer<C>>,
     ) {
         let remaining = exchange.deadline.saturating_duration_since(Instant::now());
@@ -101,8 +102,9 @@
             let _ = answer.send(refusal(ResultCode::NotRun));
             return self.ledger.finish(ticket, ClaimEnd::DidNotRun).await;
         }
-        match exchange.run(self.tools()).await {
-            ExchangeEnd::Failed(code) => {
+        let mut trace = ExchangeTrace::default();
+        match exchange.run(self.tools(), &mut trace).await {
+            ExchangeEnd::Failed(ExchangeFailure { code, .. }) => {
                 let end = if is_not_run(code) { ClaimEnd::DidNotRun } else { ClaimEnd::Unknown };
                 let _ = answer.send(refusal(code));
                 drop(permit);
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -18,9 +18,10 @@
 mod plane;
 mod relay;
 mod request_shape;
+mod trace;
 
 pub use self::answer::{
-    AnswerBody, AnswerError, AnswerStream, CallerAnswer, is_not_run, refusal, refusal_after,
+    AnswerBody, AnswerError, AnswerStream, CallerAnswer, RetryAfterForm, is_not_run, refusal, refusal_after,
     refusal_without_claim,
 };
 pub use self::attempt::{
@@ -29,7 +30,10 @@
 };
 pub(crate) use self::classify::is_match;
 pub use self::classify::{RequestClass, RequestHead, classify};
-pub use self::exchange::{ExchangeEnd, ExchangeSettings, ExchangeTools, RequestExchange};
+pub use self::exchange::{
+    ExchangeEnd, ExchangeFailure, ExchangeSettings, ExchangeTools, HedgeRule, RepeatShare,
+    RequestExchange,
+};
 pub use self::exchange_state::{
     AttemptEnd, AttemptIndex, AttemptRole, ConfigStanding, ExchangeAction, ExchangeEvent,
     ExchangePlan, ExchangeState, StartRefusal, StepContext,
@@ -37,3 +41,4 @@
 pub use self::plane::{AnswerGuard, PlaneAnswer, RequestAdmission, RequestPlane};
 pub use self::relay::RelayedBody;
 pub use self::request_shape::check_shape;
+pub use self::trace::ExchangeTrace;
--- a/src/request/plane.rs
+++ b/src/request/plane.rs
@@ -9,28 +9,31 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TE, TRANSFER_ENCODING, UPGRADE};
 use http::request::Parts;
-use http::{HeaderMap, HeaderName, HeaderValue, Uri};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, Uri};
+use http_body::Body;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 
 use crate::balance::UpstreamPicker;
 use crate::core::{
-    ConfigSnapshot, Criticality, DEADLINE_HEADER, InflightGuard, REQUEST_ID_HEADER,
-    RETRY_ALLOWANCE_HEADER, ResultCode, SharedSnapshot,
+    ConfigSnapshot, Criticality, InflightGuard, PartIndex, ResultCode, SharedSnapshot,
 };
 use crate::ledger::ClaimLedger;
-use crate::limits::{GatePermit, GateRequest, LimitTable, RouteLimits};
+use crate::limits::{GatePermit, GateRefusal, GateRequest, LimitRules, LimitTable, RouteLimits};
 use crate::membership::ConfigFreshness;
 use crate::request::answer::{
     AnswerBody, AnswerStream, CallerAnswer, OWN_ANSWER_HEADERS, refusal, refusal_after,
-    refusal_without_claim, tell_of_send_only,
+    refusal_without_claim, set_retry_after, tell_of_send_only,
 };
 use crate::request::attempt::UpstreamClient;
 use crate::request::classify::{RequestClass, RequestHead, classify};
-use crate::request::exchange::{ExchangeEnd, ExchangeSettings, ExchangeTools, RequestExchange};
+use crate::request::exchange::{
+    ExchangeEnd, ExchangeFailure, ExchangeSettings, ExchangeTools, RepeatShare, RequestExchange,
+};
 use crate::request::keyed::{claim_intent, claim_key};
 use crate::request::request_shape::check_shape;
+use crate::request::trace::ExchangeTrace;
 
 /// Headers that concern one connection only, beside those that `Connection` names.
 const HOP_BY_HOP: [HeaderName; 4] = [CONNECTION, TE, TRANSFER_ENCODING, UPGRADE];
@@ -49,7 +52,7 @@
 #[derive(Debug)]
 pub struct AnswerGuard {
     _inflight: InflightGuard,
-    _permit: GatePermit,
+    _permit: Option<GatePermit>,
 }
 
 /// A request whose head has been accepted.
@@ -113,6 +116,13 @@
         Self { snapshot, limits: Arc::default(), core, keyed: TaskTracker::new() }
     }
 
+    /// Replaces the limits of the routes by empty ones under `rules`.
+    #[must_use]
+    pub fn with_limits(mut self, rules: LimitRules) -> Self {
+        self.limits = Arc::new(LimitTable::new(rules));
+        self
+    }
+
     /// The tasks of keyed requests. Each ends when the outcome of its request has been recorded.
     pub fn keyed_tasks(&self) -> TaskTracker {
         self.keyed.clone()
@@ -138,7 +148,8 @@
         let route = snapshot.route(key).ok_or(ResultCode::NoRoute)?;
         let limits = self.limits.of(&snapshot, key).ok_or(ResultCode::NoRoute)?;
         let allowed = route.spec.deadline;
-        let wanted = number_in(&parts.headers, DEADLINE_HEADER).map(Duration::from_millis);
+        let name = &self.core.settings.headers.deadline;
+        let wanted = number_in(&parts.headers, name).map(Duration::from_millis);
         let deadline = started + wanted.unwrap_or(allowed).min(allowed);
         let criticality = route.spec.criticality;
         Ok(RequestAdmission { snapshot, class, limits, criticality, started, deadline })
@@ -152,19 +163,15 @@
         body: Bytes,
     ) -> PlaneAnswer<C> {
         let deadline = admission.deadline;
-        let asked = GateRequest {
-            class: admission.criticality,
-            tenant: admission.class.tenant.clone(),
-            deadline,
-        };
-        let Ok(permit) = admission.limits.gate.acquire(&asked).await else {
+        let Ok(permit) = self.pass_gate(&admission).await else {
             let refused = refusal_after(ResultCode::Overloaded, retry_after(admission.criticality));
             return tell_of_send_only(&parts.headers, refused);
         };
-        let budget = &admission.snapshot.budget;
-        admission.limits.retries.record_request(budget.retry_ratio);
-        admission.limits.hedges.record_request(budget.hedge_ratio);
-        let allowance = number_in(&parts.headers, RETRY_ALLOWANCE_HEADER);
+        let part = self.part_of(&admission);
+        let repeat_share = self.record_request(&admission, part);
+        let names = &self.core.settings.headers;
+        let allowance = names.retry_allowance.as_ref();
+        let allowance = allowance.and_then(|name| number_in(&parts.headers, name));
         let key = claim_key(&parts.headers, admission.class.mode, &self.core.freshness);
         let key = key.map(|key| key.map(str::to_owned));
         let uri = origin_form(&parts.uri);
@@ -172,20 +179,27 @@
             snapshot: admission.snapshot,
             class: admission.class,
             limits: admission.limits,
-            headers: forwarded_headers(parts.headers, &parts.uri),
+            headers: forwarded_headers(parts.headers, &parts.uri, &names.request_id),
             uri,
             method: parts.method,
             body,
+            started: admission.started,
             deadline,
             retry_allowance: allowance.map(|allowed| allowed.min(u64::from(u32::MAX)) as u32),
+            part,
+            repeat_share,
         };
         match key {
             Ok(None) => {}
             Ok(Some(key)) => return self.run_keyed(&key, exchange, permit).await,
             Err(code) => return refusal_without_claim(&exchange.headers, code),
         }
-        match exchange.run(self.core.tools()).await {
+        let mut trace = ExchangeTrace::default();
+        let end = exchange.run(self.core.tools(), &mut trace).await;
+        self.log_end(&exchange, &end, &trace);
+        match end {
             ExchangeEnd::Answered { answer, inflight } => {
+                record_bytes(&exchange, &answer.response);
                 let guard = AnswerGuard { _inflight: inflight, _permit: permit };
                 let mut response = answer
                     .response
@@ -193,16 +207,88 @@
                 clean_answer_headers(response.headers_mut());
                 response
             }
-            ExchangeEnd::Failed(code) => refusal_without_claim(&exchange.headers, code),
+            ExchangeEnd::Failed(ExchangeFailure { code, retry_after }) => {
+                let mut refused = refusal_without_claim(&exchange.headers, code);
+                if let Some(after) = retry_after {
+                    set_retry_after(&mut refused, after, self.core.settings.retry_after);
+                }
+                refused
+            }
         }
     }
 
+    /// Waits for a place, unless requests pass ungated.
+    async fn pass_gate(
+        &self,
+        admission: &RequestAdmission,
+    ) -> Result<Option<GatePermit>, GateRefusal> {
+        if self.limits.rules().is_ungated {
+            return Ok(None);
+        }
+        let asked = GateRequest {
+            class: admission.criticality,
+            tenant: admission.class.tenant.clone(),
+            deadline: admission.deadline,
+        };
+        admission.limits.gate.acquire(&asked).await.map(Some)
+    }
+
+    fn part_of(&self, admission: &RequestAdmission) -> Option<PartIndex> {
+        let route = admission.class.route.and_then(|key| admission.snapshot.route(key))?;
+        admission.limits.demand.next_part(route)
+    }
+
+    /// Counts the request where its repeats will be paid from.
+    fn record_request(
+        &self,
+        admission: &RequestAdmission,
+        part: Option<PartIndex>,
+    ) -> Option<RepeatShare> {
+        let budget = &admission.snapshot.budget;
+        admission.limits.retries.record_request(budget.retry_ratio);
+        admission.limits.hedges.record_request(budget.hedge_ratio);
+        let window = admission.limits.window(part)?;
+        window.record_request();
+        Some(RepeatShare { window, entries: self.limits.entries() })
+    }
+
+    /// Writes the line of a request. An ordinary one is left to the debug level, so that a calm
+    /// day costs nothing.
+    fn log_end(
+        &self,
+        exchange: &RequestExchange,
+        end: &ExchangeEnd<C::Body>,
+        trace: &ExchangeTrace,
+    ) {
+        let (level, outcome) = match end {
+            ExchangeEnd::Answered { answer, .. } => {
+                let status = answer.response.status();
+                let is_ordinary = trace.is_ordinary() && !status.is_server_error();
+                let level = if is_ordinary { log::Level::Debug } else { log::Level::Info };
+                (level, status.as_str().to_owned())
+            }
+            ExchangeEnd::Failed(failure) => (log::Level::Info, failure.code.to_string()),
+        };
+        let id = exchange.headers.get(&self.core.settings.headers.request_id);
+        let age = self.core.freshness.age().unwrap_or(Duration::MAX);
+        log::log!(
+            target: "request",
+            level,
+            "id={id:?} class={} generation={} config_age_ms={} outcome={outcome} ms={} left_ms={} attempts={trace}",
+            exchange.class.class,
+            exchange.snapshot.generation,
+            age.as_millis(),
+            exchange.started.elapsed().as_millis(),
+            exchange.deadline.saturating_duration_since(Instant::now()).as_millis(),
+        );
+    }
+
     /// Runs a keyed request in a task of its own, which survives its caller.
     async fn run_keyed(
         &self,
         key: &str,
         exchange: RequestExchange,
-        permit: GatePermit,
+        permit: Option<GatePermit>,
     ) -> PlaneAnswer<C> {
         let intent = claim_intent(key, &exchange);
         let (tx, rx) = oneshot::channel();
@@ -219,8 +305,14 @@
     }
 }
 
+/// Learns the size of a request and of its answer, if that is known beforehand.
+fn record_bytes<B: Body>(exchange: &RequestExchange, response: &Response<B>) {
+    let Some(answer_bytes) = response.body().size_hint().exact() else { return };
+    exchange.limits.demand.record_bytes(exchange.body.len() as u64 + answer_bytes);
+}
+
 /// A header that holds a whole number.
-fn number_in(headers: &HeaderMap, name: &str) -> Option<u64> {
+fn number_in(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
@@ -229,7 +321,7 @@
     path.map(Uri::from).unwrap_or_else(|| Uri::from_static("/"))
 }
 
-fn forwarded_headers(mut headers: HeaderMap, uri: &Uri) -> HeaderMap {
+fn forwarded_headers(mut headers: HeaderMap, uri: &Uri, request_id: &HeaderName) -> HeaderMap {
     remove_hop_by_hop(&mut headers);
     headers.remove(CONTENT_LENGTH);
     // The body is held whole, so the upstream is not asked whether it wants it.
@@ -239,10 +331,10 @@
     {
         headers.insert(HOST, value);
     }
-    if !headers.contains_key(REQUEST_ID_HEADER) {
+    if !headers.contains_key(request_id) {
         let id = uuid::Uuid::now_v7().to_string();
         if let Ok(value) = HeaderValue::from_str(&id) {
-            headers.insert(REQUEST_ID_HEADER, value);
+            headers.insert(request_id, value);
         }
     }
     headers
--- a/src/serve/http_client.rs
+++ b/src/serve/http_client.rs
@@ -1,7 +1,8 @@
 //! [`UpstreamClient`] over HTTP/1.1.
 //!
 //! An answer is passed on only if its end can be verified: by its length, by chunks, or because
-//! it has no body. An answer that ends with the connection is refused.
+//! it has no body. An answer that ends with the connection is refused, unless the upstreams are
+//! known to end such answers in order and broken ones by a reset ([`AnswerFraming::UntilClose`]).
 
 use std::pin::Pin;
 use std::sync::Arc;
@@ -26,10 +27,22 @@
 /// The transfer coding that marks its own end.
 const CHUNKED: &[u8] = b"chunked";
 
+/// Which ends of answers are taken as whole.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum AnswerFraming {
+    /// Those that can be verified.
+    #[default]
+    Verified,
+    /// Also the orderly end of the connection after an answer without a length. It is passed on in
+    /// chunks, so that a cut one is cut for the caller too.
+    UntilClose,
+}
+
 /// Client over a pool of connections.
 #[derive(Clone, Debug)]
 pub struct HttpUpstreamClient {
     pool: ConnectionPool,
+    framing: AnswerFraming,
 }
 
 /// What became of a request given to one connection.
@@ -73,7 +86,14 @@
 impl HttpUpstreamClient {
     /// Creates a client over `pool`.
     pub fn new(pool: ConnectionPool) -> Self {
-        Self { pool }
+        Self { pool, framing: AnswerFraming::default() }
+    }
+
+    /// Sets which ends of answers are taken as whole.
+    #[must_use]
+    pub fn with_framing(mut self, framing: AnswerFraming) -> Self {
+        self.framing = framing;
+        self
     }
 
     async fn exchange(
@@ -92,7 +112,7 @@
         // A byte has come, or the connection has ended: in either case it is not silent.
         let held = awaited.held.take();
         match sent {
-            Ok(response) => Exchange::Done(wrap(&method, response, held, home)),
+            Ok(response) => Exchange::Done(wrap(&method, response, held, home, self.framing)),
             Err(mut error) => match error.take_message() {
                 Some(request) => Exchange::Unsent(request),
                 None => Exchange::Done(AttemptOutcome::Unknown(UnknownCause::ConnectionBroken)),
@@ -144,8 +164,10 @@
     response: Response<Incoming>,
     connection: Option<HeldHttpConnection>,
     home: &ConnectionHome,
+    framing: AnswerFraming,
 ) -> AttemptOutcome<UpstreamBody> {
-    if !is_end_verifiable(method, &response) {
+    let is_until_close = framing == AnswerFraming::UntilClose && is_without_length(&response);
+    if !is_until_close && !is_end_verifiable(method, &response) {
         return AttemptOutcome::Unknown(UnknownCause::AnswerNotWhole);
     }
     let response = response.map(|incoming| {
@@ -166,6 +188,13 @@
     request
 }
 
+/// Whether the answer ends with its connection.
+fn is_without_length<B>(response: &Response<B>) -> bool {
+    let headers = response.headers();
+    let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    !is_framed && !response.status().is_informational()
+}
+
 /// Whether the end of the answer can be told from a broken connection.
 fn is_end_verifiable<B>(method: &Method, response: &Response<B>) -> bool {
     let (status, headers) = (response.status(), response.headers());
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -18,6 +18,6 @@
 pub use self::host_pool::{
     ConnectionPlace, HeldConnection, HostPool, HostPoolSettings, PooledConnection,
 };
-pub use self::http_client::{HttpUpstreamClient, UpstreamBody};
+pub use self::http_client::{AnswerFraming, HttpUpstreamClient, UpstreamBody};
 pub use self::latency_metrics::LatencyMetrics;
 pub use self::limit_metrics::LimitMetrics;
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -6,4 +6,4 @@
 pub mod settings_file;
 
 pub use self::fast_map::{FastMap, FastSet};
-pub use self::random::SeededRandom;
+pub use self::random::{SeededRandom, SharedRandom};
--- a/tests/testsuite/load_picker.rs
+++ b/tests/testsuite/load_picker.rs
@@ -40,6 +40,7 @@
             name: "any".to_owned(),
             spec: serde_json::from_value(spec).unwrap(),
             upstreams: Vec::new(),
+            parts: Vec::new(),
         });
         for domain in domains {
             fixture.add(domain);
@@ -63,7 +64,7 @@
 
     fn pick(&self, tried: &[UpstreamKey]) -> Option<UpstreamKey> {
         let route = &self.snapshot.routes[0];
-        self.picker.pick(PickRequest { snapshot: &self.snapshot, route, tried })
+        self.picker.pick(PickRequest::new(&self.snapshot, route, tried))
     }
 
     fn enter(&self, key: UpstreamKey) -> InflightGuard {
@@ -107,7 +108,7 @@
     AttemptReport {
         latency,
         result: AttemptResult::Answered,
-        load: Some(LoadReport { inflight }),
+        load: Some(LoadReport::of_inflight(inflight)),
         is_draining: false,
     }
 }
