fleet: read an absent configuration once

Cause: with no configuration yet, the duty was a list, and the list ended at once, so every entry asked for it about a hundred times a second for half a second (store calls of a debug run: 325 of 406 were that read). Ruled out: events of the watch (54 calls), gaps between entries (none).

--- a/src/fleet/control_api.rs
+++ b/src/fleet/control_api.rs
@@ -17,7 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::fleet::codec::DeploymentCodec;
-use crate::fleet::directory::{ADDRESS_LIFETIME, EntryDirectory};
+use crate::fleet::directory::EntryDirectory;
 use crate::membership::{EntryState, SharedMembership};
 use crate::core::VmId;
 
@@ -96,8 +96,8 @@
             log::info!(target: "directory", "no entry to name domain={}", query.failure_domain);
             return reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"no entry\n"));
         }
-        let mut response =
-            reply(StatusCode::OK, self.codec.directory_answer(&addresses, ADDRESS_LIFETIME));
+        let body = self.codec.directory_answer(&addresses, self.directory.lifetime());
+        let mut response = reply(StatusCode::OK, body);
         let json = HeaderValue::from_static("application/json");
         response.headers_mut().insert(CONTENT_TYPE, json);
         response
--- a/src/fleet/directory.rs
+++ b/src/fleet/directory.rs
@@ -10,9 +10,6 @@
 use crate::core::FailureDomain;
 use crate::membership::{EntryState, SharedMembership};
 
-/// Time for which callers may keep an answer. Some keep it three times as long, and a leaving entry
-/// goes on serving for that time.
-pub const ADDRESS_LIFETIME: Duration = Duration::from_secs(1);
 /// Most addresses of an answer.
 const MAX_ADDRESSES: usize = 64;
 
@@ -21,12 +18,23 @@
 pub struct EntryDirectory {
     membership: SharedMembership,
     failure_domain: FailureDomain,
+    lifetime: Duration,
 }
 
 impl EntryDirectory {
-    /// Creates the directory of an entry in `failure_domain`.
-    pub fn new(membership: SharedMembership, failure_domain: FailureDomain) -> Self {
-        Self { membership, failure_domain }
+    /// Creates the directory of an entry in `failure_domain`; callers may keep an answer for
+    /// `lifetime`.
+    pub fn new(
+        membership: SharedMembership,
+        failure_domain: FailureDomain,
+        lifetime: Duration,
+    ) -> Self {
+        Self { membership, failure_domain, lifetime }
+    }
+
+    /// Time for which callers may keep an answer.
+    pub fn lifetime(&self) -> Duration {
+        self.lifetime
     }
 
     /// Addresses of the ready entries of this failure domain.
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -20,7 +20,7 @@
 use crate::core::{FailureDomain, MessageHeaders, ResultCode, SharedSnapshot, VmId};
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::control_api::ControlApi;
-use crate::fleet::directory::{ADDRESS_LIFETIME, EntryDirectory};
+use crate::fleet::directory::EntryDirectory;
 use crate::fleet::entry_settings::EntrySettings;
 use crate::fleet::load_probe::{LoadLearner, LoadProbeSettings, LoadWork};
 use crate::fleet::peer_service::PeerWork;
@@ -42,9 +42,7 @@
 };
 use crate::util::SeededRandom;
 
-/// Lifetimes of an address answer for which some callers keep it.
-const KEPT_LIFETIMES: u32 = 3;
-/// Part of the grace that is left when the listener closes at the latest, for requests in flight.
+/// Part of the grace that is left for requests in flight when the listener closes.
 const FINISH_PART: f64 = 0.33;
 /// Time before the end of the grace at which the process ends by itself.
 const END_RESERVE: Duration = Duration::from_millis(200);
@@ -101,12 +99,12 @@
         log::info!(target: "node", "settings read again vm={} changed={is_changed}", settings.vm);
     }
 
-    /// Leaves gracefully: the entry is no longer named to callers but serves those who still come
-    /// for as long as they may keep its address, then finishes what is in flight.
+    /// Leaves gracefully: the entry is no longer named to callers but serves those who still come,
+    /// then closes its listener, so that callers with an old answer turn elsewhere at once, and
+    /// finishes what is in flight.
     pub async fn leave(self) {
         let grace = self.settings.shutdown.grace;
-        let finish = grace.mul_f64(FINISH_PART);
-        let announce = (ADDRESS_LIFETIME * (KEPT_LIFETIMES + 1)).min(grace - finish);
+        let announce = grace - grace.mul_f64(FINISH_PART);
         log::info!(target: "node", "leaving vm={} announce_ms={}", self.settings.vm, announce.as_millis());
         self.state.set_state(EntryState::Leaving);
         self.leave_switch.set_leaving();
@@ -196,7 +194,11 @@
     });
 
     let stops = EntryStops::default();
-    let directory = EntryDirectory::new(Arc::clone(&membership), failure_domain);
+    let directory = EntryDirectory::new(
+        Arc::clone(&membership),
+        failure_domain,
+        settings.directory.lifetime,
+    );
     let vm = VmId::new(&settings.vm);
     let api = ControlApi::new(codec, vm, Arc::clone(&membership), directory, registry.clone());
     let api = Arc::new(api);
--- a/src/fleet/entry_settings.rs
+++ b/src/fleet/entry_settings.rs
@@ -27,6 +27,9 @@
     /// Measuring the upstreams' load.
     #[serde(default)]
     pub probes: ProbeRate,
+    /// Answers to callers that ask for addresses.
+    #[serde(default)]
+    pub directory: DirectorySettings,
     /// Graceful shutdown.
     #[serde(default)]
     pub shutdown: LeaveSettings,
@@ -91,6 +94,22 @@
     }
 }
 
+/// Answers to callers that ask for addresses.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct DirectorySettings {
+    /// Time for which a caller may keep an answer. Asking again costs a caller two round trips, as
+    /// much as some requests; keeping an answer sends it to entries that have gone.
+    #[serde(with = "duration_text")]
+    pub lifetime: Duration,
+}
+
+impl Default for DirectorySettings {
+    fn default() -> Self {
+        Self { lifetime: Duration::from_secs(5) }
+    }
+}
+
 /// Graceful shutdown.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -106,7 +125,7 @@
     }
 }
 
-/// Shortest time to stop: callers keep addresses for up to three lifetimes.
+/// Shortest time to stop: callers need time to hear of other entries.
 const MIN_GRACE: Duration = Duration::from_secs(4);
 
 impl RepeatSettings {
@@ -136,6 +155,9 @@
         if self.probes.interval.is_zero() {
             return Err(fault("interval", "is zero", "a duration such as \"100ms\""));
         }
+        if self.directory.lifetime.is_zero() {
+            return Err(fault("lifetime", "is zero", "a duration such as \"5s\""));
+        }
         if self.shutdown.grace < MIN_GRACE {
             return Err(fault("grace", "is too short", "a duration of at least 4s"));
         }
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -25,6 +25,8 @@
 /// Time that the reader's watch waits. A watch that has gone silent is found out after it, and the
 /// others must then still have time for a read of their own before a change is due in force.
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
+/// Least time between the starts of two watches, so that changes that come together cost one call.
+const MIN_WATCH_GAP: Duration = Duration::from_millis(120);
 /// Time that the watch of an entry waits that only confirms its view.
 const CONFIRM_WAIT: Duration = Duration::from_millis(1);
 /// Age of the last confirmation at which an entry that is not the reader reads for itself: the
@@ -105,12 +107,16 @@
     state: Arc<FleetState<D>>,
     lost: Option<Instant>,
     pause: Duration,
+    /// Whether the configuration has been looked for; there may be none yet.
+    has_looked: bool,
+    /// When the last watch began.
+    watched: Option<Instant>,
 }
 
 impl<S: PlatformStore, D: DeploymentCodec> StoreFollower<S, D> {
     /// Creates a follower that has read nothing yet.
     pub fn new(store: Arc<S>, state: Arc<FleetState<D>>) -> Self {
-        Self { store, state, lost: None, pause: FIRST_PAUSE }
+        Self { store, state, lost: None, pause: FIRST_PAUSE, has_looked: false, watched: None }
     }
 
     async fn run(&mut self, random: &mut SeededRandom) {
@@ -146,13 +152,17 @@
 
     fn duty(&self, now: Instant) -> StoreDuty {
         let view = self.state.view();
-        if view.revision() == 0 || !view.has_config() || self.state.gap().is_open() {
+        if view.revision() == 0 || !self.has_looked || self.state.gap().is_open() {
             return StoreDuty::List;
         }
         let expiry = view.next_expiry();
         drop(view);
         let rank = self.state.table().rank(now);
         if rank == 0 {
+            let next = self.watched.map_or(now, |at| at + MIN_WATCH_GAP);
+            if next > now {
+                return StoreDuty::Rest(next);
+            }
             let wait = expiry.map_or(WATCH_WAIT, |at| WATCH_WAIT.min(at - now));
             return StoreDuty::Watch(wait);
         }
@@ -168,10 +178,7 @@
     async fn list(&mut self) -> Result<(), StoreError> {
         let names = self.names();
         let gap = self.state.gap();
-        let (has_upstreams, has_config) = {
-            let view = self.state.view();
-            (view.revision() > 0, view.has_config())
-        };
+        let has_upstreams = self.state.view().revision() > 0;
         let started = Instant::now();
         if gap.upstreams || !has_upstreams {
             let list = within(CALL_TIME, self.store.list(names.upstream_kind, "")).await?;
@@ -180,7 +187,7 @@
             log::info!(target: "store", "upstreams listed revision={}", change.revision);
             self.state.publish(change);
         }
-        if gap.config || !has_config {
+        if gap.config || !self.has_looked {
             self.read_config().await?;
         }
         self.state.close_gap();
@@ -189,6 +196,7 @@
     }
 
     async fn watch(&mut self, wait: Duration) -> Result<(), StoreError> {
+        self.watched = Some(Instant::now());
         let since = self.state.view().revision();
         let kinds = vec![self.names().upstream_kind.to_owned()];
         let request = WatchRequest { kinds, since, wait };
@@ -231,10 +239,13 @@
         let object =
             match within(CALL_TIME, self.store.get(names.config_kind, names.config_name)).await {
                 Ok(object) => object,
-                // Nothing has been configured yet.
-                Err(StoreError::NotFound) => return Ok(()),
+                Err(StoreError::NotFound) => {
+                    self.has_looked = true;
+                    return Ok(());
+                }
                 Err(error) => return Err(error),
             };
+        self.has_looked = true;
         let change = self.state.view().apply_config(object);
         self.state.publish(change);
         Ok(())
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -93,11 +93,6 @@
         self.revision
     }
 
-    /// Whether there is a configuration.
-    pub fn has_config(&self) -> bool {
-        self.config.is_some()
-    }
-
     /// Number of the configuration.
     pub fn generation(&self) -> Option<GenerationNumber> {
         self.config.as_ref().map(|(_, config)| config.generation)
--- a/src/platform/json_caller.rs
+++ b/src/platform/json_caller.rs
@@ -16,6 +16,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
+use tokio::time::Instant;
 
 use heatherfall_platform_api::StoreError;
 
@@ -105,12 +106,20 @@
     /// Returns [`StoreError::Unavailable`] if nothing was sent, and [`StoreError::AnswerLost`] if
     /// the call may have been carried out.
     pub async fn call(&self, call: JsonCall, timeout: Duration) -> Result<JsonAnswer, StoreError> {
+        let started = Instant::now();
+        let line = format!("{} {}", call.method, call.path);
         let request = call.build(self.address)?;
         let client = self.client.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let result = match tokio::time::timeout(timeout, exchange(&client, request)).await {
             Ok(result) => result,
             Err(_) => Err(StoreError::AnswerLost(format!("no answer in {timeout:?}"))),
         };
+        log::debug!(
+            target: "store",
+            "call={line} outcome={:?} ms={}",
+            result.as_ref().map(|answer| answer.status),
+            started.elapsed().as_millis(),
+        );
         if matches!(result, Err(StoreError::AnswerLost(_))) {
             let mut client = self.client.lock().unwrap_or_else(PoisonError::into_inner);
             *client = new_client(self.connect_timeout);
