request: hedge when a second attempt adds value, and look again while the first runs

Ruled out: an earlier fixed delay, which spends more. The picker now compares what is expected of the running attempt with the best other upstream, several times within the usual work.

--- a/src/balance/completion_picker.rs
+++ b/src/balance/completion_picker.rs
@@ -21,6 +21,8 @@
 
 /// Percent at which work takes its usual time.
 const USUAL_PERCENT: f32 = 100.0;
+/// Part of the usual work that is taken to be left of an attempt that is nearly or just over it.
+const MIN_LEFT_PART: f32 = 0.25;
 /// Least part of an upstream's attempts that succeed, as far as choosing goes.
 const MIN_SUCCESS: f32 = 0.02;
 
@@ -53,8 +55,11 @@
     pub knee_factor: f32,
     /// Factor by which an upstream is slower while it warms up.
     pub cold_factor: f32,
-    /// Least value at which a hedge is worth its cost.
-    pub min_hedge_value: f32,
+    /// Least value that a hedge must add to be worth its cost.
+    pub min_hedge_gain: f32,
+    /// Multiple of the usual work after which an attempt is late for reasons unknown: its answer
+    /// or its connection may be lost.
+    pub late_factor: f32,
     /// Relative size of the random part that spreads entries over equal upstreams.
     pub jitter: f32,
     /// How answers are learnt from.
@@ -76,7 +81,8 @@
             knee: 0.8,
             knee_factor: 1.3,
             cold_factor: 2.0,
-            min_hedge_value: 0.4,
+            min_hedge_gain: 0.3,
+            late_factor: 1.6,
             jitter: 0.01,
             observe: ObserveSettings::default(),
         }
@@ -169,6 +175,26 @@
         on_time + late - settings.wait_price * waited
     }
 
+    /// Value of the answer that the running attempt is expected to bring.
+    fn value_of_waiting(&self, request: PickRequest<'_>, now: Instant) -> f32 {
+        let running = request.tried.last().and_then(|key| request.snapshot.upstreams.get(*key));
+        let Some(upstream) = running else { return 0.0 };
+        let left_secs = self.left_secs(upstream, request.demand, now);
+        self.use_of(left_secs, request.demand)
+    }
+
+    /// Expected time until the running attempt at `upstream` ends.
+    fn left_secs(&self, upstream: &UpstreamState, demand: PickDemand, now: Instant) -> f32 {
+        let work_secs = demand.work.as_secs_f32();
+        let waited_secs = demand.waited.as_secs_f32();
+        if waited_secs > self.settings.late_factor * work_secs {
+            // Nothing explains the delay, so it is expected to go on for as long again.
+            return waited_secs + self.slow_secs(upstream, work_secs, now);
+        }
+        let usual_left = (work_secs - waited_secs).max(MIN_LEFT_PART * work_secs);
+        usual_left + self.slow_secs(upstream, usual_left, now)
+    }
+
     /// Expected time to the answer of one more request, without the network.
     fn expected_secs(&self, upstream: &UpstreamState, work: Duration, now: Instant) -> f32 {
         let settings = &self.settings;
@@ -222,8 +248,9 @@
         let now = Instant::now();
         let best = self.best(request, request.tried, now);
         if request.purpose == PickPurpose::Hedge {
-            let best = best.filter(|best| best.value >= self.settings.min_hedge_value)?;
-            return Some(best.key);
+            let stay = self.value_of_waiting(request, now);
+            let is_worth = |best: &UpstreamOutlook| best.value - stay >= self.settings.min_hedge_gain;
+            return best.filter(is_worth).map(|best| best.key);
         }
         let best = best.or_else(|| self.best(request, &[], now))?;
         let is_hopeless = best.expected_secs > request.demand.time_left.as_secs_f32();
--- a/src/balance/pick.rs
+++ b/src/balance/pick.rs
@@ -34,6 +34,8 @@
     pub goal_left: Duration,
     /// Time left to the deadline.
     pub time_left: Duration,
+    /// Time since the last attempt began.
+    pub waited: Duration,
 }
 
 impl Default for PickDemand {
@@ -43,6 +45,7 @@
             kilobytes: 0.0,
             goal_left: Duration::ZERO,
             time_left: Duration::MAX,
+            waited: Duration::ZERO,
         }
     }
 }
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -58,6 +58,9 @@
 const MAX_BODY_BYTES: usize = 64 << 20;
 /// Request bodies held at the same time, well below the memory of the smallest VM (160 MB).
 const MAX_HELD_BYTES: usize = 96 << 20;
+/// Time that callers spend on two ways and a new connection; between the 6 ms and the 64 ms that
+/// the deployments' delays to callers make of it (`docs/MEASUREMENTS.md`).
+const CALLER_DELAY: Duration = Duration::from_millis(25);
 /// Time that is left for an attempt that is still worth starting.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(5);
 
@@ -275,7 +278,8 @@
 fn exchange_settings(headers: MessageHeaders) -> ExchangeSettings {
     ExchangeSettings {
         headers,
-        hedging: HedgeRule::Goal,
+        hedging: HedgeRule::Gain,
+        caller_delay: CALLER_DELAY,
         // A hedge goes out well before the deadline, so nothing has to be kept back for it.
         first_attempt_share: 1.0,
         min_attempt_time: MIN_ATTEMPT_TIME,
--- a/src/request/exchange.rs
+++ b/src/request/exchange.rs
@@ -32,12 +32,12 @@
 };
 use crate::request::trace::ExchangeTrace;
 
-/// Time that a hedge is given to make the goal, as a multiple of the usual work.
-const HEDGE_RESERVE: f32 = 1.3;
-/// Time within which a first attempt usually ends, as a multiple of the usual work.
-const HEDGE_PATIENCE: f32 = 1.25;
-/// Time after which a first attempt is late for certain, as a multiple of the usual work.
-const HEDGE_LIMIT: f32 = 2.0;
+/// Looks at a running attempt within its usual time.
+const HEDGE_LOOKS: u32 = 3;
+/// Shortest time between two looks; fresh load arrives no more often.
+const MIN_HEDGE_INTERVAL: Duration = Duration::from_millis(10);
+/// Longest time between two looks.
+const MAX_HEDGE_INTERVAL: Duration = Duration::from_millis(60);
 
 /// When a second attempt is started beside a slow first one.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -45,8 +45,8 @@
     /// At the quantile of recent latency that the route names.
     #[default]
     Quantile,
-    /// As late as the second attempt can still make the response-time goal of the route.
-    Goal,
+    /// As soon as the picker finds that a second attempt would serve the caller better.
+    Gain,
 }
 
 /// Limits on the attempts of one request.
@@ -65,6 +65,8 @@
     pub min_hedge_delay: Duration,
     /// How refusals say when to come back.
     pub retry_after: RetryAfterForm,
+    /// Time that a request takes outside of this node: on its way, and for opening its connection.
+    pub caller_delay: Duration,
 }
 
 impl Default for ExchangeSettings {
@@ -76,6 +78,7 @@
             min_attempt_time: Duration::from_millis(1),
             min_hedge_delay: Duration::from_millis(1),
             retry_after: RetryAfterForm::default(),
+            caller_delay: Duration::ZERO,
         }
     }
 }
@@ -183,6 +186,7 @@
         };
         let mut state = ExchangeState::new(self.plan(route, tools.settings));
         let mut tried: Vec<UpstreamKey> = Vec::new();
+        let mut attempted = Instant::now();
         let mut kept: Option<FinishedAttempt<C::Body>> = None;
         let mut slot = pin!(None);
         let mut other_slot = pin!(None);
@@ -190,9 +194,10 @@
         loop {
             match state.step(event, context(&event, tools.freshness)) {
                 ExchangeAction::Start(role) => {
-                    match self.prepare(role, route, &tools, &mut tried) {
+                    match self.prepare(role, route, &tools, &mut tried, attempted) {
                         Ok(start) => {
                             trace.started(start.role, &start.upstream);
+                            attempted = Instant::now();
                             let attempt = Some(self.attempt(start, route, &tools));
                             if slot.is_none() {
                                 slot.set(attempt)
@@ -225,7 +230,7 @@
                 }
                 ExchangeAction::Answer(index) => return answered(kept, index),
                 ExchangeAction::Fail(code) => {
-                    let pick = self.pick_request(AttemptRole::Retry, route, &tried);
+                    let pick = self.pick_request(AttemptRole::Retry, route, &tried, &tools);
                     let retry_after = tools.picker.retry_after(pick);
                     return ExchangeEnd::Failed(ExchangeFailure { code, retry_after });
                 }
@@ -239,9 +244,13 @@
         let allowed = self.retry_allowance.map_or(configured, |allowed| allowed.min(configured));
         let hedge = &route.spec.hedge;
         let may_hedge = hedge.enabled && self.class.mode == IdempotenceMode::Idempotent;
+        let interval = match settings.hedging {
+            HedgeRule::Quantile => None,
+            HedgeRule::Gain => Some(hedge_interval(self.limits.demand.work(route))),
+        };
         let delay = match settings.hedging {
             HedgeRule::Quantile => self.limits.latency.quantile(hedge.quantile),
-            HedgeRule::Goal => hedge_delay(route.spec.goal, self.limits.demand.work(route)),
+            HedgeRule::Gain => interval,
         };
         let delay = delay.filter(|_| may_hedge);
         ExchangePlan {
@@ -250,6 +259,7 @@
             min_attempt_time: settings.min_attempt_time,
             retry_allowance: allowed,
             hedge_delay: delay.map(|delay| delay.max(settings.min_hedge_delay)),
+            hedge_interval: interval,
         }
     }
 
@@ -260,8 +270,10 @@
         route: &RouteRecord,
         tools: &ExchangeTools<'_, C, P>,
         tried: &mut Vec<UpstreamKey>,
+        attempted: Instant,
     ) -> Result<AttemptStart, StartRefusal> {
-        let pick = self.pick_request(role, route, tried);
+        let mut pick = self.pick_request(role, route, tried, tools);
+        pick.demand.waited = attempted.elapsed();
         let key = tools.picker.pick(pick).ok_or(StartRefusal::NoUpstream)?;
         let upstream = self.snapshot.upstreams.get(key).ok_or(StartRefusal::NoUpstream)?;
         if role == AttemptRole::Hedge && tried.contains(&key) {
@@ -276,19 +288,21 @@
         Ok(AttemptStart { index, role, upstream: Arc::clone(upstream), inflight })
     }
 
-    fn pick_request<'a>(
+    fn pick_request<'a, C, P>(
         &'a self,
         role: AttemptRole,
         route: &'a RouteRecord,
         tried: &'a [UpstreamKey],
+        tools: &ExchangeTools<'_, C, P>,
     ) -> PickRequest<'a> {
         let now = Instant::now();
-        let goal = self.started + route.spec.goal;
+        let goal = self.started + route.spec.goal.saturating_sub(tools.settings.caller_delay);
         let demand = PickDemand {
             work: self.limits.demand.work(route),
             kilobytes: self.limits.demand.kilobytes(),
             goal_left: goal.saturating_duration_since(now),
             time_left: self.deadline.saturating_duration_since(now),
+            waited: Duration::ZERO,
         };
         let purpose = match role {
             AttemptRole::First => PickPurpose::First,
@@ -393,14 +407,9 @@
     }
 }
 
-/// Time after which a second attempt starts, so that it can still make `goal`.
-fn hedge_delay(goal: Duration, work: Duration) -> Option<Duration> {
-    if goal.is_zero() {
-        return None;
-    }
-    let latest = goal.saturating_sub(work.mul_f32(HEDGE_RESERVE));
-    let usual = work.mul_f32(HEDGE_PATIENCE);
-    Some(latest.min(work.mul_f32(HEDGE_LIMIT)).max(usual))
+/// Time between two looks at whether a hedge would help.
+fn hedge_interval(work: Duration) -> Duration {
+    (work / HEDGE_LOOKS).clamp(MIN_HEDGE_INTERVAL, MAX_HEDGE_INTERVAL)
 }
 
 /// Circumstances of a step. The standing matters only where a further attempt may be allowed.
--- a/src/request/exchange_state.rs
+++ b/src/request/exchange_state.rs
@@ -55,6 +55,8 @@
     pub retry_allowance: u32,
     /// Time from the start of the first attempt to the hedge, if there may be one.
     pub hedge_delay: Option<Duration>,
+    /// Time after which a hedge that was not started is asked for again.
+    pub hedge_interval: Option<Duration>,
 }
 
 /// How an attempt ended.
@@ -155,7 +157,7 @@
         match event {
             ExchangeEvent::Begun => self.begin(ctx),
             ExchangeEvent::Started => self.on_started(ctx),
-            ExchangeEvent::StartRefused(reason) => self.on_start_refused(reason),
+            ExchangeEvent::StartRefused(reason) => self.on_start_refused(reason, ctx),
             ExchangeEvent::Ended { attempt, end } => self.on_ended(attempt, end, ctx),
             ExchangeEvent::TimerFired => self.on_timer(ctx),
         }
@@ -177,8 +179,9 @@
         self.wait()
     }
 
-    fn on_start_refused(&mut self, reason: StartRefusal) -> ExchangeAction {
+    fn on_start_refused(&mut self, reason: StartRefusal, ctx: StepContext) -> ExchangeAction {
         if self.in_flight > 0 {
+            self.hedge_due = self.plan.hedge_interval.map(|interval| ctx.now + interval);
             return self.wait();
         }
         match (self.starting, reason) {
--- a/tests/testsuite/exchange_state.rs
+++ b/tests/testsuite/exchange_state.rs
@@ -50,6 +50,7 @@
             min_attempt_time: Duration::from_millis(1),
             retry_allowance,
             hedge_delay: delay.map(Duration::from_millis),
+            hedge_interval: None,
         }
     })
 }
