fleet: know up to which revision the configuration is the newest

Ruled out: a stale answer of the store, a lost datagram (other entries had not read it either). The view now holds the revision up to which the configuration is known; kept upstreams are left out of the digest. Tests fail without either (fleet_store).

--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -45,7 +45,7 @@
 /// Part of the grace that is left for requests in flight when the listener closes.
 const FINISH_PART: f64 = 0.33;
 /// Time before the end of the grace at which the process ends by itself.
-const END_RESERVE: Duration = Duration::from_millis(200);
+const END_RESERVE: Duration = Duration::from_millis(500);
 /// Idle time after which a connection to an upstream is closed; below the ten seconds after which
 /// upstreams close theirs.
 const UPSTREAM_IDLE_TIME: Duration = Duration::from_secs(8);
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -1,5 +1,6 @@
 //! What the services of one entry share.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -21,25 +22,13 @@
     pub(super) changes: Vec<ViewChange>,
 }
 
-/// What this entry is known to have missed.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub(super) struct ViewGap {
-    pub(super) upstreams: bool,
-    pub(super) config: bool,
-}
-
-impl ViewGap {
-    pub(super) fn is_open(self) -> bool {
-        self.upstreams || self.config
-    }
-}
-
 /// Shared state of one entry.
 #[derive(Debug)]
 pub struct FleetState<D> {
     view: Mutex<DeploymentView<D>>,
     table: Mutex<PeerTable>,
-    gap: Mutex<ViewGap>,
+    /// Whether another entry knows what this one has missed.
+    has_gap: AtomicBool,
     outbox: Mutex<Outbox>,
     /// Wakes the peer service: there is something to tell.
     pub(super) outgoing: Notify,
@@ -69,7 +58,7 @@
         Self {
             view: Mutex::new(view),
             table: Mutex::new(table),
-            gap: Mutex::default(),
+            has_gap: AtomicBool::new(false),
             outbox: Mutex::default(),
             outgoing: Notify::new(),
             missed: Notify::new(),
@@ -120,7 +109,7 @@
     }
 
     /// Takes in a change and a confirmation from another entry.
-    pub(super) fn take_in(
+    pub fn take_in(
         &self,
         change: Option<ViewChange>,
         confirmation: Option<ViewConfirmation>,
@@ -133,23 +122,23 @@
             }
         }
         let Some(confirmation) = confirmation else { return };
-        let own = self.view().mark();
-        let gap = gap_between(own, confirmation.mark);
-        if gap.is_open() {
-            log::debug!(target: "peer", "view behind own={own:?} peer={:?}", confirmation.mark);
-            *lock(&self.gap) = gap;
+        let (own, other) = (self.view().mark(), confirmation.mark);
+        if is_behind(own, other) {
+            log::debug!(target: "peer", "view behind own={own:?} peer={other:?}");
+            self.has_gap.store(true, Ordering::Relaxed);
             self.missed.notify_one();
-        } else if own == confirmation.mark {
+        } else if own.is_same_view(&other) && other.is_whole() {
+            self.view().confirm_config(other.config_known);
             self.freshness.confirm(Duration::from_millis(confirmation.age_ms));
         }
     }
 
-    pub(super) fn gap(&self) -> ViewGap {
-        *lock(&self.gap)
+    pub(super) fn has_gap(&self) -> bool {
+        self.has_gap.load(Ordering::Relaxed)
     }
 
     pub(super) fn close_gap(&self) {
-        *lock(&self.gap) = ViewGap::default();
+        self.has_gap.store(false, Ordering::Relaxed);
     }
 
     pub(super) fn tell_load(&self, measured: Instant, load: MeasuredLoad) {
@@ -161,7 +150,7 @@
     }
 
     /// What this entry can confirm to others.
-    pub(super) fn confirmation(&self) -> Option<ViewConfirmation> {
+    pub fn confirmation(&self) -> Option<ViewConfirmation> {
         let age = self.freshness.age()?;
         Some(ViewConfirmation { mark: self.view().mark(), age_ms: age.as_millis() as u64 })
     }
@@ -185,14 +174,10 @@
     }
 }
 
-/// What an entry with the view `own` has missed, if another one has `other`.
-fn gap_between(own: ViewMark, other: ViewMark) -> ViewGap {
-    let is_behind = other.revision > own.revision;
+/// Whether an entry with the view `own` has missed what one with `other` knows.
+fn is_behind(own: ViewMark, other: ViewMark) -> bool {
     let is_different = other.revision == own.revision && other.digest != own.digest;
-    ViewGap {
-        upstreams: is_behind || is_different,
-        config: other.config_revision > own.config_revision,
-    }
+    other.revision > own.revision || is_different || other.config_revision > own.config_revision
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -107,8 +107,6 @@
     state: Arc<FleetState<D>>,
     lost: Option<Instant>,
     pause: Duration,
-    /// Whether the configuration has been looked for; there may be none yet.
-    has_looked: bool,
     /// When the last watch began.
     watched: Option<Instant>,
 }
@@ -116,13 +114,12 @@
 impl<S: PlatformStore, D: DeploymentCodec> StoreFollower<S, D> {
     /// Creates a follower that has read nothing yet.
     pub fn new(store: Arc<S>, state: Arc<FleetState<D>>) -> Self {
-        Self { store, state, lost: None, pause: FIRST_PAUSE, has_looked: false, watched: None }
+        Self { store, state, lost: None, pause: FIRST_PAUSE, watched: None }
     }
 
     async fn run(&mut self, random: &mut SeededRandom) {
         loop {
-            if let Err(error) = self.step().await {
-                self.note_lost(&error);
+            if self.step().await.is_err() {
                 // Entries that failed together must not come back together.
                 sleep(self.pause.mul_f64(0.5 + random.unit())).await;
                 self.pause = (self.pause * 2).min(MAX_PAUSE);
@@ -139,7 +136,7 @@
         let now = Instant::now();
         let expired = self.state.view().expire(now);
         self.state.publish(expired);
-        match self.duty(now) {
+        let result = match self.duty(now) {
             StoreDuty::List => self.list().await,
             StoreDuty::Watch(wait) => self.watch(wait).await,
             StoreDuty::Rest(until) => {
@@ -147,12 +144,16 @@
                 let _ = timeout(until.saturating_duration_since(now), missed).await;
                 Ok(())
             }
+        };
+        if let Err(error) = &result {
+            self.note_lost(error);
         }
+        result
     }
 
     fn duty(&self, now: Instant) -> StoreDuty {
         let view = self.state.view();
-        if view.revision() == 0 || !self.has_looked || self.state.gap().is_open() {
+        if view.revision() == 0 || self.state.has_gap() {
             return StoreDuty::List;
         }
         let expiry = view.next_expiry();
@@ -175,21 +176,15 @@
         StoreDuty::Rest(expiry.map_or(due, |at| at.min(due)))
     }
 
+    /// Reads all.
     async fn list(&mut self) -> Result<(), StoreError> {
-        let names = self.names();
-        let gap = self.state.gap();
-        let has_upstreams = self.state.view().revision() > 0;
         let started = Instant::now();
-        if gap.upstreams || !has_upstreams {
-            let list = within(CALL_TIME, self.store.list(names.upstream_kind, "")).await?;
-            self.note_found(started);
-            let change = self.state.view().replace_upstreams(list, Instant::now());
-            log::info!(target: "store", "upstreams listed revision={}", change.revision);
-            self.state.publish(change);
-        }
-        if gap.config || !self.has_looked {
-            self.read_config().await?;
-        }
+        let list = within(CALL_TIME, self.store.list(self.names().upstream_kind, "")).await?;
+        self.note_found(started);
+        let change = self.state.view().replace_upstreams(list, Instant::now());
+        log::info!(target: "store", "upstreams listed revision={}", change.revision);
+        self.state.publish(change);
+        self.read_config().await?;
         self.state.close_gap();
         self.state.freshness.confirm(started.elapsed());
         Ok(())
@@ -204,50 +199,34 @@
             Ok(batch) => batch,
             Err(StoreError::Compacted) => {
                 log::info!(target: "store", "history is gone, listing again since={since}");
-                return self.relist().await;
+                return self.list().await;
             }
             Err(error) => return Err(error),
         };
         let returned = Instant::now();
         self.note_found(returned);
-        let moved = batch.revision.saturating_sub(since);
-        let is_config_due = moved > batch.events.len() as u64;
         let change = self.state.view().apply_batch(batch, returned);
         self.state.publish(change);
-        if is_config_due {
+        if !self.state.view().mark().is_whole() {
             self.read_config().await?;
         }
         self.state.freshness.confirm(returned.elapsed());
         Ok(())
     }
 
-    /// Reads all again, also what no gap is known of.
-    async fn relist(&mut self) -> Result<(), StoreError> {
-        let started = Instant::now();
-        let list = within(CALL_TIME, self.store.list(self.names().upstream_kind, "")).await?;
-        self.note_found(started);
-        let change = self.state.view().replace_upstreams(list, Instant::now());
-        self.state.publish(change);
-        self.read_config().await?;
-        self.state.close_gap();
-        self.state.freshness.confirm(started.elapsed());
-        Ok(())
-    }
-
     async fn read_config(&mut self) -> Result<(), StoreError> {
         let names = self.names();
-        let object =
-            match within(CALL_TIME, self.store.get(names.config_kind, names.config_name)).await {
-                Ok(object) => object,
-                Err(StoreError::NotFound) => {
-                    self.has_looked = true;
-                    return Ok(());
-                }
-                Err(error) => return Err(error),
-            };
-        self.has_looked = true;
-        let change = self.state.view().apply_config(object);
-        self.state.publish(change);
+        let revision = self.state.view().revision();
+        match within(CALL_TIME, self.store.get(names.config_kind, names.config_name)).await {
+            Ok(object) => {
+                let change = self.state.view().apply_config(object);
+                self.state.publish(change);
+            }
+            // Nothing has been configured yet.
+            Err(StoreError::NotFound) => {}
+            Err(error) => return Err(error),
+        }
+        self.state.view().confirm_config(revision);
         Ok(())
     }
 
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -43,23 +43,41 @@
     }
 }
 
-/// How far a view has come; equal marks mean equal views.
+/// How far a view has come.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ViewMark {
     /// Revision up to which upstreams are known.
     pub revision: Revision,
     /// Revision of the configuration.
     pub config_revision: Revision,
-    /// Digest of the names and revisions of the upstreams.
+    /// Revision up to which the configuration is known to be the newest.
+    pub config_known: Revision,
+    /// Digest of the names and revisions of the upstreams, without those that are only kept
+    /// because they may come back.
     pub digest: u64,
 }
 
+impl ViewMark {
+    /// Whether two entries know the same upstreams and the same configuration.
+    pub fn is_same_view(&self, other: &ViewMark) -> bool {
+        self.revision == other.revision
+            && self.config_revision == other.config_revision
+            && self.digest == other.digest
+    }
+
+    /// Whether the configuration is known as far as the upstreams are.
+    pub fn is_whole(&self) -> bool {
+        self.config_known >= self.revision
+    }
+}
+
 /// The view.
 #[derive(Debug)]
 pub struct DeploymentView<D> {
     codec: D,
     revision: Revision,
     config: Option<(Revision, DeclaredConfig)>,
+    config_known: Revision,
     upstreams: BTreeMap<String, ObjectEnvelope>,
     /// Until when entries that are missing after an outage are kept.
     held: BTreeMap<String, Instant>,
@@ -75,6 +93,7 @@
             codec,
             revision: 0,
             config: None,
+            config_known: 0,
             upstreams: BTreeMap::new(),
             held: BTreeMap::new(),
             returned: None,
@@ -102,10 +121,19 @@
     pub fn mark(&self) -> ViewMark {
         let mut digest = 0_u64;
         for (name, object) in &self.upstreams {
+            if self.held.contains_key(name) {
+                continue;
+            }
             digest = digest.wrapping_add(entry_digest(name, object.version));
         }
         let config_revision = self.config.as_ref().map_or(0, |(revision, _)| *revision);
-        ViewMark { revision: self.revision, config_revision, digest }
+        let (revision, config_known) = (self.revision, self.config_known);
+        ViewMark { revision, config_revision, config_known, digest }
+    }
+
+    /// Records that no configuration newer than the present one existed at `revision`.
+    pub fn confirm_config(&mut self, revision: Revision) {
+        self.config_known = self.config_known.max(revision);
     }
 
     /// Records that the store is back after it could not be reached.
@@ -141,6 +169,12 @@
     /// Takes in the changes of a watch.
     pub fn apply_batch(&mut self, batch: WatchBatch, now: Instant) -> ViewChange {
         let mut change = self.change_from(self.revision);
+        // The revision counts every change of the store; what moved it beyond the events may have
+        // been the configuration.
+        let moved = batch.revision.saturating_sub(self.revision);
+        if moved <= batch.events.len() as u64 && self.config_known >= self.revision {
+            self.config_known = self.config_known.max(batch.revision);
+        }
         for event in batch.events {
             match event {
                 WatchEvent::Put { object } => self.put(object, &mut change),
--- /dev/null
+++ b/tests/testsuite/fleet_store.rs
@@ -0,0 +1,157 @@
+//! Entries that follow a store which holds the whole configuration.
+
+use std::time::Duration;
+
+use heatherfall::fleet::view::ViewChange;
+use heatherfall::platform::PlatformStore;
+use heatherfall_standins::platform::{FaultSettings, StandinPlatform};
+
+use crate::support::fleet::{
+    TestEntry, UPSTREAM_KIND, delete_upstream, put_config, put_upstream,
+};
+
+/// Time within which a change must be in force on a live entry.
+const APPLY_LIMIT: Duration = Duration::from_secs(2);
+
+async fn store_with(generation: u64, upstreams: &[&str]) -> StandinPlatform {
+    let store = StandinPlatform::default();
+    put_config(&store, generation).await;
+    for name in upstreams {
+        put_upstream(&store, name).await;
+    }
+    store
+}
+
+/// The words that `from` would send now reach `to`.
+fn pass_on(from: &TestEntry, to: &TestEntry) {
+    to.state.take_in(None, from.state.confirmation());
+}
+
+#[tokio::test(start_paused = true)]
+async fn changes_are_in_force_within_the_limit() {
+    let store = store_with(1, &["a", "b"]).await;
+    let mut entry = TestEntry::new("entry-1", &store);
+    entry.run_for(Duration::from_secs(3)).await;
+    assert_eq!(entry.upstreams(), ["a", "b"]);
+    put_config(&store, 2).await;
+    delete_upstream(&store, "a").await;
+    entry.run_for(APPLY_LIMIT).await;
+    assert_eq!(entry.generation(), Some(2));
+    assert_eq!(entry.upstreams(), ["b"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_absent_configuration_is_not_asked_for_again_and_again() {
+    let store = StandinPlatform::default();
+    put_upstream(&store, "a").await;
+    let mut entry = TestEntry::new("entry-1", &store);
+    entry.run_for(Duration::from_secs(2)).await;
+    assert!(store.counts().gets <= 2, "{:?}", store.counts());
+    put_config(&store, 1).await;
+    entry.run_for(APPLY_LIMIT).await;
+    assert_eq!(entry.generation(), Some(1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn changes_that_come_together_cost_few_calls() {
+    let store = store_with(1, &["a"]).await;
+    let mut entry = TestEntry::new("entry-1", &store);
+    entry.run_for(Duration::from_secs(1)).await;
+    let before = store.counts().total();
+    for index in 0..40 {
+        put_upstream(&store, &format!("new-{index}")).await;
+        entry.run_for(Duration::from_millis(10)).await;
+    }
+    entry.run_for(Duration::from_millis(200)).await;
+    let own_writes = 2 * 40;
+    let calls = store.counts().total() - before - own_writes;
+    assert!(calls <= 12, "{calls} calls for 40 changes within 400 ms");
+    assert_eq!(entry.upstreams().len(), 41);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_configuration_that_changed_before_a_list_is_read() {
+    let store = store_with(1, &["a"]).await;
+    let mut entry = TestEntry::new("entry-1", &store);
+    let mut other = TestEntry::new("entry-2", &store);
+    entry.run_for(Duration::from_secs(1)).await;
+    other.run_for(Duration::from_secs(1)).await;
+    // Another entry has missed a change, and the list that it reads for it already covers the
+    // revision of a new configuration.
+    put_upstream(&store, "b").await;
+    entry.run_for(Duration::from_millis(50)).await;
+    put_config(&store, 2).await;
+    pass_on(&entry, &other);
+    other.run_for(APPLY_LIMIT).await;
+    assert_eq!(other.generation(), Some(2));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_takes_over_reads_a_configuration_that_the_reader_had_not() {
+    let store = store_with(1, &["a"]).await;
+    let mut reader = TestEntry::new("entry-1", &store);
+    let mut heir = TestEntry::new("entry-2", &store);
+    reader.run_for(Duration::from_secs(1)).await;
+    heir.run_for(Duration::from_secs(1)).await;
+    put_config(&store, 2).await;
+    put_upstream(&store, "b").await;
+    // The reader dies between the answer of its watch and its read of the configuration: its last
+    // words hold the revision, but not the configuration.
+    let revision = store.list(UPSTREAM_KIND, "").await.expect("listed").revision;
+    let words = ViewChange { base: 2, revision, ..ViewChange::default() };
+    heir.state.take_in(Some(words), None);
+    heir.run_for(APPLY_LIMIT).await;
+    assert_eq!(heir.generation(), Some(2));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_upstream_that_lapsed_in_an_outage_is_kept_until_it_is_back_or_gone() {
+    let store = store_with(1, &["a", "b"]).await;
+    let mut entry = TestEntry::new("entry-1", &store);
+    entry.run_for(Duration::from_secs(1)).await;
+    store.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+    entry.run_for(Duration::from_secs(5)).await;
+    store.set_faults(FaultSettings::default());
+    delete_upstream(&store, "a").await;
+    delete_upstream(&store, "b").await;
+    entry.run_for(Duration::from_secs(1)).await;
+    assert_eq!(entry.upstreams(), ["a", "b"], "kept for now");
+    put_upstream(&store, "a").await;
+    entry.run_for(Duration::from_secs(4)).await;
+    assert_eq!(entry.upstreams(), ["a"], "one is back, the other is gone");
+}
+
+#[tokio::test(start_paused = true)]
+async fn entries_that_keep_lapsed_upstreams_and_those_that_do_not_agree() {
+    let store = store_with(1, &["a", "b"]).await;
+    let mut entry = TestEntry::new("entry-1", &store);
+    entry.run_for(Duration::from_secs(1)).await;
+    store.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+    entry.run_for(Duration::from_secs(5)).await;
+    store.set_faults(FaultSettings::default());
+    delete_upstream(&store, "a").await;
+    entry.run_for(Duration::from_secs(1)).await;
+    let mut fresh = TestEntry::new("entry-2", &store);
+    fresh.run_for(Duration::from_millis(500)).await;
+    let before = store.counts().lists;
+    for _ in 0..10 {
+        pass_on(&entry, &fresh);
+        pass_on(&fresh, &entry);
+        fresh.run_for(Duration::from_millis(20)).await;
+        entry.run_for(Duration::from_millis(20)).await;
+    }
+    assert_eq!(store.counts().lists, before, "neither reads the store because of the other");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_watch_that_goes_silent_delays_no_change_beyond_the_limit() {
+    let store = store_with(1, &["a", "b"]).await;
+    let mut entry = TestEntry::new("entry-1", &store);
+    entry.run_for(Duration::from_millis(1500)).await;
+    store.set_faults(FaultSettings { silence_open_watches: true, ..FaultSettings::default() });
+    delete_upstream(&store, "a").await;
+    put_config(&store, 2).await;
+    // The platform counts three seconds after a silence before the limit holds again.
+    entry.run_for(Duration::from_secs(3)).await;
+    assert_eq!((entry.upstreams(), entry.generation()), (vec!["b".to_owned()], Some(2)));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod exchange_state;
 mod experiment;
 mod fleet_faults;
+mod fleet_store;
 mod generations;
 mod hostile_input;
 mod kernel;
--- /dev/null
+++ b/tests/testsuite/support/fleet.rs
@@ -0,0 +1,182 @@
+//! Entries on a store that holds the whole configuration, without sockets.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use heatherfall::core::{FailureDomain, GenerationNumber, SharedSnapshot, VmId};
+use heatherfall::fleet::codec::{
+    DeclaredBackend, DeclaredConfig, DeclaredRoute, DeclaredService, DecodeError, DeploymentCodec,
+    DirectoryQuery, PlatformNames, RegisteredUpstream,
+};
+use heatherfall::fleet::peer_table::PeerTable;
+use heatherfall::fleet::state::FleetState;
+use heatherfall::fleet::store_follower::StoreFollower;
+use heatherfall::fleet::view::DeploymentView;
+use heatherfall::limits::{LimitRules, LimitTable};
+use heatherfall::membership::{ConfigFreshness, EntryRecord, EntryState, SharedMembership};
+use heatherfall::platform::{ObjectDraft, ObjectEnvelope, PlatformStore, Precondition};
+use heatherfall_standins::platform::StandinPlatform;
+use serde_json::json;
+
+pub(crate) const CONFIG_KIND: &str = "settings";
+pub(crate) const CONFIG_NAME: &str = "present";
+pub(crate) const UPSTREAM_KIND: &str = "backends";
+
+/// A platform whose configuration is `{ "generation": N }` and whose upstreams are
+/// `{ "service": S, "draining": B }`.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TestCodec;
+
+impl DeploymentCodec for TestCodec {
+    fn names(&self) -> PlatformNames {
+        PlatformNames {
+            config_kind: CONFIG_KIND,
+            config_name: CONFIG_NAME,
+            upstream_kind: UPSTREAM_KIND,
+            ready_path: "/ready",
+            directory_path: "/addresses",
+        }
+    }
+
+    fn config(&self, object: &ObjectEnvelope) -> Result<DeclaredConfig, DecodeError> {
+        let generation = object.spec["generation"].as_u64();
+        let generation = generation.ok_or_else(|| missing("generation"))?;
+        let route = DeclaredRoute {
+            name: "reads".to_owned(),
+            host: "reads.example".to_owned(),
+            path_prefix: "/".to_owned(),
+            is_idempotent: true,
+            timeout: Duration::from_secs(1),
+            goal: Duration::from_millis(200),
+            rank: 0,
+            max_attempts: 2,
+            backends: vec![DeclaredBackend { service: "reads".to_owned(), weight: 1 }],
+        };
+        let service = DeclaredService {
+            name: "reads".to_owned(),
+            health_path: "/health".to_owned(),
+            max_connections: 100,
+        };
+        Ok(DeclaredConfig {
+            generation: GenerationNumber(generation),
+            routes: vec![route],
+            services: vec![service],
+        })
+    }
+
+    fn upstream(&self, object: &ObjectEnvelope) -> Result<RegisteredUpstream, DecodeError> {
+        let service = object.spec["service"].as_str().ok_or_else(|| missing("service"))?;
+        Ok(RegisteredUpstream {
+            instance: object.name.clone(),
+            service: service.to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            failure_domain: "fd-a".to_owned(),
+            slots: 4,
+            is_draining: object.spec["draining"].as_bool().unwrap_or_default(),
+            warm_up: Duration::ZERO,
+        })
+    }
+
+    fn directory_query(&self, _query: &str) -> DirectoryQuery {
+        DirectoryQuery::default()
+    }
+
+    fn directory_answer(&self, addresses: &[SocketAddr], _lifetime: Duration) -> Bytes {
+        Bytes::from(json!(addresses).to_string())
+    }
+}
+
+fn missing(field: &'static str) -> DecodeError {
+    DecodeError { field, reason: "missing".to_owned() }
+}
+
+/// One entry and what it believes.
+pub(crate) struct TestEntry {
+    pub(crate) state: Arc<FleetState<TestCodec>>,
+    pub(crate) follower: StoreFollower<StandinPlatform, TestCodec>,
+}
+
+impl TestEntry {
+    pub(crate) fn new(vm: &str, store: &StandinPlatform) -> Self {
+        let own = EntryRecord {
+            vm: VmId::new(vm),
+            failure_domain: FailureDomain::new("fd-a"),
+            caller_address: SocketAddr::from(([127, 0, 0, 1], 2)),
+            peer_address: SocketAddr::from(([127, 0, 0, 1], 3)),
+            state: EntryState::Starting,
+        };
+        let state = Arc::new(FleetState::new(
+            DeploymentView::new(TestCodec),
+            PeerTable::new(own),
+            SharedSnapshot::default(),
+            SharedMembership::default(),
+            Arc::new(ConfigFreshness::default()),
+            Arc::new(LimitTable::new(LimitRules::default())),
+        ));
+        let follower = StoreFollower::new(Arc::new(store.clone()), Arc::clone(&state));
+        Self { state, follower }
+    }
+
+    /// Lets the entry do what is due for a time of the paused clock.
+    pub(crate) async fn run_for(&mut self, time: Duration) {
+        let steps = async {
+            loop {
+                if self.follower.step().await.is_err() {
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                }
+            }
+        };
+        let _ = tokio::time::timeout(time, steps).await;
+    }
+
+    pub(crate) fn generation(&self) -> Option<u64> {
+        self.state.snapshot.load().as_ref().map(|snapshot| snapshot.generation.0)
+    }
+
+    /// Names of the upstreams that may get work.
+    pub(crate) fn upstreams(&self) -> Vec<String> {
+        let snapshot = self.state.snapshot.load_full();
+        let mut names = Vec::new();
+        for upstream in snapshot.iter().flat_map(|snapshot| snapshot.upstreams.values()) {
+            if !upstream.is_draining() {
+                names.push(upstream.name.clone());
+            }
+        }
+        names.sort();
+        names
+    }
+}
+
+pub(crate) async fn put(
+    store: &StandinPlatform,
+    kind: &str,
+    name: &str,
+    spec: serde_json::Value,
+) -> ObjectEnvelope {
+    let draft = ObjectDraft {
+        kind: kind.to_owned(),
+        name: name.to_owned(),
+        spec,
+        ..ObjectDraft::default()
+    };
+    let condition = match store.get(kind, name).await {
+        Ok(present) => Precondition::SpecVersion(present.spec_version),
+        Err(_) => Precondition::Absent,
+    };
+    store.put(draft, condition).await.expect("written")
+}
+
+pub(crate) async fn put_config(store: &StandinPlatform, generation: u64) {
+    put(store, CONFIG_KIND, CONFIG_NAME, json!({ "generation": generation })).await;
+}
+
+pub(crate) async fn put_upstream(store: &StandinPlatform, name: &str) {
+    put(store, UPSTREAM_KIND, name, json!({ "service": "reads" })).await;
+}
+
+pub(crate) async fn delete_upstream(store: &StandinPlatform, name: &str) {
+    let present = store.get(UPSTREAM_KIND, name).await.expect("present");
+    store.delete(UPSTREAM_KIND, name, present.spec_version).await.expect("deleted");
+}
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -4,6 +4,7 @@
 mod control_fleet;
 mod daemon;
 mod fake_upstream;
+pub(crate) mod fleet;
 mod gated_store;
 mod ledger_nodes;
 mod raw_http;
