fleet: tell the other entries which upstreams are only kept

Ruled out: lost datagrams. Changes now name the kept upstreams, and a list that another entry's word asks for comes at most every 300 ms.

--- a/src/balance/completion_picker.rs
+++ b/src/balance/completion_picker.rs
@@ -249,7 +249,8 @@
         let best = self.best(request, request.tried, now);
         if request.purpose == PickPurpose::Hedge {
             let stay = self.value_of_waiting(request, now);
-            let is_worth = |best: &UpstreamOutlook| best.value - stay >= self.settings.min_hedge_gain;
+            let is_worth =
+                |best: &UpstreamOutlook| best.value - stay >= self.settings.min_hedge_gain;
             return best.filter(is_worth).map(|best| best.key);
         }
         let best = best.or_else(|| self.best(request, &[], now))?;
--- a/src/fleet/control_api.rs
+++ b/src/fleet/control_api.rs
@@ -16,10 +16,10 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use crate::core::VmId;
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::directory::EntryDirectory;
 use crate::membership::{EntryState, SharedMembership};
-use crate::core::VmId;
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -197,11 +197,8 @@
     });
 
     let stops = EntryStops::default();
-    let directory = EntryDirectory::new(
-        Arc::clone(&membership),
-        failure_domain,
-        settings.directory.lifetime,
-    );
+    let directory =
+        EntryDirectory::new(Arc::clone(&membership), failure_domain, settings.directory.lifetime);
     let vm = VmId::new(&settings.vm);
     let api = ControlApi::new(codec, vm, Arc::clone(&membership), directory, registry.clone());
     let api = Arc::new(api);
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -109,14 +109,10 @@
     }
 
     /// Takes in a change and a confirmation from another entry.
-    pub fn take_in(
-        &self,
-        change: Option<ViewChange>,
-        confirmation: Option<ViewConfirmation>,
-    ) {
+    pub fn take_in(&self, change: Option<ViewChange>, confirmation: Option<ViewConfirmation>) {
         if let Some(change) = change {
             let before = self.view().mark();
-            self.view().apply_change(change);
+            self.view().apply_change(change, Instant::now());
             if self.view().mark() != before {
                 self.put_in_force();
             }
@@ -145,6 +141,11 @@
         lock(&self.outbox).loads.push((measured, load));
     }
 
+    /// Takes the changes that the other entries have not been told yet.
+    pub fn take_changes(&self) -> Vec<ViewChange> {
+        std::mem::take(&mut lock(&self.outbox).changes)
+    }
+
     pub(super) fn take_outbox(&self) -> Outbox {
         std::mem::take(&mut lock(&self.outbox))
     }
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -27,6 +27,8 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
 /// Least time between the starts of two watches, so that changes that come together cost one call.
 const MIN_WATCH_GAP: Duration = Duration::from_millis(120);
+/// Least time between the starts of two lists that were asked for because another entry knows more.
+const MIN_LIST_GAP: Duration = Duration::from_millis(300);
 /// Time that the watch of an entry waits that only confirms its view.
 const CONFIRM_WAIT: Duration = Duration::from_millis(1);
 /// Age of the last confirmation at which an entry that is not the reader reads for itself: the
@@ -109,12 +111,14 @@
     pause: Duration,
     /// When the last watch began.
     watched: Option<Instant>,
+    /// When the last list began.
+    listed: Option<Instant>,
 }
 
 impl<S: PlatformStore, D: DeploymentCodec> StoreFollower<S, D> {
     /// Creates a follower that has read nothing yet.
     pub fn new(store: Arc<S>, state: Arc<FleetState<D>>) -> Self {
-        Self { store, state, lost: None, pause: FIRST_PAUSE, watched: None }
+        Self { store, state, lost: None, pause: FIRST_PAUSE, watched: None, listed: None }
     }
 
     async fn run(&mut self, random: &mut SeededRandom) {
@@ -153,9 +157,14 @@
 
     fn duty(&self, now: Instant) -> StoreDuty {
         let view = self.state.view();
-        if view.revision() == 0 || self.state.has_gap() {
+        if view.revision() == 0 {
             return StoreDuty::List;
         }
+        if self.state.has_gap() {
+            // Entries that keep disagreeing must not storm the store.
+            let next = self.listed.map_or(now, |at| at + MIN_LIST_GAP);
+            return if next > now { StoreDuty::Rest(next) } else { StoreDuty::List };
+        }
         let expiry = view.next_expiry();
         drop(view);
         let rank = self.state.table().rank(now);
@@ -179,6 +188,7 @@
     /// Reads all.
     async fn list(&mut self) -> Result<(), StoreError> {
         let started = Instant::now();
+        self.listed = Some(started);
         let list = within(CALL_TIME, self.store.list(self.names().upstream_kind, "")).await?;
         self.note_found(started);
         let change = self.state.view().replace_upstreams(list, Instant::now());
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -32,6 +32,8 @@
     pub puts: Vec<ObjectEnvelope>,
     /// Upstream entries that are gone.
     pub deletes: Vec<String>,
+    /// Upstream entries that are missing after an outage and kept for now.
+    pub held: Vec<String>,
     /// The configuration, if it changed.
     pub config: Option<ObjectEnvelope>,
 }
@@ -39,7 +41,10 @@
 impl ViewChange {
     /// Whether nothing but the revision changed.
     pub fn is_empty(&self) -> bool {
-        self.puts.is_empty() && self.deletes.is_empty() && self.config.is_none()
+        self.puts.is_empty()
+            && self.deletes.is_empty()
+            && self.held.is_empty()
+            && self.config.is_none()
     }
 }
 
@@ -234,7 +239,7 @@
 
     /// Takes in a change that another entry read from the store. Returns whether it fits on what
     /// is known; if not, the store has to be read.
-    pub fn apply_change(&mut self, change: ViewChange) -> bool {
+    pub fn apply_change(&mut self, change: ViewChange, now: Instant) -> bool {
         if let Some(config) = change.config {
             self.apply_config(config);
         }
@@ -253,6 +258,9 @@
             self.held.remove(&name);
             log::info!(target: "upstream", "gone instance={name} revision={} source=peer", change.revision);
         }
+        for name in change.held {
+            self.held.entry(name).or_insert(now + LAPSE_GRACE);
+        }
         self.revision = change.revision;
         true
     }
@@ -348,6 +356,7 @@
         let grace_end = self.returned.map(|at| at + LAPSE_GRACE);
         if let Some(until) = grace_end.filter(|until| *until > now) {
             self.held.entry(name.to_owned()).or_insert(until);
+            change.held.push(name.to_owned());
             log::info!(target: "upstream", "missing after the store's outage, kept for now instance={name}");
             return;
         }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -21,8 +21,8 @@
 mod trace;
 
 pub use self::answer::{
-    AnswerBody, AnswerError, AnswerStream, CallerAnswer, RetryAfterForm, is_not_run, refusal, refusal_after,
-    refusal_without_claim,
+    AnswerBody, AnswerError, AnswerStream, CallerAnswer, RetryAfterForm, is_not_run, refusal,
+    refusal_after, refusal_without_claim,
 };
 pub use self::attempt::{
     AttemptOutcome, AttemptRequest, ConnectionChoice, NotRunProof, UnknownCause, UpstreamAnswer,
--- a/src/request/trace.rs
+++ b/src/request/trace.rs
@@ -75,7 +75,11 @@
             if let Some(age) = note.load.age {
                 let load = note.load;
                 let age_ms = age.as_millis();
-                write!(f, " others={:.0} work={:.0}% age_ms={age_ms}", load.others, load.work_percent)?;
+                write!(
+                    f,
+                    " others={:.0} work={:.0}% age_ms={age_ms}",
+                    load.others, load.work_percent
+                )?;
             }
             match note.end {
                 Some((end, elapsed)) => write!(f, " -> {end:?} ms={}", elapsed.as_millis())?,
--- a/tests/testsuite/fleet_store.rs
+++ b/tests/testsuite/fleet_store.rs
@@ -6,9 +6,7 @@
 use heatherfall::platform::PlatformStore;
 use heatherfall_standins::platform::{FaultSettings, StandinPlatform};
 
-use crate::support::fleet::{
-    TestEntry, UPSTREAM_KIND, delete_upstream, put_config, put_upstream,
-};
+use crate::support::fleet::{TestEntry, UPSTREAM_KIND, delete_upstream, put_config, put_upstream};
 
 /// Time within which a change must be in force on a live entry.
 const APPLY_LIMIT: Duration = Duration::from_secs(2);
@@ -143,6 +141,45 @@
     assert_eq!(store.counts().lists, before, "neither reads the store because of the other");
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_hears_of_lapsed_upstreams_agrees_with_the_reader() {
+    let store = store_with(1, &["a", "b"]).await;
+    let mut reader = TestEntry::new("entry-1", &store);
+    let mut other = TestEntry::new("entry-2", &store);
+    reader.run_for(Duration::from_secs(1)).await;
+    other.run_for(Duration::from_secs(1)).await;
+    store.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+    reader.run_for(Duration::from_secs(5)).await;
+    store.set_faults(FaultSettings::default());
+    reader.state.take_changes();
+    delete_upstream(&store, "a").await;
+    reader.run_for(Duration::from_secs(1)).await;
+    let before = store.counts().lists;
+    for change in reader.state.take_changes() {
+        other.state.take_in(Some(change), reader.state.confirmation());
+    }
+    pass_on(&other, &reader);
+    other.run_for(Duration::from_millis(100)).await;
+    reader.run_for(Duration::from_millis(100)).await;
+    assert_eq!(store.counts().lists, before, "neither reads the store because of the other");
+    assert_eq!(other.upstreams(), ["a", "b"], "kept for now");
+}
+
+#[tokio::test(start_paused = true)]
+async fn entries_that_disagree_do_not_storm_the_store() {
+    let store = store_with(1, &["a"]).await;
+    let mut entry = TestEntry::new("entry-1", &store);
+    entry.run_for(Duration::from_secs(1)).await;
+    let mut confirmation = entry.state.confirmation().expect("confirmed");
+    confirmation.mark.digest += 1;
+    let before = store.counts().lists;
+    for _ in 0..100 {
+        entry.state.take_in(None, Some(confirmation));
+        entry.run_for(Duration::from_millis(10)).await;
+    }
+    assert!(store.counts().lists - before <= 4, "{} lists in a second", store.counts().lists);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_watch_that_goes_silent_delays_no_change_beyond_the_limit() {
     let store = store_with(1, &["a", "b"]).await;
