--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -18,7 +18,7 @@
 //! - [`store_follower`]: reads the store.
 //! - [`peer_message`], [`peer_table`], [`peer_service`]: what entries tell each other.
 //! - [`state`]: what the services of an entry share.
-//! - [`load_probe`]: fresh load of the domain's upstreams.
+//! - [`load_probe`]: fresh load of the domain's upstreams; [`load_flash`]: news of it for the others.
 //! - [`directory`], [`control_api`]: what callers and the platform ask.
 //! - [`entry_node`]: wires one entry.
 
@@ -27,6 +27,7 @@
 pub mod directory;
 pub mod entry_node;
 pub mod entry_settings;
+pub mod load_flash;
 pub mod load_probe;
 pub mod objects;
 pub mod peer_message;
--- a/src/fleet/peer_message.rs
+++ b/src/fleet/peer_message.rs
@@ -41,6 +41,17 @@
     pub change: Option<ViewChange>,
 }
 
+impl PeerMessage {
+    /// Reads the payload of a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is no message.
+    pub fn read(payload: &[u8]) -> Result<Self, MessageError> {
+        serde_json::from_slice(payload).map_err(|_| MessageError::Malformed)
+    }
+}
+
 /// A view that was the store's at some moment.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ViewConfirmation {
@@ -99,25 +110,40 @@
     ///
     /// Returns an error if it does not fit.
     pub fn seal(&self, message: &PeerMessage) -> Result<Vec<u8>, MessageError> {
-        let mut datagram = vec![0; MAC_BYTES];
-        serde_json::to_writer(&mut datagram, message).map_err(|_| MessageError::Malformed)?;
-        if datagram.len() > MAX_DATAGRAM_BYTES {
+        let payload = serde_json::to_vec(message).map_err(|_| MessageError::Malformed)?;
+        if payload.len() + MAC_BYTES > MAX_DATAGRAM_BYTES {
             return Err(MessageError::TooLarge);
         }
-        let mac = self.0.clone().chain_update(&datagram[MAC_BYTES..]).finalize().into_bytes();
-        datagram[..MAC_BYTES].copy_from_slice(&mac[..MAC_BYTES]);
-        Ok(datagram)
+        Ok(self.seal_bytes(&payload))
+    }
+
+    /// Writes a payload as a datagram.
+    pub fn seal_bytes(&self, payload: &[u8]) -> Vec<u8> {
+        let mac = self.0.clone().chain_update(payload).finalize().into_bytes();
+        let mut datagram = Vec::with_capacity(MAC_BYTES + payload.len());
+        datagram.extend_from_slice(&mac[..MAC_BYTES]);
+        datagram.extend_from_slice(payload);
+        datagram
     }
 
-    /// Reads a datagram.
+    /// Reads the payload of a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it was not sealed with this key.
+    pub fn open_bytes<'a>(&self, datagram: &'a [u8]) -> Result<&'a [u8], MessageError> {
+        let (mac, payload) = datagram.split_at_checked(MAC_BYTES).ok_or(MessageError::Malformed)?;
+        let expected = self.0.clone().chain_update(payload);
+        expected.verify_truncated_left(mac).map_err(|_| MessageError::Unauthenticated)?;
+        Ok(payload)
+    }
+
+    /// Reads a message.
     ///
     /// # Errors
     ///
     /// Returns an error if it was not sealed with this key, or is no message.
     pub fn open(&self, datagram: &[u8]) -> Result<PeerMessage, MessageError> {
-        let (mac, text) = datagram.split_at_checked(MAC_BYTES).ok_or(MessageError::Malformed)?;
-        let expected = self.0.clone().chain_update(text);
-        expected.verify_truncated_left(mac).map_err(|_| MessageError::Unauthenticated)?;
-        serde_json::from_slice(text).map_err(|_| MessageError::Malformed)
+        PeerMessage::read(self.open_bytes(datagram)?)
     }
 }
--- a/src/fleet/peer_service.rs
+++ b/src/fleet/peer_service.rs
@@ -8,7 +8,9 @@
 use tokio::time::{Instant, MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
 
+use crate::core::ConfigSnapshot;
 use crate::fleet::codec::DeploymentCodec;
+use crate::fleet::load_flash::{FlashFilter, FlashLoad, name_digest, read_flash, seal_flash};
 use crate::fleet::load_probe::LoadLearner;
 use crate::fleet::peer_message::{MeasuredLoad, MessageError, MessageKey, PeerMessage};
 use crate::fleet::state::FleetState;
@@ -38,11 +40,11 @@
     const NAME: ServiceName = ServiceName::Peer;
 
     async fn run(mut self, stop: CancellationToken) {
-        let mut speaker = PeerSpeaker { incarnation: self.random.bits(), sequence: 0 };
+        let mut speaker = PeerSpeaker::new(self.random.bits());
         let mut ticks = interval(MESSAGE_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = vec![0; MAX_UDP_BYTES];
-        let mut strangers = 0_u64;
+        let mut refused = RefusalCount::default();
         loop {
             tokio::select! {
                 () = stop.cancelled() => break,
@@ -57,15 +59,8 @@
                 received = self.socket.recv_from(&mut buffer) => {
                     // An error here is an earlier datagram that found no listener.
                     let Ok((length, from)) = received else { continue };
-                    let Some(key) = self.state.key.get() else { continue };
-                    match key.open(&buffer[..length]) {
-                        Ok(message) => self.hear(message, from),
-                        Err(error) => {
-                            strangers += 1;
-                            if strangers.is_power_of_two() {
-                                log::warn!(target: "peer", "datagram refused from={from} reason={error} count={strangers}");
-                            }
-                        }
+                    if let Err(error) = self.hear(&buffer[..length], from, &mut speaker).await {
+                        refused.note(from, error);
                     }
                 }
             }
@@ -75,16 +70,73 @@
     }
 }
 
+/// Counts refused datagrams and logs some of them.
+#[derive(Debug, Default)]
+struct RefusalCount(u64);
+
+impl RefusalCount {
+    fn note(&mut self, from: SocketAddr, error: MessageError) {
+        self.0 += 1;
+        if self.0.is_power_of_two() {
+            let count = self.0;
+            log::warn!(target: "peer", "datagram refused from={from} reason={error} count={count}");
+        }
+    }
+}
+
 impl<D: DeploymentCodec> PeerWork<D> {
-    fn hear(&self, message: PeerMessage, from: SocketAddr) {
+    /// Takes in a datagram.
+    async fn hear(
+        &self,
+        datagram: &[u8],
+        from: SocketAddr,
+        speaker: &mut PeerSpeaker,
+    ) -> Result<(), MessageError> {
+        let Some(key) = self.state.key.get() else { return Ok(()) };
+        let payload = key.open_bytes(datagram)?;
+        if let Some(loads) = read_flash(payload) {
+            self.hear_flash(&loads?, from);
+            return Ok(());
+        }
+        let message = PeerMessage::read(payload)?;
         if !self.state.table().hear(&message, from, Instant::now()) {
-            return;
+            return Ok(());
         }
         self.state.take_in(message.change, message.confirmation);
-        let snapshot = self.state.snapshot.load();
-        let Some(snapshot) = snapshot.as_ref() else { return };
-        self.learner.learn(snapshot, &message.loads);
+        let snapshot = self.state.snapshot.load_full();
+        let Some(snapshot) = snapshot else { return Ok(()) };
+        self.learner.learn(&snapshot, &message.loads);
+        speaker.flash(&self.socket, &self.state, &message.loads).await;
+        Ok(())
     }
+
+    /// Learns what another failure domain tells, and passes it on to the own one.
+    fn hear_flash(&self, loads: &[FlashLoad], from: SocketAddr) {
+        let now = Instant::now();
+        self.state.table().hear_speaker(from, now);
+        let Some(snapshot) = self.state.snapshot.load_full() else { return };
+        let loads = named_loads(&snapshot, loads);
+        self.learner.learn(&snapshot, &loads);
+        for load in loads {
+            self.state.tell_load(now, load);
+        }
+    }
+}
+
+/// The loads with the names that their digests stand for; unknown ones are left out.
+fn named_loads(snapshot: &ConfigSnapshot, loads: &[FlashLoad]) -> Vec<MeasuredLoad> {
+    let mut named = Vec::with_capacity(loads.len());
+    for upstream in snapshot.upstreams.values() {
+        let digest = name_digest(&upstream.name);
+        let Some(load) = loads.iter().find(|load| load.digest == digest) else { continue };
+        named.push(MeasuredLoad {
+            instance: upstream.name.clone(),
+            inflight: load.inflight,
+            work_percent: Some(load.work_percent),
+            age_ms: 0,
+        });
+    }
+    named
 }
 
 /// Writes and sends messages.
@@ -92,9 +144,56 @@
 struct PeerSpeaker {
     incarnation: u64,
     sequence: u64,
+    filter: FlashFilter,
+    flashes: usize,
 }
 
 impl PeerSpeaker {
+    fn new(incarnation: u64) -> Self {
+        Self { incarnation, sequence: 0, filter: FlashFilter::default(), flashes: 0 }
+    }
+
+    /// Tells the other failure domains what is news among loads of the own one, if this entry is
+    /// the one that does.
+    async fn flash<D: DeploymentCodec>(
+        &mut self,
+        socket: &UdpSocket,
+        state: &FleetState<D>,
+        loads: &[MeasuredLoad],
+    ) {
+        let now = Instant::now();
+        let (Some(key), Some(snapshot)) = (state.key.get(), state.snapshot.load_full()) else {
+            return;
+        };
+        let speakers = {
+            let table = state.table();
+            if table.rank(now) > 0 {
+                return;
+            }
+            table.speakers(self.flashes, now)
+        };
+        let home = state.table().own().failure_domain.clone();
+        let mut own = Vec::with_capacity(loads.len());
+        for load in loads {
+            let key = snapshot.upstream_names.get(&load.instance);
+            let upstream = key.and_then(|key| snapshot.upstreams.get(*key));
+            if upstream.is_some_and(|upstream| upstream.failure_domain == home) {
+                own.push(load.clone());
+            }
+        }
+        let news = self.filter.news(&own, now);
+        self.filter.forget(now);
+        if news.is_empty() {
+            return;
+        }
+        self.flashes += 1;
+        let datagram = seal_flash(key, &news);
+        for address in speakers {
+            // A lost datagram and one that could not be sent are alike.
+            let _ = socket.send_to(&datagram, address).await;
+        }
+    }
+
     async fn speak<D: DeploymentCodec>(&mut self, socket: &UdpSocket, state: &FleetState<D>) {
         let Some(key) = state.key.get() else { return };
         let outbox = state.take_outbox();
@@ -102,6 +201,7 @@
         for (measured, load) in outbox.loads {
             loads.push(MeasuredLoad { age_ms: measured.elapsed().as_millis() as u64, ..load });
         }
+        self.flash(socket, state, &loads).await;
         let mut changes = outbox.changes;
         let last = changes.pop();
         for change in changes {
--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -18,6 +18,16 @@
 /// Silence after which an entry counts as gone: eight messages missed.
 pub const PEER_SILENCE: Duration = Duration::from_millis(800);
 
+/// Silence after which another entry of a failure domain is tried as its speaker.
+const SPEAKER_SILENCE: Duration = Duration::from_secs(1);
+
+/// An entry of another failure domain that has sent news.
+#[derive(Clone, Copy, Debug)]
+struct HeardSpeaker {
+    address: SocketAddr,
+    at: Instant,
+}
+
 /// How an entry registers in the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EntryRegistration {
@@ -42,12 +52,13 @@
 pub struct PeerTable {
     own: EntryRecord,
     peers: BTreeMap<VmId, PeerEntry>,
+    heard: Vec<HeardSpeaker>,
 }
 
 impl PeerTable {
     /// Creates a table that knows only its own entry.
     pub fn new(own: EntryRecord) -> Self {
-        Self { own, peers: BTreeMap::new() }
+        Self { own, peers: BTreeMap::new(), heard: Vec::new() }
     }
 
     /// Own entry.
@@ -128,6 +139,34 @@
         audience
     }
 
+    /// One entry of each other failure domain, for news that it passes on: the one that last sent
+    /// some, or the entries in turn, by `turn`, while none was heard from.
+    pub fn speakers(&self, turn: usize, now: Instant) -> Vec<SocketAddr> {
+        let mut domains: BTreeMap<&FailureDomain, Vec<SocketAddr>> = BTreeMap::new();
+        for peer in self.peers.values() {
+            if peer.record.failure_domain != self.own.failure_domain {
+                let domain = domains.entry(&peer.record.failure_domain).or_default();
+                domain.push(peer.record.peer_address);
+            }
+        }
+        let mut speakers = Vec::with_capacity(domains.len());
+        for addresses in domains.values() {
+            let heard = self.heard.iter().find(|heard| {
+                now - heard.at <= SPEAKER_SILENCE && addresses.contains(&heard.address)
+            });
+            let in_turn = addresses[turn % addresses.len()];
+            speakers.push(heard.map_or(in_turn, |heard| heard.address));
+        }
+        speakers
+    }
+
+    /// Records that an entry of another failure domain has sent news.
+    pub fn hear_speaker(&mut self, address: SocketAddr, now: Instant) {
+        self.heard.retain(|heard| now - heard.at <= SPEAKER_SILENCE && heard.address != address);
+        // The latest is found first.
+        self.heard.insert(0, HeardSpeaker { address, at: now });
+    }
+
     /// Entries of all failure domains, the own one included.
     pub fn count(&self) -> u32 {
         self.peers.len() as u32 + 1
