balance: refuse by rank what would only wait at a full upstream

An upstream whose slots are all in use also works 1.7 times slower there. The picker learns how much fullness costs, keeps a slot free where that gives more work in all, and refuses at once what would wait beyond a part of the slots, the lowest rank first.

--- a/src/balance/completion_picker.rs
+++ b/src/balance/completion_picker.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use crate::balance::observe::{self, ObserveSettings};
-use crate::balance::pick::{PickDemand, PickPurpose, PickRequest, UpstreamPicker};
+use crate::balance::pick::{PickDemand, PickPurpose, PickRefusal, PickRequest, UpstreamPicker};
 use crate::balance::report::{AttemptReport, AttemptResult};
 use crate::core::{FailureDomain, UpstreamKey, UpstreamState};
 use crate::util::{SeededRandom, SharedRandom};
@@ -49,10 +49,9 @@
     /// Value lost by waiting for the whole time to the goal; keeps requests off longer queues
     /// while all make it.
     pub wait_price: f32,
-    /// Part of the slots from which an upstream may slow down.
-    pub knee: f32,
-    /// Factor by which it then does.
-    pub knee_factor: f32,
+    /// Requests that may wait at an upstream for each of its slots, by the rank of the route;
+    /// routes of the last rank or a higher one wait least and are shed first.
+    pub queue_parts: [f32; 3],
     /// Factor by which an upstream is slower while it warms up.
     pub cold_factor: f32,
     /// Least value that a hedge must add to be worth its cost.
@@ -78,8 +77,7 @@
             goal_softness: 0.15,
             late_value: 0.1,
             wait_price: 0.15,
-            knee: 0.8,
-            knee_factor: 1.3,
+            queue_parts: [1.0, 0.5, 0.25],
             cold_factor: 2.0,
             min_hedge_gain: 0.3,
             late_factor: 1.6,
@@ -103,6 +101,8 @@
     key: UpstreamKey,
     expected_secs: f32,
     value: f32,
+    /// Whether requests of this rank may add to its work.
+    has_room: bool,
 }
 
 impl CompletionPicker {
@@ -132,9 +132,9 @@
             if upstream.is_draining() || excluded.contains(key) {
                 continue;
             }
-            let mut outlook = self.outlook(*key, upstream, request.demand, now);
+            let mut outlook = self.outlook(*key, upstream, request, now);
             outlook.value += self.settings.jitter * self.draws.unit();
-            if best.is_none_or(|best| outlook.value > best.value) {
+            if best.is_none_or(|best| outlook.is_better_than(&best)) {
                 best = Some(outlook);
             }
         }
@@ -145,10 +145,12 @@
         &self,
         key: UpstreamKey,
         upstream: &UpstreamState,
-        demand: PickDemand,
+        request: PickRequest<'_>,
         now: Instant,
     ) -> UpstreamOutlook {
-        let mut expected_secs = self.expected_secs(upstream, demand.work, now);
+        let demand = request.demand;
+        let load = estimated_load(upstream, demand.work.as_secs_f32(), now) + 1.0;
+        let mut expected_secs = self.expected_secs(upstream, demand, load, now);
         let mut price = 0.0;
         if self.is_remote(upstream) {
             expected_secs += 2.0 * self.settings.domain_delay.as_secs_f32();
@@ -156,7 +158,15 @@
             price = transfer.min(self.settings.max_transfer_price);
         }
         let value = self.use_of(expected_secs, demand) * self.success_part(upstream, now) - price;
-        UpstreamOutlook { key, expected_secs, value }
+        let useful = useful_slots(upstream, demand);
+        let has_room = load - useful <= self.queue_part(request.route.spec.rank) * useful;
+        UpstreamOutlook { key, expected_secs, value, has_room }
+    }
+
+    /// Requests that may wait for each slot.
+    fn queue_part(&self, rank: u32) -> f32 {
+        let last = self.settings.queue_parts.len() - 1;
+        self.settings.queue_parts[last.min(rank as usize)]
     }
 
     /// Use of an answer that is expected after this time, between 0 and 1.
@@ -196,14 +206,19 @@
     }
 
     /// Expected time to the answer of one more request, without the network.
-    fn expected_secs(&self, upstream: &UpstreamState, work: Duration, now: Instant) -> f32 {
+    fn expected_secs(
+        &self,
+        upstream: &UpstreamState,
+        demand: PickDemand,
+        load: f32,
+        now: Instant,
+    ) -> f32 {
         let settings = &self.settings;
-        let work_secs = work.as_secs_f32();
+        let work_secs = demand.work.as_secs_f32();
         let slots = upstream.spec.slots.max(1) as f32;
-        let load = estimated_load(upstream, work_secs, now) + 1.0;
         let mut pace = 1.0;
-        if load >= settings.knee * slots {
-            pace *= settings.knee_factor;
+        if load > slots - 0.5 {
+            pace *= demand.fullness_factor;
         }
         if upstream.load().age_at(now, 0) < upstream.spec.warm_up {
             pace *= settings.cold_factor;
@@ -244,18 +259,21 @@
 }
 
 impl UpstreamPicker for CompletionPicker {
-    fn pick(&self, request: PickRequest<'_>) -> Option<UpstreamKey> {
+    fn pick(&self, request: PickRequest<'_>) -> Result<UpstreamKey, PickRefusal> {
         let now = Instant::now();
         let best = self.best(request, request.tried, now);
         if request.purpose == PickPurpose::Hedge {
             let stay = self.value_of_waiting(request, now);
-            let is_worth =
-                |best: &UpstreamOutlook| best.value - stay >= self.settings.min_hedge_gain;
-            return best.filter(is_worth).map(|best| best.key);
+            let best = best.filter(|best| best.value - stay >= self.settings.min_hedge_gain);
+            return best.map(|best| best.key).ok_or(PickRefusal::NoUpstream);
         }
-        let best = best.or_else(|| self.best(request, &[], now))?;
+        let best = best.or_else(|| self.best(request, &[], now));
+        let best = best.ok_or(PickRefusal::NoUpstream)?;
         let is_hopeless = best.expected_secs > request.demand.time_left.as_secs_f32();
-        (!is_hopeless).then_some(best.key)
+        if is_hopeless || !best.has_room {
+            return Err(PickRefusal::Crowded);
+        }
+        Ok(best.key)
     }
 
     fn observe(&self, upstream: &Arc<UpstreamState>, report: AttemptReport) {
@@ -271,6 +289,21 @@
     }
 }
 
+impl UpstreamOutlook {
+    fn is_better_than(&self, other: &Self) -> bool {
+        (self.has_room, self.value) > (other.has_room, other.value)
+    }
+}
+
+/// Slots of an upstream whose use makes it faster on the whole.
+///
+/// One that slows down when it is full may do more work with a slot left free.
+fn useful_slots(upstream: &UpstreamState, demand: PickDemand) -> f32 {
+    let slots = upstream.spec.slots.max(1) as f32;
+    let is_last_useful = slots / demand.fullness_factor >= slots - 1.0;
+    if is_last_useful { slots } else { (slots - 1.0).max(1.0) }
+}
+
 /// Requests at the upstream from all entries. What others had there at the last report is
 /// forgotten in the time that it takes to work it off.
 fn estimated_load(upstream: &UpstreamState, work_secs: f32, now: Instant) -> f32 {
--- a/src/balance/load_picker.rs
+++ b/src/balance/load_picker.rs
@@ -20,7 +20,7 @@
 
 use crate::balance::candidate_pool::{CandidatePool, PoolCandidate, PoolUsual};
 use crate::balance::observe::{self, ObserveSettings};
-use crate::balance::pick::{PickRequest, UpstreamPicker};
+use crate::balance::pick::{PickRefusal, PickRequest, UpstreamPicker};
 use crate::balance::report::{AttemptReport, AttemptResult};
 use crate::core::{FailureDomain, UpstreamKey, UpstreamState};
 use crate::util::{SeededRandom, SharedRandom, duration_text};
@@ -220,19 +220,20 @@
 }
 
 impl UpstreamPicker for LoadPicker {
-    fn pick(&self, request: PickRequest<'_>) -> Option<UpstreamKey> {
+    fn pick(&self, request: PickRequest<'_>) -> Result<UpstreamKey, PickRefusal> {
         let now = Instant::now();
         let start = (self.draws.unit() * request.upstreams().len() as f32) as usize;
         let pool = CandidatePool::gather(request, start, request.tried, self.settings.warm_up, now);
         // A further attempt looks beyond a failure domain that may be full.
         let weight = if request.tried.is_empty() { self.settings.domain_weight } else { 0.0 };
         if let Some(key) = self.best(&pool, weight, now) {
-            return Some(key);
+            return Ok(key);
         }
         // Rather an upstream that is warming up, ejected or tried before than none.
         let fallback =
             || CandidatePool::gather(request, start, &[], self.settings.warm_up, now).first();
-        pool.first().or_else(fallback).map(|candidate| candidate.key)
+        let candidate = pool.first().or_else(fallback);
+        candidate.map(|candidate| candidate.key).ok_or(PickRefusal::NoUpstream)
     }
 
     fn observe(&self, upstream: &Arc<UpstreamState>, report: AttemptReport) {
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -12,7 +12,9 @@
 pub use self::completion_picker::{CompletionPicker, CompletionSettings};
 pub use self::load_picker::{LoadPicker, PickerSettings};
 pub use self::observe::{ObserveSettings, learn_shared};
-pub use self::pick::{PickDemand, PickPurpose, PickRequest, RandomPicker, UpstreamPicker};
+pub use self::pick::{
+    PickDemand, PickPurpose, PickRefusal, PickRequest, RandomPicker, UpstreamPicker,
+};
 pub use self::probe_budget::{
     PROBE_SHARE_KIND, PROBE_SHARES, ProbeWallet, SHARE_LIFETIME, SHARE_RENEWAL, SHARE_TAKEOVER,
     ShareKeeper,
--- a/src/balance/pick.rs
+++ b/src/balance/pick.rs
@@ -28,6 +28,8 @@
 pub struct PickDemand {
     /// Time that an idle upstream at its usual speed takes.
     pub work: Duration,
+    /// Factor by which an upstream takes longer while all of its slots are in use.
+    pub fullness_factor: f32,
     /// Size of the request and its answer, in kilobytes.
     pub kilobytes: f32,
     /// Time left to the response-time goal of the route; zero if there is none or it has passed.
@@ -42,6 +44,7 @@
     fn default() -> Self {
         Self {
             work: Duration::ZERO,
+            fullness_factor: 1.0,
             kilobytes: 0.0,
             goal_left: Duration::ZERO,
             time_left: Duration::MAX,
@@ -84,10 +87,23 @@
     }
 }
 
+/// Why no upstream was chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PickRefusal {
+    /// There is none that can take the attempt, or none that is worth it.
+    NoUpstream,
+    /// Those that there are have as much work as requests of this rank may add to.
+    Crowded,
+}
+
 /// Chooses an upstream.
 pub trait UpstreamPicker: Send + Sync + 'static {
-    /// Returns an upstream that can take the attempt, or none.
-    fn pick(&self, request: PickRequest<'_>) -> Option<UpstreamKey>;
+    /// Returns an upstream that can take the attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none; the attempt did not start.
+    fn pick(&self, request: PickRequest<'_>) -> Result<UpstreamKey, PickRefusal>;
 
     /// Learns from a finished attempt.
     fn observe(&self, upstream: &Arc<UpstreamState>, report: AttemptReport);
@@ -116,15 +132,18 @@
 }
 
 impl UpstreamPicker for RandomPicker {
-    fn pick(&self, request: PickRequest<'_>) -> Option<UpstreamKey> {
+    fn pick(&self, request: PickRequest<'_>) -> Result<UpstreamKey, PickRefusal> {
         let mut candidates = candidates(request, request.tried);
         if candidates.is_empty() {
             candidates = self::candidates(request, &[]);
         }
-        let first = *candidates.get(self.draw(candidates.len()))?;
-        let second = *candidates.get(self.draw(candidates.len()))?;
+        if candidates.is_empty() {
+            return Err(PickRefusal::NoUpstream);
+        }
+        let first = candidates[self.draw(candidates.len())];
+        let second = candidates[self.draw(candidates.len())];
         let inflight = |key| request.snapshot.upstreams.get(key).map_or(u32::MAX, |u| u.inflight());
-        if inflight(second) < inflight(first) { Some(second) } else { Some(first) }
+        Ok(if inflight(second) < inflight(first) { second } else { first })
     }
 
     fn observe(&self, upstream: &Arc<UpstreamState>, report: AttemptReport) {
--- a/src/limits/demand.rs
+++ b/src/limits/demand.rs
@@ -9,6 +9,10 @@
 const ASSUMED_WORK_PART: f32 = 0.36;
 /// Work assumed for a route without a goal.
 const ASSUMED_WORK: Duration = Duration::from_millis(50);
+/// Factor assumed for full upstreams before any answer of one.
+const ASSUMED_FULLNESS_FACTOR: f32 = 1.2;
+/// Largest factor that is believed.
+const MAX_FULLNESS_FACTOR: f32 = 3.0;
 /// Quantile of the latency that counts as the work: the usual one, without the upstreams that are
 /// slow at the moment.
 const WORK_QUANTILE: f32 = 0.4;
@@ -23,6 +27,8 @@
 #[derive(Debug, Default)]
 pub struct RouteDemand {
     work_secs: AtomicNumber,
+    /// The same at upstreams that the request has just filled.
+    full_secs: AtomicNumber,
     kilobytes: AtomicNumber,
     drawn: AtomicU64,
 }
@@ -40,12 +46,28 @@
         route.spec.goal.mul_f32(ASSUMED_WORK_PART)
     }
 
-    /// Learns from the time to an answer, moving a quantile estimate by small steps.
-    pub fn record_work(&self, route: &RouteRecord, latency: Duration) {
-        let work_secs = self.work(route).as_secs_f32();
-        let is_longer = latency.as_secs_f32() > work_secs;
+    /// Factor by which an upstream takes longer while all of its slots are in use.
+    pub fn fullness_factor(&self) -> f32 {
+        let (work_secs, full_secs) = (self.work_secs.get(), self.full_secs.get());
+        if work_secs <= 0.0 || full_secs <= 0.0 {
+            return ASSUMED_FULLNESS_FACTOR;
+        }
+        (full_secs / work_secs).clamp(1.0, MAX_FULLNESS_FACTOR)
+    }
+
+    /// Learns from the time to an answer of an upstream that was not full, or that the request
+    /// filled, moving a quantile estimate by small steps.
+    pub fn record_work(&self, route: &RouteRecord, latency: Duration, is_full: bool) {
+        let usual_secs = self.work(route).as_secs_f32();
+        let estimate = if is_full { &self.full_secs } else { &self.work_secs };
+        let mut secs = estimate.get();
+        if secs <= 0.0 {
+            let factor = if is_full { ASSUMED_FULLNESS_FACTOR } else { 1.0 };
+            secs = usual_secs * factor;
+        }
+        let is_longer = latency.as_secs_f32() > secs;
         let part = if is_longer { WORK_QUANTILE } else { WORK_QUANTILE - 1.0 };
-        self.work_secs.set(work_secs * (1.0 + WORK_STEP * part));
+        estimate.set(secs * (1.0 + WORK_STEP * part));
     }
 
     /// Mean size of a request and its answer together, in kilobytes.
--- a/src/ops/experiment/baseline.rs
+++ b/src/ops/experiment/baseline.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
-use crate::balance::{AttemptReport, PickRequest, UpstreamPicker};
+use crate::balance::{AttemptReport, PickRefusal, PickRequest, UpstreamPicker};
 use crate::core::{UpstreamKey, UpstreamState};
 use crate::util::SeededRandom;
 
@@ -20,9 +20,10 @@
 }
 
 impl UpstreamPicker for UniformPicker {
-    fn pick(&self, request: PickRequest<'_>) -> Option<UpstreamKey> {
+    fn pick(&self, request: PickRequest<'_>) -> Result<UpstreamKey, PickRefusal> {
         let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
-        pick_from(request, random.below(request.route.upstreams.len()))
+        let picked = pick_from(request, random.below(request.route.upstreams.len()));
+        picked.ok_or(PickRefusal::NoUpstream)
     }
 
     fn observe(&self, upstream: &Arc<UpstreamState>, report: AttemptReport) {
@@ -43,9 +44,9 @@
 }
 
 impl UpstreamPicker for RoundRobinPicker {
-    fn pick(&self, request: PickRequest<'_>) -> Option<UpstreamKey> {
+    fn pick(&self, request: PickRequest<'_>) -> Result<UpstreamKey, PickRefusal> {
         let start = self.next.fetch_add(1, Ordering::Relaxed);
-        pick_from(request, start)
+        pick_from(request, start).ok_or(PickRefusal::NoUpstream)
     }
 
     fn observe(&self, upstream: &Arc<UpstreamState>, report: AttemptReport) {
@@ -67,15 +68,15 @@
 }
 
 impl UpstreamPicker for PowerOfTwoPicker {
-    fn pick(&self, request: PickRequest<'_>) -> Option<UpstreamKey> {
+    fn pick(&self, request: PickRequest<'_>) -> Result<UpstreamKey, PickRefusal> {
         let count = request.route.upstreams.len();
         let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
         let start = random.below(count);
         let step = 1 + random.below(count.saturating_sub(1));
-        let first = pick_from(request, start)?;
-        let second = pick_from(request, start + step)?;
+        let first = pick_from(request, start).ok_or(PickRefusal::NoUpstream)?;
+        let second = pick_from(request, start + step).ok_or(PickRefusal::NoUpstream)?;
         let inflight = |key| request.snapshot.upstreams.get(key).map_or(u32::MAX, |u| u.inflight());
-        Some(if inflight(second) < inflight(first) { second } else { first })
+        Ok(if inflight(second) < inflight(first) { second } else { first })
     }
 
     fn observe(&self, upstream: &Arc<UpstreamState>, report: AttemptReport) {
@@ -101,7 +102,7 @@
 }
 
 impl UpstreamPicker for OraclePicker {
-    fn pick(&self, request: PickRequest<'_>) -> Option<UpstreamKey> {
+    fn pick(&self, request: PickRequest<'_>) -> Result<UpstreamKey, PickRefusal> {
         let upstreams = &request.route.upstreams;
         let start = {
             let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
@@ -120,7 +121,7 @@
             best = Some(key);
             best_load = load;
         }
-        best
+        best.ok_or(PickRefusal::NoUpstream)
     }
 
     fn observe(&self, upstream: &Arc<UpstreamState>, report: AttemptReport) {
--- a/src/ops/experiment/probing.rs
+++ b/src/ops/experiment/probing.rs
@@ -7,8 +7,8 @@
 use tokio::time::Instant;
 
 use crate::balance::{
-    AttemptReport, AttemptResult, LoadPicker, LoadReport, ObserveSettings, PickRequest,
-    ProbeSettings, UpstreamPicker, learn_probe, mark_probed, next_probe,
+    AttemptReport, AttemptResult, LoadPicker, LoadReport, ObserveSettings, PickRefusal,
+    PickRequest, ProbeSettings, UpstreamPicker, learn_probe, mark_probed, next_probe,
 };
 use crate::core::{ConfigSnapshot, UpstreamKey, UpstreamState};
 use crate::ops::experiment::baseline::{
@@ -125,7 +125,7 @@
 }
 
 impl UpstreamPicker for ProbePoolPicker {
-    fn pick(&self, request: PickRequest<'_>) -> Option<UpstreamKey> {
+    fn pick(&self, request: PickRequest<'_>) -> Result<UpstreamKey, PickRefusal> {
         let mut state = self.lock();
         state.samples.retain(|sample| sample.arrived.elapsed() < SAMPLE_LIFETIME);
         if let Some(index) = state.choose(request) {
@@ -136,17 +136,17 @@
             if sample.uses >= SAMPLE_USES {
                 state.samples.remove(index);
             }
-            return Some(key);
+            return Ok(key);
         }
         let upstreams = &request.route.upstreams;
         for _ in 0..upstreams.len() * 4 {
             let key = upstreams[state.random.below(upstreams.len())];
-            let upstream = request.snapshot.upstreams.get(key)?;
+            let Some(upstream) = request.snapshot.upstreams.get(key) else { continue };
             if !upstream.is_draining() && !request.tried.contains(&key) {
-                return Some(key);
+                return Ok(key);
             }
         }
-        None
+        Err(PickRefusal::NoUpstream)
     }
 
     fn observe(&self, upstream: &Arc<UpstreamState>, report: AttemptReport) {
--- a/src/ops/experiment/run.rs
+++ b/src/ops/experiment/run.rs
@@ -246,7 +246,7 @@
         let entry = &self.entries[request.entry];
         let Some(route) = entry.snapshot.routes.first() else { return };
         let pick = PickRequest::new(&entry.snapshot, route, &request.tried);
-        let Some(key) = entry.picker.pick(pick) else { return self.end(index, false) };
+        let Ok(key) = entry.picker.pick(pick) else { return self.end(index, false) };
         let Some(upstream) = entry.snapshot.upstreams.get(key) else {
             return self.end(index, false);
         };
--- a/src/request/attempt_watch.rs
+++ b/src/request/attempt_watch.rs
@@ -25,6 +25,8 @@
     ratios: &'a BudgetSpec,
     headers: &'a MessageHeaders,
     started: Instant,
+    /// Whether the attempt filled the upstream; none if it had to wait there.
+    is_full: Option<bool>,
     is_finished: bool,
 }
 
@@ -45,7 +47,9 @@
     ) -> Self {
         let WatchContext { route, limits, ratios, headers } = context;
         let started = Instant::now();
-        Self { picker, upstream, route, limits, ratios, headers, started, is_finished: false }
+        let is_full = fills(upstream);
+        let is_finished = false;
+        Self { picker, upstream, route, limits, ratios, headers, started, is_full, is_finished }
     }
 
     /// Reports the outcome and says what it means for the request.
@@ -55,7 +59,9 @@
         match report.result {
             AttemptResult::Answered => {
                 self.limits.latency.record(report.latency);
-                self.limits.demand.record_work(self.route, report.latency);
+                if let Some(is_full) = self.is_full {
+                    self.limits.demand.record_work(self.route, report.latency, is_full);
+                }
             }
             AttemptResult::Shed | AttemptResult::TimedOut => {
                 self.limits.retries.record_overload(self.ratios.retry_ratio);
@@ -137,6 +143,17 @@
     AttemptOutcome::Answered(answer)
 }
 
+/// Whether a request that has been counted at the upstream takes its last slot; none if there was
+/// no slot left.
+fn fills(upstream: &UpstreamState) -> Option<bool> {
+    let load = upstream.inflight() as f32 + upstream.load().reported_others.get();
+    let slots = upstream.spec.slots as f32;
+    if load > slots + 0.5 {
+        return None;
+    }
+    Some(load > slots - 0.5)
+}
+
 fn has_drain_mark<B>(answer: &UpstreamAnswer<B>, names: &MessageHeaders) -> bool {
     names.drain.as_ref().is_some_and(|name| answer.response.headers().contains_key(name))
 }
--- a/src/request/exchange.rs
+++ b/src/request/exchange.rs
@@ -13,7 +13,7 @@
 use http::{HeaderMap, HeaderValue, Method, Uri};
 use tokio::time::Instant;
 
-use crate::balance::{PickDemand, PickPurpose, PickRequest, UpstreamPicker};
+use crate::balance::{PickDemand, PickPurpose, PickRefusal, PickRequest, UpstreamPicker};
 use crate::core::{
     ConfigSnapshot, IdempotenceMode, InflightGuard, MessageHeaders, PartIndex, ResultCode,
     RouteRecord, UpstreamKey, UpstreamState,
@@ -274,7 +274,10 @@
     ) -> Result<AttemptStart, StartRefusal> {
         let mut pick = self.pick_request(role, route, tried, tools);
         pick.demand.waited = attempted.elapsed();
-        let key = tools.picker.pick(pick).ok_or(StartRefusal::NoUpstream)?;
+        let key = tools.picker.pick(pick).map_err(|refusal| match refusal {
+            PickRefusal::NoUpstream => StartRefusal::NoUpstream,
+            PickRefusal::Crowded => StartRefusal::Crowded,
+        })?;
         let upstream = self.snapshot.upstreams.get(key).ok_or(StartRefusal::NoUpstream)?;
         if role == AttemptRole::Hedge && tried.contains(&key) {
             return Err(StartRefusal::NoUpstream);
@@ -299,6 +302,7 @@
         let goal = self.started + route.spec.goal.saturating_sub(tools.settings.caller_delay);
         let demand = PickDemand {
             work: self.limits.demand.work(route),
+            fullness_factor: self.limits.demand.fullness_factor(),
             kilobytes: self.limits.demand.kilobytes(),
             goal_left: goal.saturating_duration_since(now),
             time_left: self.deadline.saturating_duration_since(now),
--- a/src/request/exchange_state.rs
+++ b/src/request/exchange_state.rs
@@ -77,6 +77,8 @@
 pub enum StartRefusal {
     /// No upstream can take it.
     NoUpstream,
+    /// The upstreams have too much work already.
+    Crowded,
     /// The budget is spent.
     BudgetSpent,
 }
@@ -185,6 +187,9 @@
             return self.wait();
         }
         match (self.starting, reason) {
+            (AttemptRole::First, StartRefusal::Crowded) => {
+                ExchangeAction::Fail(ResultCode::Overloaded)
+            }
             (AttemptRole::First, _) => ExchangeAction::Fail(ResultCode::NoUpstream),
             (AttemptRole::Retry | AttemptRole::Hedge, _) => self.settle(),
         }
--- a/tests/testsuite/load_picker.rs
+++ b/tests/testsuite/load_picker.rs
@@ -64,7 +64,7 @@
 
     fn pick(&self, tried: &[UpstreamKey]) -> Option<UpstreamKey> {
         let route = &self.snapshot.routes[0];
-        self.picker.pick(PickRequest::new(&self.snapshot, route, tried))
+        self.picker.pick(PickRequest::new(&self.snapshot, route, tried)).ok()
     }
 
     fn enter(&self, key: UpstreamKey) -> InflightGuard {
