fleet: read for the first time at the lower price, and wait for a change that is on its way

Each upstream of a list had a log line of its own, half a millisecond each on a small VM. Ruled out: lost datagrams.

The test of an absent configuration counted a read of its own; it now counts the entry's alone: one that may be old and one that confirms it.

--- a/crates/heatherfall-platform-api/src/store.rs
+++ b/crates/heatherfall-platform-api/src/store.rs
@@ -48,6 +48,24 @@
         prefix: &str,
     ) -> impl Future<Output = Result<ObjectList, StoreError>> + Send;
 
+    /// Reads one object where an answer that is seconds old will do; cheaper on some platforms.
+    fn get_relaxed(
+        &self,
+        kind: &str,
+        name: &str,
+    ) -> impl Future<Output = Result<ObjectEnvelope, StoreError>> + Send {
+        self.get(kind, name)
+    }
+
+    /// Lists objects where an answer that is seconds old will do; cheaper on some platforms.
+    fn list_relaxed(
+        &self,
+        kind: &str,
+        prefix: &str,
+    ) -> impl Future<Output = Result<ObjectList, StoreError>> + Send {
+        self.list(kind, prefix)
+    }
+
     /// Writes labels and spec if `precondition` holds.
     fn put(
         &self,
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -1,6 +1,5 @@
 //! What the services of one entry share.
 
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -22,13 +21,21 @@
     pub(super) changes: Vec<ViewChange>,
 }
 
+/// What this entry has missed.
+#[derive(Clone, Copy, Debug)]
+struct ViewGap {
+    noticed: Instant,
+    /// What another entry knows.
+    mark: ViewMark,
+}
+
 /// Shared state of one entry.
 #[derive(Debug)]
 pub struct FleetState<D> {
     view: Mutex<DeploymentView<D>>,
     table: Mutex<PeerTable>,
-    /// Whether another entry knows what this one has missed.
-    has_gap: AtomicBool,
+    /// What another entry knows and this one has missed.
+    gap: Mutex<Option<ViewGap>>,
     outbox: Mutex<Outbox>,
     /// Wakes the peer service: there is something to tell.
     pub(super) outgoing: Notify,
@@ -58,7 +65,7 @@
         Self {
             view: Mutex::new(view),
             table: Mutex::new(table),
-            has_gap: AtomicBool::new(false),
+            gap: Mutex::default(),
             outbox: Mutex::default(),
             outgoing: Notify::new(),
             missed: Notify::new(),
@@ -100,6 +107,7 @@
     /// Puts a change that was read from the store in force and tells the other entries.
     pub(super) fn publish(&self, change: ViewChange) {
         if !change.is_empty() {
+            self.view().log_change(&change, "store");
             self.put_in_force();
         }
         if !change.is_empty() || change.revision > change.base {
@@ -111,9 +119,12 @@
     /// Takes in a change and a confirmation from another entry.
     pub fn take_in(&self, change: Option<ViewChange>, confirmation: Option<ViewConfirmation>) {
         if let Some(change) = change {
+            if !change.is_empty() {
+                self.view().log_change(&change, "peer");
+            }
             let before = self.view().mark();
             self.view().apply_change(change, Instant::now());
-            if self.view().mark() != before {
+            if !self.view().mark().is_same_view(&before) {
                 self.put_in_force();
             }
         }
@@ -121,7 +132,8 @@
         let (own, other) = (self.view().mark(), confirmation.mark);
         if is_behind(own, other) {
             log::debug!(target: "peer", "view behind own={own:?} peer={other:?}");
-            self.has_gap.store(true, Ordering::Relaxed);
+            let now = Instant::now();
+            lock(&self.gap).get_or_insert(ViewGap { noticed: now, mark: other }).mark = other;
             self.missed.notify_one();
         } else if own.is_same_view(&other) && other.is_whole() {
             self.view().confirm_config(other.config_known);
@@ -129,12 +141,18 @@
         }
     }
 
-    pub(super) fn has_gap(&self) -> bool {
-        self.has_gap.load(Ordering::Relaxed)
+    /// Since when this entry is known to have missed something.
+    pub(super) fn gap_since(&self) -> Option<Instant> {
+        let own = self.view().mark();
+        let mut gap = lock(&self.gap);
+        if gap.is_some_and(|gap| !is_behind(own, gap.mark)) {
+            *gap = None;
+        }
+        gap.map(|gap| gap.noticed)
     }
 
     pub(super) fn close_gap(&self) {
-        self.has_gap.store(false, Ordering::Relaxed);
+        *lock(&self.gap) = None;
     }
 
     pub(super) fn tell_load(&self, measured: Instant, load: MeasuredLoad) {
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::fleet::codec::DeploymentCodec;
@@ -18,7 +18,7 @@
 use crate::fleet::state::FleetState;
 use crate::kernel::{ServiceName, ServiceWork};
 use crate::platform::{
-    ObjectDraft, ObjectEnvelope, PlatformStore, Precondition, StoreError, WatchRequest,
+    ObjectDraft, ObjectEnvelope, ObjectList, PlatformStore, Precondition, StoreError, WatchRequest,
 };
 use crate::util::SeededRandom;
 
@@ -29,6 +29,9 @@
 const MIN_WATCH_GAP: Duration = Duration::from_millis(120);
 /// Least time between the starts of two lists that were asked for because another entry knows more.
 const MIN_LIST_GAP: Duration = Duration::from_millis(300);
+/// Time for which an entry waits for a change that another one knows before it reads the store: the
+/// reader tells all entries of its domain one after the other, over slow links.
+const GAP_PATIENCE: Duration = Duration::from_millis(200);
 /// Time that the watch of an entry waits that only confirms its view.
 const CONFIRM_WAIT: Duration = Duration::from_millis(1);
 /// Age of the last confirmation at which an entry that is not the reader reads for itself: the
@@ -44,9 +47,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call.
 const MAX_PAUSE: Duration = Duration::from_millis(800);
-/// Times after the start at which the registered entries are listed again: all entries of a new
-/// deployment start within a fraction of a second, a late one is heard of by the second list.
-const ROLL_CALLS: [Duration; 2] = [Duration::ZERO, Duration::from_secs(4)];
+/// Time after which the registered entries are listed again: all entries of a new deployment start
+/// within a fraction of a second, and an old answer is some seconds old.
+const SECOND_ROLL_CALL: Duration = Duration::from_secs(5);
 
 /// Kind of the registrations of entries.
 pub const ENTRY_KIND: &str = "heatherfall-entries";
@@ -60,6 +63,8 @@
 /// What the entry does next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum StoreDuty {
+    /// Read all for the first time.
+    ListFirst,
     /// Read all.
     List,
     /// Wait for changes, at most this long.
@@ -113,12 +118,22 @@
     watched: Option<Instant>,
     /// When the last list began.
     listed: Option<Instant>,
+    /// When the follower was made.
+    began: Instant,
 }
 
 impl<S: PlatformStore, D: DeploymentCodec> StoreFollower<S, D> {
     /// Creates a follower that has read nothing yet.
     pub fn new(store: Arc<S>, state: Arc<FleetState<D>>) -> Self {
-        Self { store, state, lost: None, pause: FIRST_PAUSE, watched: None, listed: None }
+        Self {
+            store,
+            state,
+            lost: None,
+            pause: FIRST_PAUSE,
+            watched: None,
+            listed: None,
+            began: Instant::now(),
+        }
     }
 
     async fn run(&mut self, random: &mut SeededRandom) {
@@ -141,6 +156,7 @@
         let expired = self.state.view().expire(now);
         self.state.publish(expired);
         let result = match self.duty(now) {
+            StoreDuty::ListFirst => self.list_first().await,
             StoreDuty::List => self.list().await,
             StoreDuty::Watch(wait) => self.watch(wait).await,
             StoreDuty::Rest(until) => {
@@ -156,17 +172,16 @@
     }
 
     fn duty(&self, now: Instant) -> StoreDuty {
-        let view = self.state.view();
-        if view.revision() == 0 {
-            return StoreDuty::List;
+        if self.state.view().revision() == 0 {
+            return StoreDuty::ListFirst;
         }
-        if self.state.has_gap() {
-            // Entries that keep disagreeing must not storm the store.
-            let next = self.listed.map_or(now, |at| at + MIN_LIST_GAP);
+        if let Some(noticed) = self.state.gap_since() {
+            // What is missing may still be on its way, and entries that keep disagreeing must not
+            // storm the store.
+            let next = self.listed.map_or(now, |at| at + MIN_LIST_GAP).max(noticed + GAP_PATIENCE);
             return if next > now { StoreDuty::Rest(next) } else { StoreDuty::List };
         }
-        let expiry = view.next_expiry();
-        drop(view);
+        let expiry = self.state.view().next_expiry();
         let rank = self.state.table().rank(now);
         if rank == 0 {
             let next = self.watched.map_or(now, |at| at + MIN_WATCH_GAP);
@@ -177,7 +192,7 @@
             return StoreDuty::Watch(wait);
         }
         let limit = CONFIRM_LIMIT + RANK_STEP * rank.min(MAX_RANK);
-        let age = self.state.freshness.age().unwrap_or(limit);
+        let age = self.state.freshness.age().unwrap_or_else(|| now - self.began);
         if age >= limit {
             return StoreDuty::Watch(CONFIRM_WAIT);
         }
@@ -192,7 +207,6 @@
         let list = within(CALL_TIME, self.store.list(self.names().upstream_kind, "")).await?;
         self.note_found(started);
         let change = self.state.view().replace_upstreams(list, Instant::now());
-        log::info!(target: "store", "upstreams listed revision={}", change.revision);
         self.state.publish(change);
         self.read_config().await?;
         self.state.close_gap();
@@ -200,6 +214,27 @@
         Ok(())
     }
 
+    /// Reads all for the first time, at the lower price of an answer that may be old.
+    ///
+    /// It confirms nothing: a watch or the word of another entry has to bring what is missing.
+    async fn list_first(&mut self) -> Result<(), StoreError> {
+        let names = self.names();
+        let list = self.store.list_relaxed(names.upstream_kind, "");
+        let list = within(CALL_TIME, list).await?;
+        self.note_found(Instant::now());
+        let change = self.state.view().replace_upstreams(list, Instant::now());
+        let config = self.store.get_relaxed(names.config_kind, names.config_name);
+        match within(CALL_TIME, config).await {
+            Ok(object) => drop(self.state.view().apply_config(object)),
+            // Nothing has been configured yet.
+            Err(StoreError::NotFound) => {}
+            Err(error) => return Err(error),
+        }
+        log::info!(target: "store", "read for the first time revision={}", change.revision);
+        self.state.put_in_force();
+        Ok(())
+    }
+
     async fn watch(&mut self, wait: Duration) -> Result<(), StoreError> {
         self.watched = Some(Instant::now());
         let since = self.state.view().revision();
@@ -275,13 +310,14 @@
             log::warn!(target: "peer", "not enrolled yet reason={error}");
             sleep(MAX_PAUSE).await;
         }
-        let enrolled = Instant::now();
-        for after in ROLL_CALLS {
-            sleep_until(enrolled + after).await;
-            while let Err(error) = self.call_roll().await {
-                log::warn!(target: "peer", "entries not listed reason={error}");
-                sleep(MAX_PAUSE).await;
-            }
+        while let Err(error) = self.call_roll().await {
+            log::warn!(target: "peer", "entries not listed reason={error}");
+            sleep(MAX_PAUSE).await;
+        }
+        sleep(SECOND_ROLL_CALL).await;
+        while let Err(error) = self.call_roll_again().await {
+            log::warn!(target: "peer", "entries not listed again reason={error}");
+            sleep(MAX_PAUSE).await;
         }
     }
 
@@ -338,6 +374,18 @@
 
     async fn call_roll(&self) -> Result<(), StoreError> {
         let list = within(CALL_TIME, self.store.list(ENTRY_KIND, "")).await?;
+        self.take_registrations(list);
+        Ok(())
+    }
+
+    async fn call_roll_again(&self) -> Result<(), StoreError> {
+        // An entry that an old answer leaves out is heard of by its own messages.
+        let list = within(CALL_TIME, self.store.list_relaxed(ENTRY_KIND, "")).await?;
+        self.take_registrations(list);
+        Ok(())
+    }
+
+    fn take_registrations(&self, list: ObjectList) {
         let mut table = self.state.table();
         for object in list.items {
             match serde_json::from_value(object.spec) {
@@ -349,7 +397,6 @@
         }
         drop(table);
         self.state.refresh_membership();
-        Ok(())
     }
 }
 
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -18,6 +18,8 @@
 /// Time after the store's return for which a missing upstream is kept: the platform says that
 /// entries are back within about two seconds.
 const LAPSE_GRACE: Duration = Duration::from_millis(2200);
+/// Names in one log line.
+const MAX_LOGGED_NAMES: usize = 12;
 /// Faulty objects that are logged between two good states, so that they cannot flood the log.
 const MAX_LOGGED_FAULTS: usize = 8;
 
@@ -256,7 +258,6 @@
         for name in change.deletes {
             self.upstreams.remove(&name);
             self.held.remove(&name);
-            log::info!(target: "upstream", "gone instance={name} revision={} source=peer", change.revision);
         }
         for name in change.held {
             self.held.entry(name).or_insert(now + LAPSE_GRACE);
@@ -277,7 +278,6 @@
         for name in due {
             self.held.remove(&name);
             self.upstreams.remove(&name);
-            log::info!(target: "upstream", "not back after the store's outage, gone instance={name}");
             change.deletes.push(name);
         }
         change
@@ -323,6 +323,32 @@
         Some(outcome.snapshot)
     }
 
+    /// Writes the line of a change of the upstreams, which came from `source`.
+    pub fn log_change(&self, change: &ViewChange, source: &str) {
+        let (mut ready, mut draining) = (NameList::default(), NameList::default());
+        for object in &change.puts {
+            match self.codec.upstream(object) {
+                Ok(upstream) if upstream.is_draining => draining.push(&object.name),
+                Ok(_) => ready.push(&object.name),
+                // The line of the compilation names it.
+                Err(_) => {}
+            }
+        }
+        let (mut gone, mut kept) = (NameList::default(), NameList::default());
+        for name in &change.deletes {
+            gone.push(name);
+        }
+        for name in &change.held {
+            kept.push(name);
+        }
+        log::info!(
+            target: "upstream",
+            "changed source={source} base={} revision={} ready={ready} draining={draining} gone={gone} kept={kept}",
+            change.base,
+            change.revision,
+        );
+    }
+
     fn change_from(&self, base: Revision) -> ViewChange {
         ViewChange { base, revision: self.revision, ..ViewChange::default() }
     }
@@ -333,18 +359,6 @@
         if known.is_some_and(|known| known.version >= object.version) {
             return;
         }
-        if let Ok(upstream) = self.codec.upstream(&object) {
-            log::info!(
-                target: "upstream",
-                "instance={} service={} address={} domain={} draining={} revision={}",
-                upstream.instance,
-                upstream.service,
-                upstream.address,
-                upstream.failure_domain,
-                upstream.is_draining,
-                object.version,
-            );
-        }
         change.puts.push(object.clone());
         self.upstreams.insert(object.name.clone(), object);
     }
@@ -357,16 +371,41 @@
         if let Some(until) = grace_end.filter(|until| *until > now) {
             self.held.entry(name.to_owned()).or_insert(until);
             change.held.push(name.to_owned());
-            log::info!(target: "upstream", "missing after the store's outage, kept for now instance={name}");
             return;
         }
         self.held.remove(name);
         self.upstreams.remove(name);
-        log::info!(target: "upstream", "gone instance={name} source=store");
         change.deletes.push(name.to_owned());
     }
 }
 
+/// Names in a log line: the first few and the number of all.
+#[derive(Debug, Default)]
+struct NameList {
+    names: Vec<String>,
+    count: usize,
+}
+
+impl NameList {
+    fn push(&mut self, name: &str) {
+        self.count += 1;
+        if self.names.len() < MAX_LOGGED_NAMES {
+            self.names.push(name.to_owned());
+        }
+    }
+}
+
+impl std::fmt::Display for NameList {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let more = self.count - self.names.len();
+        write!(f, "[{}", self.names.join(","))?;
+        if more > 0 {
+            write!(f, ",+{more}")?;
+        }
+        f.write_str("]")
+    }
+}
+
 /// Digest of one entry (FNV-1a over its name and revision); the sum over all does not depend on
 /// their order.
 fn entry_digest(name: &str, revision: Revision) -> u64 {
--- a/tests/testsuite/fleet_store.rs
+++ b/tests/testsuite/fleet_store.rs
@@ -42,9 +42,11 @@
 async fn an_absent_configuration_is_not_asked_for_again_and_again() {
     let store = StandinPlatform::default();
     put_upstream(&store, "a").await;
+    let before = store.counts().gets;
     let mut entry = TestEntry::new("entry-1", &store);
     entry.run_for(Duration::from_secs(2)).await;
-    assert!(store.counts().gets <= 2, "{:?}", store.counts());
+    // One that may be old and one that confirms it.
+    assert!(store.counts().gets - before <= 2, "{:?}", store.counts());
     put_config(&store, 1).await;
     entry.run_for(APPLY_LIMIT).await;
     assert_eq!(entry.generation(), Some(1));
