fleet: keep rules compiled, and gather loads at one entry of a large failure domain

Every change of an upstream compiled the whole configuration again, each message computed a digest over all upstreams, and in a domain of 36 entries everyone told everyone its loads ten times a second, about 50,000 datagrams a second in all. Ruled out: logs (one line a change by now). Rules are compiled once a generation, selections are shared by selector, the digest is kept.

--- a/src/config/compile.rs
+++ b/src/config/compile.rs
@@ -51,24 +51,61 @@
     previous: Option<&ConfigSnapshot>,
 ) -> CompileOutcome {
     let mut faults = Vec::new();
-    let upstreams = compile_upstreams(objects, previous, &mut faults);
-    let mut upstream_names = FastMap::default();
-    for (key, upstream) in &upstreams {
-        upstream_names.insert(upstream.name.clone(), key);
-    }
-    let snapshot = ConfigSnapshot {
+    let declared = declared_upstreams(objects, &mut faults);
+    let upstreams = place_upstreams(declared, previous);
+    let routes = read_specs(objects, ObjectKind::Route, &mut faults);
+    let mut snapshot = ConfigSnapshot {
         generation,
-        replaced_rules: Vec::new(),
         request_rules: compile_request_rules(objects, &mut faults),
-        routes: compile_routes(objects, &upstreams, &mut faults),
+        routes: compile_routes(routes, &upstreams),
         idempotence_rules: compile_idempotence(objects, &mut faults),
         budget: compile_budget(objects, &mut faults),
-        upstreams,
-        upstream_names,
+        ..ConfigSnapshot::default()
     };
+    set_upstreams(&mut snapshot, upstreams);
     CompileOutcome { snapshot, faults }
 }
 
+/// An upstream whose spec needs no parsing.
+#[derive(Clone, Debug)]
+pub struct DeclaredUpstream {
+    /// Object name.
+    pub name: String,
+    /// Labels.
+    pub labels: LabelSet,
+    /// Spec.
+    pub spec: UpstreamSpec,
+}
+
+/// A snapshot with the rules of `rules` and these upstreams; those that `previous` knows by the
+/// same name and address keep their key and counters.
+///
+/// Upstreams change far more often than rules, which are not parsed again.
+pub fn with_upstreams(
+    rules: &ConfigSnapshot,
+    declared: Vec<DeclaredUpstream>,
+    previous: Option<&ConfigSnapshot>,
+) -> ConfigSnapshot {
+    let upstreams = place_upstreams(declared, previous);
+    let mut specs = Vec::with_capacity(rules.routes.len());
+    for route in &rules.routes {
+        specs.push((route.name.clone(), route.spec.clone()));
+    }
+    let routes = compile_routes(specs, &upstreams);
+    let mut snapshot = ConfigSnapshot { routes, ..rules.clone() };
+    set_upstreams(&mut snapshot, upstreams);
+    snapshot
+}
+
+fn set_upstreams(snapshot: &mut ConfigSnapshot, upstreams: UpstreamArena) {
+    let mut upstream_names = FastMap::default();
+    for (key, upstream) in &upstreams {
+        upstream_names.insert(upstream.name.clone(), key);
+    }
+    snapshot.upstreams = upstreams;
+    snapshot.upstream_names = upstream_names;
+}
+
 fn read_spec<T: DeserializeOwned>(
     kind: ObjectKind,
     object: &ObjectEnvelope,
@@ -119,10 +156,23 @@
     specs
 }
 
-fn compile_upstreams(
-    objects: &ObjectSet,
+fn declared_upstreams(objects: &ObjectSet, faults: &mut Vec<ObjectFault>) -> Vec<DeclaredUpstream> {
+    let mut declared = Vec::new();
+    for object in objects.of_kind(ObjectKind::Upstream.as_str()) {
+        match read_spec(ObjectKind::Upstream, object) {
+            Ok(spec) => {
+                let labels = LabelSet::new(object.labels.clone());
+                declared.push(DeclaredUpstream { name: object.name.clone(), labels, spec });
+            }
+            Err(fault) => faults.push(fault),
+        }
+    }
+    declared
+}
+
+fn place_upstreams(
+    declared: Vec<DeclaredUpstream>,
     previous: Option<&ConfigSnapshot>,
-    faults: &mut Vec<ObjectFault>,
 ) -> UpstreamArena {
     let mut arena = previous.map(|snapshot| snapshot.upstreams.clone()).unwrap_or_default();
     let mut known: FastMap<String, UpstreamKey> = FastMap::default();
@@ -130,17 +180,9 @@
         known.insert(upstream.name.clone(), key);
     }
     let mut kept: FastSet<UpstreamKey> = FastSet::default();
-    for object in objects.of_kind(ObjectKind::Upstream.as_str()) {
-        let spec: UpstreamSpec = match read_spec(ObjectKind::Upstream, object) {
-            Ok(spec) => spec,
-            Err(fault) => {
-                faults.push(fault);
-                continue;
-            }
-        };
-        let labels = LabelSet::new(object.labels.clone());
-        let key = known.get(&object.name).copied();
-        kept.insert(place_upstream(&mut arena, key, &object.name, spec, labels));
+    for upstream in declared {
+        let key = known.get(&upstream.name).copied();
+        kept.insert(place_upstream(&mut arena, key, upstream));
     }
     arena.retain(|key, _| kept.contains(&key));
     arena
@@ -151,15 +193,14 @@
 fn place_upstream(
     arena: &mut UpstreamArena,
     known: Option<UpstreamKey>,
-    name: &str,
-    spec: UpstreamSpec,
-    labels: LabelSet,
+    upstream: DeclaredUpstream,
 ) -> UpstreamKey {
+    let DeclaredUpstream { name, labels, spec } = upstream;
     let Some((key, state)) = known.and_then(|key| Some((key, arena.get_mut(key)?))) else {
-        return arena.insert(Arc::new(UpstreamState::new(name, spec, labels)));
+        return arena.insert(Arc::new(UpstreamState::new(&name, spec, labels)));
     };
     if state.spec.address != spec.address {
-        return arena.insert(Arc::new(UpstreamState::new(name, spec, labels)));
+        return arena.insert(Arc::new(UpstreamState::new(&name, spec, labels)));
     }
     if state.spec != spec || state.labels != labels {
         *state = Arc::new(state.with_spec(spec, labels));
@@ -185,25 +226,27 @@
 }
 
 fn compile_routes(
-    objects: &ObjectSet,
+    mut specs: Vec<(String, RouteSpec)>,
     upstreams: &UpstreamArena,
-    faults: &mut Vec<ObjectFault>,
 ) -> Vec<RouteRecord> {
-    let mut specs: Vec<(String, RouteSpec)> = read_specs(objects, ObjectKind::Route, faults);
     specs.sort_by(|a, b| b.1.priority.cmp(&a.1.priority).then_with(|| a.0.cmp(&b.0)));
     let mut by_name: Vec<(UpstreamKey, &Arc<UpstreamState>)> = upstreams.iter().collect();
     by_name.sort_by(|a, b| a.1.name.cmp(&b.1.name));
+    // Many routes select the same upstreams.
+    let mut selections: FastMap<String, Vec<UpstreamKey>> = FastMap::default();
+    let mut selected = |selector: &LabelSelector| {
+        let text = selector.to_string();
+        selections.entry(text).or_insert_with(|| select(selector, &by_name)).clone()
+    };
     let mut routes = Vec::with_capacity(specs.len());
     for (name, spec) in specs {
-        let selected = select(&spec.upstreams, &by_name);
         let mut parts = Vec::with_capacity(spec.parts.len());
         for part in &spec.parts {
-            parts.push(WeightedPart {
-                weight: part.weight,
-                upstreams: select(&part.upstreams, &by_name),
-            });
+            let upstreams = selected(&part.upstreams);
+            parts.push(WeightedPart { weight: part.weight, upstreams });
         }
-        routes.push(RouteRecord { name, spec, upstreams: selected, parts });
+        let upstreams = selected(&spec.upstreams);
+        routes.push(RouteRecord { name, spec, upstreams, parts });
     }
     routes
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -15,7 +15,9 @@
 mod publish;
 mod status;
 
-pub use self::compile::{CompileOutcome, ObjectFault, check_object, compile};
+pub use self::compile::{
+    CompileOutcome, DeclaredUpstream, ObjectFault, check_object, compile, with_upstreams,
+};
 pub use self::compiler::ConfigCompiler;
 pub use self::generation::{
     GENERATION_KIND, GENERATION_NAME, GenerationContent, GenerationObject, MAX_FORMAT, MIN_FORMAT,
--- a/src/fleet/load_probe.rs
+++ b/src/fleet/load_probe.rs
@@ -24,6 +24,8 @@
 
 /// Time for one probe; a load report is answered at once.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Intervals between two rounds in a large failure domain.
+const LARGE_ROUNDS: u32 = 2;
 /// Time that a round waits for its answers before they are told to the other entries.
 const ROUND_TIME: Duration = Duration::from_millis(6);
 
@@ -77,7 +79,13 @@
         let pending: PendingProbes = Arc::default();
         let mut ticks = interval(work.settings.interval);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut rounds = 0;
         while stop.run_until_cancelled(ticks.tick()).await.is_some() {
+            rounds += 1;
+            // A large domain has more upstreams to choose from, so older load does less harm.
+            if rounds % LARGE_ROUNDS != 0 && !work.state.table().is_mesh() {
+                continue;
+            }
             work.start_round(&pending);
             sleep(ROUND_TIME).await;
             work.state.outgoing.notify_one();
--- a/src/fleet/objects.rs
+++ b/src/fleet/objects.rs
@@ -1,5 +1,7 @@
 //! A declared configuration as the labelled objects that [`crate::config::compile`] takes.
 //!
+//! Upstreams, which change far more often, are declared without the detour over objects.
+//!
 //! Each route becomes a `RequestLabel` that names it on its requests and says whether they may be
 //! repeated, and a `Route` that selects requests and upstreams by those labels. Idempotence is a
 //! matter of two selectors over the label, not of a request's method or path.
@@ -9,11 +11,11 @@
 use serde::Serialize;
 use serde_json::{Value, json};
 
-use crate::config::ObjectSet;
-use crate::core::{ObjectKind, UpstreamSpec};
+use crate::config::{DeclaredUpstream, ObjectSet};
+use crate::core::{LabelSet, ObjectKind, UpstreamSpec};
 use crate::fleet::codec::{DeclaredConfig, DeclaredRoute, DeclaredService, RegisteredUpstream};
 use crate::platform::{ObjectEnvelope, ObjectList, Revision};
-use crate::util::{FastMap, duration_text};
+use crate::util::duration_text;
 
 /// Label of requests: name of their route.
 const ROUTE_LABEL: &str = "route";
@@ -41,23 +43,22 @@
     objects.replace_kind(ObjectKind::Idempotence.as_str(), idempotence_objects(revision));
 }
 
-/// Replaces the upstreams; `services` adds what the configuration declares of their services.
-pub fn put_upstreams(
-    objects: &mut ObjectSet,
-    upstreams: &[RegisteredUpstream],
-    services: &[DeclaredService],
-    revision: Revision,
-) {
-    let mut by_name: FastMap<&str, &DeclaredService> = FastMap::default();
-    for service in services {
-        by_name.insert(&service.name, service);
-    }
-    let mut list = ObjectList::default();
-    for upstream in upstreams {
-        let service = by_name.get(upstream.service.as_str()).copied();
-        list.items.push(upstream_object(upstream, service, revision));
-    }
-    objects.replace_kind(ObjectKind::Upstream.as_str(), list);
+/// An upstream as it is compiled; `service` is what the configuration declares of its service.
+pub fn declared_upstream(
+    upstream: &RegisteredUpstream,
+    service: Option<&DeclaredService>,
+) -> DeclaredUpstream {
+    let spec = UpstreamSpec {
+        address: upstream.address,
+        failure_domain: upstream.failure_domain.clone(),
+        slots: upstream.slots,
+        max_connections: service.map_or(DEFAULT_MAX_CONNECTIONS, |found| found.max_connections),
+        draining: upstream.is_draining,
+        health_path: service.map(|found| found.health_path.clone()),
+        warm_up: upstream.warm_up,
+    };
+    let labels = BTreeMap::from([(SERVICE_LABEL.to_owned(), upstream.service.clone())]);
+    DeclaredUpstream { name: upstream.instance.clone(), labels: LabelSet::new(labels), spec }
 }
 
 fn label_object(route: &DeclaredRoute, revision: Revision) -> ObjectEnvelope {
@@ -102,26 +103,6 @@
     list
 }
 
-fn upstream_object(
-    upstream: &RegisteredUpstream,
-    service: Option<&DeclaredService>,
-    revision: Revision,
-) -> ObjectEnvelope {
-    let spec = UpstreamSpec {
-        address: upstream.address,
-        failure_domain: upstream.failure_domain.clone(),
-        slots: upstream.slots,
-        max_connections: service.map_or(DEFAULT_MAX_CONNECTIONS, |found| found.max_connections),
-        draining: upstream.is_draining,
-        health_path: service.map(|found| found.health_path.clone()),
-        warm_up: upstream.warm_up,
-    };
-    let spec = serde_json::to_value(&spec).unwrap_or_default();
-    let mut object = envelope(ObjectKind::Upstream, &upstream.instance, spec, revision);
-    object.labels = BTreeMap::from([(SERVICE_LABEL.to_owned(), upstream.service.clone())]);
-    object
-}
-
 fn envelope(kind: ObjectKind, name: &str, spec: Value, revision: Revision) -> ObjectEnvelope {
     ObjectEnvelope {
         kind: kind.as_str().to_owned(),
--- a/src/fleet/peer_service.rs
+++ b/src/fleet/peer_service.rs
@@ -18,8 +18,8 @@
 use crate::kernel::{ServiceName, ServiceWork};
 use crate::util::SeededRandom;
 
-/// Longest time between two messages.
-const MESSAGE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two looks at what is due.
+const SPEAK_INTERVAL: Duration = Duration::from_millis(100);
 /// Largest datagram that UDP carries.
 const MAX_UDP_BYTES: usize = 64 << 10;
 
@@ -41,7 +41,7 @@
 
     async fn run(mut self, stop: CancellationToken) {
         let mut speaker = PeerSpeaker::new(self.random.bits());
-        let mut ticks = interval(MESSAGE_INTERVAL);
+        let mut ticks = interval(SPEAK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = vec![0; MAX_UDP_BYTES];
         let mut refused = RefusalCount::default();
@@ -110,13 +110,24 @@
         Ok(())
     }
 
-    /// Learns what another failure domain tells, and passes it on to the own one.
+    /// Learns loads, and passes on to the own failure domain what another one tells, or what its
+    /// entries tell this one as the first of them.
     fn hear_flash(&self, loads: &[FlashLoad], from: SocketAddr) {
         let now = Instant::now();
-        self.state.table().hear_speaker(from, now);
+        let is_passed_on = {
+            let mut table = self.state.table();
+            let is_home = table.is_home(from);
+            if !is_home {
+                table.hear_speaker(from, now);
+            }
+            !is_home || table.rank(now) == 0
+        };
         let Some(snapshot) = self.state.snapshot.load_full() else { return };
         let loads = named_loads(&snapshot, loads);
         self.learner.learn(&snapshot, &loads);
+        if !is_passed_on {
+            return;
+        }
         for load in loads {
             self.state.tell_load(now, load);
         }
@@ -146,11 +157,46 @@
     sequence: u64,
     filter: FlashFilter,
     flashes: usize,
+    spoken: Option<Instant>,
 }
 
 impl PeerSpeaker {
     fn new(incarnation: u64) -> Self {
-        Self { incarnation, sequence: 0, filter: FlashFilter::default(), flashes: 0 }
+        Self { incarnation, sequence: 0, filter: FlashFilter::default(), flashes: 0, spoken: None }
+    }
+
+    /// Sends what is due: a message, loads, news for the other failure domains.
+    async fn speak<D: DeploymentCodec>(&mut self, socket: &UdpSocket, state: &FleetState<D>) {
+        let Some(key) = state.key.get() else { return };
+        let now = Instant::now();
+        let outbox = state.take_outbox();
+        let mut loads = Vec::with_capacity(outbox.loads.len());
+        for (measured, load) in outbox.loads {
+            loads.push(MeasuredLoad { age_ms: (now - measured).as_millis() as u64, ..load });
+        }
+        self.flash(socket, state, &loads).await;
+        let (is_mesh, interval, first, audience) = {
+            let table = state.table();
+            (table.is_mesh(), table.message_interval(), table.first(now), table.audience())
+        };
+        if !is_mesh && !loads.is_empty() {
+            let datagram = seal_flash(key, &flash_loads(&loads));
+            // The first entry tells all what the others have told it.
+            let hearers = first.map_or(audience, |first| vec![first]);
+            send_all(socket, &datagram, &hearers).await;
+            loads.clear();
+        }
+        let is_due = self.spoken.is_none_or(|at| now - at >= interval);
+        if !is_due && !outbox.is_urgent && outbox.changes.is_empty() && loads.is_empty() {
+            return;
+        }
+        self.spoken = Some(now);
+        let mut changes = outbox.changes;
+        let last = changes.pop();
+        for change in changes {
+            self.send(socket, state, key, Vec::new(), Some(change)).await;
+        }
+        self.send(socket, state, key, loads, last).await;
     }
 
     /// Tells the other failure domains what is news among loads of the own one, if this entry is
@@ -165,14 +211,13 @@
         let (Some(key), Some(snapshot)) = (state.key.get(), state.snapshot.load_full()) else {
             return;
         };
-        let speakers = {
+        let (speakers, home) = {
             let table = state.table();
             if table.rank(now) > 0 {
                 return;
             }
-            table.speakers(self.flashes, now)
+            (table.speakers(self.flashes, now), table.own().failure_domain.clone())
         };
-        let home = state.table().own().failure_domain.clone();
         let mut own = Vec::with_capacity(loads.len());
         for load in loads {
             let key = snapshot.upstream_names.get(&load.instance);
@@ -187,27 +232,7 @@
             return;
         }
         self.flashes += 1;
-        let datagram = seal_flash(key, &news);
-        for address in speakers {
-            // A lost datagram and one that could not be sent are alike.
-            let _ = socket.send_to(&datagram, address).await;
-        }
-    }
-
-    async fn speak<D: DeploymentCodec>(&mut self, socket: &UdpSocket, state: &FleetState<D>) {
-        let Some(key) = state.key.get() else { return };
-        let outbox = state.take_outbox();
-        let mut loads = Vec::with_capacity(outbox.loads.len());
-        for (measured, load) in outbox.loads {
-            loads.push(MeasuredLoad { age_ms: measured.elapsed().as_millis() as u64, ..load });
-        }
-        self.flash(socket, state, &loads).await;
-        let mut changes = outbox.changes;
-        let last = changes.pop();
-        for change in changes {
-            self.send(socket, state, key, Vec::new(), Some(change)).await;
-        }
-        self.send(socket, state, key, loads, last).await;
+        send_all(socket, &seal_flash(key, &news), &speakers).await;
     }
 
     async fn send<D: DeploymentCodec>(
@@ -243,16 +268,26 @@
             message.change = None;
             sealed = key.seal(&message);
         }
-        let datagram = match sealed {
-            Ok(datagram) => datagram,
-            Err(error) => {
-                log::error!(target: "peer", "message not sent reason={error}");
-                return;
-            }
-        };
-        for address in audience {
-            // A lost datagram and one that could not be sent are alike.
-            let _ = socket.send_to(&datagram, address).await;
+        match sealed {
+            Ok(datagram) => send_all(socket, &datagram, &audience).await,
+            Err(error) => log::error!(target: "peer", "message not sent reason={error}"),
         }
     }
 }
+
+/// Sends a datagram to each address. One that is lost and one that could not be sent are alike.
+async fn send_all(socket: &UdpSocket, datagram: &[u8], addresses: &[SocketAddr]) {
+    for address in addresses {
+        let _ = socket.send_to(datagram, address).await;
+    }
+}
+
+fn flash_loads(loads: &[MeasuredLoad]) -> Vec<FlashLoad> {
+    let mut flash = Vec::with_capacity(loads.len());
+    for load in loads {
+        let Some(work_percent) = load.work_percent else { continue };
+        let digest = name_digest(&load.instance);
+        flash.push(FlashLoad { digest, inflight: load.inflight, work_percent });
+    }
+    flash
+}
--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -15,8 +15,16 @@
 use crate::fleet::peer_message::PeerMessage;
 use crate::membership::{EntryRecord, EntryState, MembershipView, rendezvous_score};
 
-/// Silence after which an entry counts as gone: eight messages missed.
-pub const PEER_SILENCE: Duration = Duration::from_millis(800);
+/// Entries of a failure domain up to which each tells all others everything at once.
+const MESH_SIZE: usize = 8;
+/// Time between two messages in a domain of that size.
+const MESH_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two messages in a larger one, where their number grows with the square of its size.
+const LARGE_INTERVAL: Duration = Duration::from_millis(500);
+/// Messages that an entry misses before another one counts as gone.
+const MISSED_MESSAGES: u32 = 4;
+/// Shortest silence after which an entry counts as gone: a slowed one skips some messages.
+const MIN_SILENCE: Duration = Duration::from_millis(800);
 
 /// Silence after which another entry of a failure domain is tried as its speaker.
 const SPEAKER_SILENCE: Duration = Duration::from_secs(1);
@@ -119,7 +127,7 @@
         if known.incarnation == entry.incarnation && known.sequence >= entry.sequence {
             return false;
         }
-        let is_back = known.heard.is_none_or(|at| now - at > PEER_SILENCE);
+        let is_back = known.heard.is_none_or(|at| now - at > MIN_SILENCE);
         let is_changed = known.record.state != entry.record.state;
         if is_back || is_changed {
             log::info!(target: "peer", "vm={vm} state={:?} address={from}", entry.record.state);
@@ -128,15 +136,41 @@
         true
     }
 
+    /// Whether every entry of the own failure domain tells all others its loads. In a larger domain
+    /// the first entry gathers them and tells all.
+    pub fn is_mesh(&self) -> bool {
+        self.domain_size() <= MESH_SIZE
+    }
+
+    /// Time between two messages.
+    pub fn message_interval(&self) -> Duration {
+        if self.is_mesh() { MESH_INTERVAL } else { LARGE_INTERVAL }
+    }
+
+    /// Whether the address is that of an entry of the own failure domain.
+    pub fn is_home(&self, address: SocketAddr) -> bool {
+        self.home_peers().any(|peer| peer.record.peer_address == address)
+    }
+
+    /// The live entry of the own failure domain that comes first, if it is another one.
+    pub fn first(&self, now: Instant) -> Option<SocketAddr> {
+        let first = self.peers.iter().find(|(_, peer)| self.is_live(peer, now));
+        let (_, peer) = first.filter(|(vm, _)| **vm < self.own.vm)?;
+        Some(peer.record.peer_address)
+    }
+
+    fn domain_size(&self) -> usize {
+        self.home_peers().count() + 1
+    }
+
+    fn home_peers(&self) -> impl Iterator<Item = &PeerEntry> {
+        let home = &self.own.failure_domain;
+        self.peers.values().filter(move |peer| peer.record.failure_domain == *home)
+    }
+
     /// Entries that messages are sent to: those of the own failure domain.
     pub fn audience(&self) -> Vec<SocketAddr> {
-        let mut audience = Vec::new();
-        for peer in self.peers.values() {
-            if peer.record.failure_domain == self.own.failure_domain {
-                audience.push(peer.record.peer_address);
-            }
-        }
-        audience
+        self.home_peers().map(|peer| peer.record.peer_address).collect()
     }
 
     /// One entry of each other failure domain, for news that it passes on: the one that last sent
@@ -207,7 +241,8 @@
     }
 
     fn is_live(&self, peer: &PeerEntry, now: Instant) -> bool {
+        let silence = MIN_SILENCE.max(self.message_interval() * MISSED_MESSAGES);
         let is_own_domain = peer.record.failure_domain == self.own.failure_domain;
-        is_own_domain && peer.heard.is_some_and(|at| now - at <= PEER_SILENCE)
+        is_own_domain && peer.heard.is_some_and(|at| now - at <= silence)
     }
 }
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -19,6 +19,8 @@
 pub(super) struct Outbox {
     pub(super) loads: Vec<(Instant, MeasuredLoad)>,
     pub(super) changes: Vec<ViewChange>,
+    /// Whether the others should hear from this entry before its next message is due.
+    pub(super) is_urgent: bool,
 }
 
 /// What this entry has missed.
@@ -178,6 +180,12 @@
     pub fn set_state(&self, state: EntryState) {
         self.table().set_own_state(state);
         self.refresh_membership();
+        self.speak_soon();
+    }
+
+    /// Lets the others hear from this entry at once.
+    pub(super) fn speak_soon(&self) {
+        lock(&self.outbox).is_urgent = true;
         self.outgoing.notify_one();
     }
 
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -256,6 +256,7 @@
             self.read_config().await?;
         }
         self.state.freshness.confirm(returned.elapsed());
+        self.state.speak_soon();
         Ok(())
     }
 
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -9,11 +9,14 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::config::{ObjectSet, compile};
+use crate::config::{ObjectFault, ObjectSet, compile, with_upstreams};
 use crate::core::{ConfigSnapshot, GenerationNumber};
-use crate::fleet::codec::{DeclaredConfig, DeploymentCodec, PlatformNames};
-use crate::fleet::objects::{put_config, put_upstreams};
+use crate::fleet::codec::{
+    DeclaredConfig, DeclaredService, DeploymentCodec, PlatformNames, RegisteredUpstream,
+};
+use crate::fleet::objects::{declared_upstream, put_config};
 use crate::platform::{ObjectEnvelope, ObjectList, Revision, WatchBatch, WatchEvent};
+use crate::util::FastMap;
 
 /// Time after the store's return for which a missing upstream is kept: the platform says that
 /// entries are back within about two seconds.
@@ -85,12 +88,21 @@
     revision: Revision,
     config: Option<(Revision, DeclaredConfig)>,
     config_known: Revision,
-    upstreams: BTreeMap<String, ObjectEnvelope>,
+    upstreams: BTreeMap<String, ViewEntry>,
     /// Until when entries that are missing after an outage are kept.
     held: BTreeMap<String, Instant>,
     returned: Option<Instant>,
-    objects: ObjectSet,
-    is_config_stale: bool,
+    /// What the configuration compiles to without upstreams; none after it changed.
+    rules: Option<ConfigSnapshot>,
+    digest: u64,
+}
+
+/// An entry of the store and what it names.
+#[derive(Clone, Debug)]
+struct ViewEntry {
+    version: Revision,
+    /// None for an entry that names no upstream.
+    upstream: Option<RegisteredUpstream>,
 }
 
 impl<D: DeploymentCodec> DeploymentView<D> {
@@ -104,8 +116,8 @@
             upstreams: BTreeMap::new(),
             held: BTreeMap::new(),
             returned: None,
-            objects: ObjectSet::default(),
-            is_config_stale: true,
+            rules: None,
+            digest: 0,
         }
     }
 
@@ -126,16 +138,9 @@
 
     /// How far the view has come.
     pub fn mark(&self) -> ViewMark {
-        let mut digest = 0_u64;
-        for (name, object) in &self.upstreams {
-            if self.held.contains_key(name) {
-                continue;
-            }
-            digest = digest.wrapping_add(entry_digest(name, object.version));
-        }
         let config_revision = self.config.as_ref().map_or(0, |(revision, _)| *revision);
         let (revision, config_known) = (self.revision, self.config_known);
-        ViewMark { revision, config_revision, config_known, digest }
+        ViewMark { revision, config_revision, config_known, digest: self.digest }
     }
 
     /// Records that no configuration newer than the present one existed at `revision`.
@@ -170,6 +175,7 @@
         }
         self.revision = list.revision;
         change.revision = list.revision;
+        self.refresh_digest();
         change
     }
 
@@ -195,6 +201,7 @@
         }
         self.revision = self.revision.max(batch.revision);
         change.revision = self.revision;
+        self.refresh_digest();
         change
     }
 
@@ -234,7 +241,7 @@
             config.services.len(),
         );
         self.config = Some((object.version, config));
-        self.is_config_stale = true;
+        self.rules = None;
         change.config = Some(object);
         change
     }
@@ -263,6 +270,7 @@
             self.held.entry(name).or_insert(now + LAPSE_GRACE);
         }
         self.revision = change.revision;
+        self.refresh_digest();
         true
     }
 
@@ -280,6 +288,9 @@
             self.upstreams.remove(&name);
             change.deletes.push(name);
         }
+        if !change.deletes.is_empty() {
+            self.refresh_digest();
+        }
         change
     }
 
@@ -291,36 +302,25 @@
     /// Compiles the view; none before there is a configuration.
     pub fn compile(&mut self, previous: Option<&ConfigSnapshot>) -> Option<ConfigSnapshot> {
         let (config_revision, config) = self.config.as_ref()?;
-        if self.is_config_stale {
-            put_config(&mut self.objects, config, *config_revision);
-            self.is_config_stale = false;
+        if self.rules.is_none() {
+            let mut objects = ObjectSet::default();
+            put_config(&mut objects, config, *config_revision);
+            let outcome = compile(&objects, config.generation, None);
+            log_faults(&outcome.faults);
+            self.rules = Some(outcome.snapshot);
         }
-        let mut upstreams = Vec::with_capacity(self.upstreams.len());
-        let mut faults = 0;
-        for object in self.upstreams.values() {
-            match self.codec.upstream(object) {
-                Ok(upstream) => upstreams.push(upstream),
-                Err(error) => {
-                    faults += 1;
-                    if faults <= MAX_LOGGED_FAULTS {
-                        log::warn!(target: "upstream", "entry names none instance={} reason={error}", object.name);
-                    }
-                }
-            }
+        let rules = self.rules.as_ref()?;
+        let mut services: FastMap<&str, &DeclaredService> = FastMap::default();
+        for service in &config.services {
+            services.insert(&service.name, service);
         }
-        put_upstreams(&mut self.objects, &upstreams, &config.services, self.revision);
-        let outcome = compile(&self.objects, config.generation, previous);
-        for fault in outcome.faults.iter().take(MAX_LOGGED_FAULTS) {
-            log::warn!(
-                target: "config",
-                "{}: object left out kind={} name={} reason={}",
-                fault.code,
-                fault.kind.as_str(),
-                fault.name,
-                fault.message,
-            );
+        let mut declared = Vec::with_capacity(self.upstreams.len());
+        for entry in self.upstreams.values() {
+            let Some(upstream) = &entry.upstream else { continue };
+            let service = services.get(upstream.service.as_str()).copied();
+            declared.push(declared_upstream(upstream, service));
         }
-        Some(outcome.snapshot)
+        Some(with_upstreams(rules, declared, previous))
     }
 
     /// Writes the line of a change of the upstreams, which came from `source`.
@@ -349,6 +349,16 @@
         );
     }
 
+    fn refresh_digest(&mut self) {
+        let mut digest = 0_u64;
+        for (name, entry) in &self.upstreams {
+            if !self.held.contains_key(name) {
+                digest = digest.wrapping_add(entry_digest(name, entry.version));
+            }
+        }
+        self.digest = digest;
+    }
+
     fn change_from(&self, base: Revision) -> ViewChange {
         ViewChange { base, revision: self.revision, ..ViewChange::default() }
     }
@@ -359,8 +369,16 @@
         if known.is_some_and(|known| known.version >= object.version) {
             return;
         }
-        change.puts.push(object.clone());
-        self.upstreams.insert(object.name.clone(), object);
+        let upstream = match self.codec.upstream(&object) {
+            Ok(upstream) => Some(upstream),
+            Err(error) => {
+                log::warn!(target: "upstream", "entry names none instance={} reason={error}", object.name);
+                None
+            }
+        };
+        let entry = ViewEntry { version: object.version, upstream };
+        self.upstreams.insert(object.name.clone(), entry);
+        change.puts.push(object);
     }
 
     fn remove(&mut self, name: &str, now: Instant, change: &mut ViewChange) {
@@ -406,6 +424,19 @@
     }
 }
 
+fn log_faults(faults: &[ObjectFault]) {
+    for fault in faults.iter().take(MAX_LOGGED_FAULTS) {
+        log::warn!(
+            target: "config",
+            "{}: object left out kind={} name={} reason={}",
+            fault.code,
+            fault.kind.as_str(),
+            fault.name,
+            fault.message,
+        );
+    }
+}
+
 /// Digest of one entry (FNV-1a over its name and revision); the sum over all does not depend on
 /// their order.
 fn entry_digest(name: &str, revision: Revision) -> u64 {
