logs: one line a request on standard output, bounded and never blocking; tests of the fleet

Cause: a failed request left no line, and log lines were written to standard error by whoever logged them, so a reader that stopped would have stopped the entry. Lines now go through a bounded queue to a thread; beyond 400 a second they are dropped and counted. A request's line names its attempts with the load they were chosen by and its age; ordinary ones stay at the debug level.

The daemon's tests read standard output in place of standard error.

--- a/src/ops/experiment/run.rs
+++ b/src/ops/experiment/run.rs
@@ -385,7 +385,7 @@
         AttemptReport {
             latency,
             result,
-            load: self.inflight.map(|inflight| LoadReport::of_inflight(inflight)),
+            load: self.inflight.map(LoadReport::of_inflight),
             is_draining: self.is_draining,
         }
     }
--- a/src/ops/log_output.rs
+++ b/src/ops/log_output.rs
@@ -1,16 +1,40 @@
-//! Sets up logs: `log` with `fern`, plain or JSON lines on standard error.
+//! Sets up logs: `log` with `fern`, plain or JSON lines on standard output, never blocking.
 
 use std::time::SystemTime;
 
+use serde::Serialize;
+
 use crate::ops::node_settings::{LogFormat, LogSettings};
+use crate::util::BoundedWriter;
+
+/// Why logs could not be set up.
+#[derive(Debug, thiserror::Error)]
+pub enum LogOutputError {
+    /// The thread that writes lines could not be started.
+    #[error("cannot start the log writer: {0}")]
+    Writer(#[from] std::io::Error),
+    /// A logger is installed already.
+    #[error(transparent)]
+    Logger(#[from] log::SetLoggerError),
+}
+
+/// One line as JSON.
+#[derive(Serialize)]
+struct LogLine<'a> {
+    time: &'a str,
+    level: &'a str,
+    part: &'a str,
+    message: &'a str,
+}
 
 /// Installs the logger of the process.
 ///
 /// # Errors
 ///
-/// Returns an error if a logger is installed already.
-pub fn install(settings: &LogSettings) -> Result<(), log::SetLoggerError> {
+/// Returns an error if a logger is installed already, or the writer cannot be started.
+pub fn install(settings: &LogSettings) -> Result<(), LogOutputError> {
     let format = settings.format;
+    let writer = BoundedWriter::start(std::io::stdout(), settings.max_lines_per_second)?;
     fern::Dispatch::new()
         .level(settings.level)
         .level_for("h2", log::LevelFilter::Warn)
@@ -21,16 +45,21 @@
                 record.level(),
                 record.target(),
             )),
-            LogFormat::Json => {
-                let line = serde_json::json!({
-                    "time": humantime::format_rfc3339_millis(SystemTime::now()).to_string(),
-                    "level": record.level().as_str(),
-                    "part": record.target(),
-                    "message": message.to_string(),
-                });
-                out.finish(format_args!("{line}"));
-            }
+            LogFormat::Json => out.finish(format_args!("{}", json_line(message, record))),
         })
-        .chain(std::io::stderr())
-        .apply()
+        .chain(Box::new(writer) as Box<dyn std::io::Write + Send>)
+        .apply()?;
+    Ok(())
+}
+
+fn json_line(message: &std::fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
+    let time = humantime::format_rfc3339_millis(SystemTime::now()).to_string();
+    let line = LogLine {
+        time: &time,
+        level: record.level().as_str(),
+        part: record.target(),
+        message: &message.to_string(),
+    };
+    // Text always serializes.
+    serde_json::to_string(&line).unwrap_or_default()
 }
--- a/src/ops/node_settings.rs
+++ b/src/ops/node_settings.rs
@@ -170,11 +170,20 @@
     pub format: LogFormat,
     /// Least severe level that is written: error, warn, info, debug or trace.
     pub level: log::LevelFilter,
+    /// Lines a second; more are dropped and counted.
+    pub max_lines_per_second: u32,
 }
 
+/// Lines that a busy node writes in a second while a third of its requests fail, with room to spare.
+const DEFAULT_LINES_PER_SECOND: u32 = 400;
+
 impl Default for LogSettings {
     fn default() -> Self {
-        Self { format: LogFormat::Plain, level: log::LevelFilter::Info }
+        Self {
+            format: LogFormat::Plain,
+            level: log::LevelFilter::Info,
+            max_lines_per_second: DEFAULT_LINES_PER_SECOND,
+        }
     }
 }
 
--- a/src/request/exchange.rs
+++ b/src/request/exchange.rs
@@ -333,7 +333,7 @@
         tools: &ExchangeTools<'_, C, P>,
     ) -> FinishedAttempt<C::Body> {
         let names = &tools.settings.headers;
-        let mut request = self.request_of(start.role, route, &tools);
+        let mut request = self.request_of(start.role, route, tools);
         if let Some(name) = &names.expected_instance
             && let Ok(value) = HeaderValue::from_str(&start.upstream.name)
         {
--- a/src/request/plane.rs
+++ b/src/request/plane.rs
@@ -270,6 +270,8 @@
             ExchangeEnd::Failed(failure) => (log::Level::Info, failure.code.to_string()),
         };
         let id = exchange.headers.get(&self.core.settings.headers.request_id);
+        // Quoted, so that a caller cannot forge fields of the line.
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
         let age = self.core.freshness.age().unwrap_or(Duration::MAX);
         log::log!(
             target: "request",
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -1,9 +1,11 @@
-//! Small helpers that belong to no part: collections, random numbers, settings files, durations.
+//! Small helpers that belong to no part: collections, random numbers, settings files, durations, log writer.
 
+pub mod bounded_writer;
 pub mod duration_text;
 pub mod fast_map;
 pub mod random;
 pub mod settings_file;
 
+pub use self::bounded_writer::BoundedWriter;
 pub use self::fast_map::{FastMap, FastSet};
 pub use self::random::{SeededRandom, SharedRandom};
--- /dev/null
+++ b/tests/testsuite/fleet_peers.rs
@@ -0,0 +1,175 @@
+//! What entries tell each other, and what they make of it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use heatherfall::core::{FailureDomain, VmId};
+use heatherfall::fleet::load_flash::{FlashFilter, FlashLoad, name_digest, read_flash, seal_flash};
+use heatherfall::fleet::peer_message::{MeasuredLoad, MessageError, MessageKey, PeerMessage};
+use heatherfall::fleet::peer_table::{EntryRegistration, PeerTable};
+use heatherfall::membership::{EntryRecord, EntryState};
+use proptest::prelude::*;
+use tokio::time::{Instant, advance};
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn key() -> MessageKey {
+    MessageKey::new(b"the key of a deployment of tests").expect("usable")
+}
+
+fn message(vm: &str, domain: &str, sequence: u64) -> PeerMessage {
+    PeerMessage {
+        vm: vm.to_owned(),
+        incarnation: 1,
+        sequence,
+        failure_domain: domain.to_owned(),
+        caller_address: address(80),
+        state: EntryState::Ready,
+        confirmation: None,
+        loads: Vec::new(),
+        change: None,
+    }
+}
+
+fn table(vm: &str) -> PeerTable {
+    PeerTable::new(EntryRecord {
+        vm: VmId::new(vm),
+        failure_domain: FailureDomain::new("fd-a"),
+        caller_address: address(1),
+        peer_address: address(2),
+        state: EntryState::Ready,
+    })
+}
+
+#[test]
+fn a_message_arrives_as_it_was_sent() {
+    let sent = message("entry-1", "fd-a", 7);
+    let datagram = key().seal(&sent).expect("fits");
+    assert_eq!(key().open(&datagram), Ok(sent));
+}
+
+#[test]
+fn a_strangers_message_is_refused() {
+    let stranger = MessageKey::new(b"another key").expect("usable");
+    let datagram = stranger.seal(&message("entry-1", "fd-a", 1)).expect("fits");
+    assert_eq!(key().open(&datagram), Err(MessageError::Unauthenticated));
+}
+
+proptest! {
+    #[test]
+    fn a_changed_datagram_is_refused(index in 0..400_usize, flip in 1..=255_u8) {
+        let mut datagram = key().seal(&message("entry-1", "fd-a", 1)).expect("fits");
+        let index = index % datagram.len();
+        datagram[index] ^= flip;
+        prop_assert_eq!(key().open(&datagram), Err(MessageError::Unauthenticated));
+    }
+
+    #[test]
+    fn any_bytes_are_refused_without_harm(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        prop_assert!(key().open(&bytes).is_err());
+        let _ = read_flash(&bytes);
+    }
+
+    #[test]
+    fn a_flash_arrives_in_whole_steps(inflight in 0..300_u32, percent in 0..4000_u32) {
+        let load = FlashLoad { digest: name_digest("a"), inflight, work_percent: percent };
+        let datagram = seal_flash(&key(), &[load, load]);
+        let payload = key().open_bytes(&datagram).expect("sealed");
+        let loads = read_flash(payload).expect("a flash").expect("whole");
+        prop_assert_eq!(loads.len(), 2);
+        prop_assert_eq!(loads[0].inflight, inflight.min(255));
+        prop_assert_eq!(loads[0].work_percent, (percent / 10).min(255) * 10);
+    }
+}
+
+fn load(name: &str, percent: u32) -> MeasuredLoad {
+    let work_percent = Some(percent);
+    MeasuredLoad { instance: name.to_owned(), inflight: 1, work_percent, age_ms: 0 }
+}
+
+#[tokio::test(start_paused = true)]
+async fn only_news_crosses_to_another_failure_domain() {
+    let mut filter = FlashFilter::default();
+    let mut told = 0;
+    for round in 0..100 {
+        // Ten rounds a second; the machine is slow for half a second in five.
+        let percent = if round % 50 < 5 { 700 } else { 100 };
+        told += filter.news(&[load("a", percent)], Instant::now()).len();
+        advance(Duration::from_millis(100)).await;
+    }
+    assert!((4..=16).contains(&told), "{told} of 100 reports, with 4 changes");
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_live_entry_of_a_domain_reads_the_store() {
+    let mut table = table("entry-2");
+    let now = Instant::now();
+    assert_eq!(table.rank(now), 0, "alone");
+    table.hear(&message("entry-1", "fd-a", 1), address(11), now);
+    table.hear(&message("entry-0", "fd-b", 1), address(10), now);
+    assert_eq!(table.rank(now), 1, "another domain's entry does not count");
+    advance(Duration::from_secs(1)).await;
+    assert_eq!(table.rank(Instant::now()), 0, "the first one has fallen silent");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_overtaken_message_changes_nothing() {
+    let mut table = table("entry-2");
+    let now = Instant::now();
+    let mut leaving = message("entry-1", "fd-a", 9);
+    leaving.state = EntryState::Leaving;
+    assert!(table.hear(&leaving, address(11), now));
+    assert!(!table.hear(&message("entry-1", "fd-a", 8), address(11), now));
+    let view = table.view(now);
+    assert_eq!(view.find(&VmId::new("entry-1")).unwrap().state, EntryState::Leaving);
+}
+
+#[tokio::test(start_paused = true)]
+async fn each_upstream_has_one_prober_in_a_domain() {
+    let names = ["entry-1", "entry-2", "entry-3", "entry-4"];
+    let now = Instant::now();
+    let mut tables = Vec::new();
+    for own in names {
+        let mut table = table(own);
+        for other in names.into_iter().filter(|other| *other != own) {
+            table.hear(&message(other, "fd-a", 1), address(11), now);
+        }
+        tables.push(table);
+    }
+    for upstream in 0..50 {
+        let name = format!("upstream-{upstream}");
+        let probers = tables.iter().filter(|table| table.is_prober_of(&name, now)).count();
+        assert_eq!(probers, 1, "{name}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_entry_is_not_named_to_callers() {
+    let mut table = table("entry-2");
+    table.hear(&message("entry-1", "fd-a", 1), address(11), Instant::now());
+    assert!(table.view(Instant::now()).is_ready(&VmId::new("entry-1")));
+    advance(Duration::from_secs(1)).await;
+    assert!(!table.view(Instant::now()).is_ready(&VmId::new("entry-1")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn another_speaker_is_tried_while_a_domain_is_silent() {
+    let mut table = table("entry-1");
+    for (vm, port) in [("entry-7", 17), ("entry-8", 18)] {
+        let registration = EntryRegistration {
+            failure_domain: "fd-b".to_owned(),
+            caller_address: address(80),
+            peer_address: address(port),
+        };
+        table.register(vm, &registration);
+    }
+    let now = Instant::now();
+    assert_ne!(table.speakers(0, now), table.speakers(1, now), "in turn");
+    table.hear_speaker(address(18), now);
+    assert_eq!(table.speakers(0, now), [address(18)]);
+    assert_eq!(table.speakers(1, now), [address(18)]);
+    advance(Duration::from_secs(2)).await;
+    assert_ne!(table.speakers(0, Instant::now()), table.speakers(1, Instant::now()));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,8 +3,10 @@
 #![allow(clippy::expect_used, clippy::unwrap_used, reason = "a test panics to fail")]
 
 mod addresses;
+mod answer_checks;
 mod client;
 mod compile;
+mod completion_picker;
 mod connections;
 mod control_plane;
 mod drain_mark;
@@ -12,6 +14,7 @@
 mod exchange_state;
 mod experiment;
 mod fleet_faults;
+mod fleet_peers;
 mod fleet_store;
 mod generations;
 mod hostile_input;
@@ -24,10 +27,12 @@
 mod limits;
 mod load;
 mod load_picker;
+mod log_writer;
 mod membership;
 mod peer_calls;
 mod probe_budget;
 mod processes;
+mod repeat_window;
 mod result_codes;
 mod scenario_runner;
 mod scenarios;
--- a/tests/testsuite/support/daemon.rs
+++ b/tests/testsuite/support/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::process::{Child, ChildStderr, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -10,7 +10,7 @@
 /// A running daemon; killed when dropped.
 pub(crate) struct DaemonProcess {
     child: Child,
-    log: BufReader<ChildStderr>,
+    log: BufReader<ChildStdout>,
     pub(crate) caller_addr: SocketAddr,
     pub(crate) admin_addr: SocketAddr,
     _keys: tempfile::NamedTempFile,
@@ -36,10 +36,10 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_heatherfalld"))
             .arg("--config")
             .arg(file.path())
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
             .expect("daemon starts");
-        let mut log = BufReader::new(child.stderr.take().expect("stderr is piped"));
+        let mut log = BufReader::new(child.stdout.take().expect("stdout is piped"));
         let started = read_until(&mut log, "node: started");
         Self {
             child,
@@ -73,7 +73,7 @@
     }
 }
 
-fn read_until(log: &mut BufReader<ChildStderr>, text: &str) -> String {
+fn read_until(log: &mut BufReader<ChildStdout>, text: &str) -> String {
     let mut line = String::new();
     loop {
         line.clear();
