request: repeat an attempt that is lost although its goal has passed, and log callers that leave

Ruled out: an unconfirmed configuration, a spent window. A hedge that would gain nothing is no event any more, so ordinary requests leave no line.

--- a/src/balance/completion_picker.rs
+++ b/src/balance/completion_picker.rs
@@ -44,7 +44,8 @@
     pub failure_life: Duration,
     /// Part of the time to the goal over which the chance to make it falls.
     pub goal_softness: f32,
-    /// Value of an answer that misses the goal but makes the deadline.
+    /// Value of an answer that misses the goal but makes the deadline: little for its caller, but
+    /// none at all makes the caller ask again.
     pub late_value: f32,
     /// Value lost by waiting for the whole time to the goal; keeps requests off longer queues
     /// while all make it.
@@ -54,7 +55,7 @@
     pub queue_parts: [f32; 3],
     /// Factor by which an upstream is slower while it warms up.
     pub cold_factor: f32,
-    /// Least value that a hedge must add to be worth its cost.
+    /// Least part of what a request can still be worth that a hedge must add.
     pub min_hedge_gain: f32,
     /// Multiple of the usual work after which an attempt is late for reasons unknown: its answer
     /// or its connection may be lost.
@@ -75,7 +76,7 @@
             speed_life: Duration::from_millis(400),
             failure_life: Duration::from_secs(3),
             goal_softness: 0.15,
-            late_value: 0.1,
+            late_value: 0.28,
             wait_price: 0.15,
             queue_parts: [1.0, 0.5, 0.25],
             cold_factor: 2.0,
@@ -185,6 +186,19 @@
         on_time + late - settings.wait_price * waited
     }
 
+    /// Whether an attempt at `best` beside the running one adds enough.
+    fn is_hedge_worth(
+        &self,
+        best: &UpstreamOutlook,
+        request: PickRequest<'_>,
+        now: Instant,
+    ) -> bool {
+        let makes_goal = best.expected_secs < request.demand.goal_left.as_secs_f32();
+        let ceiling = if makes_goal { 1.0 } else { self.settings.late_value };
+        let gain = best.value - self.value_of_waiting(request, now);
+        gain >= self.settings.min_hedge_gain * ceiling
+    }
+
     /// Value of the answer that the running attempt is expected to bring.
     fn value_of_waiting(&self, request: PickRequest<'_>, now: Instant) -> f32 {
         let running = request.tried.last().and_then(|key| request.snapshot.upstreams.get(*key));
@@ -197,12 +211,14 @@
     fn left_secs(&self, upstream: &UpstreamState, demand: PickDemand, now: Instant) -> f32 {
         let work_secs = demand.work.as_secs_f32();
         let waited_secs = demand.waited.as_secs_f32();
-        if waited_secs > self.settings.late_factor * work_secs {
-            // Nothing explains the delay, so it is expected to go on for as long again.
-            return waited_secs + self.slow_secs(upstream, work_secs, now);
-        }
         let usual_left = (work_secs - waited_secs).max(MIN_LEFT_PART * work_secs);
-        usual_left + self.slow_secs(upstream, usual_left, now)
+        let slow_secs = self.slow_secs(upstream, work_secs, now);
+        let late_secs = self.settings.late_factor * work_secs + slow_secs;
+        if waited_secs <= late_secs {
+            return usual_left + slow_secs;
+        }
+        // Nothing explains the delay: the longer it has lasted, the less likely it ends at all.
+        waited_secs * waited_secs / late_secs
     }
 
     /// Expected time to the answer of one more request, without the network.
@@ -263,8 +279,7 @@
         let now = Instant::now();
         let best = self.best(request, request.tried, now);
         if request.purpose == PickPurpose::Hedge {
-            let stay = self.value_of_waiting(request, now);
-            let best = best.filter(|best| best.value - stay >= self.settings.min_hedge_gain);
+            let best = best.filter(|best| self.is_hedge_worth(best, request, now));
             return best.map(|best| best.key).ok_or(PickRefusal::NoUpstream);
         }
         let best = best.or_else(|| self.best(request, &[], now));
--- a/src/request/exchange_state.rs
+++ b/src/request/exchange_state.rs
@@ -243,6 +243,7 @@
         if is_alone && is_confirmed && self.is_idempotent() && self.allows_another(ctx) {
             return self.start(AttemptRole::Hedge);
         }
+        self.hedge_due = self.plan.hedge_interval.map(|interval| ctx.now + interval);
         self.wait()
     }
 
--- a/src/request/plane.rs
+++ b/src/request/plane.rs
@@ -194,9 +194,10 @@
             Ok(Some(key)) => return self.run_keyed(&key, exchange, permit).await,
             Err(code) => return refusal_without_claim(&exchange.headers, code),
         }
-        let mut trace = ExchangeTrace::default();
-        let end = exchange.run(self.core.tools(), &mut trace).await;
-        self.log_end(&exchange, &end, &trace);
+        let mut line = RequestLine { core: &self.core, exchange: &exchange, trace: None };
+        let end = exchange.run(self.core.tools(), line.trace.get_or_insert_default()).await;
+        line.write(&end);
+        drop(line);
         match end {
             ExchangeEnd::Answered { answer, inflight } => {
                 record_bytes(&exchange, &answer.response);
@@ -252,23 +253,56 @@
         Some(RepeatShare { window, entries: self.limits.entries() })
     }
 
-    /// Writes the line of a request. An ordinary one is left to the debug level, so that a calm
-    /// day costs nothing.
-    fn log_end(
+    /// Runs a keyed request in a task of its own, which survives its caller.
+    async fn run_keyed(
         &self,
-        exchange: &RequestExchange,
-        end: &ExchangeEnd<C::Body>,
-        trace: &ExchangeTrace,
-    ) {
-        let (level, outcome) = match end {
+        key: &str,
+        exchange: RequestExchange,
+        permit: Option<GatePermit>,
+    ) -> PlaneAnswer<C> {
+        let intent = claim_intent(key, &exchange);
+        let (tx, rx) = oneshot::channel();
+        self.keyed.spawn(Arc::clone(&self.core).run_keyed(exchange, intent, permit, tx));
+        rx.await.unwrap_or_else(|_| refusal(ResultCode::OutcomeUnknown))
+    }
+}
+
+fn retry_after(class: Criticality) -> Duration {
+    match class {
+        Criticality::Critical => CRITICAL_RETRY_AFTER,
+        Criticality::Normal => NORMAL_RETRY_AFTER,
+        Criticality::Deferrable => DEFERRABLE_RETRY_AFTER,
+    }
+}
+
+/// Writes the line of a request: at its end, or when its caller leaves before.
+struct RequestLine<'a, C, P, L> {
+    core: &'a PlaneCore<C, P, L>,
+    exchange: &'a RequestExchange,
+    /// None once the line is written.
+    trace: Option<ExchangeTrace>,
+}
+
+impl<C, P, L> RequestLine<'_, C, P, L> {
+    /// Writes the line. An ordinary one is left to the debug level, so that a calm day costs
+    /// nothing.
+    fn write<B>(&mut self, end: &ExchangeEnd<B>) {
+        let Some(trace) = self.trace.take() else { return };
+        match end {
             ExchangeEnd::Answered { answer, .. } => {
                 let status = answer.response.status();
                 let is_ordinary = trace.is_ordinary() && !status.is_server_error();
                 let level = if is_ordinary { log::Level::Debug } else { log::Level::Info };
-                (level, status.as_str().to_owned())
+                self.log(level, status.as_str(), &trace);
             }
-            ExchangeEnd::Failed(failure) => (log::Level::Info, failure.code.to_string()),
-        };
+            ExchangeEnd::Failed(failure) => {
+                self.log(log::Level::Info, &failure.code.to_string(), &trace);
+            }
+        }
+    }
+
+    fn log(&self, level: log::Level, outcome: &str, trace: &ExchangeTrace) {
+        let exchange = self.exchange;
         let id = exchange.headers.get(&self.core.settings.headers.request_id);
         // Quoted, so that a caller cannot forge fields of the line.
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
@@ -284,26 +318,13 @@
             exchange.deadline.saturating_duration_since(Instant::now()).as_millis(),
         );
     }
-
-    /// Runs a keyed request in a task of its own, which survives its caller.
-    async fn run_keyed(
-        &self,
-        key: &str,
-        exchange: RequestExchange,
-        permit: Option<GatePermit>,
-    ) -> PlaneAnswer<C> {
-        let intent = claim_intent(key, &exchange);
-        let (tx, rx) = oneshot::channel();
-        self.keyed.spawn(Arc::clone(&self.core).run_keyed(exchange, intent, permit, tx));
-        rx.await.unwrap_or_else(|_| refusal(ResultCode::OutcomeUnknown))
-    }
 }
 
-fn retry_after(class: Criticality) -> Duration {
-    match class {
-        Criticality::Critical => CRITICAL_RETRY_AFTER,
-        Criticality::Normal => NORMAL_RETRY_AFTER,
-        Criticality::Deferrable => DEFERRABLE_RETRY_AFTER,
+impl<C, P, L> Drop for RequestLine<'_, C, P, L> {
+    fn drop(&mut self) {
+        if let Some(trace) = self.trace.take() {
+            self.log(log::Level::Info, "caller-left", &trace);
+        }
     }
 }
 
--- a/src/request/trace.rs
+++ b/src/request/trace.rs
@@ -60,7 +60,10 @@
     }
 
     pub(super) fn refused(&mut self, role: AttemptRole, refusal: StartRefusal) {
-        self.refused = Some((role, refusal));
+        // A look that found no gain in a hedge is no event.
+        if role != AttemptRole::Hedge || refusal == StartRefusal::BudgetSpent {
+            self.refused = Some((role, refusal));
+        }
     }
 }
 
--- a/tests/testsuite/completion_picker.rs
+++ b/tests/testsuite/completion_picker.rs
@@ -210,6 +210,32 @@
     assert_eq!(hedge, Ok(fixture.key(1)));
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_attempt_lost_at_a_dark_upstream_is_repeated_though_its_goal_has_passed() {
+    let mut fixture = PickerFixture::new(&[HOME, HOME], 0);
+    fixture.report(0, 1, 100);
+    fixture.report(1, 0, 100);
+    let _running = fixture.enter(0, 1);
+    fixture.demand.waited = Duration::from_millis(450);
+    fixture.demand.goal_left = Duration::ZERO;
+    fixture.demand.time_left = Duration::from_millis(550);
+    let hedge = fixture.pick_for(PickPurpose::Hedge, &[fixture.key(0)]);
+    assert_eq!(hedge, Ok(fixture.key(1)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_late_attempt_on_a_slow_machine_is_not_repeated_once_its_goal_has_passed() {
+    let mut fixture = PickerFixture::new(&[HOME, HOME], 0);
+    fixture.report(0, 1, 400);
+    fixture.report(1, 3, 100);
+    let _running = fixture.enter(0, 1);
+    fixture.demand.waited = Duration::from_millis(150);
+    fixture.demand.goal_left = Duration::ZERO;
+    fixture.demand.time_left = Duration::from_millis(1500);
+    let hedge = fixture.pick_for(PickPurpose::Hedge, &[fixture.key(0)]);
+    assert_eq!(hedge, Err(PickRefusal::NoUpstream), "it will be answered in time anyway");
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_upstream_that_fails_fast_attracts_no_work() {
     let fixture = PickerFixture::new(&[HOME, HOME], 0);
