fleet: end what was only kept where it is heard, and count a watch from its own start

Ruled out: lost datagrams (the mark of the next message shows a gap), the store.

An outage now is 2.5 s without anyone's confirmation; a change that is heard is always put in force; a watch counts from the revision it began with. Each test fails without its change.

--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -121,12 +121,13 @@
     /// Takes in a change and a confirmation from another entry.
     pub fn take_in(&self, change: Option<ViewChange>, confirmation: Option<ViewConfirmation>) {
         if let Some(change) = change {
-            if !change.is_empty() {
+            let is_empty = change.is_empty();
+            if !is_empty {
                 self.view().log_change(&change, "peer");
             }
-            let before = self.view().mark();
             self.view().apply_change(change, Instant::now());
-            if !self.view().mark().is_same_view(&before) {
+            // The end of an upstream that was only kept leaves the mark as it is.
+            if !is_empty {
                 self.put_in_force();
             }
         }
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -43,6 +43,10 @@
 const MAX_RANK: u32 = 8;
 /// Time for the answer of a call beyond its own wait.
 const CALL_TIME: Duration = Duration::from_millis(700);
+/// Time without any confirmation that counts as an outage in which entries may have lapsed: above
+/// the limit after which each entry reads for itself, below two of the three heartbeats of 1.5 s
+/// after which an entry lapses.
+const MIN_OUTAGE: Duration = Duration::from_millis(2500);
 /// Pause after a failed call; doubles up to the longest one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call.
@@ -250,7 +254,7 @@
         };
         let returned = Instant::now();
         self.note_found(returned);
-        let change = self.state.view().apply_batch(batch, returned);
+        let change = self.state.view().apply_batch(batch, since, returned);
         self.state.publish(change);
         if !self.state.view().mark().is_whole() {
             self.read_config().await?;
@@ -291,8 +295,18 @@
     fn note_found(&mut self, now: Instant) {
         self.pause = FIRST_PAUSE;
         let Some(lost) = self.lost.take() else { return };
-        log::info!(target: "store", "regained after_ms={}", lost.elapsed().as_millis());
-        self.state.view().store_returned(now);
+        let unconfirmed = self.state.freshness.age().unwrap_or_default();
+        // While others confirm the view, the store is there and only this entry was cut off.
+        let is_outage = unconfirmed >= MIN_OUTAGE;
+        log::info!(
+            target: "store",
+            "regained after_ms={} view_age_ms={} outage={is_outage}",
+            lost.elapsed().as_millis(),
+            unconfirmed.as_millis(),
+        );
+        if is_outage {
+            self.state.view().store_returned(now);
+        }
     }
 }
 
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -179,13 +179,15 @@
         change
     }
 
-    /// Takes in the changes of a watch.
-    pub fn apply_batch(&mut self, batch: WatchBatch, now: Instant) -> ViewChange {
+    /// Takes in the changes of a watch that began at the revision `since`.
+    ///
+    /// The view may have moved on meanwhile, by what other entries told.
+    pub fn apply_batch(&mut self, batch: WatchBatch, since: Revision, now: Instant) -> ViewChange {
         let mut change = self.change_from(self.revision);
         // The revision counts every change of the store; what moved it beyond the events may have
         // been the configuration.
-        let moved = batch.revision.saturating_sub(self.revision);
-        if moved <= batch.events.len() as u64 && self.config_known >= self.revision {
+        let moved = batch.revision.saturating_sub(since);
+        if moved <= batch.events.len() as u64 && self.config_known >= since {
             self.config_known = self.config_known.max(batch.revision);
         }
         for event in batch.events {
--- a/tests/testsuite/fleet_store.rs
+++ b/tests/testsuite/fleet_store.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use heatherfall::fleet::view::ViewChange;
-use heatherfall::platform::PlatformStore;
+use heatherfall::fleet::view::{DeploymentView, ViewChange};
+use heatherfall::platform::{PlatformStore, WatchBatch, WatchEvent};
 use heatherfall_standins::platform::{FaultSettings, StandinPlatform};
 
 use crate::support::fleet::{TestEntry, UPSTREAM_KIND, delete_upstream, put_config, put_upstream};
@@ -167,6 +167,73 @@
     assert_eq!(other.upstreams(), ["a", "b"], "kept for now");
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_change_that_overtakes_a_watch_hides_no_configuration() {
+    let store = store_with(1, &["a"]).await;
+    let mut view = DeploymentView::new(TestCodec);
+    let list = store.list(UPSTREAM_KIND, "").await.expect("listed");
+    let since = list.revision;
+    view.replace_upstreams(list, Instant::now());
+    view.confirm_config(since);
+    put_upstream(&store, "b").await;
+    let object = store.get(UPSTREAM_KIND, "b").await.expect("present");
+    put_config(&store, 2).await;
+    // While a watch waits, another entry tells of the upstream. The watch then brings its event
+    // again, with a revision that also covers the new configuration.
+    let told = ViewChange {
+        base: since,
+        revision: since + 1,
+        puts: vec![object.clone()],
+        ..ViewChange::default()
+    };
+    view.apply_change(told, Instant::now());
+    let batch = WatchBatch { revision: since + 2, events: vec![WatchEvent::Put { object }] };
+    view.apply_batch(batch, since, Instant::now());
+    assert!(!view.mark().is_whole(), "the configuration has to be read");
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_end_of_a_kept_upstream_is_in_force_where_it_is_heard() {
+    let store = store_with(1, &["a", "b"]).await;
+    let mut reader = TestEntry::new("entry-1", &store);
+    let mut other = TestEntry::new("entry-2", &store);
+    reader.run_for(Duration::from_secs(1)).await;
+    other.run_for(Duration::from_secs(1)).await;
+    store.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+    reader.run_for(Duration::from_secs(5)).await;
+    store.set_faults(FaultSettings::default());
+    reader.state.take_changes();
+    delete_upstream(&store, "a").await;
+    reader.run_for(Duration::from_secs(4)).await;
+    for change in reader.state.take_changes() {
+        other.state.take_in(Some(change), reader.state.confirmation());
+    }
+    assert_eq!(reader.upstreams(), ["b"]);
+    assert_eq!(other.upstreams(), ["b"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_cut_of_one_entry_keeps_no_upstream_that_left() {
+    let store = store_with(1, &["a", "b"]).await;
+    let mut reader = TestEntry::new("entry-1", &store);
+    let mut other = TestEntry::new("entry-2", &store);
+    reader.run_for(Duration::from_secs(1)).await;
+    other.run_for(Duration::from_secs(1)).await;
+    // The first entry loses the store for a while; the other one goes on confirming its view.
+    store.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+    for _ in 0..10 {
+        reader.run_for(Duration::from_millis(500)).await;
+        store.set_faults(FaultSettings::default());
+        other.run_for(Duration::from_millis(1100)).await;
+        pass_on(&other, &reader);
+        store.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+    }
+    store.set_faults(FaultSettings::default());
+    delete_upstream(&store, "a").await;
+    reader.run_for(Duration::from_millis(1500)).await;
+    assert_eq!(reader.upstreams(), ["b"], "nobody's lease lapsed");
+}
+
 #[tokio::test(start_paused = true)]
 async fn entries_that_disagree_do_not_storm_the_store() {
     let store = store_with(1, &["a"]).await;
