--- a/tests/testsuite/fleet_store.rs
+++ b/tests/testsuite/fleet_store.rs
@@ -5,8 +5,11 @@
 use heatherfall::fleet::view::{DeploymentView, ViewChange};
 use heatherfall::platform::{PlatformStore, WatchBatch, WatchEvent};
 use heatherfall_standins::platform::{FaultSettings, StandinPlatform};
+use tokio::time::Instant;
 
-use crate::support::fleet::{TestEntry, UPSTREAM_KIND, delete_upstream, put_config, put_upstream};
+use crate::support::fleet::{
+    TestCodec, TestEntry, UPSTREAM_KIND, delete_upstream, put_config, put_upstream,
+};
 
 /// Time within which a change must be in force on a live entry.
 const APPLY_LIMIT: Duration = Duration::from_secs(2);
