--- a/src/fleet/control_api.rs
+++ b/src/fleet/control_api.rs
@@ -12,7 +12,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use prometheus::{Encoder, Registry, TextEncoder};
+use prometheus::Registry;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -20,6 +20,7 @@
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::directory::EntryDirectory;
 use crate::membership::{EntryState, SharedMembership};
+use crate::serve::{metrics_reply, reply};
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
@@ -76,7 +77,7 @@
             return self.addresses(query.unwrap_or_default());
         }
         if path == METRICS_PATH {
-            return self.metrics();
+            return metrics_reply(&self.registry);
         }
         reply(StatusCode::NOT_FOUND, Bytes::from_static(b"not found\n"))
     }
@@ -102,18 +103,4 @@
         response.headers_mut().insert(CONTENT_TYPE, json);
         response
     }
-
-    fn metrics(&self) -> Response<Full<Bytes>> {
-        let mut buffer = Vec::new();
-        match TextEncoder::new().encode(&self.registry.gather(), &mut buffer) {
-            Ok(()) => reply(StatusCode::OK, buffer.into()),
-            Err(error) => reply(StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into()),
-        }
-    }
-}
-
-fn reply(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(body));
-    *response.status_mut() = status;
-    response
 }
--- a/src/serve/admin.rs
+++ b/src/serve/admin.rs
@@ -11,13 +11,14 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use prometheus::{Encoder, Registry, TextEncoder};
+use prometheus::Registry;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 use crate::core::ResultCode;
 use crate::kernel::{ServiceKernel, ServiceName};
 use crate::ops::node_status::StatusSource;
+use crate::serve::plain_reply::{metrics_reply, reply};
 
 /// The admin server of a node.
 #[derive(Debug)]
@@ -80,7 +81,7 @@
         match path {
             "/healthz" => self.health().await,
             "/readyz" => self.readiness(),
-            "/metrics" => self.metrics(),
+            "/metrics" => metrics_reply(&self.registry),
             "/status" => reply(StatusCode::OK, self.status.to_json().into()),
             _ => reply(StatusCode::NOT_FOUND, "not found\n".into()),
         }
@@ -106,18 +107,4 @@
             }
         }
     }
-
-    fn metrics(&self) -> Response<Full<Bytes>> {
-        let mut buffer = Vec::new();
-        match TextEncoder::new().encode(&self.registry.gather(), &mut buffer) {
-            Ok(()) => reply(StatusCode::OK, buffer.into()),
-            Err(error) => reply(StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into()),
-        }
-    }
-}
-
-fn reply(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(body));
-    *response.status_mut() = status;
-    response
 }
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -8,6 +8,7 @@
 mod http_client;
 mod latency_metrics;
 mod limit_metrics;
+mod plain_reply;
 mod request_body;
 mod stall_guard;
 
@@ -21,3 +22,4 @@
 pub use self::http_client::{AnswerFraming, HttpUpstreamClient, UpstreamBody};
 pub use self::latency_metrics::LatencyMetrics;
 pub use self::limit_metrics::LimitMetrics;
+pub(crate) use self::plain_reply::{metrics_reply, reply};
--- a/tests/testsuite/fleet_store.rs
+++ b/tests/testsuite/fleet_store.rs
@@ -23,6 +23,13 @@
     store
 }
 
+/// The store is away for five seconds while `entry` goes on.
+async fn outage(store: &StandinPlatform, entry: &mut TestEntry) {
+    store.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+    entry.run_for(Duration::from_secs(5)).await;
+    store.set_faults(FaultSettings::default());
+}
+
 /// The words that `from` would send now reach `to`.
 fn pass_on(from: &TestEntry, to: &TestEntry) {
     to.state.take_in(None, from.state.confirmation());
@@ -112,9 +119,7 @@
     let store = store_with(1, &["a", "b"]).await;
     let mut entry = TestEntry::new("entry-1", &store);
     entry.run_for(Duration::from_secs(1)).await;
-    store.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
-    entry.run_for(Duration::from_secs(5)).await;
-    store.set_faults(FaultSettings::default());
+    outage(&store, &mut entry).await;
     delete_upstream(&store, "a").await;
     delete_upstream(&store, "b").await;
     entry.run_for(Duration::from_secs(1)).await;
@@ -129,9 +134,7 @@
     let store = store_with(1, &["a", "b"]).await;
     let mut entry = TestEntry::new("entry-1", &store);
     entry.run_for(Duration::from_secs(1)).await;
-    store.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
-    entry.run_for(Duration::from_secs(5)).await;
-    store.set_faults(FaultSettings::default());
+    outage(&store, &mut entry).await;
     delete_upstream(&store, "a").await;
     entry.run_for(Duration::from_secs(1)).await;
     let mut fresh = TestEntry::new("entry-2", &store);
@@ -153,9 +156,7 @@
     let mut other = TestEntry::new("entry-2", &store);
     reader.run_for(Duration::from_secs(1)).await;
     other.run_for(Duration::from_secs(1)).await;
-    store.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
-    reader.run_for(Duration::from_secs(5)).await;
-    store.set_faults(FaultSettings::default());
+    outage(&store, &mut reader).await;
     reader.state.take_changes();
     delete_upstream(&store, "a").await;
     reader.run_for(Duration::from_secs(1)).await;
@@ -202,9 +203,7 @@
     let mut other = TestEntry::new("entry-2", &store);
     reader.run_for(Duration::from_secs(1)).await;
     other.run_for(Duration::from_secs(1)).await;
-    store.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
-    reader.run_for(Duration::from_secs(5)).await;
-    store.set_faults(FaultSettings::default());
+    outage(&store, &mut reader).await;
     reader.state.take_changes();
     delete_upstream(&store, "a").await;
     reader.run_for(Duration::from_secs(4)).await;
