fleet: tell a large failure domain who is alive by few messages

Beyond 12 entries a domain ordinary messages go to the first three entries, and the first one tells all who is alive; changes and leavings still go to all. Ruled out: log lines (none in the calm seconds), lists of the store (one an entry).

The test plays 36 entries and the death of the first: a quarter of the messages at most, and all agree afterwards.

--- a/src/fleet/peer_message.rs
+++ b/src/fleet/peer_message.rs
@@ -35,6 +35,10 @@
     pub state: EntryState,
     /// How fresh its view is; none while it knows nothing.
     pub confirmation: Option<ViewConfirmation>,
+    /// Digests of the names of the ready entries that it hears, from the first entry of a large
+    /// failure domain, whose others are not heard by all.
+    #[serde(default)]
+    pub alive: Vec<u32>,
     /// Load that it has just measured.
     pub loads: Vec<MeasuredLoad>,
     /// A change that it has just read.
--- a/src/fleet/peer_service.rs
+++ b/src/fleet/peer_service.rs
@@ -13,6 +13,7 @@
 use crate::fleet::load_flash::{FlashFilter, FlashLoad, name_digest, read_flash, seal_flash};
 use crate::fleet::load_probe::LoadLearner;
 use crate::fleet::peer_message::{MeasuredLoad, MessageError, MessageKey, PeerMessage};
+use crate::fleet::peer_table::MessageReach;
 use crate::fleet::state::FleetState;
 use crate::fleet::view::ViewChange;
 use crate::kernel::{ServiceName, ServiceWork};
@@ -150,6 +151,19 @@
     named
 }
 
+/// What a message tells beside the state of its sender.
+#[derive(Debug, Default)]
+struct MessageNews {
+    loads: Vec<MeasuredLoad>,
+    change: Option<ViewChange>,
+}
+
+impl MessageNews {
+    fn of_change(change: ViewChange) -> Self {
+        Self { loads: Vec::new(), change: Some(change) }
+    }
+}
+
 /// Writes and sends messages.
 #[derive(Debug)]
 struct PeerSpeaker {
@@ -177,7 +191,8 @@
         self.flash(socket, state, &loads).await;
         let (is_mesh, interval, first, audience) = {
             let table = state.table();
-            (table.is_mesh(), table.message_interval(), table.first(now), table.audience())
+            let audience = table.audience(MessageReach::All, now);
+            (table.is_mesh(), table.message_interval(), table.first(now), audience)
         };
         if !is_mesh && !loads.is_empty() {
             let datagram = seal_flash(key, &flash_loads(&loads));
@@ -191,12 +206,14 @@
             return;
         }
         self.spoken = Some(now);
+        let is_for_all = outbox.is_urgent || !outbox.changes.is_empty();
+        let reach = if is_for_all { MessageReach::All } else { MessageReach::Listeners };
         let mut changes = outbox.changes;
         let last = changes.pop();
         for change in changes {
-            self.send(socket, state, key, Vec::new(), Some(change)).await;
+            self.send(socket, state, key, reach, MessageNews::of_change(change)).await;
         }
-        self.send(socket, state, key, loads, last).await;
+        self.send(socket, state, key, reach, MessageNews { loads, change: last }).await;
     }
 
     /// Tells the other failure domains what is news among loads of the own one, if this entry is
@@ -240,13 +257,14 @@
         socket: &UdpSocket,
         state: &FleetState<D>,
         key: &MessageKey,
-        loads: Vec<MeasuredLoad>,
-        change: Option<ViewChange>,
+        reach: MessageReach,
+        news: MessageNews,
     ) {
         self.sequence += 1;
-        let (own, audience) = {
+        let now = Instant::now();
+        let (own, audience, alive) = {
             let table = state.table();
-            (table.own().clone(), table.audience())
+            (table.own().clone(), table.audience(reach, now), table.alive(now))
         };
         if audience.is_empty() {
             return;
@@ -259,8 +277,9 @@
             caller_address: own.caller_address,
             state: own.state,
             confirmation: state.confirmation(),
-            loads,
-            change,
+            alive,
+            loads: news.loads,
+            change: news.change,
         };
         let mut sealed = key.seal(&message);
         if sealed == Err(MessageError::TooLarge) {
--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -12,15 +12,22 @@
 use tokio::time::Instant;
 
 use crate::core::{FailureDomain, VmId};
+use crate::fleet::load_flash::name_digest;
 use crate::fleet::peer_message::PeerMessage;
 use crate::membership::{EntryRecord, EntryState, MembershipView, rendezvous_score};
 
 /// Entries of a failure domain up to which each tells all others everything at once.
-const MESH_SIZE: usize = 8;
+const MESH_SIZE: usize = 12;
 /// Time between two messages in a domain of that size.
 const MESH_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two messages in a larger one, where their number grows with the square of its size.
 const LARGE_INTERVAL: Duration = Duration::from_millis(500);
+/// Entries that hear the ordinary messages of all in a large domain: the first one and those that
+/// would take its place.
+const LISTENERS: usize = 3;
+/// Time for which an entry that is only heard of outlives the one that told, so that the next one
+/// can tell before all take each other for gone.
+const HEARSAY_GRACE: Duration = Duration::from_secs(1);
 /// Messages that an entry misses before another one counts as gone.
 const MISSED_MESSAGES: u32 = 4;
 /// Shortest silence after which an entry counts as gone: a slowed one skips some messages.
@@ -36,6 +43,15 @@
     at: Instant,
 }
 
+/// Whom a message is for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MessageReach {
+    /// Those who keep track of who is alive.
+    Listeners,
+    /// All entries of the failure domain.
+    All,
+}
+
 /// How an entry registers in the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EntryRegistration {
@@ -106,6 +122,7 @@
         if vm == self.own.vm {
             return false;
         }
+        self.hear_of(&message.alive, now);
         let record = EntryRecord {
             vm: vm.clone(),
             failure_domain: FailureDomain::new(&message.failure_domain),
@@ -168,9 +185,39 @@
         self.peers.values().filter(move |peer| peer.record.failure_domain == *home)
     }
 
-    /// Entries that messages are sent to: those of the own failure domain.
-    pub fn audience(&self) -> Vec<SocketAddr> {
-        self.home_peers().map(|peer| peer.record.peer_address).collect()
+    /// Entries of the own failure domain that a message is sent to. In a large one, ordinary
+    /// messages go to a few, of which the first tells all who is alive.
+    pub fn audience(&self, reach: MessageReach, now: Instant) -> Vec<SocketAddr> {
+        if reach == MessageReach::All || self.is_mesh() || self.rank(now) == 0 {
+            return self.home_peers().map(|peer| peer.record.peer_address).collect();
+        }
+        let live = self.home_peers().filter(|peer| self.is_live(peer, now));
+        live.take(LISTENERS).map(|peer| peer.record.peer_address).collect()
+    }
+
+    /// Digests of the ready entries that this one hears, if it is the first of a large domain.
+    pub fn alive(&self, now: Instant) -> Vec<u32> {
+        let mut alive = Vec::new();
+        if self.is_mesh() || self.rank(now) > 0 {
+            return alive;
+        }
+        for peer in self.home_peers() {
+            if self.is_live(peer, now) && peer.record.state == EntryState::Ready {
+                alive.push(name_digest(peer.record.vm.as_str()));
+            }
+        }
+        alive
+    }
+
+    /// Takes in who is alive by the word of the first entry.
+    fn hear_of(&mut self, alive: &[u32], now: Instant) {
+        let heard = now + HEARSAY_GRACE;
+        for (vm, peer) in &mut self.peers {
+            let is_home = peer.record.failure_domain == self.own.failure_domain;
+            if is_home && alive.contains(&name_digest(vm.as_str())) {
+                peer.heard = peer.heard.max(Some(heard));
+            }
+        }
     }
 
     /// One entry of each other failure domain, for news that it passes on: the one that last sent
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -3,7 +3,7 @@
 //! The view never goes back to an older configuration. An upstream that is missing after the store
 //! was away is kept for a while, because entries may have lapsed meanwhile and come back.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -165,9 +165,9 @@
             return self.change_from(self.revision);
         }
         let mut change = self.change_from(self.revision);
-        let mut missing: Vec<String> = self.upstreams.keys().cloned().collect();
+        let mut missing: BTreeSet<String> = self.upstreams.keys().cloned().collect();
         for object in list.items {
-            missing.retain(|name| *name != object.name);
+            missing.remove(&object.name);
             self.put(object, &mut change);
         }
         for name in missing {
--- a/tests/testsuite/fleet_peers.rs
+++ b/tests/testsuite/fleet_peers.rs
@@ -6,7 +6,7 @@
 use heatherfall::core::{FailureDomain, VmId};
 use heatherfall::fleet::load_flash::{FlashFilter, FlashLoad, name_digest, read_flash, seal_flash};
 use heatherfall::fleet::peer_message::{MeasuredLoad, MessageError, MessageKey, PeerMessage};
-use heatherfall::fleet::peer_table::{EntryRegistration, PeerTable};
+use heatherfall::fleet::peer_table::{EntryRegistration, MessageReach, PeerTable};
 use heatherfall::membership::{EntryRecord, EntryState};
 use proptest::prelude::*;
 use tokio::time::{Instant, advance};
@@ -28,6 +28,7 @@
         caller_address: address(80),
         state: EntryState::Ready,
         confirmation: None,
+        alive: Vec::new(),
         loads: Vec::new(),
         change: None,
     }
@@ -114,6 +115,45 @@
     assert_eq!(table.rank(Instant::now()), 0, "the first one has fallen silent");
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_large_domain_knows_who_is_alive_by_few_messages() {
+    let names: Vec<String> = (0..36).map(|index| format!("entry-{index:02}")).collect();
+    let addresses: Vec<SocketAddr> = (0..36).map(|index| address(100 + index)).collect();
+    let mut tables: Vec<PeerTable> = names.iter().map(|name| table(name)).collect();
+    for (own, table) in tables.iter_mut().enumerate() {
+        for (index, name) in names.iter().enumerate() {
+            if index != own {
+                table.hear(&message(name, "fd-a", 1), addresses[index], Instant::now());
+            }
+        }
+    }
+    let mut sent = 0;
+    // Twenty messages of each, two a second; the first entry dies after half of them.
+    for round in 2..22_u64 {
+        let now = Instant::now();
+        let dead = usize::from(round >= 12);
+        for own in dead..names.len() {
+            let mut word = message(&names[own], "fd-a", round);
+            word.alive = tables[own].alive(now);
+            let audience = tables[own].audience(MessageReach::Listeners, now);
+            sent += audience.len();
+            for (index, table) in tables.iter_mut().enumerate().skip(dead) {
+                if audience.contains(&addresses[index]) {
+                    table.hear(&word, addresses[own], now);
+                }
+            }
+        }
+        advance(Duration::from_millis(500)).await;
+    }
+    let now = Instant::now();
+    for (own, table) in tables.iter().enumerate().skip(1) {
+        assert_eq!(table.rank(now), own as u32 - 1, "{}", names[own]);
+        assert_eq!(table.view(now).entries.len(), 35, "{}", names[own]);
+    }
+    // Everyone telling everyone would be 36 * 35 a round.
+    assert!(sent < 20 * 36 * 35 / 4, "{sent} messages");
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_overtaken_message_changes_nothing() {
     let mut table = table("entry-2");
