--- a/src/bin/heatherfalld/main.rs
+++ b/src/bin/heatherfalld/main.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
 use clap::Parser;
 use heatherfall::ops::node_settings::NodeSettings;
@@ -11,6 +12,9 @@
 use miette::IntoDiagnostic;
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Longest time that the last log lines are waited for.
+const LAST_LINES_TIME: Duration = Duration::from_millis(100);
+
 /// Load balancer daemon, the same on every entry VM.
 #[derive(Debug, Parser)]
 #[command(version)]
@@ -32,7 +36,7 @@
         println!("{}: settings are valid", args.config.display());
         return Ok(());
     }
-    log_output::install(&settings.log).into_diagnostic()?;
+    let drain = log_output::install(&settings.log).into_diagnostic()?;
     let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
     let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
     let store = HttpStore::new(HttpStoreSettings {
@@ -45,5 +49,6 @@
         _ = interrupt.recv() => {}
     }
     node.leave().await;
+    drain.wait(LAST_LINES_TIME);
     Ok(())
 }
--- a/src/ops/log_output.rs
+++ b/src/ops/log_output.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 use crate::ops::node_settings::{LogFormat, LogSettings};
-use crate::util::BoundedWriter;
+use crate::util::{BoundedWriter, LogDrain};
 
 /// Why logs could not be set up.
 #[derive(Debug, thiserror::Error)]
@@ -27,14 +27,15 @@
     message: &'a str,
 }
 
-/// Installs the logger of the process.
+/// Installs the logger of the process. What is returned waits for its last lines.
 ///
 /// # Errors
 ///
 /// Returns an error if a logger is installed already, or the writer cannot be started.
-pub fn install(settings: &LogSettings) -> Result<(), LogOutputError> {
+pub fn install(settings: &LogSettings) -> Result<LogDrain, LogOutputError> {
     let format = settings.format;
     let writer = BoundedWriter::start(std::io::stdout(), settings.max_lines_per_second)?;
+    let drain = writer.drain();
     fern::Dispatch::new()
         .level(settings.level)
         .level_for("h2", log::LevelFilter::Warn)
@@ -49,7 +50,7 @@
         })
         .chain(Box::new(writer) as Box<dyn std::io::Write + Send>)
         .apply()?;
-    Ok(())
+    Ok(drain)
 }
 
 fn json_line(message: &std::fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
--- a/src/util/bounded_writer.rs
+++ b/src/util/bounded_writer.rs
@@ -6,7 +6,7 @@
 
 use std::io::{self, Write};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::time::{Duration, Instant};
 
@@ -15,11 +15,31 @@
 /// Time over which lines are counted against their rate.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
+/// Time between two looks at whether all lines are written.
+const DRAIN_STEP: Duration = Duration::from_millis(1);
+
+/// Tells whether lines still wait, for a process that is about to end.
+#[derive(Clone, Debug, Default)]
+pub struct LogDrain {
+    waiting: Arc<AtomicUsize>,
+}
+
+impl LogDrain {
+    /// Waits until all lines are written, at most for `limit`: nobody may read them.
+    pub fn wait(&self, limit: Duration) {
+        let began = Instant::now();
+        while self.waiting.load(Ordering::Acquire) > 0 && began.elapsed() < limit {
+            std::thread::sleep(DRAIN_STEP);
+        }
+    }
+}
+
 /// Writes whole lines through a queue.
 #[derive(Debug)]
 pub struct BoundedWriter {
     lines: SyncSender<Vec<u8>>,
     dropped: Arc<AtomicU64>,
+    drain: LogDrain,
     partial: Vec<u8>,
     max_lines_per_second: u32,
     window_began: Instant,
@@ -39,11 +59,14 @@
         let (lines, queue) = sync_channel(MAX_WAITING_LINES);
         let dropped = Arc::new(AtomicU64::new(0));
         let count = Arc::clone(&dropped);
+        let drain = LogDrain::default();
+        let waiting = Arc::clone(&drain.waiting);
         let thread = std::thread::Builder::new().name("log".to_owned());
-        thread.spawn(move || write_lines(output, &queue, &count))?;
+        thread.spawn(move || write_lines(output, &queue, &count, &waiting))?;
         Ok(Self {
             lines,
             dropped,
+            drain,
             partial: Vec::new(),
             max_lines_per_second,
             window_began: Instant::now(),
@@ -51,6 +74,11 @@
         })
     }
 
+    /// Tells whether lines still wait.
+    pub fn drain(&self) -> LogDrain {
+        self.drain.clone()
+    }
+
     fn push_line(&mut self, line: Vec<u8>) {
         if self.window_began.elapsed() >= RATE_WINDOW {
             self.window_began = Instant::now();
@@ -58,7 +86,13 @@
         }
         self.window_lines = self.window_lines.saturating_add(1);
         let is_allowed = self.window_lines <= self.max_lines_per_second;
-        if !is_allowed || self.lines.try_send(line).is_err() {
+        if !is_allowed {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        self.drain.waiting.fetch_add(1, Ordering::AcqRel);
+        if self.lines.try_send(line).is_err() {
+            self.drain.waiting.fetch_sub(1, Ordering::AcqRel);
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -81,11 +115,18 @@
     }
 }
 
-fn write_lines<W: Write>(mut output: W, queue: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+fn write_lines<W: Write>(
+    mut output: W,
+    queue: &Receiver<Vec<u8>>,
+    dropped: &AtomicU64,
+    waiting: &AtomicUsize,
+) {
     while let Ok(mut block) = queue.recv() {
+        let mut count_lines = 1;
         // Lines that wait already are written with one call.
         while let Ok(line) = queue.try_recv() {
             block.extend_from_slice(&line);
+            count_lines += 1;
         }
         let count = dropped.swap(0, Ordering::Relaxed);
         if count > 0 {
@@ -97,5 +138,6 @@
         if output.write_all(&block).and_then(|()| output.flush()).is_err() {
             return;
         }
+        waiting.fetch_sub(count_lines, Ordering::AcqRel);
     }
 }
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -6,6 +6,6 @@
 pub mod random;
 pub mod settings_file;
 
-pub use self::bounded_writer::BoundedWriter;
+pub use self::bounded_writer::{BoundedWriter, LogDrain};
 pub use self::fast_map::{FastMap, FastSet};
 pub use self::random::{SeededRandom, SharedRandom};
