--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -15,7 +15,7 @@
 //! - [`codec`]: what the platform's objects say, in the terms of this crate.
 //! - [`objects`]: a declared configuration as the labelled objects that are compiled.
 //! - [`view`]: the last known configuration and upstreams, and how old they are.
-//! - [`store_follower`]: reads the store.
+//! - [`store_follower`]: reads the store; `enrolment` makes an entry known in it.
 //! - [`peer_message`], [`peer_table`], [`peer_service`]: what entries tell each other.
 //! - [`state`]: what the services of an entry share.
 //! - [`load_probe`]: fresh load of the domain's upstreams; [`load_flash`]: news of it for the others.
@@ -25,6 +25,7 @@
 pub mod codec;
 pub mod control_api;
 pub mod directory;
+mod enrolment;
 pub mod entry_node;
 pub mod entry_settings;
 pub mod load_flash;
@@ -36,3 +37,4 @@
 pub mod state;
 pub mod store_follower;
 pub mod view;
+mod view_change;
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -13,13 +13,11 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::fleet::codec::DeploymentCodec;
-use crate::fleet::peer_message::MessageKey;
+use crate::fleet::enrolment::{EntryEnrolment, new_key};
 use crate::fleet::peer_table::EntryRegistration;
 use crate::fleet::state::FleetState;
 use crate::kernel::{ServiceName, ServiceWork};
-use crate::platform::{
-    ObjectDraft, ObjectEnvelope, ObjectList, PlatformStore, Precondition, StoreError, WatchRequest,
-};
+use crate::platform::{PlatformStore, StoreError, WatchRequest};
 use crate::util::SeededRandom;
 
 /// Time that the reader's watch waits. A watch that has gone silent is found out after it, and the
@@ -42,7 +40,7 @@
 /// Rank from which entries start together.
 const MAX_RANK: u32 = 8;
 /// Time for the answer of a call beyond its own wait.
-const CALL_TIME: Duration = Duration::from_millis(700);
+pub(super) const CALL_TIME: Duration = Duration::from_millis(700);
 /// Time without any confirmation that counts as an outage in which entries may have lapsed: above
 /// the limit after which each entry reads for itself, below two of the three heartbeats of 1.5 s
 /// after which an entry lapses.
@@ -50,20 +48,7 @@
 /// Pause after a failed call; doubles up to the longest one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call.
-const MAX_PAUSE: Duration = Duration::from_millis(800);
-/// Time after which the registered entries are listed again: all entries of a new deployment start
-/// within a fraction of a second, and an old answer is some seconds old.
-const SECOND_ROLL_CALL: Duration = Duration::from_secs(5);
-
-/// Kind of the registrations of entries.
-pub const ENTRY_KIND: &str = "heatherfall-entries";
-/// Kind of the deployment's key.
-pub const KEY_KIND: &str = "heatherfall-keys";
-/// Name of the key that messages between entries are sealed with.
-pub const KEY_NAME: &str = "peers";
-/// Words of 64 random bits of a new key.
-const KEY_WORDS: usize = 4;
-
+pub(super) const MAX_PAUSE: Duration = Duration::from_millis(800);
 /// What the entry does next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum StoreDuty {
@@ -310,113 +295,8 @@
     }
 }
 
-/// Makes the entry known and learns the deployment's key.
-struct EntryEnrolment<'a, S, D> {
-    store: &'a S,
-    state: &'a FleetState<D>,
-    vm: String,
-    registration: &'a EntryRegistration,
-    key_candidate: String,
-}
-
-impl<S: PlatformStore, D: DeploymentCodec> EntryEnrolment<'_, S, D> {
-    async fn run(self) {
-        while let Err(error) = self.enrol().await {
-            log::warn!(target: "peer", "not enrolled yet reason={error}");
-            sleep(MAX_PAUSE).await;
-        }
-        while let Err(error) = self.call_roll().await {
-            log::warn!(target: "peer", "entries not listed reason={error}");
-            sleep(MAX_PAUSE).await;
-        }
-        sleep(SECOND_ROLL_CALL).await;
-        while let Err(error) = self.call_roll_again().await {
-            log::warn!(target: "peer", "entries not listed again reason={error}");
-            sleep(MAX_PAUSE).await;
-        }
-    }
-
-    async fn enrol(&self) -> Result<(), StoreError> {
-        let key = ObjectDraft {
-            kind: KEY_KIND.to_owned(),
-            name: KEY_NAME.to_owned(),
-            spec: self.key_candidate.clone().into(),
-            ..ObjectDraft::default()
-        };
-        // Whoever creates the key first has made it for all.
-        let object = match within(CALL_TIME, self.store.put(key, Precondition::Absent)).await {
-            Ok(object) => object,
-            Err(StoreError::Conflict(Some(present))) => *present,
-            Err(StoreError::Conflict(None)) => {
-                within(CALL_TIME, self.store.get(KEY_KIND, KEY_NAME)).await?
-            }
-            Err(error) => return Err(error),
-        };
-        self.register().await?;
-        self.take_key(&object)
-    }
-
-    fn take_key(&self, object: &ObjectEnvelope) -> Result<(), StoreError> {
-        let text = object.spec.as_str().unwrap_or_default();
-        let key = MessageKey::new(text.as_bytes()).filter(|_| !text.is_empty());
-        let Some(key) = key else {
-            return Err(StoreError::Protocol("the deployment's key is empty".to_owned()));
-        };
-        // A second enrolment finds the same key.
-        let _ = self.state.key.set(key);
-        Ok(())
-    }
-
-    async fn register(&self) -> Result<(), StoreError> {
-        let spec = serde_json::to_value(self.registration)
-            .map_err(|error| StoreError::Protocol(error.to_string()))?;
-        let draft = ObjectDraft {
-            kind: ENTRY_KIND.to_owned(),
-            name: self.vm.clone(),
-            spec,
-            ..ObjectDraft::default()
-        };
-        match within(CALL_TIME, self.store.put(draft.clone(), Precondition::Absent)).await {
-            Ok(_) => Ok(()),
-            Err(StoreError::Conflict(Some(present))) if present.spec == draft.spec => Ok(()),
-            Err(StoreError::Conflict(Some(present))) => {
-                let condition = Precondition::SpecVersion(present.spec_version);
-                within(CALL_TIME, self.store.put(draft, condition)).await.map(drop)
-            }
-            Err(error) => Err(error),
-        }
-    }
-
-    async fn call_roll(&self) -> Result<(), StoreError> {
-        let list = within(CALL_TIME, self.store.list(ENTRY_KIND, "")).await?;
-        self.take_registrations(list);
-        Ok(())
-    }
-
-    async fn call_roll_again(&self) -> Result<(), StoreError> {
-        // An entry that an old answer leaves out is heard of by its own messages.
-        let list = within(CALL_TIME, self.store.list_relaxed(ENTRY_KIND, "")).await?;
-        self.take_registrations(list);
-        Ok(())
-    }
-
-    fn take_registrations(&self, list: ObjectList) {
-        let mut table = self.state.table();
-        for object in list.items {
-            match serde_json::from_value(object.spec) {
-                Ok(registration) => table.register(&object.name, &registration),
-                Err(error) => {
-                    log::warn!(target: "peer", "registration unusable vm={} reason={error}", object.name);
-                }
-            }
-        }
-        drop(table);
-        self.state.refresh_membership();
-    }
-}
-
 /// Bounds a call; its answer is lost after `limit`.
-async fn within<T>(
+pub(super) async fn within<T>(
     limit: Duration,
     call: impl Future<Output = Result<T, StoreError>>,
 ) -> Result<T, StoreError> {
@@ -425,11 +305,3 @@
         Err(_) => Err(StoreError::AnswerLost(format!("no answer in {limit:?}"))),
     }
 }
-
-fn new_key(random: &mut SeededRandom) -> String {
-    let mut key = String::new();
-    for _ in 0..KEY_WORDS {
-        key.push_str(&format!("{:016x}", random.bits()));
-    }
-    key
-}
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -6,7 +6,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::config::{ObjectFault, ObjectSet, compile, with_upstreams};
@@ -15,72 +14,17 @@
     DeclaredConfig, DeclaredService, DeploymentCodec, PlatformNames, RegisteredUpstream,
 };
 use crate::fleet::objects::{declared_upstream, put_config};
+use crate::fleet::view_change::{NameList, entry_digest};
+pub use crate::fleet::view_change::{ViewChange, ViewMark};
 use crate::platform::{ObjectEnvelope, ObjectList, Revision, WatchBatch, WatchEvent};
 use crate::util::FastMap;
 
 /// Time after the store's return for which a missing upstream is kept: the platform says that
 /// entries are back within about two seconds.
 const LAPSE_GRACE: Duration = Duration::from_millis(2200);
-/// Names in one log line.
-const MAX_LOGGED_NAMES: usize = 12;
 /// Faulty objects that are logged between two good states, so that they cannot flood the log.
 const MAX_LOGGED_FAULTS: usize = 8;
 
-/// What changed between two states of the view, for the other entries.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct ViewChange {
-    /// Revision that the change starts from.
-    pub base: Revision,
-    /// Revision that it leads to.
-    pub revision: Revision,
-    /// Upstream entries that are new or changed.
-    pub puts: Vec<ObjectEnvelope>,
-    /// Upstream entries that are gone.
-    pub deletes: Vec<String>,
-    /// Upstream entries that are missing after an outage and kept for now.
-    pub held: Vec<String>,
-    /// The configuration, if it changed.
-    pub config: Option<ObjectEnvelope>,
-}
-
-impl ViewChange {
-    /// Whether nothing but the revision changed.
-    pub fn is_empty(&self) -> bool {
-        self.puts.is_empty()
-            && self.deletes.is_empty()
-            && self.held.is_empty()
-            && self.config.is_none()
-    }
-}
-
-/// How far a view has come.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct ViewMark {
-    /// Revision up to which upstreams are known.
-    pub revision: Revision,
-    /// Revision of the configuration.
-    pub config_revision: Revision,
-    /// Revision up to which the configuration is known to be the newest.
-    pub config_known: Revision,
-    /// Digest of the names and revisions of the upstreams, without those that are only kept
-    /// because they may come back.
-    pub digest: u64,
-}
-
-impl ViewMark {
-    /// Whether two entries know the same upstreams and the same configuration.
-    pub fn is_same_view(&self, other: &ViewMark) -> bool {
-        self.revision == other.revision
-            && self.config_revision == other.config_revision
-            && self.digest == other.digest
-    }
-
-    /// Whether the configuration is known as far as the upstreams are.
-    pub fn is_whole(&self) -> bool {
-        self.config_known >= self.revision
-    }
-}
-
 /// The view.
 #[derive(Debug)]
 pub struct DeploymentView<D> {
@@ -399,33 +343,6 @@
     }
 }
 
-/// Names in a log line: the first few and the number of all.
-#[derive(Debug, Default)]
-struct NameList {
-    names: Vec<String>,
-    count: usize,
-}
-
-impl NameList {
-    fn push(&mut self, name: &str) {
-        self.count += 1;
-        if self.names.len() < MAX_LOGGED_NAMES {
-            self.names.push(name.to_owned());
-        }
-    }
-}
-
-impl std::fmt::Display for NameList {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let more = self.count - self.names.len();
-        write!(f, "[{}", self.names.join(","))?;
-        if more > 0 {
-            write!(f, ",+{more}")?;
-        }
-        f.write_str("]")
-    }
-}
-
 fn log_faults(faults: &[ObjectFault]) {
     for fault in faults.iter().take(MAX_LOGGED_FAULTS) {
         log::warn!(
@@ -438,15 +355,3 @@
         );
     }
 }
-
-/// Digest of one entry (FNV-1a over its name and revision); the sum over all does not depend on
-/// their order.
-fn entry_digest(name: &str, revision: Revision) -> u64 {
-    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0100_0000_01b3;
-    let mut hash = OFFSET_BASIS;
-    for byte in name.bytes().chain(revision.to_be_bytes()) {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(PRIME);
-    }
-    hash
-}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -13,6 +13,7 @@
 mod attempt_watch;
 mod classify;
 mod exchange;
+mod exchange_settings;
 mod exchange_state;
 mod keyed;
 mod plane;
@@ -31,9 +32,9 @@
 pub(crate) use self::classify::is_match;
 pub use self::classify::{RequestClass, RequestHead, classify};
 pub use self::exchange::{
-    ExchangeEnd, ExchangeFailure, ExchangeSettings, ExchangeTools, HedgeRule, RepeatShare,
-    RequestExchange,
+    ExchangeEnd, ExchangeFailure, ExchangeTools, RepeatShare, RequestExchange,
 };
+pub use self::exchange_settings::{ExchangeSettings, HedgeRule};
 pub use self::exchange_state::{
     AttemptEnd, AttemptIndex, AttemptRole, ConfigStanding, ExchangeAction, ExchangeEvent,
     ExchangePlan, ExchangeState, StartRefusal, StepContext,
--- a/src/request/plane.rs
+++ b/src/request/plane.rs
@@ -29,8 +29,9 @@
 use crate::request::attempt::UpstreamClient;
 use crate::request::classify::{RequestClass, RequestHead, classify};
 use crate::request::exchange::{
-    ExchangeEnd, ExchangeFailure, ExchangeSettings, ExchangeTools, RepeatShare, RequestExchange,
+    ExchangeEnd, ExchangeFailure, ExchangeTools, RepeatShare, RequestExchange,
 };
+use crate::request::exchange_settings::ExchangeSettings;
 use crate::request::keyed::{claim_intent, claim_key};
 use crate::request::request_shape::check_shape;
 use crate::request::trace::ExchangeTrace;
