util: one FNV-1a; fleet: a result that nobody read is gone

Cause: the digest of a view's entries repeated the hash of the entry assignment, and apply_change returned whether a change fitted, which the marks of messages show by themselves.

--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -192,17 +192,17 @@
         change
     }
 
-    /// Takes in a change that another entry read from the store. Returns whether it fits on what
-    /// is known; if not, the store has to be read.
-    pub fn apply_change(&mut self, change: ViewChange, now: Instant) -> bool {
+    /// Takes in a change that another entry read from the store. One that does not fit on what is
+    /// known is left; the mark of the next message shows what is missing.
+    pub fn apply_change(&mut self, change: ViewChange, now: Instant) {
         if let Some(config) = change.config {
             self.apply_config(config);
         }
         if change.base > self.revision {
-            return false;
+            return;
         }
         if change.revision < self.revision {
-            return true;
+            return;
         }
         let mut own = self.change_from(self.revision);
         for object in change.puts {
@@ -217,7 +217,6 @@
         }
         self.revision = change.revision;
         self.refresh_digest();
-        true
     }
 
     /// Removes the upstreams that have not come back after an outage.
--- a/src/fleet/view_change.rs
+++ b/src/fleet/view_change.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::platform::{ObjectEnvelope, Revision};
+use crate::util::fnv1a;
 
 /// Names in one log line.
 const MAX_LOGGED_NAMES: usize = 12;
@@ -91,11 +92,5 @@
 /// Digest of one entry (FNV-1a over its name and revision); the sum over all does not depend on
 /// their order.
 pub(super) fn entry_digest(name: &str, revision: Revision) -> u64 {
-    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0100_0000_01b3;
-    let mut hash = OFFSET_BASIS;
-    for byte in name.bytes().chain(revision.to_be_bytes()) {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(PRIME);
-    }
-    hash
+    fnv1a(name.bytes().chain(revision.to_be_bytes()))
 }
--- a/src/membership/assignment.rs
+++ b/src/membership/assignment.rs
@@ -10,6 +10,7 @@
 
 use crate::core::FailureDomain;
 use crate::membership::view::{EntryRecord, MembershipView};
+use crate::util::fnv1a;
 
 /// How many entries serve a service.
 #[derive(Clone, Debug)]
@@ -86,12 +87,7 @@
 /// A hash that is the same on every node and in every version (FNV-1a, then a finalizer that
 /// spreads the last bytes over all bits).
 fn stable_hash(key: &str, node: &str) -> u64 {
-    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0100_0000_01b3;
-    let mut hash = OFFSET_BASIS;
-    for byte in key.bytes().chain([0]).chain(node.bytes()) {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(PRIME);
-    }
+    let mut hash = fnv1a(key.bytes().chain([0]).chain(node.bytes()));
     hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     hash ^ (hash >> 31)
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -1,11 +1,13 @@
-//! Small helpers that belong to no part: collections, random numbers, settings files, durations, log writer.
+//! Small helpers that belong to no part: collections, random numbers, settings files, durations, log writer, hash.
 
 pub mod bounded_writer;
 pub mod duration_text;
 pub mod fast_map;
+pub mod fnv;
 pub mod random;
 pub mod settings_file;
 
 pub use self::bounded_writer::{BoundedWriter, LogDrain};
 pub use self::fast_map::{FastMap, FastSet};
+pub use self::fnv::fnv1a;
 pub use self::random::{SeededRandom, SharedRandom};
