fleet: enrol at the lower price; take the times of following from the bounds

The times at which the store is read were fixed for bounds of 2 s. Ruled out: watches (three a second in all). Now: reads that may be old, no write if an earlier start has registered, and no duty of the domain before the others are known. Times follow from the bounds of configuration, leaving and heartbeat.

--- a/crates/heatherfall-standins/src/platform/faults.rs
+++ b/crates/heatherfall-standins/src/platform/faults.rs
@@ -33,6 +33,8 @@
     pub gets: u64,
     /// Lists.
     pub lists: u64,
+    /// Reads and lists that may be answered from an old copy.
+    pub relaxed: u64,
     /// Writes and deletes, the refused ones included.
     pub writes: u64,
     /// Waiting watches.
@@ -46,6 +48,6 @@
 impl CallCounts {
     /// All calls together.
     pub fn total(&self) -> u64 {
-        self.gets + self.lists + self.writes + self.watches + self.vm_lists
+        self.gets + self.lists + self.relaxed + self.writes + self.watches + self.vm_lists
     }
 }
--- a/crates/heatherfall-standins/src/platform/store.rs
+++ b/crates/heatherfall-standins/src/platform/store.rs
@@ -165,6 +165,18 @@
         Ok(shared.state.list(kind, prefix, shared.faults.stale_revisions))
     }
 
+    async fn get_relaxed(&self, kind: &str, name: &str) -> Result<ObjectEnvelope, StoreError> {
+        self.enter(|counts| counts.relaxed += 1).await?;
+        let shared = self.lock();
+        shared.state.get(kind, name, shared.faults.stale_revisions)
+    }
+
+    async fn list_relaxed(&self, kind: &str, prefix: &str) -> Result<ObjectList, StoreError> {
+        self.enter(|counts| counts.relaxed += 1).await?;
+        let shared = self.lock();
+        Ok(shared.state.list(kind, prefix, shared.faults.stale_revisions))
+    }
+
     async fn put(
         &self,
         draft: ObjectDraft,
--- a/src/fleet/enrolment.rs
+++ b/src/fleet/enrolment.rs
@@ -1,7 +1,9 @@
 //! Makes an entry known to the others through the store.
 //!
-//! An entry creates the deployment's key if nobody has, registers itself, and lists who else is
-//! registered. From then on it is heard and hears by datagrams.
+//! An entry reads who is registered, learns the deployment's key or creates it, and registers itself
+//! unless an earlier start of it has. From then on it is heard and hears by datagrams. Reads that
+//! may be answered from an old copy are enough for all of that: an entry that an old answer leaves
+//! out is heard of by its own messages.
 
 use std::time::Duration;
 
@@ -17,9 +19,12 @@
 };
 use crate::util::SeededRandom;
 
-/// Time after which the registered entries are listed again: all entries of a new deployment start
-/// within a fraction of a second, and an old answer is some seconds old.
-const SECOND_ROLL_CALL: Duration = Duration::from_secs(5);
+/// Time after which an entry that was not registered looks again: all entries of a new deployment start
+/// within a fraction of a second, and an answer that may be old is usually less than a second old.
+const NEWCOMER_PAUSE: Duration = Duration::from_millis(1200);
+/// Time after which the registered entries are listed for the last time; an answer that may be old
+/// is at most some seconds old.
+const LAST_LOOK_PAUSE: Duration = Duration::from_secs(5);
 
 /// Kind of the registrations of entries.
 const ENTRY_KIND: &str = "heatherfall-entries";
@@ -30,6 +35,15 @@
 /// Words of 64 random bits of a new key.
 const KEY_WORDS: usize = 4;
 
+/// Whether this entry is registered as it is now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RegistrationStanding {
+    /// By an earlier start.
+    Present,
+    /// Not, or with another address.
+    Missing,
+}
+
 /// Makes the entry known and learns the deployment's key.
 pub(super) struct EntryEnrolment<'a, S, D> {
     pub(super) store: &'a S,
@@ -45,35 +59,46 @@
             log::warn!(target: "peer", "not enrolled yet reason={error}");
             sleep(MAX_PAUSE).await;
         }
-        while let Err(error) = self.call_roll().await {
-            log::warn!(target: "peer", "entries not listed reason={error}");
-            sleep(MAX_PAUSE).await;
-        }
-        sleep(SECOND_ROLL_CALL).await;
-        while let Err(error) = self.call_roll_again().await {
+        self.state.end_enrolment();
+        sleep(LAST_LOOK_PAUSE).await;
+        while let Err(error) = self.list_entries().await {
             log::warn!(target: "peer", "entries not listed again reason={error}");
             sleep(MAX_PAUSE).await;
         }
     }
 
     async fn enrol(&self) -> Result<(), StoreError> {
+        let standing = self.list_entries().await?;
+        let key = self.read_key().await?;
+        self.take_key(&key)?;
+        if standing == RegistrationStanding::Missing {
+            self.register().await?;
+            // Others may be registering at this moment too.
+            sleep(NEWCOMER_PAUSE).await;
+            self.list_entries().await?;
+        }
+        Ok(())
+    }
+
+    /// The deployment's key; whoever creates it first has made it for all.
+    async fn read_key(&self) -> Result<ObjectEnvelope, StoreError> {
+        match within(CALL_TIME, self.store.get_relaxed(KEY_KIND, KEY_NAME)).await {
+            Err(StoreError::NotFound) => {}
+            found => return found,
+        }
         let key = ObjectDraft {
             kind: KEY_KIND.to_owned(),
             name: KEY_NAME.to_owned(),
             spec: self.key_candidate.clone().into(),
             ..ObjectDraft::default()
         };
-        // Whoever creates the key first has made it for all.
-        let object = match within(CALL_TIME, self.store.put(key, Precondition::Absent)).await {
-            Ok(object) => object,
-            Err(StoreError::Conflict(Some(present))) => *present,
+        match within(CALL_TIME, self.store.put(key, Precondition::Absent)).await {
+            Err(StoreError::Conflict(Some(present))) => Ok(*present),
             Err(StoreError::Conflict(None)) => {
-                within(CALL_TIME, self.store.get(KEY_KIND, KEY_NAME)).await?
+                within(CALL_TIME, self.store.get(KEY_KIND, KEY_NAME)).await
             }
-            Err(error) => return Err(error),
-        };
-        self.register().await?;
-        self.take_key(&object)
+            written => written,
+        }
     }
 
     fn take_key(&self, object: &ObjectEnvelope) -> Result<(), StoreError> {
@@ -107,31 +132,31 @@
         }
     }
 
-    async fn call_roll(&self) -> Result<(), StoreError> {
-        let list = within(CALL_TIME, self.store.list(ENTRY_KIND, "")).await?;
-        self.take_registrations(list);
-        Ok(())
-    }
-
-    async fn call_roll_again(&self) -> Result<(), StoreError> {
-        // An entry that an old answer leaves out is heard of by its own messages.
+    /// Takes in who is registered, and tells whether this entry is.
+    async fn list_entries(&self) -> Result<RegistrationStanding, StoreError> {
         let list = within(CALL_TIME, self.store.list_relaxed(ENTRY_KIND, "")).await?;
-        self.take_registrations(list);
-        Ok(())
+        Ok(self.take_registrations(list))
     }
 
-    fn take_registrations(&self, list: ObjectList) {
+    fn take_registrations(&self, list: ObjectList) -> RegistrationStanding {
+        let mut standing = RegistrationStanding::Missing;
         let mut table = self.state.table();
         for object in list.items {
-            match serde_json::from_value(object.spec) {
-                Ok(registration) => table.register(&object.name, &registration),
+            let registration: EntryRegistration = match serde_json::from_value(object.spec) {
+                Ok(registration) => registration,
                 Err(error) => {
                     log::warn!(target: "peer", "registration unusable vm={} reason={error}", object.name);
+                    continue;
                 }
+            };
+            if object.name == self.vm && registration == *self.registration {
+                standing = RegistrationStanding::Present;
             }
+            table.register(&object.name, &registration);
         }
         drop(table);
         self.state.refresh_membership();
+        standing
     }
 }
 
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -22,6 +22,7 @@
 use crate::fleet::control_api::ControlApi;
 use crate::fleet::directory::EntryDirectory;
 use crate::fleet::entry_settings::EntrySettings;
+use crate::fleet::follow_times::FollowTimes;
 use crate::fleet::load_probe::{LoadLearner, LoadProbeSettings, LoadWork};
 use crate::fleet::peer_service::PeerWork;
 use crate::fleet::peer_table::{EntryRegistration, PeerTable};
@@ -177,6 +178,7 @@
             caller_address: settings.listen.callers,
             peer_address: settings.listen.peers,
         },
+        times: FollowTimes::new(&settings.changes),
         random: SeededRandom::from_entropy(),
     });
     kernel.start_work(PeerWork {
--- a/src/fleet/entry_settings.rs
+++ b/src/fleet/entry_settings.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::follow_times::ChangeBounds;
 use crate::limits::WindowAllowance;
 use crate::ops::node_settings::LogSettings;
 use crate::util::duration_text;
@@ -24,6 +25,9 @@
     pub store: SocketAddr,
     /// Repeats that the whole deployment may send.
     pub repeats: RepeatSettings,
+    /// How soon changes are due in force.
+    #[serde(default)]
+    pub changes: ChangeBounds,
     /// Measuring the upstreams' load.
     #[serde(default)]
     pub probes: ProbeRate,
@@ -125,6 +129,8 @@
     }
 }
 
+/// Shortest bound of changes: some calls of the store.
+const MIN_CHANGE_BOUND: Duration = Duration::from_millis(500);
 /// Shortest time to stop: callers need time to hear of other entries.
 const MIN_GRACE: Duration = Duration::from_secs(4);
 
@@ -152,6 +158,16 @@
         if self.repeats.window.is_zero() {
             return Err(fault("window", "is zero", "a duration such as \"10s\""));
         }
+        let bounds = [
+            ("config", self.changes.config),
+            ("drain", self.changes.drain),
+            ("heartbeat", self.changes.heartbeat),
+        ];
+        for (field, bound) in bounds {
+            if bound < MIN_CHANGE_BOUND {
+                return Err(fault(field, "is too short", "a duration of at least 500ms"));
+            }
+        }
         if self.probes.interval.is_zero() {
             return Err(fault("interval", "is zero", "a duration such as \"100ms\""));
         }
--- a/src/fleet/load_probe.rs
+++ b/src/fleet/load_probe.rs
@@ -102,6 +102,9 @@
         let snapshot = self.state.snapshot.load_full();
         let Some(snapshot) = snapshot else { return };
         let now = Instant::now();
+        if self.state.enrolment_end(now).is_some() {
+            return;
+        }
         let table = self.state.table();
         for (key, upstream) in &snapshot.upstreams {
             let is_home = upstream.failure_domain == table.own().failure_domain;
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -14,6 +14,10 @@
 use crate::limits::LimitTable;
 use crate::membership::{ConfigFreshness, EntryState, SharedMembership};
 
+/// Time for which an entry leaves the duties of its failure domain to others while it cannot learn
+/// who they are; some calls of the store.
+const ENROLMENT_PATIENCE: Duration = Duration::from_millis(2500);
+
 /// What has to be told to the other entries.
 #[derive(Debug, Default)]
 pub(super) struct Outbox {
@@ -39,6 +43,8 @@
     /// What another entry knows and this one has missed.
     gap: Mutex<Option<ViewGap>>,
     outbox: Mutex<Outbox>,
+    /// Until when the entry waits to learn who else there is; none once it knows.
+    enrolling: Mutex<Option<Instant>>,
     /// Wakes the peer service: there is something to tell.
     pub(super) outgoing: Notify,
     /// Wakes the store service: something was missed.
@@ -69,6 +75,7 @@
             table: Mutex::new(table),
             gap: Mutex::default(),
             outbox: Mutex::default(),
+            enrolling: Mutex::default(),
             outgoing: Notify::new(),
             missed: Notify::new(),
             key: OnceLock::new(),
@@ -190,6 +197,27 @@
         self.outgoing.notify_one();
     }
 
+    /// Records that the entry is about to learn who else there is. Until it knows, it would take
+    /// every duty of its failure domain for its own.
+    pub(super) fn begin_enrolment(&self, now: Instant) {
+        *lock(&self.enrolling) = Some(now + ENROLMENT_PATIENCE);
+    }
+
+    pub(super) fn end_enrolment(&self) {
+        *lock(&self.enrolling) = None;
+        self.missed.notify_one();
+    }
+
+    /// When the entry takes up the duties of its failure domain, if it does not have them yet.
+    pub(super) fn enrolment_end(&self, now: Instant) -> Option<Instant> {
+        lock(&self.enrolling).filter(|end| *end > now)
+    }
+
+    /// Entries of all failure domains that are known, this one included.
+    pub fn known_entries(&self) -> u32 {
+        self.table().count()
+    }
+
     /// Publishes the membership as of now.
     pub(super) fn refresh_membership(&self) {
         let table = self.table();
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -14,15 +14,13 @@
 
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::enrolment::{EntryEnrolment, new_key};
+use crate::fleet::follow_times::FollowTimes;
 use crate::fleet::peer_table::EntryRegistration;
 use crate::fleet::state::FleetState;
 use crate::kernel::{ServiceName, ServiceWork};
 use crate::platform::{PlatformStore, StoreError, WatchRequest};
 use crate::util::SeededRandom;
 
-/// Time that the reader's watch waits. A watch that has gone silent is found out after it, and the
-/// others must then still have time for a read of their own before a change is due in force.
-const WATCH_WAIT: Duration = Duration::from_millis(1000);
 /// Least time between the starts of two watches, so that changes that come together cost one call.
 const MIN_WATCH_GAP: Duration = Duration::from_millis(120);
 /// Least time between the starts of two lists that were asked for because another entry knows more.
@@ -32,19 +30,10 @@
 const GAP_PATIENCE: Duration = Duration::from_millis(200);
 /// Time that the watch of an entry waits that only confirms its view.
 const CONFIRM_WAIT: Duration = Duration::from_millis(1);
-/// Age of the last confirmation at which an entry that is not the reader reads for itself: the
-/// reader's wait and some messages.
-const CONFIRM_LIMIT: Duration = Duration::from_millis(1250);
-/// Later start of each further entry, so that the first one's result saves the others their read.
-const RANK_STEP: Duration = Duration::from_millis(40);
 /// Rank from which entries start together.
 const MAX_RANK: u32 = 8;
 /// Time for the answer of a call beyond its own wait.
 pub(super) const CALL_TIME: Duration = Duration::from_millis(700);
-/// Time without any confirmation that counts as an outage in which entries may have lapsed: above
-/// the limit after which each entry reads for itself, below two of the three heartbeats of 1.5 s
-/// after which an entry lapses.
-const MIN_OUTAGE: Duration = Duration::from_millis(2500);
 /// Pause after a failed call; doubles up to the longest one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call.
@@ -71,6 +60,8 @@
     pub state: Arc<FleetState<D>>,
     /// How the entry registers.
     pub registration: EntryRegistration,
+    /// When the store is read.
+    pub times: FollowTimes,
     /// Source of random numbers.
     pub random: SeededRandom,
 }
@@ -81,9 +72,11 @@
     async fn run(mut self, stop: CancellationToken) {
         let key_candidate = new_key(&mut self.random);
         let reads = async {
-            let mut follower = StoreFollower::new(Arc::clone(&self.store), Arc::clone(&self.state));
+            let mut follower =
+                StoreFollower::new(Arc::clone(&self.store), Arc::clone(&self.state), self.times);
             follower.run(&mut self.random).await;
         };
+        self.state.begin_enrolment(Instant::now());
         let vm = self.state.table().own().vm.to_string();
         let enrolment = EntryEnrolment {
             store: &*self.store,
@@ -101,6 +94,7 @@
 pub struct StoreFollower<S, D> {
     store: Arc<S>,
     state: Arc<FleetState<D>>,
+    times: FollowTimes,
     lost: Option<Instant>,
     pause: Duration,
     /// When the last watch began.
@@ -113,10 +107,11 @@
 
 impl<S: PlatformStore, D: DeploymentCodec> StoreFollower<S, D> {
     /// Creates a follower that has read nothing yet.
-    pub fn new(store: Arc<S>, state: Arc<FleetState<D>>) -> Self {
+    pub fn new(store: Arc<S>, state: Arc<FleetState<D>>, times: FollowTimes) -> Self {
         Self {
             store,
             state,
+            times,
             lost: None,
             pause: FIRST_PAUSE,
             watched: None,
@@ -170,6 +165,9 @@
             let next = self.listed.map_or(now, |at| at + MIN_LIST_GAP).max(noticed + GAP_PATIENCE);
             return if next > now { StoreDuty::Rest(next) } else { StoreDuty::List };
         }
+        if let Some(end) = self.state.enrolment_end(now) {
+            return StoreDuty::Rest(end);
+        }
         let expiry = self.state.view().next_expiry();
         let rank = self.state.table().rank(now);
         if rank == 0 {
@@ -177,10 +175,11 @@
             if next > now {
                 return StoreDuty::Rest(next);
             }
-            let wait = expiry.map_or(WATCH_WAIT, |at| WATCH_WAIT.min(at - now));
+            let wait = self.times.watch_wait;
+            let wait = expiry.map_or(wait, |at| wait.min(at.saturating_duration_since(now)));
             return StoreDuty::Watch(wait);
         }
-        let limit = CONFIRM_LIMIT + RANK_STEP * rank.min(MAX_RANK);
+        let limit = self.times.confirm_limit + self.times.rank_step * rank.min(MAX_RANK);
         let age = self.state.freshness.age().unwrap_or_else(|| now - self.began);
         if age >= limit {
             return StoreDuty::Watch(CONFIRM_WAIT);
@@ -282,7 +281,7 @@
         let Some(lost) = self.lost.take() else { return };
         let unconfirmed = self.state.freshness.age().unwrap_or_default();
         // While others confirm the view, the store is there and only this entry was cut off.
-        let is_outage = unconfirmed >= MIN_OUTAGE;
+        let is_outage = unconfirmed >= self.times.min_outage;
         log::info!(
             target: "store",
             "regained after_ms={} view_age_ms={} outage={is_outage}",
--- /dev/null
+++ b/tests/testsuite/enrolment.rs
@@ -0,0 +1,94 @@
+//! How entries make themselves known, and what that costs at the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use heatherfall::fleet::follow_times::{ChangeBounds, FollowTimes};
+use heatherfall::fleet::peer_table::EntryRegistration;
+use heatherfall::fleet::store_follower::StoreWork;
+use heatherfall::kernel::ServiceWork;
+use heatherfall::util::SeededRandom;
+use heatherfall_standins::platform::{CallCounts, StandinPlatform};
+use tokio_util::sync::CancellationToken;
+
+use crate::support::fleet::{TestEntry, put_config, put_upstream};
+
+/// Starts the store service of an entry.
+fn start(vm: &str, store: &StandinPlatform, seed: u64) -> (TestEntry, CancellationToken) {
+    let entry = TestEntry::new(vm, store);
+    let stop = CancellationToken::new();
+    let work = StoreWork {
+        store: Arc::new(store.clone()),
+        state: Arc::clone(&entry.state),
+        registration: EntryRegistration {
+            failure_domain: "fd-a".to_owned(),
+            caller_address: ([127, 0, 0, 1], 2).into(),
+            peer_address: ([127, 0, 0, 1], 3).into(),
+        },
+        times: FollowTimes::default(),
+        random: SeededRandom::new(seed),
+    };
+    tokio::spawn(work.run(stop.clone()));
+    (entry, stop)
+}
+
+/// Calls at the full price within `time` of the paused clock.
+async fn full_price_calls(store: &StandinPlatform, time: Duration) -> u64 {
+    let full_price = |counts: CallCounts| counts.total() - counts.relaxed;
+    let before = full_price(store.counts());
+    tokio::time::sleep(time).await;
+    full_price(store.counts()) - before
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_starts_again_is_known_without_a_call_at_the_full_price() {
+    let store = StandinPlatform::default();
+    put_config(&store, 1).await;
+    put_upstream(&store, "a").await;
+    let (_entry, stop) = start("entry-1", &store, 1);
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    stop.cancel();
+    let writes = store.counts().writes;
+    let (entry, stop) = start("entry-1", &store, 2);
+    // Two watches are due in this time, each of which may ask for the configuration.
+    let calls = full_price_calls(&store, Duration::from_millis(1500)).await;
+    stop.cancel();
+    assert_eq!(store.counts().writes, writes, "nothing has to be written again");
+    assert!(calls <= 4, "{calls} calls");
+    assert_eq!(entry.upstreams(), ["a"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn entries_of_a_new_deployment_know_each_other_before_they_take_up_duties() {
+    let store = StandinPlatform::default();
+    put_config(&store, 1).await;
+    let mut entries = Vec::new();
+    for index in 0..10 {
+        let (entry, _stop) = start(&format!("entry-{index}"), &store, index);
+        entries.push(entry);
+    }
+    tokio::time::sleep(Duration::from_millis(1100)).await;
+    assert_eq!(store.counts().watches, 0, "nobody reads for the domain yet");
+    tokio::time::sleep(Duration::from_millis(1000)).await;
+    for entry in &entries {
+        assert_eq!(entry.state.membership.load().entries.len(), 1, "nobody has been heard");
+        assert_eq!(entry.known_entries(), 10, "all are registered");
+    }
+}
+
+#[test]
+fn a_shorter_bound_is_followed_at_shorter_times() {
+    let usual = FollowTimes::default();
+    let short = ChangeBounds { drain: Duration::from_secs(1), ..ChangeBounds::default() };
+    let short = FollowTimes::new(&short);
+    assert_eq!(usual.watch_wait, Duration::from_secs(1));
+    assert_eq!(short.watch_wait, Duration::from_millis(500));
+    for rank in 0..=8 {
+        assert!(short.confirm_limit + short.rank_step * rank < Duration::from_millis(800));
+        assert!(usual.confirm_limit + usual.rank_step * rank < usual.min_outage);
+    }
+    let quick = ChangeBounds { heartbeat: Duration::from_millis(600), ..ChangeBounds::default() };
+    let quick = FollowTimes::new(&quick);
+    assert!(quick.confirm_limit + quick.rank_step * 8 < quick.min_outage);
+    assert!(quick.min_outage < 2 * Duration::from_millis(600), "two heartbeats may be missed");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod connections;
 mod control_plane;
 mod drain_mark;
+mod enrolment;
 mod exchange;
 mod exchange_state;
 mod experiment;
--- a/tests/testsuite/support/fleet.rs
+++ b/tests/testsuite/support/fleet.rs
@@ -10,6 +10,7 @@
     DeclaredBackend, DeclaredConfig, DeclaredRoute, DeclaredService, DecodeError, DeploymentCodec,
     DirectoryQuery, PlatformNames, RegisteredUpstream,
 };
+use heatherfall::fleet::follow_times::FollowTimes;
 use heatherfall::fleet::peer_table::PeerTable;
 use heatherfall::fleet::state::FleetState;
 use heatherfall::fleet::store_follower::StoreFollower;
@@ -115,7 +116,8 @@
             Arc::new(ConfigFreshness::default()),
             Arc::new(LimitTable::new(LimitRules::default())),
         ));
-        let follower = StoreFollower::new(Arc::new(store.clone()), Arc::clone(&state));
+        let times = FollowTimes::default();
+        let follower = StoreFollower::new(Arc::new(store.clone()), Arc::clone(&state), times);
         Self { state, follower }
     }
 
@@ -135,6 +137,11 @@
         self.state.snapshot.load().as_ref().map(|snapshot| snapshot.generation.0)
     }
 
+    /// Entries that are registered, this one included.
+    pub(crate) fn known_entries(&self) -> u32 {
+        self.state.known_entries()
+    }
+
     /// Names of the upstreams that may get work.
     pub(crate) fn upstreams(&self) -> Vec<String> {
         let snapshot = self.state.snapshot.load_full();
