fleet: an entry that was cut off alone keeps nothing that left meanwhile

Ruled out: the reader (34 others heard within 0.4 s), lost datagrams. Now: entries tell for how long their view has been confirmed without an outage; one that hears of a time longer than its own cut keeps nothing. What a peer's change alters here is logged and compiled once, no longer each repetition of it. Tests: cut off alone, hearing peers before or after its own read (failed before); cut off in an outage that peers had too.

--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -160,14 +160,15 @@
     .with_limits(LimitRules { repeats: Some(settings.repeats.allowance()), is_ungated: true });
     LimitMetrics::register(&registry, plane.limits()).into_diagnostic()?;
 
-    let state = Arc::new(FleetState::new(
+    let state = FleetState::new(
         DeploymentView::new(codec.clone()),
         PeerTable::new(own_record(&settings)),
         snapshot,
         Arc::clone(&membership),
         freshness,
         plane.limits(),
-    ));
+    );
+    let state = Arc::new(state.with_times(FollowTimes::new(&settings.changes)));
     state.refresh_membership();
     let kernel = ServiceKernel::default();
     kernel.start_work(StoreWork {
@@ -178,7 +179,6 @@
             caller_address: settings.listen.callers,
             peer_address: settings.listen.peers,
         },
-        times: FollowTimes::new(&settings.changes),
         random: SeededRandom::from_entropy(),
     });
     kernel.start_work(PeerWork {
--- a/src/fleet/peer_message.rs
+++ b/src/fleet/peer_message.rs
@@ -63,6 +63,9 @@
     pub mark: ViewMark,
     /// Time since that moment, in milliseconds.
     pub age_ms: u64,
+    /// Time for which the sender's view has been confirmed without an outage, in milliseconds.
+    #[serde(default)]
+    pub steady_ms: u64,
 }
 
 /// Load of one upstream.
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -8,12 +8,16 @@
 
 use crate::core::SharedSnapshot;
 use crate::fleet::codec::DeploymentCodec;
+use crate::fleet::follow_times::FollowTimes;
 use crate::fleet::peer_message::{MeasuredLoad, MessageKey, ViewConfirmation};
 use crate::fleet::peer_table::PeerTable;
 use crate::fleet::view::{DeploymentView, ViewChange, ViewMark};
 use crate::limits::LimitTable;
 use crate::membership::{ConfigFreshness, EntryState, SharedMembership};
 
+/// Time for which another entry's word on the store's steadiness holds; some messages.
+const STEADINESS_LIFE: Duration = Duration::from_secs(2);
+
 /// Time for which an entry leaves the duties of its failure domain to others while it cannot learn
 /// who they are; some calls of the store.
 const ENROLMENT_PATIENCE: Duration = Duration::from_millis(2500);
@@ -35,6 +39,13 @@
     mark: ViewMark,
 }
 
+/// What another entry said of the store's steadiness.
+#[derive(Clone, Copy, Debug)]
+struct PeerSteadiness {
+    since: Instant,
+    heard: Instant,
+}
+
 /// Shared state of one entry.
 #[derive(Debug)]
 pub struct FleetState<D> {
@@ -43,6 +54,12 @@
     /// What another entry knows and this one has missed.
     gap: Mutex<Option<ViewGap>>,
     outbox: Mutex<Outbox>,
+    /// Since when the view has been confirmed again and again, without an outage.
+    steady_since: Mutex<Option<Instant>>,
+    /// What another entry last said of that, and when.
+    peer_steady: Mutex<Option<PeerSteadiness>>,
+    /// When the store is read.
+    pub(super) times: FollowTimes,
     /// Until when the entry waits to learn who else there is; none once it knows.
     enrolling: Mutex<Option<Instant>>,
     /// Wakes the peer service: there is something to tell.
@@ -75,6 +92,9 @@
             table: Mutex::new(table),
             gap: Mutex::default(),
             outbox: Mutex::default(),
+            steady_since: Mutex::default(),
+            peer_steady: Mutex::default(),
+            times: FollowTimes::default(),
             enrolling: Mutex::default(),
             outgoing: Notify::new(),
             missed: Notify::new(),
@@ -86,6 +106,12 @@
         }
     }
 
+    /// Sets when the store is read.
+    #[must_use]
+    pub fn with_times(self, times: FollowTimes) -> Self {
+        Self { times, ..self }
+    }
+
     pub(super) fn view(&self) -> MutexGuard<'_, DeploymentView<D>> {
         lock(&self.view)
     }
@@ -128,17 +154,14 @@
     /// Takes in a change and a confirmation from another entry.
     pub fn take_in(&self, change: Option<ViewChange>, confirmation: Option<ViewConfirmation>) {
         if let Some(change) = change {
-            let is_empty = change.is_empty();
-            if !is_empty {
-                self.view().log_change(&change, "peer");
-            }
-            self.view().apply_change(change, Instant::now());
-            // The end of an upstream that was only kept leaves the mark as it is.
-            if !is_empty {
+            let own = self.view().apply_change(change, Instant::now());
+            if !own.is_empty() {
+                self.view().log_change(&own, "peer");
                 self.put_in_force();
             }
         }
         let Some(confirmation) = confirmation else { return };
+        self.hear_steadiness(confirmation);
         let (own, other) = (self.view().mark(), confirmation.mark);
         if is_behind(own, other) {
             log::debug!(target: "peer", "view behind own={own:?} peer={other:?}");
@@ -147,8 +170,50 @@
             self.missed.notify_one();
         } else if own.is_same_view(&other) && other.is_whole() {
             self.view().confirm_config(other.config_known);
-            self.freshness.confirm(Duration::from_millis(confirmation.age_ms));
+            self.confirm(Duration::from_millis(confirmation.age_ms));
+        }
+    }
+
+    /// Records that the view was the store's `age` ago.
+    pub(super) fn confirm(&self, age: Duration) {
+        let is_outage = self.freshness.age().is_none_or(|age| age >= self.times.min_outage);
+        self.freshness.confirm(age);
+        let mut since = lock(&self.steady_since);
+        if is_outage || since.is_none() {
+            *since = Instant::now().checked_sub(age);
+        }
+    }
+
+    /// Takes in for how long the store has been there for another entry.
+    fn hear_steadiness(&self, confirmation: ViewConfirmation) {
+        let now = Instant::now();
+        if Duration::from_millis(confirmation.age_ms) >= self.times.min_outage {
+            return;
+        }
+        let Some(since) = now.checked_sub(Duration::from_millis(confirmation.steady_ms)) else {
+            return;
+        };
+        let mut known = lock(&self.peer_steady);
+        // The word of the entry that has had the store for longest counts while it is recent.
+        if known.is_none_or(|known| since <= known.since || now - known.heard >= STEADINESS_LIFE) {
+            *known = Some(PeerSteadiness { since, heard: now });
         }
+        drop(known);
+        if self.view().refute_outage(since, now) {
+            log::info!(
+                target: "store",
+                "was there for others, nothing is kept steady_ms={}",
+                confirmation.steady_ms,
+            );
+            self.missed.notify_one();
+        }
+    }
+
+    /// Whether another entry has lately had the store since `began` or longer.
+    pub(super) fn was_steady_for_others(&self, began: Instant) -> bool {
+        let known = *lock(&self.peer_steady);
+        let recent = known.filter(|known| known.heard.elapsed() < STEADINESS_LIFE);
+        recent.is_some_and(|known| known.since <= began)
     }
 
     /// Since when this entry is known to have missed something.
@@ -181,7 +246,12 @@
     /// What this entry can confirm to others.
     pub fn confirmation(&self) -> Option<ViewConfirmation> {
         let age = self.freshness.age()?;
-        Some(ViewConfirmation { mark: self.view().mark(), age_ms: age.as_millis() as u64 })
+        let steady = lock(&self.steady_since).map_or(Duration::ZERO, |since| since.elapsed());
+        Some(ViewConfirmation {
+            mark: self.view().mark(),
+            age_ms: age.as_millis() as u64,
+            steady_ms: steady.as_millis() as u64,
+        })
     }
 
     /// Sets what this entry is doing, and tells the others at once.
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -17,6 +17,7 @@
 use crate::fleet::follow_times::FollowTimes;
 use crate::fleet::peer_table::EntryRegistration;
 use crate::fleet::state::FleetState;
+use crate::fleet::view::StoreOutage;
 use crate::kernel::{ServiceName, ServiceWork};
 use crate::platform::{PlatformStore, StoreError, WatchRequest};
 use crate::util::SeededRandom;
@@ -60,8 +61,6 @@
     pub state: Arc<FleetState<D>>,
     /// How the entry registers.
     pub registration: EntryRegistration,
-    /// When the store is read.
-    pub times: FollowTimes,
     /// Source of random numbers.
     pub random: SeededRandom,
 }
@@ -72,8 +71,7 @@
     async fn run(mut self, stop: CancellationToken) {
         let key_candidate = new_key(&mut self.random);
         let reads = async {
-            let mut follower =
-                StoreFollower::new(Arc::clone(&self.store), Arc::clone(&self.state), self.times);
+            let mut follower = StoreFollower::new(Arc::clone(&self.store), Arc::clone(&self.state));
             follower.run(&mut self.random).await;
         };
         self.state.begin_enrolment(Instant::now());
@@ -107,7 +105,8 @@
 
 impl<S: PlatformStore, D: DeploymentCodec> StoreFollower<S, D> {
     /// Creates a follower that has read nothing yet.
-    pub fn new(store: Arc<S>, state: Arc<FleetState<D>>, times: FollowTimes) -> Self {
+    pub fn new(store: Arc<S>, state: Arc<FleetState<D>>) -> Self {
+        let times = state.times;
         Self {
             store,
             state,
@@ -198,7 +197,7 @@
         self.state.publish(change);
         self.read_config().await?;
         self.state.close_gap();
-        self.state.freshness.confirm(started.elapsed());
+        self.state.confirm(started.elapsed());
         Ok(())
     }
 
@@ -243,7 +242,7 @@
         if !self.state.view().mark().is_whole() {
             self.read_config().await?;
         }
-        self.state.freshness.confirm(returned.elapsed());
+        self.state.confirm(returned.elapsed());
         self.state.speak_soon();
         Ok(())
     }
@@ -280,8 +279,10 @@
         self.pause = FIRST_PAUSE;
         let Some(lost) = self.lost.take() else { return };
         let unconfirmed = self.state.freshness.age().unwrap_or_default();
-        // While others confirm the view, the store is there and only this entry was cut off.
-        let is_outage = unconfirmed >= self.times.min_outage;
+        // If others had the store meanwhile, only this entry was cut off.
+        let began = now.checked_sub(unconfirmed).unwrap_or(now);
+        let is_outage =
+            unconfirmed >= self.times.min_outage && !self.state.was_steady_for_others(began);
         log::info!(
             target: "store",
             "regained after_ms={} view_age_ms={} outage={is_outage}",
@@ -289,7 +290,7 @@
             unconfirmed.as_millis(),
         );
         if is_outage {
-            self.state.view().store_returned(now);
+            self.state.view().store_returned(StoreOutage { began, ended: now });
         }
     }
 }
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -35,12 +35,21 @@
     upstreams: BTreeMap<String, ViewEntry>,
     /// Until when entries that are missing after an outage are kept.
     held: BTreeMap<String, Instant>,
-    returned: Option<Instant>,
+    outage: Option<StoreOutage>,
     /// What the configuration compiles to without upstreams; none after it changed.
     rules: Option<ConfigSnapshot>,
     digest: u64,
 }
 
+/// A time in which the store could not be reached.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StoreOutage {
+    /// When the view was last confirmed before it.
+    pub began: Instant,
+    /// When the store answered again.
+    pub ended: Instant,
+}
+
 /// An entry of the store and what it names.
 #[derive(Clone, Debug)]
 struct ViewEntry {
@@ -59,7 +68,7 @@
             config_known: 0,
             upstreams: BTreeMap::new(),
             held: BTreeMap::new(),
-            returned: None,
+            outage: None,
             rules: None,
             digest: 0,
         }
@@ -93,8 +102,22 @@
     }
 
     /// Records that the store is back after it could not be reached.
-    pub fn store_returned(&mut self, now: Instant) {
-        self.returned = Some(now);
+    pub fn store_returned(&mut self, outage: StoreOutage) {
+        self.outage = Some(outage);
+    }
+
+    /// Takes in that the store has been there since `steady_since`, by the word of another entry:
+    /// if that is before the last outage, only this entry was cut off, and what is missing has
+    /// left. Returns whether upstreams are no longer kept.
+    pub fn refute_outage(&mut self, steady_since: Instant, now: Instant) -> bool {
+        if self.outage.is_none_or(|outage| outage.began < steady_since) {
+            return false;
+        }
+        self.outage = None;
+        for until in self.held.values_mut() {
+            *until = now;
+        }
+        !self.held.is_empty()
     }
 
     /// Takes in a complete list of the upstreams.
@@ -192,31 +215,36 @@
         change
     }
 
-    /// Takes in a change that another entry read from the store. One that does not fit on what is
-    /// known is left; the mark of the next message shows what is missing.
-    pub fn apply_change(&mut self, change: ViewChange, now: Instant) {
+    /// Takes in a change that another entry read from the store, and returns what it changed here.
+    /// One that does not fit on what is known is left; the mark of the next message shows what is
+    /// missing.
+    pub fn apply_change(&mut self, change: ViewChange, now: Instant) -> ViewChange {
+        let mut own = self.change_from(self.revision);
         if let Some(config) = change.config {
-            self.apply_config(config);
-        }
-        if change.base > self.revision {
-            return;
+            own.config = self.apply_config(config).config;
         }
-        if change.revision < self.revision {
-            return;
+        if change.base > self.revision || change.revision < self.revision {
+            return own;
         }
-        let mut own = self.change_from(self.revision);
         for object in change.puts {
             self.put(object, &mut own);
         }
         for name in change.deletes {
-            self.upstreams.remove(&name);
             self.held.remove(&name);
+            if self.upstreams.remove(&name).is_some() {
+                own.deletes.push(name);
+            }
         }
         for name in change.held {
-            self.held.entry(name).or_insert(now + LAPSE_GRACE);
+            if self.upstreams.contains_key(&name) && !self.held.contains_key(&name) {
+                self.held.insert(name.clone(), now + LAPSE_GRACE);
+                own.held.push(name);
+            }
         }
         self.revision = change.revision;
+        own.revision = change.revision;
         self.refresh_digest();
+        own
     }
 
     /// Removes the upstreams that have not come back after an outage.
@@ -270,6 +298,10 @@
 
     /// Writes the line of a change of the upstreams, which came from `source`.
     pub fn log_change(&self, change: &ViewChange, source: &str) {
+        if change.puts.is_empty() && change.deletes.is_empty() && change.held.is_empty() {
+            // The line of the configuration says the rest.
+            return;
+        }
         let (mut ready, mut draining) = (NameList::default(), NameList::default());
         for object in &change.puts {
             match self.codec.upstream(object) {
@@ -330,7 +362,7 @@
         if !self.upstreams.contains_key(name) {
             return;
         }
-        let grace_end = self.returned.map(|at| at + LAPSE_GRACE);
+        let grace_end = self.outage.map(|outage| outage.ended + LAPSE_GRACE);
         if let Some(until) = grace_end.filter(|until| *until > now) {
             self.held.entry(name.to_owned()).or_insert(until);
             change.held.push(name.to_owned());
--- a/tests/testsuite/enrolment.rs
+++ b/tests/testsuite/enrolment.rs
@@ -25,7 +25,6 @@
             caller_address: ([127, 0, 0, 1], 2).into(),
             peer_address: ([127, 0, 0, 1], 3).into(),
         },
-        times: FollowTimes::default(),
         random: SeededRandom::new(seed),
     };
     tokio::spawn(work.run(stop.clone()));
--- a/tests/testsuite/fleet_store.rs
+++ b/tests/testsuite/fleet_store.rs
@@ -236,6 +236,59 @@
     assert_eq!(reader.upstreams(), ["b"], "nobody's lease lapsed");
 }
 
+/// An entry loses the store and its peers for ten seconds, in which the store is there and an
+/// upstream leaves. `hears_first` says whether it hears its peers before it reads the store again.
+async fn cut_off_alone(hears_first: bool) {
+    let store = store_with(1, &["a", "b"]).await;
+    let mut peer = TestEntry::new("entry-1", &store);
+    let mut entry = TestEntry::new("entry-2", &store);
+    peer.run_for(Duration::from_millis(1100)).await;
+    entry.run_for(Duration::from_millis(1100)).await;
+    for _ in 0..10 {
+        // One watch of the peer returns.
+        peer.run_for(Duration::from_millis(1100)).await;
+        store.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+        entry.run_for(Duration::from_millis(100)).await;
+        store.set_faults(FaultSettings::default());
+    }
+    delete_upstream(&store, "a").await;
+    peer.run_for(Duration::from_millis(100)).await;
+    if hears_first {
+        pass_on(&peer, &entry);
+    }
+    entry.run_for(Duration::from_millis(900)).await;
+    peer.run_for(Duration::from_millis(10)).await;
+    pass_on(&peer, &entry);
+    entry.run_for(Duration::from_millis(100)).await;
+    assert_eq!(entry.upstreams(), ["b"], "hears first: {hears_first}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_was_cut_off_alone_keeps_nothing_that_left_meanwhile() {
+    cut_off_alone(true).await;
+    cut_off_alone(false).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_was_cut_off_in_an_outage_keeps_what_lapsed() {
+    let store = store_with(1, &["a", "b"]).await;
+    let mut peer = TestEntry::new("entry-1", &store);
+    let mut entry = TestEntry::new("entry-2", &store);
+    peer.run_for(Duration::from_millis(1100)).await;
+    entry.run_for(Duration::from_millis(1100)).await;
+    outage(&store, &mut peer).await;
+    store.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+    entry.run_for(Duration::from_millis(100)).await;
+    store.set_faults(FaultSettings::default());
+    delete_upstream(&store, "a").await;
+    peer.run_for(Duration::from_millis(800)).await;
+    pass_on(&peer, &entry);
+    entry.run_for(Duration::from_millis(900)).await;
+    pass_on(&peer, &entry);
+    entry.run_for(Duration::from_millis(100)).await;
+    assert_eq!(entry.upstreams(), ["a", "b"], "the peer's view was not steady either");
+}
+
 #[tokio::test(start_paused = true)]
 async fn entries_that_disagree_do_not_storm_the_store() {
     let store = store_with(1, &["a"]).await;
--- a/tests/testsuite/support/fleet.rs
+++ b/tests/testsuite/support/fleet.rs
@@ -10,7 +10,6 @@
     DeclaredBackend, DeclaredConfig, DeclaredRoute, DeclaredService, DecodeError, DeploymentCodec,
     DirectoryQuery, PlatformNames, RegisteredUpstream,
 };
-use heatherfall::fleet::follow_times::FollowTimes;
 use heatherfall::fleet::peer_table::PeerTable;
 use heatherfall::fleet::state::FleetState;
 use heatherfall::fleet::store_follower::StoreFollower;
@@ -116,8 +115,7 @@
             Arc::new(ConfigFreshness::default()),
             Arc::new(LimitTable::new(LimitRules::default())),
         ));
-        let times = FollowTimes::default();
-        let follower = StoreFollower::new(Arc::new(store.clone()), Arc::clone(&state), times);
+        let follower = StoreFollower::new(Arc::new(store.clone()), Arc::clone(&state));
         Self { state, follower }
     }
 
