--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -22,6 +22,7 @@
 use crate::fleet::control_api::ControlApi;
 use crate::fleet::directory::EntryDirectory;
 use crate::fleet::entry_settings::EntrySettings;
+use crate::fleet::follow_times::FollowTimes;
 use crate::fleet::load_probe::{LoadLearner, LoadProbeSettings, LoadWork};
 use crate::fleet::peer_service::PeerWork;
 use crate::fleet::peer_table::{EntryRegistration, PeerTable};
@@ -35,7 +36,7 @@
     AddressBook, AssignmentSettings, ConfigFreshness, EntryRecord, EntryState, SharedMembership,
 };
 use crate::platform::PlatformStore;
-use crate::request::{ExchangeSettings, HedgeRule, RequestPlane, RetryAfterForm};
+use crate::request::{CheckSettings, ExchangeSettings, HedgeRule, RequestPlane, RetryAfterForm};
 use crate::serve::{
     AnswerFraming, CallerServer, CallerServerSettings, ConnectionPool, FrontService, FrontSettings,
     HostPoolSettings, HttpUpstreamClient, LatencyMetrics, LeaveSwitch, LimitMetrics, PoolSettings,
@@ -154,19 +155,20 @@
         picker,
         KeylessLedger,
         Arc::clone(&freshness),
-        exchange_settings(headers),
+        exchange_settings(headers, settings.probes.max_per_second),
     )
     .with_limits(LimitRules { repeats: Some(settings.repeats.allowance()), is_ungated: true });
     LimitMetrics::register(&registry, plane.limits()).into_diagnostic()?;
 
-    let state = Arc::new(FleetState::new(
+    let state = FleetState::new(
         DeploymentView::new(codec.clone()),
         PeerTable::new(own_record(&settings)),
         snapshot,
         Arc::clone(&membership),
         freshness,
         plane.limits(),
-    ));
+    );
+    let state = Arc::new(state.with_times(FollowTimes::new(&settings.changes)));
     state.refresh_membership();
     let kernel = ServiceKernel::default();
     kernel.start_work(StoreWork {
@@ -272,7 +274,7 @@
     PoolSettings { host, connect_timeout: CONNECT_TIMEOUT }
 }
 
-fn exchange_settings(headers: MessageHeaders) -> ExchangeSettings {
+fn exchange_settings(headers: MessageHeaders, max_per_second: f64) -> ExchangeSettings {
     ExchangeSettings {
         headers,
         hedging: HedgeRule::Gain,
@@ -281,6 +283,7 @@
         first_attempt_share: 1.0,
         min_attempt_time: MIN_ATTEMPT_TIME,
         retry_after: RetryAfterForm::Milliseconds,
+        checks: Some(CheckSettings { max_per_second, ..CheckSettings::default() }),
         ..ExchangeSettings::default()
     }
 }
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -14,15 +14,14 @@
 
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::enrolment::{EntryEnrolment, new_key};
+use crate::fleet::follow_times::FollowTimes;
 use crate::fleet::peer_table::EntryRegistration;
 use crate::fleet::state::FleetState;
+use crate::fleet::view::StoreOutage;
 use crate::kernel::{ServiceName, ServiceWork};
 use crate::platform::{PlatformStore, StoreError, WatchRequest};
 use crate::util::SeededRandom;
 
-/// Time that the reader's watch waits. A watch that has gone silent is found out after it, and the
-/// others must then still have time for a read of their own before a change is due in force.
-const WATCH_WAIT: Duration = Duration::from_millis(1000);
 /// Least time between the starts of two watches, so that changes that come together cost one call.
 const MIN_WATCH_GAP: Duration = Duration::from_millis(120);
 /// Least time between the starts of two lists that were asked for because another entry knows more.
@@ -32,19 +31,10 @@
 const GAP_PATIENCE: Duration = Duration::from_millis(200);
 /// Time that the watch of an entry waits that only confirms its view.
 const CONFIRM_WAIT: Duration = Duration::from_millis(1);
-/// Age of the last confirmation at which an entry that is not the reader reads for itself: the
-/// reader's wait and some messages.
-const CONFIRM_LIMIT: Duration = Duration::from_millis(1250);
-/// Later start of each further entry, so that the first one's result saves the others their read.
-const RANK_STEP: Duration = Duration::from_millis(40);
 /// Rank from which entries start together.
 const MAX_RANK: u32 = 8;
 /// Time for the answer of a call beyond its own wait.
 pub(super) const CALL_TIME: Duration = Duration::from_millis(700);
-/// Time without any confirmation that counts as an outage in which entries may have lapsed: above
-/// the limit after which each entry reads for itself, below two of the three heartbeats of 1.5 s
-/// after which an entry lapses.
-const MIN_OUTAGE: Duration = Duration::from_millis(2500);
 /// Pause after a failed call; doubles up to the longest one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call.
@@ -84,6 +74,7 @@
             let mut follower = StoreFollower::new(Arc::clone(&self.store), Arc::clone(&self.state));
             follower.run(&mut self.random).await;
         };
+        self.state.begin_enrolment(Instant::now());
         let vm = self.state.table().own().vm.to_string();
         let enrolment = EntryEnrolment {
             store: &*self.store,
@@ -101,6 +92,7 @@
 pub struct StoreFollower<S, D> {
     store: Arc<S>,
     state: Arc<FleetState<D>>,
+    times: FollowTimes,
     lost: Option<Instant>,
     pause: Duration,
     /// When the last watch began.
@@ -114,9 +106,11 @@
 impl<S: PlatformStore, D: DeploymentCodec> StoreFollower<S, D> {
     /// Creates a follower that has read nothing yet.
     pub fn new(store: Arc<S>, state: Arc<FleetState<D>>) -> Self {
+        let times = state.times;
         Self {
             store,
             state,
+            times,
             lost: None,
             pause: FIRST_PAUSE,
             watched: None,
@@ -170,6 +164,9 @@
             let next = self.listed.map_or(now, |at| at + MIN_LIST_GAP).max(noticed + GAP_PATIENCE);
             return if next > now { StoreDuty::Rest(next) } else { StoreDuty::List };
         }
+        if let Some(end) = self.state.enrolment_end(now) {
+            return StoreDuty::Rest(end);
+        }
         let expiry = self.state.view().next_expiry();
         let rank = self.state.table().rank(now);
         if rank == 0 {
@@ -177,10 +174,11 @@
             if next > now {
                 return StoreDuty::Rest(next);
             }
-            let wait = expiry.map_or(WATCH_WAIT, |at| WATCH_WAIT.min(at - now));
+            let wait = self.times.watch_wait;
+            let wait = expiry.map_or(wait, |at| wait.min(at.saturating_duration_since(now)));
             return StoreDuty::Watch(wait);
         }
-        let limit = CONFIRM_LIMIT + RANK_STEP * rank.min(MAX_RANK);
+        let limit = self.times.confirm_limit + self.times.rank_step * rank.min(MAX_RANK);
         let age = self.state.freshness.age().unwrap_or_else(|| now - self.began);
         if age >= limit {
             return StoreDuty::Watch(CONFIRM_WAIT);
@@ -199,7 +197,7 @@
         self.state.publish(change);
         self.read_config().await?;
         self.state.close_gap();
-        self.state.freshness.confirm(started.elapsed());
+        self.state.confirm(started.elapsed());
         Ok(())
     }
 
@@ -244,7 +242,7 @@
         if !self.state.view().mark().is_whole() {
             self.read_config().await?;
         }
-        self.state.freshness.confirm(returned.elapsed());
+        self.state.confirm(returned.elapsed());
         self.state.speak_soon();
         Ok(())
     }
@@ -281,8 +279,10 @@
         self.pause = FIRST_PAUSE;
         let Some(lost) = self.lost.take() else { return };
         let unconfirmed = self.state.freshness.age().unwrap_or_default();
-        // While others confirm the view, the store is there and only this entry was cut off.
-        let is_outage = unconfirmed >= MIN_OUTAGE;
+        // If others had the store meanwhile, only this entry was cut off.
+        let began = now.checked_sub(unconfirmed).unwrap_or(now);
+        let is_outage =
+            unconfirmed >= self.times.min_outage && !self.state.was_steady_for_others(began);
         log::info!(
             target: "store",
             "regained after_ms={} view_age_ms={} outage={is_outage}",
@@ -290,7 +290,7 @@
             unconfirmed.as_millis(),
         );
         if is_outage {
-            self.state.view().store_returned(now);
+            self.state.view().store_returned(StoreOutage { began, ended: now });
         }
     }
 }
--- a/tests/testsuite/support/fleet.rs
+++ b/tests/testsuite/support/fleet.rs
@@ -135,6 +135,11 @@
         self.state.snapshot.load().as_ref().map(|snapshot| snapshot.generation.0)
     }
 
+    /// Entries that are registered, this one included.
+    pub(crate) fn known_entries(&self) -> u32 {
+        self.state.known_entries()
+    }
+
     /// Names of the upstreams that may get work.
     pub(crate) fn upstreams(&self) -> Vec<String> {
         let snapshot = self.state.snapshot.load_full();
