fleet: settings that are read again are in force without a start

Cause: SIGHUP read the settings and logged them, and nothing took effect before a restart; a file that changed without a signal was not noticed. Now: repeats, probes, directory, shutdown and the log level are read where they are used; identity, addresses and the bounds of following stay those of the start. Tests: lifetime and grace in force, identity kept, a smaller allowance counts what was spent.

--- a/src/fleet/directory.rs
+++ b/src/fleet/directory.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::core::FailureDomain;
+use crate::fleet::live_settings::LiveSettings;
 use crate::membership::{EntryState, SharedMembership};
 
 /// Most addresses of an answer.
@@ -18,23 +19,22 @@
 pub struct EntryDirectory {
     membership: SharedMembership,
     failure_domain: FailureDomain,
-    lifetime: Duration,
+    settings: LiveSettings,
 }
 
 impl EntryDirectory {
-    /// Creates the directory of an entry in `failure_domain`; callers may keep an answer for
-    /// `lifetime`.
+    /// Creates the directory of an entry in `failure_domain`.
     pub fn new(
         membership: SharedMembership,
         failure_domain: FailureDomain,
-        lifetime: Duration,
+        settings: LiveSettings,
     ) -> Self {
-        Self { membership, failure_domain, lifetime }
+        Self { membership, failure_domain, settings }
     }
 
     /// Time for which callers may keep an answer.
     pub fn lifetime(&self) -> Duration {
-        self.lifetime
+        self.settings.load().directory.lifetime
     }
 
     /// Addresses of the ready entries of this failure domain.
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -23,6 +23,7 @@
 use crate::fleet::directory::EntryDirectory;
 use crate::fleet::entry_settings::EntrySettings;
 use crate::fleet::follow_times::FollowTimes;
+use crate::fleet::live_settings::{LiveSettings, ReloadOutcome};
 use crate::fleet::load_probe::{LoadLearner, LoadProbeSettings, LoadWork};
 use crate::fleet::peer_service::PeerWork;
 use crate::fleet::peer_table::{EntryRegistration, PeerTable};
@@ -81,7 +82,7 @@
 #[derive(Debug)]
 pub struct RunningEntry<D> {
     state: Arc<FleetState<D>>,
-    settings: EntrySettings,
+    settings: LiveSettings,
     kernel: ServiceKernel,
     leave_switch: LeaveSwitch,
     stops: EntryStops,
@@ -96,20 +97,22 @@
 }
 
 impl<D: DeploymentCodec> RunningEntry<D> {
-    /// Takes in changed settings. Addresses and identity stay those of the start; a VM that gets
-    /// others is restarted by its platform.
-    pub fn reload(&self, settings: &EntrySettings) {
-        let is_changed = *settings != self.settings;
-        log::info!(target: "node", "settings read again vm={} changed={is_changed}", settings.vm);
+    /// Takes in settings that were read again. Addresses, identity and the bounds that the store
+    /// is followed by stay those of the start; a VM that gets others is restarted by its platform.
+    pub fn reload(&self, settings: &EntrySettings) -> ReloadOutcome {
+        let outcome = self.settings.replace(settings);
+        log::info!(target: "node", "settings read again vm={} outcome={outcome:?}", settings.vm);
+        outcome
     }
 
     /// Leaves gracefully: the entry is no longer named to callers but serves those who still come,
     /// then closes its listener, so that callers with an old answer turn elsewhere at once, and
     /// finishes what is in flight.
     pub async fn leave(self) {
-        let grace = self.settings.shutdown.grace;
+        let settings = self.settings.load();
+        let grace = settings.shutdown.grace;
         let announce = grace - grace.mul_f64(FINISH_PART);
-        log::info!(target: "node", "leaving vm={} announce_ms={}", self.settings.vm, announce.as_millis());
+        log::info!(target: "node", "leaving vm={} announce_ms={}", settings.vm, announce.as_millis());
         self.state.set_state(EntryState::Leaving);
         self.leave_switch.set_leaving();
         tokio::time::sleep(announce).await;
@@ -120,7 +123,7 @@
         }
         self.kernel.stop().await;
         self.stops.control.cancel();
-        log::info!(target: "node", "left vm={}", self.settings.vm);
+        log::info!(target: "node", "left vm={}", settings.vm);
     }
 }
 
@@ -170,6 +173,7 @@
     );
     let state = Arc::new(state.with_times(FollowTimes::new(&settings.changes)));
     state.refresh_membership();
+    let live = LiveSettings::new(settings.clone(), plane.limits());
     let kernel = ServiceKernel::default();
     kernel.start_work(StoreWork {
         store,
@@ -190,17 +194,13 @@
     kernel.start_work(LoadWork {
         client,
         state: Arc::clone(&state),
-        settings: LoadProbeSettings {
-            interval: settings.probes.bounded_interval(),
-            format: load_format,
-        },
+        settings: LoadProbeSettings { live: live.clone(), format: load_format },
         learner: LoadLearner::default(),
         sent: probe_counter(&registry)?,
     });
 
     let stops = EntryStops::default();
-    let directory =
-        EntryDirectory::new(Arc::clone(&membership), failure_domain, settings.directory.lifetime);
+    let directory = EntryDirectory::new(Arc::clone(&membership), failure_domain, live.clone());
     let vm = VmId::new(&settings.vm);
     let api = ControlApi::new(codec, vm, Arc::clone(&membership), directory, registry.clone());
     let api = Arc::new(api);
@@ -225,7 +225,7 @@
         settings.listen.callers,
         settings.store,
     );
-    Ok(RunningEntry { state, settings, kernel, leave_switch, stops, callers })
+    Ok(RunningEntry { state, settings: live, kernel, leave_switch, stops, callers })
 }
 
 /// The sockets of an entry.
--- a/src/fleet/load_probe.rs
+++ b/src/fleet/load_probe.rs
@@ -8,12 +8,13 @@
 use std::time::Duration;
 
 use prometheus::IntCounter;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
 use crate::balance::{LoadReport, ObserveSettings, learn_shared, mark_probed};
 use crate::core::{ConfigSnapshot, FailureDomain, LoadFormat, UpstreamKey, UpstreamState};
 use crate::fleet::codec::DeploymentCodec;
+use crate::fleet::live_settings::LiveSettings;
 use crate::fleet::peer_message::MeasuredLoad;
 use crate::fleet::peer_table::ProberSet;
 use crate::fleet::state::FleetState;
@@ -33,8 +34,8 @@
 /// How load is measured.
 #[derive(Clone, Debug)]
 pub struct LoadProbeSettings {
-    /// Time between two probes of an upstream.
-    pub interval: Duration,
+    /// Settings of the entry, for the time between two probes.
+    pub live: LiveSettings,
     /// How upstreams write their load.
     pub format: LoadFormat,
 }
@@ -79,15 +80,7 @@
         let work = Arc::new(self);
         let pending: PendingProbes = Arc::default();
         let mut plan = ProbePlan::default();
-        let mut ticks = interval(work.settings.interval);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut rounds = 0;
-        while stop.run_until_cancelled(ticks.tick()).await.is_some() {
-            rounds += 1;
-            // A large domain has more upstreams to choose from, so older load does less harm.
-            if rounds % LARGE_ROUNDS != 0 && !work.state.table().is_mesh() {
-                continue;
-            }
+        while stop.run_until_cancelled(sleep(work.pause())).await.is_some() {
             work.start_round(&pending, &mut plan);
             sleep(ROUND_TIME).await;
             work.state.outgoing.notify_one();
@@ -138,6 +131,14 @@
 type PendingProbes = Arc<Mutex<FastSet<UpstreamKey>>>;
 
 impl<C: UpstreamClient + Clone, D: DeploymentCodec> LoadWork<C, D> {
+    /// Time to the next round.
+    fn pause(&self) -> Duration {
+        let interval = self.settings.live.load().probes.bounded_interval();
+        // A large domain has more upstreams to choose from, so older load does less harm.
+        let rounds = if self.state.table().is_mesh() { 1 } else { LARGE_ROUNDS };
+        (interval * rounds).saturating_sub(ROUND_TIME)
+    }
+
     /// Probes the upstreams that are this entry's to measure.
     fn start_round(self: &Arc<Self>, pending: &PendingProbes, plan: &mut ProbePlan) {
         let snapshot = self.state.snapshot.load_full();
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 //! - [`codec`]: what the platform's objects say, in the terms of this crate.
 //! - [`objects`]: a declared configuration as the labelled objects that are compiled.
 //! - [`view`]: the last known configuration and upstreams, and how old they are.
+//! - [`entry_settings`], [`live_settings`]: settings, and those that change while an entry runs.
 //! - [`follow_times`]: when the store is read.
 //! - [`store_follower`]: reads the store; `enrolment` makes an entry known in it.
 //! - [`peer_message`], [`peer_table`], [`peer_service`]: what entries tell each other.
@@ -30,6 +31,7 @@
 pub mod entry_node;
 pub mod entry_settings;
 pub mod follow_times;
+pub mod live_settings;
 pub mod load_flash;
 pub mod load_probe;
 pub mod objects;
--- a/src/limits/route_limits.rs
+++ b/src/limits/route_limits.rs
@@ -88,6 +88,8 @@
     gates: FastMap<String, Arc<AdmissionGate>>,
     /// By the text of the selector of upstreams.
     windows: FastMap<String, Arc<WindowBudget>>,
+    /// Allowance for repeats that took the place of the rules'.
+    allowance: Option<WindowAllowance>,
 }
 
 /// Limits in the order of one snapshot's routes.
@@ -108,6 +110,18 @@
         &self.rules
     }
 
+    /// Replaces the allowance for repeats, if there is one in place of the routes' own budgets.
+    pub fn set_allowance(&self, allowance: WindowAllowance) {
+        if self.rules.repeats.is_none() {
+            return;
+        }
+        let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        kept.allowance = Some(allowance);
+        for window in kept.windows.values() {
+            window.set_allowance(allowance);
+        }
+    }
+
     /// Sets the number of entries that share the allowance for repeats.
     pub fn set_entries(&self, entries: u32) {
         self.entries.store(entries, Ordering::Relaxed);
@@ -142,7 +156,8 @@
 
     fn rebuild(&self, snapshot: &Arc<ConfigSnapshot>) -> Arc<SnapshotLimits> {
         let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut next = KeptLimits::default();
+        let mut next = KeptLimits { allowance: kept.allowance, ..KeptLimits::default() };
+        let allowance = self.rules.repeats.map(|rules| kept.allowance.unwrap_or(rules));
         let mut routes = Vec::with_capacity(snapshot.routes.len());
         for (route, group) in snapshot.routes.iter().zip(route_groups(snapshot)) {
             let gate = next.gates.entry(group.name).or_insert_with_key(|name| {
@@ -155,7 +170,7 @@
                 Some(limits) if Arc::ptr_eq(&limits.gate, gate) => limits,
                 _ => Arc::new(RouteLimits::new(Arc::clone(gate))),
             };
-            if let Some(allowance) = self.rules.repeats {
+            if let Some(allowance) = allowance {
                 let windows = windows_of(route, allowance, &kept.windows, &mut next.windows);
                 limits.windows.store(Some(Arc::new(windows)));
             }
--- a/src/limits/window_budget.rs
+++ b/src/limits/window_budget.rs
@@ -38,14 +38,23 @@
 /// Bounds the repeats of one entry for one group of upstreams.
 #[derive(Debug)]
 pub struct WindowBudget {
-    allowance: WindowAllowance,
+    allowance: Mutex<WindowAllowance>,
     steps: Mutex<VecDeque<WindowStep>>,
 }
 
 impl WindowBudget {
     /// Creates a budget without history.
     pub fn new(allowance: WindowAllowance) -> Self {
-        Self { allowance, steps: Mutex::default() }
+        Self { allowance: Mutex::new(allowance), steps: Mutex::default() }
+    }
+
+    /// Replaces what the deployment allows; what was spent counts on.
+    pub fn set_allowance(&self, allowance: WindowAllowance) {
+        *self.allowance.lock().unwrap_or_else(PoisonError::into_inner) = allowance;
+    }
+
+    fn allowance(&self) -> WindowAllowance {
+        *self.allowance.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Records a request.
@@ -59,11 +68,12 @@
 
     /// Pays for one repeat; false if this entry, one of `entries`, has spent its share.
     pub fn try_spend(&self, entries: u32) -> bool {
+        let allowance = self.allowance();
         self.with_steps(|steps| {
             let requests: u32 = steps.iter().map(|step| step.requests).sum();
             let repeats: u32 = steps.iter().map(|step| step.repeats).sum();
-            let share = self.allowance.extra / f64::from(entries.max(1));
-            let allowed = USED_PART * (self.allowance.ratio * f64::from(requests) + share);
+            let share = allowance.extra / f64::from(entries.max(1));
+            let allowed = USED_PART * (allowance.ratio * f64::from(requests) + share);
             if f64::from(repeats + 1) > allowed {
                 return false;
             }
@@ -77,11 +87,12 @@
     /// Runs `use_steps` on the steps of the present window, of which the last one is running.
     fn with_steps<T>(&self, use_steps: impl FnOnce(&mut VecDeque<WindowStep>) -> T) -> T {
         let now = Instant::now();
+        let window = self.allowance().window;
         let mut steps = self.steps.lock().unwrap_or_else(PoisonError::into_inner);
-        while steps.front().is_some_and(|step| now - step.began > self.allowance.window) {
+        while steps.front().is_some_and(|step| now - step.began > window) {
             steps.pop_front();
         }
-        let length = self.allowance.window / STEPS;
+        let length = window / STEPS;
         if steps.back().is_none_or(|step| now - step.began >= length) {
             steps.push_back(WindowStep { began: now, requests: 0, repeats: 0 });
         }
--- a/src/ops/log_output.rs
+++ b/src/ops/log_output.rs
@@ -37,7 +37,8 @@
     let writer = BoundedWriter::start(std::io::stdout(), settings.max_lines_per_second)?;
     let drain = writer.drain();
     fern::Dispatch::new()
-        .level(settings.level)
+        // The level is the logger's own, so that it can be changed later.
+        .level(log::LevelFilter::Trace)
         .level_for("h2", log::LevelFilter::Warn)
         .format(move |out, message, record| match format {
             LogFormat::Plain => out.finish(format_args!(
@@ -50,6 +51,7 @@
         })
         .chain(Box::new(writer) as Box<dyn std::io::Write + Send>)
         .apply()?;
+    log::set_max_level(settings.level);
     Ok(drain)
 }
 
--- /dev/null
+++ b/tests/testsuite/live_settings.rs
@@ -0,0 +1,77 @@
+//! Settings that are read again while an entry runs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use heatherfall::core::{BudgetSpec, FailureDomain, RouteKey};
+use heatherfall::fleet::directory::EntryDirectory;
+use heatherfall::fleet::entry_settings::EntrySettings;
+use heatherfall::fleet::live_settings::{LiveSettings, ReloadOutcome};
+use heatherfall::limits::{LimitRules, LimitTable};
+use heatherfall::membership::SharedMembership;
+use heatherfall::util::settings_file;
+use serde_json::json;
+
+use crate::support::plane_fixture;
+
+fn settings() -> EntrySettings {
+    let text = r#"{
+        "vm": "vm-1", "failure_domain": "fd-a", "store": "10.0.0.1:1",
+        "listen": { "callers": "10.0.0.2:1", "ready": "10.0.0.2:2", "directory": "10.0.0.2:3",
+                    "control": "10.0.0.2:4", "peers": "10.0.0.2:5" },
+        "repeats": { "ratio": 0.0, "extra": 10.0, "window": "10s" }
+    }"#;
+    settings_file::parse("node.jsonc", text).expect("valid")
+}
+
+fn live(settings: &EntrySettings) -> (LiveSettings, Arc<LimitTable>) {
+    let rules = LimitRules { repeats: Some(settings.repeats.allowance()), is_ungated: true };
+    let limits = Arc::new(LimitTable::new(rules));
+    (LiveSettings::new(settings.clone(), Arc::clone(&limits)), limits)
+}
+
+#[test]
+fn settings_that_are_read_again_are_in_force_where_they_are_used() {
+    let mut settings = settings();
+    let (live, _) = live(&settings);
+    let directory =
+        EntryDirectory::new(SharedMembership::default(), FailureDomain::new("fd-a"), live.clone());
+    assert_eq!(live.replace(&settings), ReloadOutcome::Unchanged);
+    settings.directory.lifetime = Duration::from_secs(2);
+    settings.shutdown.grace = Duration::from_secs(9);
+    assert_eq!(live.replace(&settings), ReloadOutcome::InForce);
+    assert_eq!(directory.lifetime(), Duration::from_secs(2));
+    assert_eq!(live.load().shutdown.grace, Duration::from_secs(9));
+}
+
+#[test]
+fn identity_and_addresses_stay_those_of_the_start() {
+    let mut settings = settings();
+    let (live, _) = live(&settings);
+    settings.vm = "vm-2".to_owned();
+    settings.listen.callers = ([10, 0, 0, 9], 1).into();
+    settings.directory.lifetime = Duration::from_secs(3);
+    assert_eq!(live.replace(&settings), ReloadOutcome::PartlyAtStart);
+    let present = live.load();
+    assert_eq!((present.vm.as_str(), present.listen.callers), ("vm-1", ([10, 0, 0, 2], 1).into()));
+    assert_eq!(present.directory.lifetime, Duration::from_secs(3), "the rest is in force");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_smaller_allowance_counts_what_was_spent_before() {
+    let mut settings = settings();
+    let (live, limits) = live(&settings);
+    let snapshot = plane_fixture(json!({}), BudgetSpec::default()).load_full().expect("one");
+    let window = limits.of(&snapshot, RouteKey(0)).and_then(|route| route.window(None));
+    let window = window.expect("an allowance");
+    // Four fifths of ten are used.
+    for _ in 0..4 {
+        assert!(window.try_spend(1));
+    }
+    settings.repeats.extra = 5.0;
+    live.replace(&settings);
+    assert!(!window.try_spend(1), "four of five are spent");
+    settings.repeats.extra = 20.0;
+    live.replace(&settings);
+    assert!(window.try_spend(1));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod ledger_race;
 mod ledger_wire;
 mod limits;
+mod live_settings;
 mod load;
 mod load_check;
 mod load_picker;
