--- a/src/fleet/load_probe.rs
+++ b/src/fleet/load_probe.rs
@@ -8,13 +8,15 @@
 use std::time::Duration;
 
 use prometheus::IntCounter;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
-use crate::balance::{LoadReport, ObserveSettings, learn_shared};
-use crate::core::{ConfigSnapshot, LoadFormat, UpstreamKey, UpstreamState};
+use crate::balance::{LoadReport, ObserveSettings, learn_shared, mark_probed};
+use crate::core::{ConfigSnapshot, FailureDomain, LoadFormat, UpstreamKey, UpstreamState};
 use crate::fleet::codec::DeploymentCodec;
+use crate::fleet::live_settings::LiveSettings;
 use crate::fleet::peer_message::MeasuredLoad;
+use crate::fleet::peer_table::ProberSet;
 use crate::fleet::state::FleetState;
 use crate::kernel::{ServiceName, ServiceWork};
 use crate::request::{LoadAnswer, UpstreamClient, ask_load};
@@ -22,6 +24,8 @@
 
 /// Time for one probe; a load report is answered at once.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after which an upstream that has told no load is asked again.
+const UNTOLD_PAUSE: Duration = Duration::from_secs(2);
 /// Intervals between two rounds in a large failure domain.
 const LARGE_ROUNDS: u32 = 2;
 /// Time that a round waits for its answers before they are told to the other entries.
@@ -30,8 +34,8 @@
 /// How load is measured.
 #[derive(Clone, Debug)]
 pub struct LoadProbeSettings {
-    /// Time between two probes of an upstream.
-    pub interval: Duration,
+    /// Settings of the entry, for the time between two probes.
+    pub live: LiveSettings,
     /// How upstreams write their load.
     pub format: LoadFormat,
 }
@@ -75,38 +79,82 @@
     async fn run(self, stop: CancellationToken) {
         let work = Arc::new(self);
         let pending: PendingProbes = Arc::default();
-        let mut ticks = interval(work.settings.interval);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut rounds = 0;
-        while stop.run_until_cancelled(ticks.tick()).await.is_some() {
-            rounds += 1;
-            // A large domain has more upstreams to choose from, so older load does less harm.
-            if rounds % LARGE_ROUNDS != 0 && !work.state.table().is_mesh() {
-                continue;
-            }
-            work.start_round(&pending);
+        let mut plan = ProbePlan::default();
+        while stop.run_until_cancelled(sleep(work.pause())).await.is_some() {
+            work.start_round(&pending, &mut plan);
             sleep(ROUND_TIME).await;
             work.state.outgoing.notify_one();
         }
     }
 }
 
+/// Whether an upstream has told no load when it was asked a short time ago. A question to one that
+/// never tells waits for a slot like a request.
+fn is_resting(upstream: &UpstreamState, now: Instant) -> bool {
+    let view = upstream.load();
+    let asked = view.probed.get().map(|asked| view.age_at(now, asked));
+    view.reported.get().is_none() && asked.is_some_and(|age| age < UNTOLD_PAUSE)
+}
+
+/// The upstreams that this entry measures; worked out anew only when the upstreams or the entries
+/// that share them change.
+#[derive(Debug, Default)]
+struct ProbePlan {
+    snapshot: Option<Arc<ConfigSnapshot>>,
+    probers: Option<ProberSet>,
+    upstreams: Vec<UpstreamKey>,
+}
+
+impl ProbePlan {
+    fn refresh(
+        &mut self,
+        snapshot: &Arc<ConfigSnapshot>,
+        probers: ProberSet,
+        home: &FailureDomain,
+    ) {
+        let is_same = self.snapshot.as_ref().is_some_and(|known| Arc::ptr_eq(known, snapshot));
+        if is_same && self.probers.as_ref() == Some(&probers) {
+            return;
+        }
+        self.upstreams.clear();
+        for (key, upstream) in &snapshot.upstreams {
+            if upstream.failure_domain == *home && probers.is_own(&upstream.name) {
+                self.upstreams.push(key);
+            }
+        }
+        self.snapshot = Some(Arc::clone(snapshot));
+        self.probers = Some(probers);
+    }
+}
+
 /// Upstreams whose probe is under way.
 type PendingProbes = Arc<Mutex<FastSet<UpstreamKey>>>;
 
 impl<C: UpstreamClient + Clone, D: DeploymentCodec> LoadWork<C, D> {
+    /// Time to the next round.
+    fn pause(&self) -> Duration {
+        let interval = self.settings.live.load().probes.bounded_interval();
+        // A large domain has more upstreams to choose from, so older load does less harm.
+        let rounds = if self.state.table().is_mesh() { 1 } else { LARGE_ROUNDS };
+        (interval * rounds).saturating_sub(ROUND_TIME)
+    }
+
     /// Probes the upstreams that are this entry's to measure.
-    fn start_round(self: &Arc<Self>, pending: &PendingProbes) {
+    fn start_round(self: &Arc<Self>, pending: &PendingProbes, plan: &mut ProbePlan) {
         let snapshot = self.state.snapshot.load_full();
         let Some(snapshot) = snapshot else { return };
         let now = Instant::now();
         if self.state.enrolment_end(now).is_some() {
             return;
         }
-        let table = self.state.table();
-        for (key, upstream) in &snapshot.upstreams {
-            let is_home = upstream.failure_domain == table.own().failure_domain;
-            if !is_home || upstream.is_draining() || !table.is_prober_of(&upstream.name, now) {
+        let (probers, home) = {
+            let table = self.state.table();
+            (table.probers(now), table.own().failure_domain.clone())
+        };
+        plan.refresh(&snapshot, probers, &home);
+        for key in plan.upstreams.iter().copied() {
+            let Some(upstream) = snapshot.upstreams.get(key) else { continue };
+            if upstream.is_draining() || is_resting(upstream, now) {
                 continue;
             }
             if !pending.lock().unwrap_or_else(PoisonError::into_inner).insert(key) {
@@ -126,9 +174,12 @@
             return;
         }
         self.sent.inc();
+        mark_probed(upstream);
         let asked = ask_load(&self.client, upstream, &self.settings.format, PROBE_TIMEOUT);
         let LoadAnswer::Reported(report) = asked.await else { return };
         let measured = Instant::now();
+        let view = upstream.load();
+        view.exchanged.set(view.nanos_at(measured));
         learn_shared(upstream, report, Duration::ZERO, &self.learner.settings);
         let load = MeasuredLoad {
             instance: upstream.name.clone(),
