--- a/src/bin/heatherfall/commands/mod.rs
+++ b/src/bin/heatherfall/commands/mod.rs
@@ -5,6 +5,7 @@
 mod dev;
 mod diff;
 mod explain;
+mod explain_request;
 mod get;
 mod standin;
 mod status;
@@ -23,6 +24,7 @@
     Dev(dev::DevArgs),
     Diff(diff::DiffArgs),
     Explain(explain::ExplainArgs),
+    ExplainRequest(explain_request::ExplainRequestArgs),
     Get(get::GetArgs),
     Standin(standin::StandinArgs),
     Status(status::StatusArgs),
@@ -37,6 +39,7 @@
             Self::Dev(args) => args.exec().await,
             Self::Diff(args) => args.exec(ctx).await,
             Self::Explain(args) => args.exec(ctx).await,
+            Self::ExplainRequest(args) => args.exec(ctx).await,
             Self::Get(args) => args.exec(ctx).await,
             Self::Standin(args) => args.exec().await,
             Self::Status(args) => args.exec(ctx).await,
--- a/tests/testsuite/client.rs
+++ b/tests/testsuite/client.rs
@@ -159,8 +159,19 @@
 #[test]
 fn the_help_of_every_command_reads_as_recorded() {
     let mut text = String::new();
-    let commands =
-        ["", "apply", "delete", "dev", "diff", "explain", "get", "standin", "status", "watch"];
+    let commands = [
+        "",
+        "apply",
+        "delete",
+        "dev",
+        "diff",
+        "explain",
+        "explain-request",
+        "get",
+        "standin",
+        "status",
+        "watch",
+    ];
     for command in commands {
         let mut help = Command::new(env!("CARGO_BIN_EXE_heatherfall"));
         if !command.is_empty() {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -36,6 +36,7 @@
 mod probe_budget;
 mod processes;
 mod repeat_window;
+mod request_story;
 mod result_codes;
 mod scenario_runner;
 mod scenarios;
