--- a/src/fleet/enrolment.rs
+++ b/src/fleet/enrolment.rs
@@ -10,10 +10,11 @@
 use tokio::time::sleep;
 
 use crate::fleet::codec::DeploymentCodec;
+use crate::fleet::fleet_metrics::StoreCall;
 use crate::fleet::peer_message::MessageKey;
 use crate::fleet::peer_table::EntryRegistration;
 use crate::fleet::state::FleetState;
-use crate::fleet::store_follower::{CALL_TIME, MAX_PAUSE, within};
+use crate::fleet::store_follower::{CALL_TIME, MAX_PAUSE};
 use crate::platform::{
     ObjectDraft, ObjectEnvelope, ObjectList, PlatformStore, Precondition, StoreError,
 };
@@ -82,7 +83,11 @@
 
     /// The deployment's key; whoever creates it first has made it for all.
     async fn read_key(&self) -> Result<ObjectEnvelope, StoreError> {
-        match within(CALL_TIME, self.store.get_relaxed(KEY_KIND, KEY_NAME)).await {
+        match self
+            .state
+            .call_store(StoreCall::Relaxed, CALL_TIME, self.store.get_relaxed(KEY_KIND, KEY_NAME))
+            .await
+        {
             Err(StoreError::NotFound) => {}
             found => return found,
         }
@@ -92,10 +97,16 @@
             spec: self.key_candidate.clone().into(),
             ..ObjectDraft::default()
         };
-        match within(CALL_TIME, self.store.put(key, Precondition::Absent)).await {
+        match self
+            .state
+            .call_store(StoreCall::Put, CALL_TIME, self.store.put(key, Precondition::Absent))
+            .await
+        {
             Err(StoreError::Conflict(Some(present))) => Ok(*present),
             Err(StoreError::Conflict(None)) => {
-                within(CALL_TIME, self.store.get(KEY_KIND, KEY_NAME)).await
+                self.state
+                    .call_store(StoreCall::Get, CALL_TIME, self.store.get(KEY_KIND, KEY_NAME))
+                    .await
             }
             written => written,
         }
@@ -121,12 +132,23 @@
             spec,
             ..ObjectDraft::default()
         };
-        match within(CALL_TIME, self.store.put(draft.clone(), Precondition::Absent)).await {
+        match self
+            .state
+            .call_store(
+                StoreCall::Put,
+                CALL_TIME,
+                self.store.put(draft.clone(), Precondition::Absent),
+            )
+            .await
+        {
             Ok(_) => Ok(()),
             Err(StoreError::Conflict(Some(present))) if present.spec == draft.spec => Ok(()),
             Err(StoreError::Conflict(Some(present))) => {
                 let condition = Precondition::SpecVersion(present.spec_version);
-                within(CALL_TIME, self.store.put(draft, condition)).await.map(drop)
+                self.state
+                    .call_store(StoreCall::Put, CALL_TIME, self.store.put(draft, condition))
+                    .await
+                    .map(drop)
             }
             Err(error) => Err(error),
         }
@@ -134,7 +156,10 @@
 
     /// Takes in who is registered, and tells whether this entry is.
     async fn list_entries(&self) -> Result<RegistrationStanding, StoreError> {
-        let list = within(CALL_TIME, self.store.list_relaxed(ENTRY_KIND, "")).await?;
+        let list = self
+            .state
+            .call_store(StoreCall::Relaxed, CALL_TIME, self.store.list_relaxed(ENTRY_KIND, ""))
+            .await?;
         Ok(self.take_registrations(list))
     }
 
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -22,6 +22,7 @@
 use crate::fleet::control_api::ControlApi;
 use crate::fleet::directory::EntryDirectory;
 use crate::fleet::entry_settings::EntrySettings;
+use crate::fleet::fleet_metrics::FleetMetrics;
 use crate::fleet::follow_times::FollowTimes;
 use crate::fleet::live_settings::{LiveSettings, ReloadOutcome};
 use crate::fleet::load_probe::{LoadLearner, LoadProbeSettings, LoadWork};
@@ -171,7 +172,10 @@
         freshness,
         plane.limits(),
     );
-    let state = Arc::new(state.with_times(FollowTimes::new(&settings.changes)));
+    let state = state
+        .with_times(FollowTimes::new(&settings.changes))
+        .with_metrics(FleetMetrics::new(&registry).into_diagnostic()?);
+    let state = Arc::new(state);
     state.refresh_membership();
     let live = LiveSettings::new(settings.clone(), plane.limits());
     let kernel = ServiceKernel::default();
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 //! - [`objects`]: a declared configuration as the labelled objects that are compiled.
 //! - [`view`]: the last known configuration and upstreams, and how old they are.
 //! - [`entry_settings`], [`live_settings`]: settings, and those that change while an entry runs.
+//! - [`fleet_metrics`]: beliefs, their age and calls of the store as metrics.
 //! - [`follow_times`]: when the store is read.
 //! - [`store_follower`]: reads the store; `enrolment` makes an entry known in it.
 //! - [`peer_message`], [`peer_table`], [`peer_service`]: what entries tell each other.
@@ -30,6 +31,7 @@
 mod enrolment;
 pub mod entry_node;
 pub mod entry_settings;
+pub mod fleet_metrics;
 pub mod follow_times;
 pub mod live_settings;
 pub mod load_flash;
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -4,16 +4,18 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use crate::core::SharedSnapshot;
 use crate::fleet::codec::DeploymentCodec;
+use crate::fleet::fleet_metrics::{BeliefState, FleetMetrics, StoreCall};
 use crate::fleet::follow_times::FollowTimes;
 use crate::fleet::peer_message::{MeasuredLoad, MessageKey, ViewConfirmation};
 use crate::fleet::peer_table::PeerTable;
 use crate::fleet::view::{DeploymentView, ViewChange, ViewMark};
 use crate::limits::LimitTable;
 use crate::membership::{ConfigFreshness, EntryState, SharedMembership};
+use crate::platform::StoreError;
 
 /// Time for which another entry's word on the store's steadiness holds; some messages.
 const STEADINESS_LIFE: Duration = Duration::from_secs(2);
@@ -75,6 +77,8 @@
     steady_since: Mutex<Option<Instant>>,
     /// What another entry last said of that, and when.
     peer_steady: Mutex<Option<PeerSteadiness>>,
+    /// Metrics, if there are any.
+    metrics: Option<FleetMetrics>,
     /// When the store is read.
     pub(super) times: FollowTimes,
     /// Until when the entry waits to learn who else there is; none once it knows.
@@ -111,6 +115,7 @@
             outbox: Mutex::default(),
             steady_since: Mutex::default(),
             peer_steady: Mutex::default(),
+            metrics: None,
             times: FollowTimes::default(),
             enrolling: Mutex::default(),
             outgoing: Notify::new(),
@@ -129,6 +134,39 @@
         Self { times, ..self }
     }
 
+    /// Sets the metrics that show what the entry believes.
+    #[must_use]
+    pub fn with_metrics(self, metrics: FleetMetrics) -> Self {
+        Self { metrics: Some(metrics), ..self }
+    }
+
+    /// Makes a call of the store and counts it; its answer is lost after `limit`.
+    pub(super) async fn call_store<T>(
+        &self,
+        call: StoreCall,
+        limit: Duration,
+        answer: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let lost = || StoreError::AnswerLost(format!("no answer in {limit:?}"));
+        let result = timeout(limit, answer).await.unwrap_or_else(|_| Err(lost()));
+        if let Some(metrics) = &self.metrics {
+            metrics.count_call(call, &result);
+        }
+        result
+    }
+
+    fn show_beliefs(&self) {
+        let Some(metrics) = &self.metrics else { return };
+        let snapshot = self.snapshot.load();
+        let snapshot = snapshot.as_ref();
+        metrics.show(BeliefState {
+            generation: snapshot.map_or(0, |snapshot| snapshot.generation.0),
+            view_age: self.freshness.age(),
+            known_entries: self.known_entries(),
+            upstreams: snapshot.map_or(0, |snapshot| snapshot.upstreams.len()),
+        });
+    }
+
     pub(super) fn view(&self) -> MutexGuard<'_, DeploymentView<D>> {
         lock(&self.view)
     }
@@ -319,6 +357,7 @@
         if **self.membership.load() != view {
             self.membership.store(Arc::new(view));
         }
+        self.show_beliefs();
     }
 }
 
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -14,6 +14,7 @@
 
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::enrolment::{EntryEnrolment, new_key};
+use crate::fleet::fleet_metrics::StoreCall;
 use crate::fleet::follow_times::FollowTimes;
 use crate::fleet::peer_table::EntryRegistration;
 use crate::fleet::state::{FleetState, GapKind};
@@ -197,7 +198,10 @@
     async fn list(&mut self) -> Result<(), StoreError> {
         let started = Instant::now();
         self.listed = Some(started);
-        let list = within(CALL_TIME, self.store.list(self.names().upstream_kind, "")).await?;
+        let list = self
+            .state
+            .call_store(StoreCall::List, CALL_TIME, self.store.list(self.names().upstream_kind, ""))
+            .await?;
         self.note_found(started);
         let change = self.state.view().replace_upstreams(list, Instant::now());
         self.state.publish(change);
@@ -213,11 +217,11 @@
     async fn list_first(&mut self) -> Result<(), StoreError> {
         let names = self.names();
         let list = self.store.list_relaxed(names.upstream_kind, "");
-        let list = within(CALL_TIME, list).await?;
+        let list = self.state.call_store(StoreCall::Relaxed, CALL_TIME, list).await?;
         self.note_found(Instant::now());
         let change = self.state.view().replace_upstreams(list, Instant::now());
         let config = self.store.get_relaxed(names.config_kind, names.config_name);
-        match within(CALL_TIME, config).await {
+        match self.state.call_store(StoreCall::Relaxed, CALL_TIME, config).await {
             Ok(object) => drop(self.state.view().apply_config(object)),
             // Nothing has been configured yet.
             Err(StoreError::NotFound) => {}
@@ -233,7 +237,11 @@
         let since = self.state.view().revision();
         let kinds = vec![self.names().upstream_kind.to_owned()];
         let request = WatchRequest { kinds, since, wait };
-        let batch = match within(wait + CALL_TIME, self.store.watch(request)).await {
+        let batch = match self
+            .state
+            .call_store(StoreCall::Watch, wait + CALL_TIME, self.store.watch(request))
+            .await
+        {
             Ok(batch) => batch,
             Err(StoreError::Compacted) => {
                 log::info!(target: "store", "history is gone, listing again since={since}");
@@ -256,7 +264,15 @@
     async fn read_config(&mut self) -> Result<(), StoreError> {
         let names = self.names();
         let revision = self.state.view().revision();
-        match within(CALL_TIME, self.store.get(names.config_kind, names.config_name)).await {
+        match self
+            .state
+            .call_store(
+                StoreCall::Get,
+                CALL_TIME,
+                self.store.get(names.config_kind, names.config_name),
+            )
+            .await
+        {
             Ok(object) => {
                 let change = self.state.view().apply_config(object);
                 self.state.publish(change);
@@ -300,14 +316,3 @@
         }
     }
 }
-
-/// Bounds a call; its answer is lost after `limit`.
-pub(super) async fn within<T>(
-    limit: Duration,
-    call: impl Future<Output = Result<T, StoreError>>,
-) -> Result<T, StoreError> {
-    match timeout(limit, call).await {
-        Ok(result) => result,
-        Err(_) => Err(StoreError::AnswerLost(format!("no answer in {limit:?}"))),
-    }
-}
