balance: work that will miss its goal leaves scarce slots to work that makes it

Ruled out: shedding more by rank (the classes are on different upstreams there). Now: such work, except on routes of the highest rank, goes only to upstreams that are nearly idle and is otherwise refused at once, with when to come back.

--- a/src/balance/completion_picker.rs
+++ b/src/balance/completion_picker.rs
@@ -25,6 +25,9 @@
 const USUAL_PERCENT: f32 = 100.0;
 /// Part of the usual work that is taken to be left of an attempt that is nearly or just over it.
 const MIN_LEFT_PART: f32 = 0.25;
+/// Load of an upstream with nothing but the request in question, and what is left of reports that
+/// are forgotten.
+const ONE_REQUEST: f32 = 1.2;
 /// Least part of an upstream's attempts that succeed, as far as choosing goes.
 const MIN_SUCCESS: f32 = 0.02;
 
@@ -53,6 +56,10 @@
     /// Requests that may wait at an upstream for each of its slots, by the rank of the route;
     /// routes of the last rank or a higher one wait least and are shed first.
     pub queue_parts: [f32; 3],
+    /// Part of an upstream's slots up to which work is added that will miss its goal, except on
+    /// routes of the highest rank. While slots are scarce it takes them from work that still makes
+    /// its goal; upstreams that are nearly idle can spare them.
+    pub late_part: f32,
     /// Factor by which an upstream is slower while it warms up.
     pub cold_factor: f32,
     /// Least part of what a request can still be worth that a hedge must add.
@@ -87,6 +94,7 @@
             late_value: 0.28,
             wait_price: 0.15,
             queue_parts: [1.0, 0.5, 0.25],
+            late_part: 0.4,
             cold_factor: 2.0,
             min_hedge_gain: 0.3,
             late_factor: 1.6,
@@ -172,7 +180,14 @@
         let mut value = self.use_of(expected_secs, demand) * self.success_part(upstream, now);
         value += self.warm_value(upstream, now) - price;
         let useful = useful_slots(upstream, demand);
-        let has_room = load - useful <= self.queue_part(request.route.spec.rank) * useful;
+        let rank = request.route.spec.rank;
+        let makes_goal = expected_secs < demand.goal_left.as_secs_f32();
+        let most = if makes_goal || rank == 0 {
+            useful + self.queue_part(rank) * useful
+        } else {
+            (self.settings.late_part * useful).max(ONE_REQUEST)
+        };
+        let has_room = load <= most;
         UpstreamOutlook { key, expected_secs, value, has_room }
     }
 
--- a/tests/testsuite/completion_picker.rs
+++ b/tests/testsuite/completion_picker.rs
@@ -157,6 +157,24 @@
     assert!(WORK.mul_f64(1.0 + waiting) < GOAL, "{admitted:?}");
 }
 
+#[tokio::test(start_paused = true)]
+async fn in_a_burst_work_that_will_be_late_leaves_the_slots_to_work_that_makes_its_goal() {
+    let mut fixture = PickerFixture::new(&[HOME, HOME], 1);
+    fixture.report(0, 2, 100);
+    fixture.report(1, 2, 100);
+    assert!(fixture.pick().is_ok(), "half of the slots are free");
+    // It was refused before and comes back when its goal has passed.
+    fixture.demand.goal_left = Duration::ZERO;
+    assert_eq!(fixture.pick(), Err(PickRefusal::Crowded));
+    fixture.report(1, 0, 100);
+    assert_eq!(fixture.pick(), Ok(fixture.key(1)), "an idle upstream can spare a slot");
+    let mut urgent = PickerFixture::new(&[HOME, HOME], 0);
+    urgent.report(0, 2, 100);
+    urgent.report(1, 2, 100);
+    urgent.demand.goal_left = Duration::ZERO;
+    assert!(urgent.pick().is_ok(), "the highest rank does not yield");
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_upstream_that_is_slower_when_full_keeps_a_slot_free() {
     let mut fixture = PickerFixture::new(&[HOME], 2);
