core: running requests do not go to upstreams that a later configuration took out

Requests run for 1.5 s and more, so that a second attempt could be sent well beyond the bound of 2 s. Test: a request admitted before one upstream left and another began to drain (failed before).

--- a/src/config/compile.rs
+++ b/src/config/compile.rs
@@ -184,7 +184,11 @@
         let key = known.get(&upstream.name).copied();
         kept.insert(place_upstream(&mut arena, key, upstream));
     }
-    arena.retain(|key, _| kept.contains(&key));
+    arena.retain(|key, upstream| {
+        let is_kept = kept.contains(&key);
+        upstream.set_retired(!is_kept || upstream.spec.draining);
+        is_kept
+    });
     arena
 }
 
--- a/src/core/upstream.rs
+++ b/src/core/upstream.rs
@@ -1,7 +1,7 @@
 //! Upstreams at run time: a key, the spec, and counters that outlive a configuration change.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use slotmap::SlotMap;
@@ -24,6 +24,8 @@
 #[derive(Debug, Default)]
 struct UpstreamCounters {
     inflight: AtomicU32,
+    /// Whether a later configuration than that of some running requests has taken it out.
+    is_retired: AtomicBool,
     own_mark: DrainMark,
     hint: DrainMark,
     load: LoadView,
@@ -70,10 +72,20 @@
         &self.counters.load
     }
 
-    /// Whether the upstream gets no new work: by its spec, by its own mark, or by a mark that
-    /// another entry saw.
+    /// Records whether the newest configuration lets the upstream have new work. Requests that were
+    /// admitted under an older one hold to that as well.
+    pub fn set_retired(&self, is_retired: bool) {
+        self.counters.is_retired.store(is_retired, Ordering::Relaxed);
+    }
+
+    /// Whether the upstream gets no new work: by its spec, by a later configuration, by its own
+    /// mark, or by a mark that another entry saw.
     pub fn is_draining(&self) -> bool {
-        self.spec.draining || self.counters.own_mark.is_set() || self.counters.hint.is_set()
+        let is_retired = self.counters.is_retired.load(Ordering::Relaxed);
+        is_retired
+            || self.spec.draining
+            || self.counters.own_mark.is_set()
+            || self.counters.hint.is_set()
     }
 
     /// Takes in an answer with or without the drain mark, `latency` after its request was sent.
--- a/tests/testsuite/fleet_store.rs
+++ b/tests/testsuite/fleet_store.rs
@@ -5,10 +5,11 @@
 use heatherfall::fleet::view::{DeploymentView, ViewChange};
 use heatherfall::platform::{PlatformStore, WatchBatch, WatchEvent};
 use heatherfall_standins::platform::{FaultSettings, StandinPlatform};
+use serde_json::json;
 use tokio::time::Instant;
 
 use crate::support::fleet::{
-    TestCodec, TestEntry, UPSTREAM_KIND, delete_upstream, put_config, put_upstream,
+    TestCodec, TestEntry, UPSTREAM_KIND, delete_upstream, put, put_config, put_upstream,
 };
 
 /// Time within which a change must be in force on a live entry.
@@ -311,6 +312,28 @@
     assert!(other.state.take_changes().is_empty(), "the reader has told all");
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_request_admitted_before_an_upstream_left_is_not_sent_there_any_more() {
+    let store = store_with(1, &["a", "b", "c"]).await;
+    let mut entry = TestEntry::new("entry-1", &store);
+    entry.run_for(Duration::from_millis(500)).await;
+    let admitted = entry.state.snapshot.load_full().expect("configured");
+    let taken_out = |name: &str| {
+        let key = admitted.upstream_names[name];
+        admitted.upstreams[key].is_draining()
+    };
+    assert!(!taken_out("a") && !taken_out("b"));
+    delete_upstream(&store, "a").await;
+    put(&store, UPSTREAM_KIND, "b", json!({ "service": "reads", "draining": true })).await;
+    entry.run_for(APPLY_LIMIT).await;
+    assert!(taken_out("a"), "it is gone");
+    assert!(taken_out("b"), "it drains");
+    assert!(!taken_out("c"));
+    put(&store, UPSTREAM_KIND, "b", json!({ "service": "reads", "draining": false })).await;
+    entry.run_for(APPLY_LIMIT).await;
+    assert!(!taken_out("b"), "it has changed its mind");
+}
+
 #[tokio::test(start_paused = true)]
 async fn entries_that_disagree_do_not_storm_the_store() {
     let store = store_with(1, &["a"]).await;
