request: bound the questions of one request; ask none for a repeat that cannot be paid

Now: at most two questions a look for a hedge, eight a request, and none while no repeat can be paid. Test: a request whose upstreams are all busy and whose attempt hangs.

--- a/src/limits/window_budget.rs
+++ b/src/limits/window_budget.rs
@@ -70,11 +70,7 @@
     pub fn try_spend(&self, entries: u32) -> bool {
         let allowance = self.allowance();
         self.with_steps(|steps| {
-            let requests: u32 = steps.iter().map(|step| step.requests).sum();
-            let repeats: u32 = steps.iter().map(|step| step.repeats).sum();
-            let share = allowance.extra / f64::from(entries.max(1));
-            let allowed = USED_PART * (allowance.ratio * f64::from(requests) + share);
-            if f64::from(repeats + 1) > allowed {
+            if !is_allowed(steps, allowance, entries) {
                 return false;
             }
             if let Some(step) = steps.back_mut() {
@@ -84,6 +80,12 @@
         })
     }
 
+    /// Whether [`Self::try_spend`] would pay now.
+    pub fn can_spend(&self, entries: u32) -> bool {
+        let allowance = self.allowance();
+        self.with_steps(|steps| is_allowed(steps, allowance, entries))
+    }
+
     /// Runs `use_steps` on the steps of the present window, of which the last one is running.
     fn with_steps<T>(&self, use_steps: impl FnOnce(&mut VecDeque<WindowStep>) -> T) -> T {
         let now = Instant::now();
@@ -99,3 +101,12 @@
         use_steps(&mut steps)
     }
 }
+
+/// Whether one more repeat fits into the steps of the present window.
+fn is_allowed(steps: &VecDeque<WindowStep>, allowance: WindowAllowance, entries: u32) -> bool {
+    let requests: u32 = steps.iter().map(|step| step.requests).sum();
+    let repeats: u32 = steps.iter().map(|step| step.repeats).sum();
+    let share = allowance.extra / f64::from(entries.max(1));
+    let allowed = USED_PART * (allowance.ratio * f64::from(requests) + share);
+    f64::from(repeats + 1) <= allowed
+}
--- a/src/request/exchange.rs
+++ b/src/request/exchange.rs
@@ -140,6 +140,8 @@
     began: Instant,
     /// Its pace.
     pace: Option<f32>,
+    /// Upstreams that were asked for their load.
+    checks: u32,
 }
 
 /// An upstream that has been chosen and counts the attempt as in flight.
@@ -161,7 +163,8 @@
             return ExchangeEnd::Failed(ExchangeFailure { code, retry_after: None });
         };
         let mut state = ExchangeState::new(self.plan(route, tools.settings));
-        let mut history = AttemptHistory { tried: Vec::new(), began: Instant::now(), pace: None };
+        let mut history =
+            AttemptHistory { tried: Vec::new(), began: Instant::now(), pace: None, checks: 0 };
         let mut kept: Option<FinishedAttempt<C::Body>> = None;
         let mut slot = pin!(None);
         let mut other_slot = pin!(None);
@@ -173,7 +176,7 @@
                         biased;
                         finished = slot_end(slot.as_mut()) => Err(finished),
                         finished = slot_end(other_slot.as_mut()) => Err(finished),
-                        start = self.prepare(role, route, &tools, &history, trace) => Ok(start),
+                        start = self.prepare(role, route, &tools, &mut history, trace) => Ok(start),
                     };
                     let prepared = match prepared {
                         Ok(prepared) => prepared,
@@ -258,9 +261,12 @@
         role: AttemptRole,
         route: &RouteRecord,
         tools: &ExchangeTools<'_, C, P>,
-        history: &AttemptHistory,
+        history: &mut AttemptHistory,
         trace: &mut ExchangeTrace,
     ) -> Result<AttemptStart, StartRefusal> {
+        if !self.can_pay(role) {
+            return Err(StartRefusal::BudgetSpent);
+        }
         let chosen = self.choose(role, route, tools, history, trace).await?;
         let ChosenUpstream { key, inflight, pace } = chosen;
         let upstream = self.snapshot.upstreams.get(key).ok_or(StartRefusal::NoUpstream)?;
@@ -280,12 +286,13 @@
         role: AttemptRole,
         route: &RouteRecord,
         tools: &ExchangeTools<'_, C, P>,
-        history: &AttemptHistory,
+        history: &mut AttemptHistory,
         trace: &mut ExchangeTrace,
     ) -> Result<ChosenUpstream, StartRefusal> {
         // Upstreams that did not answer a check, then those of earlier attempts.
         let mut excluded = history.tried.clone();
-        let mut checks = 0;
+        let mut left =
+            tools.check.map_or(0, |check| check.settings.checks_for(role, history.checks));
         loop {
             let mut pick = self.pick_request(role, route, &excluded, tools);
             pick.demand.waited = history.began.elapsed();
@@ -296,7 +303,7 @@
             })?;
             let upstream = self.snapshot.upstreams.get(key).ok_or(StartRefusal::NoUpstream)?;
             let inflight = upstream.enter();
-            let Some(check) = tools.check.filter(|check| checks < check.settings.max_checks) else {
+            let Some(check) = tools.check.filter(|_| left > 0) else {
                 return Ok(ChosenUpstream { key, inflight, pace: None });
             };
             let pace = check.fresh_pace(upstream);
@@ -304,7 +311,8 @@
             if !check.is_due(upstream, self.snapshot.upstreams.len(), entries) {
                 return Ok(ChosenUpstream { key, inflight, pace });
             }
-            checks += 1;
+            left -= 1;
+            history.checks += 1;
             mark_probed(upstream);
             let format = &tools.settings.headers.load;
             match ask_load(tools.client, upstream, format, check.settings.answer_time).await {
@@ -356,6 +364,14 @@
         PickRequest { snapshot: &self.snapshot, route, tried, part: self.part, purpose, demand }
     }
 
+    /// Whether an attempt can be paid for, as far as that can be told beforehand.
+    fn can_pay(&self, role: AttemptRole) -> bool {
+        match (role, &self.repeat_share) {
+            (AttemptRole::First, _) | (_, None) => true,
+            (_, Some(share)) => share.window.can_spend(share.entries),
+        }
+    }
+
     /// Pays for an attempt; false if the budget is spent.
     fn pay(&self, role: AttemptRole) -> bool {
         match (role, &self.repeat_share) {
--- a/src/request/load_check.rs
+++ b/src/request/load_check.rs
@@ -28,6 +28,7 @@
 use crate::request::attempt::{
     AttemptOutcome, AttemptRequest, ConnectionChoice, UnknownCause, UpstreamClient,
 };
+use crate::request::exchange_state::AttemptRole;
 
 /// Percent at which work takes its usual time.
 const USUAL_PERCENT: f32 = 100.0;
@@ -42,6 +43,11 @@
     /// Upstreams that are asked for one attempt, at most. With a quarter of the machines slow, one
     /// attempt in 250 finds only slow ones.
     pub max_checks: u32,
+    /// The same for a hedge, which is looked for again and again while an attempt runs.
+    pub max_hedge_checks: u32,
+    /// Upstreams that are asked for one request in all. In an overload all are busy, and asking
+    /// them adds to it.
+    pub max_request_checks: u32,
     /// Checks a second that an upstream may get from all entries; 0 for no bound.
     pub max_per_second: f64,
 }
@@ -52,6 +58,8 @@
             answer_time: Duration::from_millis(25),
             fresh_age: Duration::from_millis(4),
             max_checks: 4,
+            max_hedge_checks: 2,
+            max_request_checks: 8,
             max_per_second: 0.0,
         }
     }
@@ -98,6 +106,17 @@
     }
 }
 
+impl CheckSettings {
+    /// Upstreams that may be asked for the next attempt, after `asked` for the request so far.
+    pub fn checks_for(&self, role: AttemptRole, asked: u32) -> u32 {
+        let most = match role {
+            AttemptRole::First | AttemptRole::Retry => self.max_checks,
+            AttemptRole::Hedge => self.max_hedge_checks,
+        };
+        most.min(self.max_request_checks.saturating_sub(asked))
+    }
+}
+
 /// What an upstream said about its load.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LoadAnswer {
--- a/tests/testsuite/load_check.rs
+++ b/tests/testsuite/load_check.rs
@@ -2,6 +2,7 @@
 //! is worked off at the pace at which it began. Reports that entries share are 200 ms old.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,8 +13,8 @@
 use heatherfall::limits::CheckAllowance;
 use heatherfall::membership::ConfigFreshness;
 use heatherfall::request::{
-    AttemptOutcome, AttemptRequest, CheckSettings, ExchangeSettings, RequestPlane, UpstreamAnswer,
-    UpstreamClient,
+    AttemptOutcome, AttemptRequest, CheckSettings, ExchangeSettings, HedgeRule, RequestPlane,
+    UpstreamAnswer, UpstreamClient,
 };
 use heatherfall::util::SeededRandom;
 use http::{HeaderName, HeaderValue, Request, Response};
@@ -177,6 +178,58 @@
     assert!(late <= 2, "{late} of 100 late");
 }
 
+/// Upstreams that all have long queues; counts how often they are asked.
+#[derive(Clone, Debug, Default)]
+struct BusyClient {
+    asked: Arc<AtomicU32>,
+}
+
+impl UpstreamClient for BusyClient {
+    type Body = Full<Bytes>;
+
+    async fn send(
+        &self,
+        _upstream: &Arc<UpstreamState>,
+        request: AttemptRequest,
+    ) -> AttemptOutcome<Full<Bytes>> {
+        if request.uri.path() != HEALTH_PATH {
+            return std::future::pending().await;
+        }
+        self.asked.fetch_add(1, Ordering::Relaxed);
+        let mut response = Response::new(Full::default());
+        response.headers_mut().insert(LOAD_HEADER, HeaderValue::from_static("4,1,4,100"));
+        AttemptOutcome::Answered(UpstreamAnswer { response })
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_overload_is_not_made_worse_by_questions() {
+    let client = BusyClient::default();
+    let snapshot = snapshot();
+    let freshness = Arc::new(ConfigFreshness::default());
+    freshness.confirm(Duration::ZERO);
+    let (domain, settings) = (FailureDomain::new("fd-a"), CompletionSettings::default());
+    let picker = CompletionPicker::new(domain, settings, SeededRandom::new(3));
+    let headers = MessageHeaders { load: LoadFormat::Counts(LOAD_HEADER), ..Default::default() };
+    let checks = CheckSettings::default();
+    let settings = ExchangeSettings {
+        headers,
+        checks: Some(checks.clone()),
+        hedging: HedgeRule::Gain,
+        first_attempt_share: 1.0,
+        ..ExchangeSettings::default()
+    };
+    let plane =
+        RequestPlane::new(snapshot, client.clone(), picker, single_ledger(), freshness, settings);
+    // The attempt hangs, so that a hedge is looked for until the deadline.
+    let request = Request::builder().uri("/read").header("x-request-id", "r");
+    let (parts, ()) = request.body(()).unwrap().into_parts();
+    let admission = plane.admit(&parts).expect("a route selects it");
+    let _ = plane.run(admission, parts, Bytes::new()).await;
+    let asked = client.asked.load(Ordering::Relaxed);
+    assert!(asked <= checks.max_request_checks, "asked {asked} times for one request");
+}
+
 #[tokio::test(start_paused = true)]
 async fn checks_of_all_entries_keep_within_what_an_upstream_may_get() {
     let (entries, upstreams, max_per_second) = (100_u32, 200, 40.0);
