--- a/src/fleet/load_probe.rs
+++ b/src/fleet/load_probe.rs
@@ -24,9 +24,6 @@
 
 /// Time for one probe; a load report is answered at once.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
-/// Pause after a probe that was not answered: an upstream with a long queue resets connections, and
-/// opening new ones takes slots there.
-const FAILED_PAUSE: Duration = Duration::from_millis(500);
 /// Time after which an upstream that has told no load is asked again.
 const UNTOLD_PAUSE: Duration = Duration::from_secs(2);
 /// Intervals between two rounds in a large failure domain.
@@ -130,16 +127,7 @@
     }
 }
 
-/// How a probe ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum ProbeEnd {
-    /// It was answered, or there was nothing to ask.
-    Done,
-    /// It was not answered.
-    Failed,
-}
-
-/// Upstreams whose probe is under way, or whose last one failed a short time ago.
+/// Upstreams whose probe is under way.
 type PendingProbes = Arc<Mutex<FastSet<UpstreamKey>>>;
 
 impl<C: UpstreamClient + Clone, D: DeploymentCodec> LoadWork<C, D> {
@@ -175,26 +163,20 @@
             let (work, pending) = (Arc::clone(self), Arc::clone(pending));
             let upstream = Arc::clone(upstream);
             tokio::spawn(async move {
-                if work.probe(&upstream).await == ProbeEnd::Failed {
-                    sleep(FAILED_PAUSE).await;
-                }
+                work.probe(&upstream).await;
                 pending.lock().unwrap_or_else(PoisonError::into_inner).remove(&key);
             });
         }
     }
 
-    async fn probe(&self, upstream: &Arc<UpstreamState>) -> ProbeEnd {
+    async fn probe(&self, upstream: &Arc<UpstreamState>) {
         if upstream.spec.health_path.is_none() {
-            return ProbeEnd::Done;
+            return;
         }
         self.sent.inc();
         mark_probed(upstream);
         let asked = ask_load(&self.client, upstream, &self.settings.format, PROBE_TIMEOUT);
-        let report = match asked.await {
-            LoadAnswer::Reported(report) => report,
-            LoadAnswer::Untold => return ProbeEnd::Done,
-            LoadAnswer::Failed(_) => return ProbeEnd::Failed,
-        };
+        let LoadAnswer::Reported(report) = asked.await else { return };
         let measured = Instant::now();
         let view = upstream.load();
         view.exchanged.set(view.nanos_at(measured));
@@ -206,6 +188,5 @@
             age_ms: 0,
         };
         self.state.tell_load(measured, load);
-        ProbeEnd::Done
     }
 }
--- a/src/request/load_check.rs
+++ b/src/request/load_check.rs
@@ -33,9 +33,6 @@
 /// Percent at which work takes its usual time.
 const USUAL_PERCENT: f32 = 100.0;
 
-/// What a load may be off by the rounding of its averages.
-const HALF_REQUEST: f32 = 0.5;
-
 /// When an upstream is asked before a request goes out.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CheckSettings {
@@ -86,21 +83,14 @@
     /// that measure `upstreams` upstreams.
     ///
     /// Upstreams that tell their load answer without waiting for a slot. One that has not been
-    /// asked yet is asked once, to learn whether it does. One that is known to be full is not
-    /// asked: a new connection to it waits for a slot, and it was chosen although it is busy.
+    /// asked yet is asked once, to learn whether it does.
     pub fn is_due(&self, upstream: &UpstreamState, upstreams: usize, entries: u32) -> bool {
         if upstream.spec.health_path.is_none() {
             return false;
         }
         let view = upstream.load();
         let may_tell = view.work_percent.get() > 0.0 || view.probed.get().is_none();
-        // The attempt in question is counted as in flight.
-        let load = view.reported_others.get() + upstream.inflight() as f32;
-        let is_full = load > upstream.spec.slots as f32 + HALF_REQUEST;
-        may_tell
-            && !is_full
-            && !self.is_fresh(upstream)
-            && self.allowance.try_spend(upstreams, entries)
+        may_tell && !self.is_fresh(upstream) && self.allowance.try_spend(upstreams, entries)
     }
 
     /// Multiple of the usual time that work takes at `upstream`, if that is known as of now.
