request: send at-most-once work only where a connection was accepted

An upstream with a long queue resets new connections; after the last question an at-most-once request went out on a connection of its own, was reset, and may have run for all that its entry knew. Now: up to two further upstreams are asked only to see that the connection is accepted, whatever their load; the request follows on it.

--- a/src/request/exchange.rs
+++ b/src/request/exchange.rs
@@ -293,6 +293,10 @@
         let mut excluded = history.tried.clone();
         let mut left =
             tools.check.map_or(0, |check| check.settings.checks_for(role, history.checks));
+        let mut proofs = match self.class.mode {
+            IdempotenceMode::Idempotent => 0,
+            IdempotenceMode::AtMostOnce => tools.check.map_or(0, |check| check.settings.max_proofs),
+        };
         loop {
             let mut pick = self.pick_request(role, route, &excluded, tools);
             pick.demand.waited = history.began.elapsed();
@@ -303,7 +307,8 @@
             })?;
             let upstream = self.snapshot.upstreams.get(key).ok_or(StartRefusal::NoUpstream)?;
             let inflight = upstream.enter();
-            let Some(check) = tools.check.filter(|_| left > 0) else {
+            let is_choice = left > 0;
+            let Some(check) = tools.check.filter(|_| is_choice || proofs > 0) else {
                 return Ok(ChosenUpstream { key, inflight, pace: None });
             };
             let pace = check.fresh_pace(upstream);
@@ -311,7 +316,11 @@
             if !check.is_due(upstream, self.snapshot.upstreams.len(), entries) {
                 return Ok(ChosenUpstream { key, inflight, pace });
             }
-            left -= 1;
+            if is_choice {
+                left -= 1;
+            } else {
+                proofs -= 1;
+            }
             history.checks += 1;
             mark_probed(upstream);
             let format = &tools.settings.headers.load;
@@ -320,7 +329,7 @@
                 LoadAnswer::Reported(report) => {
                     tools.picker.observe_load(upstream, report);
                     drop(inflight);
-                    if tools.picker.confirms(pick, key) {
+                    if !is_choice || tools.picker.confirms(pick, key) {
                         let pace = check.fresh_pace(upstream);
                         return Ok(ChosenUpstream { key, inflight: upstream.enter(), pace });
                     }
--- a/src/request/load_check.rs
+++ b/src/request/load_check.rs
@@ -48,6 +48,10 @@
     /// Upstreams that are asked for one request in all. In an overload all are busy, and asking
     /// them adds to it.
     pub max_request_checks: u32,
+    /// Upstreams that are asked beyond `max_checks` before an at-most-once request goes out, only
+    /// to see that the connection is accepted: an upstream with a long queue resets new ones, and
+    /// what was sent on one of those may have run.
+    pub max_proofs: u32,
     /// Checks a second that an upstream may get from all entries; 0 for no bound.
     pub max_per_second: f64,
 }
@@ -60,6 +64,7 @@
             max_checks: 4,
             max_hedge_checks: 2,
             max_request_checks: 8,
+            max_proofs: 2,
             max_per_second: 0.0,
         }
     }
--- a/tests/testsuite/load_check.rs
+++ b/tests/testsuite/load_check.rs
@@ -14,7 +14,7 @@
 use heatherfall::membership::ConfigFreshness;
 use heatherfall::request::{
     AttemptOutcome, AttemptRequest, CheckSettings, ExchangeSettings, HedgeRule, RequestPlane,
-    UpstreamAnswer, UpstreamClient,
+    UnknownCause, UpstreamAnswer, UpstreamClient,
 };
 use heatherfall::util::SeededRandom;
 use http::{HeaderName, HeaderValue, Request, Response};
@@ -230,6 +230,58 @@
     assert!(asked <= checks.max_request_checks, "asked {asked} times for one request");
 }
 
+/// Upstreams of which the first ones reset every connection; counts the requests sent to those.
+#[derive(Clone, Debug, Default)]
+struct ResettingClient {
+    sent: Arc<AtomicU32>,
+}
+
+impl ResettingClient {
+    /// Upstreams that reset connections.
+    const RESETTING: u16 = 6;
+}
+
+impl UpstreamClient for ResettingClient {
+    type Body = Full<Bytes>;
+
+    async fn send(
+        &self,
+        upstream: &Arc<UpstreamState>,
+        request: AttemptRequest,
+    ) -> AttemptOutcome<Full<Bytes>> {
+        if upstream.spec.address.port() <= Self::RESETTING {
+            self.sent.fetch_add(u32::from(request.uri.path() != HEALTH_PATH), Ordering::Relaxed);
+            return AttemptOutcome::Unknown(UnknownCause::ConnectionBroken);
+        }
+        let mut response = Response::new(Full::default());
+        response.headers_mut().insert(LOAD_HEADER, HeaderValue::from_static("0,0,4,100"));
+        AttemptOutcome::Answered(UpstreamAnswer { response })
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn work_that_runs_at_most_once_goes_out_only_where_a_connection_was_accepted() {
+    for seed in 0..50 {
+        let client = ResettingClient::default();
+        let snapshot = snapshot();
+        let freshness = Arc::new(ConfigFreshness::default());
+        let (domain, settings) = (FailureDomain::new("fd-a"), CompletionSettings::default());
+        let picker = CompletionPicker::new(domain, settings, SeededRandom::new(seed));
+        let load = LoadFormat::Counts(LOAD_HEADER);
+        let headers = MessageHeaders { load, ..Default::default() };
+        let checks = Some(CheckSettings::default());
+        let settings = ExchangeSettings { headers, checks, ..ExchangeSettings::default() };
+        let sent = Arc::clone(&client.sent);
+        let plane =
+            RequestPlane::new(snapshot, client, picker, single_ledger(), freshness, settings);
+        let request = Request::builder().uri("/purchase").header("x-request-id", "p");
+        let (parts, ()) = request.body(()).unwrap().into_parts();
+        let admission = plane.admit(&parts).expect("a route selects it");
+        let _ = plane.run(admission, parts, Bytes::new()).await;
+        assert_eq!(sent.load(Ordering::Relaxed), 0, "seed {seed}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn checks_of_all_entries_keep_within_what_an_upstream_may_get() {
     let (entries, upstreams, max_per_second) = (100_u32, 200, 40.0);
