--- /dev/null
+++ b/src/request/choice.rs
@@ -0,0 +1,239 @@
+//! Chooses the upstream of an attempt, with questions to those that look best.
+//!
+//! ```text
+//! pick -> may ask? --no------------------------------------------> chosen
+//!   ^        | yes
+//!   |        v
+//!   |     fresh report, or answer that confirms the choice --------> chosen
+//!   |        | no answer, or another one looks better
+//!   +--------+
+//! ```
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::balance::{
+    AttemptReport, PickDemand, PickPurpose, PickRefusal, PickRequest, UpstreamPicker, mark_probed,
+};
+use crate::core::{IdempotenceMode, InflightGuard, RouteRecord, UpstreamKey, UpstreamState};
+use crate::request::attempt::UpstreamClient;
+use crate::request::exchange::{ExchangeTools, RequestExchange};
+use crate::request::exchange_state::{AttemptIndex, AttemptRole, StartRefusal};
+use crate::request::load_check::{LoadAnswer, ask_load};
+use crate::request::trace::ExchangeTrace;
+
+/// An attempt that is about to start.
+pub(super) struct AttemptStart {
+    pub(super) index: AttemptIndex,
+    pub(super) role: AttemptRole,
+    pub(super) key: UpstreamKey,
+    pub(super) upstream: Arc<UpstreamState>,
+    pub(super) inflight: InflightGuard,
+    /// Multiple of its usual time that the attempt is expected to take, if the upstream was asked
+    /// just before.
+    pub(super) pace: Option<f32>,
+}
+
+/// What earlier attempts of the request tell the choice of the next one.
+#[derive(Debug)]
+pub(super) struct AttemptHistory {
+    /// Where they went.
+    pub(super) tried: Vec<UpstreamKey>,
+    /// When the last one began.
+    pub(super) began: Instant,
+    /// Its pace.
+    pub(super) pace: Option<f32>,
+    /// Questions that were asked for the request.
+    pub(super) questions: u32,
+}
+
+/// An upstream that has been chosen and counts the attempt as in flight.
+struct ChosenUpstream {
+    key: UpstreamKey,
+    inflight: InflightGuard,
+    pace: Option<f32>,
+}
+
+/// Why an upstream is asked for its load.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum QuestionPurpose {
+    /// To see whether it still is the best choice.
+    Choice,
+    /// To see that it accepts the connection on which at-most-once work goes out.
+    Proof,
+}
+
+/// Questions that may still be asked for one attempt.
+#[derive(Clone, Copy, Debug, Default)]
+struct QuestionAllowance {
+    choices: u32,
+    proofs: u32,
+}
+
+impl QuestionAllowance {
+    /// What the next question would be asked for, if there may be one.
+    fn next(&self) -> Option<QuestionPurpose> {
+        if self.choices > 0 {
+            return Some(QuestionPurpose::Choice);
+        }
+        (self.proofs > 0).then_some(QuestionPurpose::Proof)
+    }
+
+    /// Counts a question.
+    fn take(&mut self, purpose: QuestionPurpose) {
+        match purpose {
+            QuestionPurpose::Choice => self.choices -= 1,
+            QuestionPurpose::Proof => self.proofs -= 1,
+        }
+    }
+}
+
+impl RequestExchange {
+    /// Chooses the upstream of an attempt and pays for it.
+    pub(super) async fn prepare<C: UpstreamClient, P: UpstreamPicker>(
+        &self,
+        role: AttemptRole,
+        route: &RouteRecord,
+        tools: &ExchangeTools<'_, C, P>,
+        history: &mut AttemptHistory,
+        trace: &mut ExchangeTrace,
+    ) -> Result<AttemptStart, StartRefusal> {
+        if !self.can_pay(role) {
+            return Err(StartRefusal::BudgetSpent);
+        }
+        let chosen = self.choose(role, route, tools, history, trace).await?;
+        let ChosenUpstream { key, inflight, pace } = chosen;
+        let upstream = self.snapshot.upstreams.get(key).ok_or(StartRefusal::NoUpstream)?;
+        if role == AttemptRole::Hedge && history.tried.contains(&key) {
+            return Err(StartRefusal::NoUpstream);
+        }
+        if !self.pay(role) {
+            return Err(StartRefusal::BudgetSpent);
+        }
+        let index = history.tried.len() as AttemptIndex;
+        Ok(AttemptStart { index, role, key, upstream: Arc::clone(upstream), inflight, pace })
+    }
+
+    /// Chooses an upstream, asking those that look best how they are.
+    async fn choose<C: UpstreamClient, P: UpstreamPicker>(
+        &self,
+        role: AttemptRole,
+        route: &RouteRecord,
+        tools: &ExchangeTools<'_, C, P>,
+        history: &mut AttemptHistory,
+        trace: &mut ExchangeTrace,
+    ) -> Result<ChosenUpstream, StartRefusal> {
+        // Upstreams that did not answer, then those of earlier attempts.
+        let mut excluded = history.tried.clone();
+        let mut allowed = self.questions(role, tools, history);
+        loop {
+            let mut pick = self.pick_request(role, route, &excluded, tools);
+            pick.demand.waited = history.began.elapsed();
+            pick.demand.pace = history.pace;
+            let key = tools.picker.pick(pick).map_err(|refusal| match refusal {
+                PickRefusal::NoUpstream => StartRefusal::NoUpstream,
+                PickRefusal::Crowded => StartRefusal::Crowded,
+            })?;
+            let upstream = self.snapshot.upstreams.get(key).ok_or(StartRefusal::NoUpstream)?;
+            // Counted before it is asked, so that other requests see that it is about to get work.
+            let inflight = upstream.enter();
+            let Some((check, purpose)) = tools.check.zip(allowed.next()) else {
+                return Ok(ChosenUpstream { key, inflight, pace: None });
+            };
+            if !check.is_due(upstream, self.snapshot.upstreams.len(), self.sharing_entries()) {
+                return Ok(ChosenUpstream { key, inflight, pace: check.fresh_pace(upstream) });
+            }
+            allowed.take(purpose);
+            history.questions += 1;
+            mark_probed(upstream);
+            let format = &tools.settings.headers.load;
+            match ask_load(tools.client, upstream, format, check.settings.answer_time).await {
+                LoadAnswer::Untold => return Ok(ChosenUpstream { key, inflight, pace: None }),
+                LoadAnswer::Reported(report) => {
+                    tools.picker.observe_load(upstream, report);
+                    drop(inflight);
+                    let is_taken = purpose == QuestionPurpose::Proof;
+                    if is_taken || tools.picker.confirms(pick, key) {
+                        let pace = check.fresh_pace(upstream);
+                        return Ok(ChosenUpstream { key, inflight: upstream.enter(), pace });
+                    }
+                }
+                LoadAnswer::Failed(result) => {
+                    let latency = check.settings.answer_time;
+                    let (load, is_draining) = (None, false);
+                    let report = AttemptReport { latency, result, load, is_draining };
+                    tools.picker.observe(upstream, report);
+                    excluded.insert(0, key);
+                }
+            }
+            trace.passed_over(upstream);
+        }
+    }
+
+    /// Questions that the choice of the next attempt may ask.
+    fn questions<C, P>(
+        &self,
+        role: AttemptRole,
+        tools: &ExchangeTools<'_, C, P>,
+        history: &AttemptHistory,
+    ) -> QuestionAllowance {
+        let Some(check) = tools.check else { return QuestionAllowance::default() };
+        let proofs = match self.class.mode {
+            IdempotenceMode::Idempotent => 0,
+            IdempotenceMode::AtMostOnce => check.settings.max_proofs,
+        };
+        let choices = check.settings.checks_for(role, history.questions);
+        QuestionAllowance { choices, proofs }
+    }
+
+    /// Entries that share what upstreams may be asked.
+    fn sharing_entries(&self) -> u32 {
+        self.repeat_share.as_ref().map_or(1, |share| share.entries)
+    }
+
+    pub(super) fn pick_request<'a, C, P>(
+        &'a self,
+        role: AttemptRole,
+        route: &'a RouteRecord,
+        tried: &'a [UpstreamKey],
+        tools: &ExchangeTools<'_, C, P>,
+    ) -> PickRequest<'a> {
+        let now = Instant::now();
+        let goal = self.started + route.spec.goal.saturating_sub(tools.settings.caller_delay);
+        let demand = PickDemand {
+            work: self.limits.demand.work(route),
+            fullness_factor: self.limits.demand.fullness_factor(),
+            kilobytes: self.limits.demand.kilobytes(),
+            goal_left: goal.saturating_duration_since(now),
+            time_left: self.deadline.saturating_duration_since(now),
+            waited: Duration::ZERO,
+            pace: None,
+        };
+        let purpose = match role {
+            AttemptRole::First => PickPurpose::First,
+            AttemptRole::Retry => PickPurpose::Retry,
+            AttemptRole::Hedge => PickPurpose::Hedge,
+        };
+        PickRequest { snapshot: &self.snapshot, route, tried, part: self.part, purpose, demand }
+    }
+
+    /// Whether an attempt can be paid for, as far as that can be told beforehand.
+    fn can_pay(&self, role: AttemptRole) -> bool {
+        match (role, &self.repeat_share) {
+            (AttemptRole::First, _) | (_, None) => true,
+            (_, Some(share)) => share.window.can_spend(share.entries),
+        }
+    }
+
+    /// Pays for an attempt; false if the budget is spent.
+    fn pay(&self, role: AttemptRole) -> bool {
+        match (role, &self.repeat_share) {
+            (AttemptRole::First, _) => true,
+            (_, Some(share)) => share.window.try_spend(share.entries),
+            (AttemptRole::Retry, None) => self.limits.retries.try_spend(),
+            (AttemptRole::Hedge, None) => self.limits.hedges.try_spend(),
+        }
+    }
+}
--- a/src/request/exchange.rs
+++ b/src/request/exchange.rs
@@ -13,12 +13,9 @@
 use http::{HeaderMap, HeaderValue, Method, Uri};
 use tokio::time::Instant;
 
-use crate::balance::{
-    AttemptReport, PickDemand, PickPurpose, PickRefusal, PickRequest, UpstreamPicker, mark_probed,
-};
+use crate::balance::UpstreamPicker;
 use crate::core::{
     ConfigSnapshot, IdempotenceMode, InflightGuard, PartIndex, ResultCode, RouteRecord,
-    UpstreamKey, UpstreamState,
 };
 use crate::limits::{RouteLimits, WindowBudget};
 use crate::membership::ConfigFreshness;
@@ -26,13 +23,14 @@
     AttemptOutcome, AttemptRequest, ConnectionChoice, UnknownCause, UpstreamAnswer, UpstreamClient,
 };
 use crate::request::attempt_watch::{AttemptWatch, WatchContext, inspect};
+use crate::request::choice::{AttemptHistory, AttemptStart};
 use crate::request::classify::RequestClass;
 use crate::request::exchange_settings::{ExchangeSettings, HedgeRule, hedge_interval};
 use crate::request::exchange_state::{
     AttemptEnd, AttemptIndex, AttemptRole, ConfigStanding, ExchangeAction, ExchangeEvent,
     ExchangePlan, ExchangeState, StartRefusal, StepContext,
 };
-use crate::request::load_check::{LoadAnswer, LoadCheck, ask_load};
+use crate::request::load_check::LoadCheck;
 use crate::request::trace::ExchangeTrace;
 
 /// What an exchange works with.
@@ -119,38 +117,6 @@
     inflight: InflightGuard,
 }
 
-/// An attempt that is about to start.
-struct AttemptStart {
-    index: AttemptIndex,
-    role: AttemptRole,
-    key: UpstreamKey,
-    upstream: Arc<UpstreamState>,
-    inflight: InflightGuard,
-    /// Multiple of its usual time that the attempt is expected to take, if the upstream was asked
-    /// just before.
-    pace: Option<f32>,
-}
-
-/// What earlier attempts of the request tell the choice of the next one.
-#[derive(Debug)]
-struct AttemptHistory {
-    /// Where they went.
-    tried: Vec<UpstreamKey>,
-    /// When the last one began.
-    began: Instant,
-    /// Its pace.
-    pace: Option<f32>,
-    /// Upstreams that were asked for their load.
-    checks: u32,
-}
-
-/// An upstream that has been chosen and counts the attempt as in flight.
-struct ChosenUpstream {
-    key: UpstreamKey,
-    inflight: InflightGuard,
-    pace: Option<f32>,
-}
-
 impl RequestExchange {
     /// Runs attempts until one is answered or no further one is allowed, and notes each in `trace`.
     pub async fn run<C: UpstreamClient, P: UpstreamPicker>(
@@ -164,7 +130,7 @@
         };
         let mut state = ExchangeState::new(self.plan(route, tools.settings));
         let mut history =
-            AttemptHistory { tried: Vec::new(), began: Instant::now(), pace: None, checks: 0 };
+            AttemptHistory { tried: Vec::new(), began: Instant::now(), pace: None, questions: 0 };
         let mut kept: Option<FinishedAttempt<C::Body>> = None;
         let mut slot = pin!(None);
         let mut other_slot = pin!(None);
@@ -255,142 +221,6 @@
         }
     }
 
-    /// Chooses the upstream of an attempt and pays for it.
-    async fn prepare<C: UpstreamClient, P: UpstreamPicker>(
-        &self,
-        role: AttemptRole,
-        route: &RouteRecord,
-        tools: &ExchangeTools<'_, C, P>,
-        history: &mut AttemptHistory,
-        trace: &mut ExchangeTrace,
-    ) -> Result<AttemptStart, StartRefusal> {
-        if !self.can_pay(role) {
-            return Err(StartRefusal::BudgetSpent);
-        }
-        let chosen = self.choose(role, route, tools, history, trace).await?;
-        let ChosenUpstream { key, inflight, pace } = chosen;
-        let upstream = self.snapshot.upstreams.get(key).ok_or(StartRefusal::NoUpstream)?;
-        if role == AttemptRole::Hedge && history.tried.contains(&key) {
-            return Err(StartRefusal::NoUpstream);
-        }
-        if !self.pay(role) {
-            return Err(StartRefusal::BudgetSpent);
-        }
-        let index = history.tried.len() as AttemptIndex;
-        Ok(AttemptStart { index, role, key, upstream: Arc::clone(upstream), inflight, pace })
-    }
-
-    /// Chooses an upstream, asking those that look best how they are.
-    async fn choose<C: UpstreamClient, P: UpstreamPicker>(
-        &self,
-        role: AttemptRole,
-        route: &RouteRecord,
-        tools: &ExchangeTools<'_, C, P>,
-        history: &mut AttemptHistory,
-        trace: &mut ExchangeTrace,
-    ) -> Result<ChosenUpstream, StartRefusal> {
-        // Upstreams that did not answer a check, then those of earlier attempts.
-        let mut excluded = history.tried.clone();
-        let mut left =
-            tools.check.map_or(0, |check| check.settings.checks_for(role, history.checks));
-        let mut proofs = match self.class.mode {
-            IdempotenceMode::Idempotent => 0,
-            IdempotenceMode::AtMostOnce => tools.check.map_or(0, |check| check.settings.max_proofs),
-        };
-        loop {
-            let mut pick = self.pick_request(role, route, &excluded, tools);
-            pick.demand.waited = history.began.elapsed();
-            pick.demand.pace = history.pace;
-            let key = tools.picker.pick(pick).map_err(|refusal| match refusal {
-                PickRefusal::NoUpstream => StartRefusal::NoUpstream,
-                PickRefusal::Crowded => StartRefusal::Crowded,
-            })?;
-            let upstream = self.snapshot.upstreams.get(key).ok_or(StartRefusal::NoUpstream)?;
-            let inflight = upstream.enter();
-            let is_choice = left > 0;
-            let Some(check) = tools.check.filter(|_| is_choice || proofs > 0) else {
-                return Ok(ChosenUpstream { key, inflight, pace: None });
-            };
-            let pace = check.fresh_pace(upstream);
-            let entries = self.repeat_share.as_ref().map_or(1, |share| share.entries);
-            if !check.is_due(upstream, self.snapshot.upstreams.len(), entries) {
-                return Ok(ChosenUpstream { key, inflight, pace });
-            }
-            if is_choice {
-                left -= 1;
-            } else {
-                proofs -= 1;
-            }
-            history.checks += 1;
-            mark_probed(upstream);
-            let format = &tools.settings.headers.load;
-            match ask_load(tools.client, upstream, format, check.settings.answer_time).await {
-                LoadAnswer::Untold => return Ok(ChosenUpstream { key, inflight, pace }),
-                LoadAnswer::Reported(report) => {
-                    tools.picker.observe_load(upstream, report);
-                    drop(inflight);
-                    if !is_choice || tools.picker.confirms(pick, key) {
-                        let pace = check.fresh_pace(upstream);
-                        return Ok(ChosenUpstream { key, inflight: upstream.enter(), pace });
-                    }
-                    trace.passed_over(upstream);
-                }
-                LoadAnswer::Failed(result) => {
-                    let latency = check.settings.answer_time;
-                    let (load, is_draining) = (None, false);
-                    let report = AttemptReport { latency, result, load, is_draining };
-                    tools.picker.observe(upstream, report);
-                    trace.passed_over(upstream);
-                    excluded.insert(0, key);
-                }
-            }
-        }
-    }
-
-    fn pick_request<'a, C, P>(
-        &'a self,
-        role: AttemptRole,
-        route: &'a RouteRecord,
-        tried: &'a [UpstreamKey],
-        tools: &ExchangeTools<'_, C, P>,
-    ) -> PickRequest<'a> {
-        let now = Instant::now();
-        let goal = self.started + route.spec.goal.saturating_sub(tools.settings.caller_delay);
-        let demand = PickDemand {
-            work: self.limits.demand.work(route),
-            fullness_factor: self.limits.demand.fullness_factor(),
-            kilobytes: self.limits.demand.kilobytes(),
-            goal_left: goal.saturating_duration_since(now),
-            time_left: self.deadline.saturating_duration_since(now),
-            waited: Duration::ZERO,
-            pace: None,
-        };
-        let purpose = match role {
-            AttemptRole::First => PickPurpose::First,
-            AttemptRole::Retry => PickPurpose::Retry,
-            AttemptRole::Hedge => PickPurpose::Hedge,
-        };
-        PickRequest { snapshot: &self.snapshot, route, tried, part: self.part, purpose, demand }
-    }
-
-    /// Whether an attempt can be paid for, as far as that can be told beforehand.
-    fn can_pay(&self, role: AttemptRole) -> bool {
-        match (role, &self.repeat_share) {
-            (AttemptRole::First, _) | (_, None) => true,
-            (_, Some(share)) => share.window.can_spend(share.entries),
-        }
-    }
-
-    /// Pays for an attempt; false if the budget is spent.
-    fn pay(&self, role: AttemptRole) -> bool {
-        match (role, &self.repeat_share) {
-            (AttemptRole::First, _) => true,
-            (_, Some(share)) => share.window.try_spend(share.entries),
-            (AttemptRole::Retry, None) => self.limits.retries.try_spend(),
-            (AttemptRole::Hedge, None) => self.limits.hedges.try_spend(),
-        }
-    }
-
     async fn attempt<C: UpstreamClient, P: UpstreamPicker>(
         &self,
         start: AttemptStart,
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -11,6 +11,7 @@
 mod answer;
 mod attempt;
 mod attempt_watch;
+mod choice;
 mod classify;
 mod exchange;
 mod exchange_settings;
