--- a/src/fleet/enrolment.rs
+++ b/src/fleet/enrolment.rs
@@ -20,8 +20,9 @@
 };
 use crate::util::SeededRandom;
 
-/// Time after which an entry that was not registered looks again: all entries of a new deployment start
-/// within a fraction of a second, and an answer that may be old is usually less than a second old.
+/// Time after which an entry that was not registered looks again: all entries of a new deployment
+/// start within a fraction of a second, and an answer that may be old is usually less than a second
+/// old.
 const NEWCOMER_PAUSE: Duration = Duration::from_millis(1200);
 /// Time after which the registered entries are listed for the last time; an answer that may be old
 /// is at most some seconds old.
@@ -83,11 +84,7 @@
 
     /// The deployment's key; whoever creates it first has made it for all.
     async fn read_key(&self) -> Result<ObjectEnvelope, StoreError> {
-        match self
-            .state
-            .call_store(StoreCall::Relaxed, CALL_TIME, self.store.get_relaxed(KEY_KIND, KEY_NAME))
-            .await
-        {
+        match self.call(StoreCall::Relaxed, self.store.get_relaxed(KEY_KIND, KEY_NAME)).await {
             Err(StoreError::NotFound) => {}
             found => return found,
         }
@@ -97,21 +94,23 @@
             spec: self.key_candidate.clone().into(),
             ..ObjectDraft::default()
         };
-        match self
-            .state
-            .call_store(StoreCall::Put, CALL_TIME, self.store.put(key, Precondition::Absent))
-            .await
-        {
+        match self.call(StoreCall::Put, self.store.put(key, Precondition::Absent)).await {
             Err(StoreError::Conflict(Some(present))) => Ok(*present),
             Err(StoreError::Conflict(None)) => {
-                self.state
-                    .call_store(StoreCall::Get, CALL_TIME, self.store.get(KEY_KIND, KEY_NAME))
-                    .await
+                self.call(StoreCall::Get, self.store.get(KEY_KIND, KEY_NAME)).await
             }
             written => written,
         }
     }
 
+    async fn call<T>(
+        &self,
+        call: StoreCall,
+        answer: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        self.state.call_store(call, CALL_TIME, answer).await
+    }
+
     fn take_key(&self, object: &ObjectEnvelope) -> Result<(), StoreError> {
         let text = object.spec.as_str().unwrap_or_default();
         let key = MessageKey::new(text.as_bytes()).filter(|_| !text.is_empty());
@@ -132,23 +131,12 @@
             spec,
             ..ObjectDraft::default()
         };
-        match self
-            .state
-            .call_store(
-                StoreCall::Put,
-                CALL_TIME,
-                self.store.put(draft.clone(), Precondition::Absent),
-            )
-            .await
-        {
+        match self.call(StoreCall::Put, self.store.put(draft.clone(), Precondition::Absent)).await {
             Ok(_) => Ok(()),
             Err(StoreError::Conflict(Some(present))) if present.spec == draft.spec => Ok(()),
             Err(StoreError::Conflict(Some(present))) => {
                 let condition = Precondition::SpecVersion(present.spec_version);
-                self.state
-                    .call_store(StoreCall::Put, CALL_TIME, self.store.put(draft, condition))
-                    .await
-                    .map(drop)
+                self.call(StoreCall::Put, self.store.put(draft, condition)).await.map(drop)
             }
             Err(error) => Err(error),
         }
@@ -156,10 +144,7 @@
 
     /// Takes in who is registered, and tells whether this entry is.
     async fn list_entries(&self) -> Result<RegistrationStanding, StoreError> {
-        let list = self
-            .state
-            .call_store(StoreCall::Relaxed, CALL_TIME, self.store.list_relaxed(ENTRY_KIND, ""))
-            .await?;
+        let list = self.call(StoreCall::Relaxed, self.store.list_relaxed(ENTRY_KIND, "")).await?;
         Ok(self.take_registrations(list))
     }
 
