--- a/src/balance/completion_picker.rs
+++ b/src/balance/completion_picker.rs
@@ -21,8 +21,6 @@
 use crate::core::{FailureDomain, UpstreamKey, UpstreamState};
 use crate::util::{SeededRandom, SharedRandom};
 
-/// Percent at which work takes its usual time.
-const USUAL_PERCENT: f32 = 100.0;
 /// Part of the usual work that is taken to be left of an attempt that is nearly or just over it.
 const MIN_LEFT_PART: f32 = 0.25;
 /// Load of an upstream with nothing but the request in question, and what is left of reports that
@@ -285,11 +283,10 @@
     /// it can still be trusted.
     fn slow_secs(&self, upstream: &UpstreamState, work_secs: f32, now: Instant) -> f32 {
         let view = upstream.load();
-        let factor = view.work_percent.get() / USUAL_PERCENT;
-        let Some(reported) = view.reported.get().filter(|_| factor > 1.0) else { return 0.0 };
-        let age_secs = view.age_at(now, reported).as_secs_f32();
+        let Some(factor) = view.pace().filter(|factor| *factor > 1.0) else { return 0.0 };
+        let Some(age) = view.report_age(now) else { return 0.0 };
         let life_secs = self.settings.speed_life.as_secs_f32();
-        let trust = (1.0 - age_secs / life_secs).max(0.0);
+        let trust = (1.0 - age.as_secs_f32() / life_secs).max(0.0);
         trust * work_secs * (factor - 1.0)
     }
 
@@ -369,9 +366,8 @@
 fn estimated_load(upstream: &UpstreamState, work_secs: f32, now: Instant) -> f32 {
     let view = upstream.load();
     let own = upstream.inflight() as f32;
-    let Some(reported) = view.reported.get() else { return own };
-    let age_secs = view.age_at(now, reported).as_secs_f32();
-    let left = (-age_secs / work_secs.max(f32::EPSILON)).exp();
+    let Some(age) = view.report_age(now) else { return own };
+    let left = (-age.as_secs_f32() / work_secs.max(f32::EPSILON)).exp();
     let usual = view.usual_others.get();
     own + usual + (view.reported_others.get() - usual) * left
 }
--- a/src/balance/observe.rs
+++ b/src/balance/observe.rs
@@ -91,8 +91,7 @@
     if view.reported.get().is_some_and(|known| known > at) {
         return;
     }
-    record_load(view, report.inflight as f32 - upstream.inflight() as f32, at, settings);
-    record_percent(view, report);
+    record_report(view, report, upstream.inflight(), at, settings);
 }
 
 /// Learns a report that the upstream gave just now, to an attempt that is counted as in flight but
@@ -105,12 +104,18 @@
     let view = upstream.load();
     let now = view.nanos_at(Instant::now());
     let own = upstream.inflight().saturating_sub(1);
-    view.exchanged.set(now);
-    record_load(view, report.inflight as f32 - own as f32, now, settings);
-    record_percent(view, report);
+    record_report(view, report, own, now, settings);
 }
 
-fn record_percent(view: &LoadView, report: LoadReport) {
+/// Records a report of the time `at`, with `own` requests of this node among those in flight.
+fn record_report(
+    view: &LoadView,
+    report: LoadReport,
+    own: u32,
+    at: u64,
+    settings: &ObserveSettings,
+) {
+    record_load(view, report.inflight as f32 - own as f32, at, settings);
     if let Some(percent) = report.work_percent {
         view.work_percent.set(percent as f32);
     }
@@ -124,7 +129,6 @@
 ) {
     let view = upstream.load();
     let now = view.nanos_at(Instant::now());
-    let own = own as f32;
     match report.result {
         AttemptResult::Answered => {
             view.heard.set(now);
@@ -132,14 +136,13 @@
             record_success(view, now);
             view.error_share.blend(0.0, settings.sample_weight);
             if let Some(load) = report.load {
-                record_load(view, load.inflight as f32 - own, now, settings);
-                record_percent(view, load);
+                record_report(view, load, own, now, settings);
             }
         }
         AttemptResult::Shed => {
             view.heard.set(now);
             // A full queue is at least as long as the slots are many.
-            let others = 2.0 * upstream.spec.slots as f32 - own;
+            let others = 2.0 * upstream.spec.slots as f32 - own as f32;
             record_load(view, others, now, settings);
         }
         AttemptResult::ServerError | AttemptResult::TimedOut => {
--- a/src/bin/heatherfalld/main.rs
+++ b/src/bin/heatherfalld/main.rs
@@ -2,7 +2,6 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
 
 use clap::Parser;
 use heatherfall::ops::node_settings::NodeSettings;
@@ -12,9 +11,6 @@
 use miette::IntoDiagnostic;
 use tokio::signal::unix::{SignalKind, signal};
 
-/// Longest time that the last log lines are waited for.
-const LAST_LINES_TIME: Duration = Duration::from_millis(100);
-
 /// Load balancer daemon, the same on every entry VM.
 #[derive(Debug, Parser)]
 #[command(version)]
@@ -49,6 +45,6 @@
         _ = interrupt.recv() => {}
     }
     node.leave().await;
-    drain.wait(LAST_LINES_TIME);
+    drain.wait(log_output::LAST_LINES_TIME);
     Ok(())
 }
--- a/src/core/load_view.rs
+++ b/src/core/load_view.rs
@@ -9,6 +9,9 @@
 
 use tokio::time::Instant;
 
+/// Percent at which work takes its usual time.
+const USUAL_PERCENT: f32 = 100.0;
+
 /// A number that is replaced as a whole.
 #[derive(Debug, Default)]
 pub struct AtomicNumber(AtomicU32);
@@ -127,6 +130,17 @@
         self.age_at(now, self.heard.get().unwrap_or_default())
     }
 
+    /// Age at `now` of the last load report; none if there was none.
+    pub fn report_age(&self, now: Instant) -> Option<Duration> {
+        Some(self.age_at(now, self.reported.get()?))
+    }
+
+    /// Multiple of its usual time that work took at the last report; none if that was not told.
+    pub fn pace(&self) -> Option<f32> {
+        let percent = self.work_percent.get();
+        (percent > 0.0).then(|| percent / USUAL_PERCENT)
+    }
+
     /// Whether the upstream is ejected at `now`.
     pub fn is_ejected(&self, now: Instant) -> bool {
         self.ejected_until.get().is_some_and(|until| self.nanos_at(now) < until)
--- a/src/fleet/control_api.rs
+++ b/src/fleet/control_api.rs
@@ -19,7 +19,8 @@
 use crate::core::VmId;
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::directory::EntryDirectory;
-use crate::membership::{EntryState, SharedMembership};
+use crate::fleet::state::FleetState;
+use crate::membership::EntryState;
 use crate::serve::{metrics_reply, reply};
 
 /// Path of the metrics.
@@ -30,7 +31,7 @@
 pub struct ControlApi<D> {
     codec: D,
     vm: VmId,
-    membership: SharedMembership,
+    state: Arc<FleetState<D>>,
     directory: EntryDirectory,
     registry: Registry,
 }
@@ -40,11 +41,11 @@
     pub fn new(
         codec: D,
         vm: VmId,
-        membership: SharedMembership,
+        state: Arc<FleetState<D>>,
         directory: EntryDirectory,
         registry: Registry,
     ) -> Self {
-        Self { codec, vm, membership, directory, registry }
+        Self { codec, vm, state, directory, registry }
     }
 
     /// Serves one listener until `stop` is cancelled.
@@ -77,13 +78,14 @@
             return self.addresses(query.unwrap_or_default());
         }
         if path == METRICS_PATH {
+            self.state.show_beliefs();
             return metrics_reply(&self.registry);
         }
         reply(StatusCode::NOT_FOUND, Bytes::from_static(b"not found\n"))
     }
 
     fn readiness(&self) -> Response<Full<Bytes>> {
-        let state = self.membership.load().find(&self.vm).map(|entry| entry.state);
+        let state = self.state.membership.load().find(&self.vm).map(|entry| entry.state);
         if state == Some(EntryState::Ready) {
             return reply(StatusCode::OK, Bytes::from_static(b"ready\n"));
         }
--- a/src/fleet/enrolment.rs
+++ b/src/fleet/enrolment.rs
@@ -14,7 +14,7 @@
 use crate::fleet::peer_message::MessageKey;
 use crate::fleet::peer_table::EntryRegistration;
 use crate::fleet::state::FleetState;
-use crate::fleet::store_follower::{CALL_TIME, MAX_PAUSE};
+use crate::fleet::store_follower::MAX_PAUSE;
 use crate::platform::{
     ObjectDraft, ObjectEnvelope, ObjectList, PlatformStore, Precondition, StoreError,
 };
@@ -84,7 +84,11 @@
 
     /// The deployment's key; whoever creates it first has made it for all.
     async fn read_key(&self) -> Result<ObjectEnvelope, StoreError> {
-        match self.call(StoreCall::Relaxed, self.store.get_relaxed(KEY_KIND, KEY_NAME)).await {
+        match self
+            .state
+            .call_store(StoreCall::Relaxed, self.store.get_relaxed(KEY_KIND, KEY_NAME))
+            .await
+        {
             Err(StoreError::NotFound) => {}
             found => return found,
         }
@@ -94,23 +98,16 @@
             spec: self.key_candidate.clone().into(),
             ..ObjectDraft::default()
         };
-        match self.call(StoreCall::Put, self.store.put(key, Precondition::Absent)).await {
+        match self.state.call_store(StoreCall::Put, self.store.put(key, Precondition::Absent)).await
+        {
             Err(StoreError::Conflict(Some(present))) => Ok(*present),
             Err(StoreError::Conflict(None)) => {
-                self.call(StoreCall::Get, self.store.get(KEY_KIND, KEY_NAME)).await
+                self.state.call_store(StoreCall::Get, self.store.get(KEY_KIND, KEY_NAME)).await
             }
             written => written,
         }
     }
 
-    async fn call<T>(
-        &self,
-        call: StoreCall,
-        answer: impl Future<Output = Result<T, StoreError>>,
-    ) -> Result<T, StoreError> {
-        self.state.call_store(call, CALL_TIME, answer).await
-    }
-
     fn take_key(&self, object: &ObjectEnvelope) -> Result<(), StoreError> {
         let text = object.spec.as_str().unwrap_or_default();
         let key = MessageKey::new(text.as_bytes()).filter(|_| !text.is_empty());
@@ -131,12 +128,19 @@
             spec,
             ..ObjectDraft::default()
         };
-        match self.call(StoreCall::Put, self.store.put(draft.clone(), Precondition::Absent)).await {
+        match self
+            .state
+            .call_store(StoreCall::Put, self.store.put(draft.clone(), Precondition::Absent))
+            .await
+        {
             Ok(_) => Ok(()),
             Err(StoreError::Conflict(Some(present))) if present.spec == draft.spec => Ok(()),
             Err(StoreError::Conflict(Some(present))) => {
                 let condition = Precondition::SpecVersion(present.spec_version);
-                self.call(StoreCall::Put, self.store.put(draft, condition)).await.map(drop)
+                self.state
+                    .call_store(StoreCall::Put, self.store.put(draft, condition))
+                    .await
+                    .map(drop)
             }
             Err(error) => Err(error),
         }
@@ -144,7 +148,10 @@
 
     /// Takes in who is registered, and tells whether this entry is.
     async fn list_entries(&self) -> Result<RegistrationStanding, StoreError> {
-        let list = self.call(StoreCall::Relaxed, self.store.list_relaxed(ENTRY_KIND, "")).await?;
+        let list = self
+            .state
+            .call_store(StoreCall::Relaxed, self.store.list_relaxed(ENTRY_KIND, ""))
+            .await?;
         Ok(self.take_registrations(list))
     }
 
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -24,7 +24,7 @@
 use crate::fleet::entry_settings::EntrySettings;
 use crate::fleet::fleet_metrics::FleetMetrics;
 use crate::fleet::follow_times::FollowTimes;
-use crate::fleet::live_settings::{LiveSettings, ReloadOutcome};
+use crate::fleet::live_settings::LiveSettings;
 use crate::fleet::load_probe::{LoadLearner, LoadProbeSettings, LoadWork};
 use crate::fleet::peer_service::PeerWork;
 use crate::fleet::peer_table::{EntryRegistration, PeerTable};
@@ -100,10 +100,9 @@
 impl<D: DeploymentCodec> RunningEntry<D> {
     /// Takes in settings that were read again. Addresses, identity and the bounds that the store
     /// is followed by stay those of the start; a VM that gets others is restarted by its platform.
-    pub fn reload(&self, settings: &EntrySettings) -> ReloadOutcome {
+    pub fn reload(&self, settings: &EntrySettings) {
         let outcome = self.settings.replace(settings);
         log::info!(target: "node", "settings read again vm={} outcome={outcome:?}", settings.vm);
-        outcome
     }
 
     /// Leaves gracefully: the entry is no longer named to callers but serves those who still come,
@@ -206,7 +205,7 @@
     let stops = EntryStops::default();
     let directory = EntryDirectory::new(Arc::clone(&membership), failure_domain, live.clone());
     let vm = VmId::new(&settings.vm);
-    let api = ControlApi::new(codec, vm, Arc::clone(&membership), directory, registry.clone());
+    let api = ControlApi::new(codec, vm, Arc::clone(&state), directory, registry.clone());
     let api = Arc::new(api);
     for listener in sockets.control {
         tokio::spawn(Arc::clone(&api).serve(listener, stops.control.clone()));
--- a/src/fleet/load_probe.rs
+++ b/src/fleet/load_probe.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
-use crate::balance::{LoadReport, ObserveSettings, learn_shared, mark_probed};
+use crate::balance::{LoadReport, ObserveSettings, learn_shared};
 use crate::core::{ConfigSnapshot, FailureDomain, LoadFormat, UpstreamKey, UpstreamState};
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::live_settings::LiveSettings;
@@ -174,12 +174,9 @@
             return;
         }
         self.sent.inc();
-        mark_probed(upstream);
         let asked = ask_load(&self.client, upstream, &self.settings.format, PROBE_TIMEOUT);
         let LoadAnswer::Reported(report) = asked.await else { return };
         let measured = Instant::now();
-        let view = upstream.load();
-        view.exchanged.set(view.nanos_at(measured));
         learn_shared(upstream, report, Duration::ZERO, &self.learner.settings);
         let load = MeasuredLoad {
             instance: upstream.name.clone(),
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -17,6 +17,8 @@
 use crate::membership::{ConfigFreshness, EntryState, SharedMembership};
 use crate::platform::StoreError;
 
+/// Time for the answer of a call of the store beyond its own wait.
+pub(super) const CALL_TIME: Duration = Duration::from_millis(700);
 /// Time for which another entry's word on the store's steadiness holds; some messages.
 const STEADINESS_LIFE: Duration = Duration::from_secs(2);
 
@@ -140,8 +142,17 @@
         Self { metrics: Some(metrics), ..self }
     }
 
-    /// Makes a call of the store and counts it; its answer is lost after `limit`.
+    /// Makes a call of the store that is answered at once, and counts it.
     pub(super) async fn call_store<T>(
+        &self,
+        call: StoreCall,
+        answer: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        self.call_store_within(call, CALL_TIME, answer).await
+    }
+
+    /// The same for one whose answer is lost after `limit`.
+    pub(super) async fn call_store_within<T>(
         &self,
         call: StoreCall,
         limit: Duration,
@@ -155,7 +166,8 @@
         result
     }
 
-    fn show_beliefs(&self) {
+    /// Brings the metrics of what the entry believes up to date.
+    pub(super) fn show_beliefs(&self) {
         let Some(metrics) = &self.metrics else { return };
         let snapshot = self.snapshot.load();
         let snapshot = snapshot.as_ref();
@@ -357,7 +369,6 @@
         if **self.membership.load() != view {
             self.membership.store(Arc::new(view));
         }
-        self.show_beliefs();
     }
 }
 
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -15,9 +15,8 @@
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::enrolment::{EntryEnrolment, new_key};
 use crate::fleet::fleet_metrics::StoreCall;
-use crate::fleet::follow_times::FollowTimes;
 use crate::fleet::peer_table::EntryRegistration;
-use crate::fleet::state::{FleetState, GapKind};
+use crate::fleet::state::{CALL_TIME, FleetState, GapKind};
 use crate::fleet::view::StoreOutage;
 use crate::kernel::{ServiceName, ServiceWork};
 use crate::platform::{PlatformStore, StoreError, WatchRequest};
@@ -34,8 +33,6 @@
 const CONFIRM_WAIT: Duration = Duration::from_millis(1);
 /// Rank from which entries start together.
 const MAX_RANK: u32 = 8;
-/// Time for the answer of a call beyond its own wait.
-pub(super) const CALL_TIME: Duration = Duration::from_millis(700);
 /// Pause after a failed call; doubles up to the longest one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call.
@@ -93,7 +90,6 @@
 pub struct StoreFollower<S, D> {
     store: Arc<S>,
     state: Arc<FleetState<D>>,
-    times: FollowTimes,
     lost: Option<Instant>,
     pause: Duration,
     /// When the last watch began.
@@ -107,11 +103,9 @@
 impl<S: PlatformStore, D: DeploymentCodec> StoreFollower<S, D> {
     /// Creates a follower that has read nothing yet.
     pub fn new(store: Arc<S>, state: Arc<FleetState<D>>) -> Self {
-        let times = state.times;
         Self {
             store,
             state,
-            times,
             lost: None,
             pause: FIRST_PAUSE,
             watched: None,
@@ -181,11 +175,12 @@
             if next > now {
                 return StoreDuty::Rest(next);
             }
-            let wait = self.times.watch_wait;
+            let wait = self.state.times.watch_wait;
             let wait = expiry.map_or(wait, |at| wait.min(at.saturating_duration_since(now)));
             return StoreDuty::Watch(wait);
         }
-        let limit = self.times.confirm_limit + self.times.rank_step * rank.min(MAX_RANK);
+        let limit =
+            self.state.times.confirm_limit + self.state.times.rank_step * rank.min(MAX_RANK);
         let age = self.state.freshness.age().unwrap_or_else(|| now - self.began);
         if age >= limit {
             return StoreDuty::Watch(CONFIRM_WAIT);
@@ -200,7 +195,7 @@
         self.listed = Some(started);
         let list = self
             .state
-            .call_store(StoreCall::List, CALL_TIME, self.store.list(self.names().upstream_kind, ""))
+            .call_store(StoreCall::List, self.store.list(self.names().upstream_kind, ""))
             .await?;
         self.note_found(started);
         let change = self.state.view().replace_upstreams(list, Instant::now());
@@ -217,11 +212,11 @@
     async fn list_first(&mut self) -> Result<(), StoreError> {
         let names = self.names();
         let list = self.store.list_relaxed(names.upstream_kind, "");
-        let list = self.state.call_store(StoreCall::Relaxed, CALL_TIME, list).await?;
+        let list = self.state.call_store(StoreCall::Relaxed, list).await?;
         self.note_found(Instant::now());
         let change = self.state.view().replace_upstreams(list, Instant::now());
         let config = self.store.get_relaxed(names.config_kind, names.config_name);
-        match self.state.call_store(StoreCall::Relaxed, CALL_TIME, config).await {
+        match self.state.call_store(StoreCall::Relaxed, config).await {
             Ok(object) => drop(self.state.view().apply_config(object)),
             // Nothing has been configured yet.
             Err(StoreError::NotFound) => {}
@@ -239,7 +234,7 @@
         let request = WatchRequest { kinds, since, wait };
         let batch = match self
             .state
-            .call_store(StoreCall::Watch, wait + CALL_TIME, self.store.watch(request))
+            .call_store_within(StoreCall::Watch, wait + CALL_TIME, self.store.watch(request))
             .await
         {
             Ok(batch) => batch,
@@ -266,11 +261,7 @@
         let revision = self.state.view().revision();
         match self
             .state
-            .call_store(
-                StoreCall::Get,
-                CALL_TIME,
-                self.store.get(names.config_kind, names.config_name),
-            )
+            .call_store(StoreCall::Get, self.store.get(names.config_kind, names.config_name))
             .await
         {
             Ok(object) => {
@@ -304,7 +295,7 @@
         // If others had the store meanwhile, only this entry was cut off.
         let began = now.checked_sub(unconfirmed).unwrap_or(now);
         let is_outage =
-            unconfirmed >= self.times.min_outage && !self.state.was_steady_for_others(began);
+            unconfirmed >= self.state.times.min_outage && !self.state.was_steady_for_others(began);
         log::info!(
             target: "store",
             "regained after_ms={} view_age_ms={} outage={is_outage}",
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -298,7 +298,7 @@
 
     /// Writes the line of a change of the upstreams, which came from `source`.
     pub fn log_change(&self, change: &ViewChange, source: &str) {
-        if change.puts.is_empty() && change.deletes.is_empty() && change.held.is_empty() {
+        if !change.has_upstreams() {
             // The line of the configuration says the rest.
             return;
         }
--- a/src/fleet/view_change.rs
+++ b/src/fleet/view_change.rs
@@ -27,10 +27,12 @@
 impl ViewChange {
     /// Whether nothing but the revision changed.
     pub fn is_empty(&self) -> bool {
-        self.puts.is_empty()
-            && self.deletes.is_empty()
-            && self.held.is_empty()
-            && self.config.is_none()
+        !self.has_upstreams() && self.config.is_none()
+    }
+
+    /// Whether upstreams changed.
+    pub fn has_upstreams(&self) -> bool {
+        !self.puts.is_empty() || !self.deletes.is_empty() || !self.held.is_empty()
     }
 }
 
--- a/src/limits/window_budget.rs
+++ b/src/limits/window_budget.rs
@@ -6,7 +6,7 @@
 //! more.
 
 use std::collections::VecDeque;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -38,75 +38,82 @@
 /// Bounds the repeats of one entry for one group of upstreams.
 #[derive(Debug)]
 pub struct WindowBudget {
-    allowance: Mutex<WindowAllowance>,
-    steps: Mutex<VecDeque<WindowStep>>,
+    state: Mutex<WindowState>,
+}
+
+#[derive(Debug)]
+struct WindowState {
+    allowance: WindowAllowance,
+    /// Those of the present window; the last one is running.
+    steps: VecDeque<WindowStep>,
 }
 
 impl WindowBudget {
     /// Creates a budget without history.
     pub fn new(allowance: WindowAllowance) -> Self {
-        Self { allowance: Mutex::new(allowance), steps: Mutex::default() }
+        let state = WindowState { allowance, steps: VecDeque::new() };
+        Self { state: Mutex::new(state) }
     }
 
     /// Replaces what the deployment allows; what was spent counts on.
     pub fn set_allowance(&self, allowance: WindowAllowance) {
-        *self.allowance.lock().unwrap_or_else(PoisonError::into_inner) = allowance;
-    }
-
-    fn allowance(&self) -> WindowAllowance {
-        *self.allowance.lock().unwrap_or_else(PoisonError::into_inner)
+        self.lock().allowance = allowance;
     }
 
     /// Records a request.
     pub fn record_request(&self) {
-        self.with_steps(|steps| {
-            if let Some(step) = steps.back_mut() {
-                step.requests += 1;
-            }
-        });
+        let mut state = self.lock();
+        state.advance();
+        if let Some(step) = state.steps.back_mut() {
+            step.requests += 1;
+        }
     }
 
     /// Pays for one repeat; false if this entry, one of `entries`, has spent its share.
     pub fn try_spend(&self, entries: u32) -> bool {
-        let allowance = self.allowance();
-        self.with_steps(|steps| {
-            if !is_allowed(steps, allowance, entries) {
-                return false;
-            }
-            if let Some(step) = steps.back_mut() {
-                step.repeats += 1;
-            }
-            true
-        })
+        let mut state = self.lock();
+        state.advance();
+        if !state.allows_another(entries) {
+            return false;
+        }
+        if let Some(step) = state.steps.back_mut() {
+            step.repeats += 1;
+        }
+        true
     }
 
     /// Whether [`Self::try_spend`] would pay now.
     pub fn can_spend(&self, entries: u32) -> bool {
-        let allowance = self.allowance();
-        self.with_steps(|steps| is_allowed(steps, allowance, entries))
+        let mut state = self.lock();
+        state.advance();
+        state.allows_another(entries)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, WindowState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
+}
 
-    /// Runs `use_steps` on the steps of the present window, of which the last one is running.
-    fn with_steps<T>(&self, use_steps: impl FnOnce(&mut VecDeque<WindowStep>) -> T) -> T {
+impl WindowState {
+    /// Forgets the steps that have left the window and begins a new one when it is time.
+    fn advance(&mut self) {
         let now = Instant::now();
-        let window = self.allowance().window;
-        let mut steps = self.steps.lock().unwrap_or_else(PoisonError::into_inner);
-        while steps.front().is_some_and(|step| now - step.began > window) {
-            steps.pop_front();
+        let window = self.allowance.window;
+        while self.steps.front().is_some_and(|step| now - step.began > window) {
+            self.steps.pop_front();
         }
         let length = window / STEPS;
-        if steps.back().is_none_or(|step| now - step.began >= length) {
-            steps.push_back(WindowStep { began: now, requests: 0, repeats: 0 });
+        if self.steps.back().is_none_or(|step| now - step.began >= length) {
+            self.steps.push_back(WindowStep { began: now, requests: 0, repeats: 0 });
         }
-        use_steps(&mut steps)
     }
-}
 
-/// Whether one more repeat fits into the steps of the present window.
-fn is_allowed(steps: &VecDeque<WindowStep>, allowance: WindowAllowance, entries: u32) -> bool {
-    let requests: u32 = steps.iter().map(|step| step.requests).sum();
-    let repeats: u32 = steps.iter().map(|step| step.repeats).sum();
-    let share = allowance.extra / f64::from(entries.max(1));
-    let allowed = USED_PART * (allowance.ratio * f64::from(requests) + share);
-    f64::from(repeats + 1) <= allowed
+    /// Whether one more repeat of one of `entries` entries fits into the window.
+    fn allows_another(&self, entries: u32) -> bool {
+        let requests: u32 = self.steps.iter().map(|step| step.requests).sum();
+        let repeats: u32 = self.steps.iter().map(|step| step.repeats).sum();
+        let share = self.allowance.extra / f64::from(entries.max(1));
+        let allowed = USED_PART * (self.allowance.ratio * f64::from(requests) + share);
+        f64::from(repeats + 1) <= allowed
+    }
 }
--- a/src/ops/log_output.rs
+++ b/src/ops/log_output.rs
@@ -1,12 +1,15 @@
 //! Sets up logs: `log` with `fern`, plain or JSON lines on standard output, never blocking.
 
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 use serde::Serialize;
 
 use crate::ops::node_settings::{LogFormat, LogSettings};
 use crate::util::{BoundedWriter, LogDrain};
 
+/// Longest time that a daemon which ends waits for its last lines.
+pub const LAST_LINES_TIME: Duration = Duration::from_millis(100);
+
 /// Why logs could not be set up.
 #[derive(Debug, thiserror::Error)]
 pub enum LogOutputError {
--- a/src/request/choice.rs
+++ b/src/request/choice.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use crate::balance::{
-    AttemptReport, PickDemand, PickPurpose, PickRefusal, PickRequest, UpstreamPicker, mark_probed,
+    AttemptReport, PickDemand, PickPurpose, PickRefusal, PickRequest, UpstreamPicker,
 };
 use crate::core::{IdempotenceMode, InflightGuard, RouteRecord, UpstreamKey, UpstreamState};
 use crate::request::attempt::UpstreamClient;
@@ -147,7 +147,6 @@
             }
             allowed.take(purpose);
             history.questions += 1;
-            mark_probed(upstream);
             let format = &tools.settings.headers.load;
             match ask_load(tools.client, upstream, format, check.settings.answer_time).await {
                 LoadAnswer::Untold => return Ok(ChosenUpstream { key, inflight, pace: None }),
--- a/src/request/load_check.rs
+++ b/src/request/load_check.rs
@@ -22,7 +22,7 @@
 use http_body_util::BodyExt;
 use tokio::time::{Instant, timeout};
 
-use crate::balance::{AttemptResult, LoadReport};
+use crate::balance::{AttemptResult, LoadReport, mark_probed};
 use crate::core::{LoadFormat, UpstreamState};
 use crate::limits::CheckAllowance;
 use crate::request::attempt::{
@@ -30,9 +30,6 @@
 };
 use crate::request::exchange_state::AttemptRole;
 
-/// Percent at which work takes its usual time.
-const USUAL_PERCENT: f32 = 100.0;
-
 /// When an upstream is asked before a request goes out.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CheckSettings {
@@ -94,19 +91,17 @@
             return false;
         }
         let view = upstream.load();
-        let may_tell = view.work_percent.get() > 0.0 || view.probed.get().is_none();
+        let may_tell = view.pace().is_some() || view.probed.get().is_none();
         may_tell && !self.is_fresh(upstream) && self.allowance.try_spend(upstreams, entries)
     }
 
     /// Multiple of the usual time that work takes at `upstream`, if that is known as of now.
     pub fn fresh_pace(&self, upstream: &UpstreamState) -> Option<f32> {
-        let percent = upstream.load().work_percent.get();
-        (self.is_fresh(upstream) && percent > 0.0).then(|| percent / USUAL_PERCENT)
+        upstream.load().pace().filter(|_| self.is_fresh(upstream))
     }
 
     fn is_fresh(&self, upstream: &UpstreamState) -> bool {
-        let view = upstream.load();
-        let age = view.reported.get().map(|reported| view.age_at(Instant::now(), reported));
+        let age = upstream.load().report_age(Instant::now());
         age.is_some_and(|age| age <= self.settings.fresh_age)
     }
 }
@@ -140,6 +135,7 @@
     format: &LoadFormat,
     answer_time: Duration,
 ) -> LoadAnswer {
+    mark_probed(upstream);
     let path = upstream.spec.health_path.as_deref().unwrap_or("/");
     let Ok(uri) = Uri::try_from(path) else { return LoadAnswer::Untold };
     let request = AttemptRequest {
@@ -164,7 +160,10 @@
         if answer.response.into_body().collect().await.is_err() {
             return LoadAnswer::Failed(AttemptResult::Broken);
         }
-        report.map_or(LoadAnswer::Untold, LoadAnswer::Reported)
+        let Some(report) = report else { return LoadAnswer::Untold };
+        let view = upstream.load();
+        view.exchanged.set(view.nanos_at(Instant::now()));
+        LoadAnswer::Reported(report)
     });
     answered.await.unwrap_or(LoadAnswer::Failed(AttemptResult::TimedOut))
 }
--- a/src/request/trace.rs
+++ b/src/request/trace.rs
@@ -49,7 +49,7 @@
         let load = LoadNote {
             others: view.reported_others.get(),
             work_percent: view.work_percent.get(),
-            age: view.reported.get().map(|at| view.age_at(started, at)),
+            age: view.report_age(started),
         };
         let inflight = upstream.inflight();
         let upstream = Arc::clone(upstream);
--- a/tests/testsuite/fleet_store.rs
+++ b/tests/testsuite/fleet_store.rs
@@ -24,11 +24,30 @@
     store
 }
 
+/// The store refuses all calls from now on.
+fn take_down(store: &StandinPlatform) {
+    store.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+}
+
+/// The store answers again.
+fn bring_back(store: &StandinPlatform) {
+    store.set_faults(FaultSettings::default());
+}
+
+/// Two entries that have followed the store for `time` each, one after the other.
+async fn pair(store: &StandinPlatform, time: Duration) -> [TestEntry; 2] {
+    let mut entries = [TestEntry::new("entry-1", store), TestEntry::new("entry-2", store)];
+    for entry in &mut entries {
+        entry.run_for(time).await;
+    }
+    entries
+}
+
 /// The store is away for five seconds while `entry` goes on.
 async fn outage(store: &StandinPlatform, entry: &mut TestEntry) {
-    store.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+    take_down(store);
     entry.run_for(Duration::from_secs(5)).await;
-    store.set_faults(FaultSettings::default());
+    bring_back(store);
 }
 
 /// The words that `from` would send now reach `to`.
@@ -83,10 +102,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_configuration_that_changed_before_a_list_is_read() {
     let store = store_with(1, &["a"]).await;
-    let mut entry = TestEntry::new("entry-1", &store);
-    let mut other = TestEntry::new("entry-2", &store);
-    entry.run_for(Duration::from_secs(1)).await;
-    other.run_for(Duration::from_secs(1)).await;
+    let [mut entry, mut other] = pair(&store, Duration::from_secs(1)).await;
     // Another entry has missed a change, and the list that it reads for it already covers the
     // revision of a new configuration.
     put_upstream(&store, "b").await;
@@ -100,10 +116,7 @@
 #[tokio::test(start_paused = true)]
 async fn an_entry_that_takes_over_reads_a_configuration_that_the_reader_had_not() {
     let store = store_with(1, &["a"]).await;
-    let mut reader = TestEntry::new("entry-1", &store);
-    let mut heir = TestEntry::new("entry-2", &store);
-    reader.run_for(Duration::from_secs(1)).await;
-    heir.run_for(Duration::from_secs(1)).await;
+    let [_reader, mut heir] = pair(&store, Duration::from_secs(1)).await;
     put_config(&store, 2).await;
     put_upstream(&store, "b").await;
     // The reader dies between the answer of its watch and its read of the configuration: its last
@@ -153,10 +166,7 @@
 #[tokio::test(start_paused = true)]
 async fn an_entry_that_hears_of_lapsed_upstreams_agrees_with_the_reader() {
     let store = store_with(1, &["a", "b"]).await;
-    let mut reader = TestEntry::new("entry-1", &store);
-    let mut other = TestEntry::new("entry-2", &store);
-    reader.run_for(Duration::from_secs(1)).await;
-    other.run_for(Duration::from_secs(1)).await;
+    let [mut reader, mut other] = pair(&store, Duration::from_secs(1)).await;
     outage(&store, &mut reader).await;
     reader.state.take_changes();
     delete_upstream(&store, "a").await;
@@ -200,10 +210,7 @@
 #[tokio::test(start_paused = true)]
 async fn the_end_of_a_kept_upstream_is_in_force_where_it_is_heard() {
     let store = store_with(1, &["a", "b"]).await;
-    let mut reader = TestEntry::new("entry-1", &store);
-    let mut other = TestEntry::new("entry-2", &store);
-    reader.run_for(Duration::from_secs(1)).await;
-    other.run_for(Duration::from_secs(1)).await;
+    let [mut reader, other] = pair(&store, Duration::from_secs(1)).await;
     outage(&store, &mut reader).await;
     reader.state.take_changes();
     delete_upstream(&store, "a").await;
@@ -218,20 +225,17 @@
 #[tokio::test(start_paused = true)]
 async fn a_cut_of_one_entry_keeps_no_upstream_that_left() {
     let store = store_with(1, &["a", "b"]).await;
-    let mut reader = TestEntry::new("entry-1", &store);
-    let mut other = TestEntry::new("entry-2", &store);
-    reader.run_for(Duration::from_secs(1)).await;
-    other.run_for(Duration::from_secs(1)).await;
+    let [mut reader, mut other] = pair(&store, Duration::from_secs(1)).await;
     // The first entry loses the store for a while; the other one goes on confirming its view.
-    store.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+    take_down(&store);
     for _ in 0..10 {
         reader.run_for(Duration::from_millis(500)).await;
-        store.set_faults(FaultSettings::default());
+        bring_back(&store);
         other.run_for(Duration::from_millis(1100)).await;
         pass_on(&other, &reader);
-        store.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+        take_down(&store);
     }
-    store.set_faults(FaultSettings::default());
+    bring_back(&store);
     delete_upstream(&store, "a").await;
     reader.run_for(Duration::from_millis(1500)).await;
     assert_eq!(reader.upstreams(), ["b"], "nobody's lease lapsed");
@@ -241,16 +245,13 @@
 /// upstream leaves. `hears_first` says whether it hears its peers before it reads the store again.
 async fn cut_off_alone(hears_first: bool) {
     let store = store_with(1, &["a", "b"]).await;
-    let mut peer = TestEntry::new("entry-1", &store);
-    let mut entry = TestEntry::new("entry-2", &store);
-    peer.run_for(Duration::from_millis(1100)).await;
-    entry.run_for(Duration::from_millis(1100)).await;
+    let [mut peer, mut entry] = pair(&store, Duration::from_millis(1100)).await;
     for _ in 0..10 {
         // One watch of the peer returns.
         peer.run_for(Duration::from_millis(1100)).await;
-        store.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+        take_down(&store);
         entry.run_for(Duration::from_millis(100)).await;
-        store.set_faults(FaultSettings::default());
+        bring_back(&store);
     }
     delete_upstream(&store, "a").await;
     peer.run_for(Duration::from_millis(100)).await;
@@ -273,14 +274,11 @@
 #[tokio::test(start_paused = true)]
 async fn an_entry_that_was_cut_off_in_an_outage_keeps_what_lapsed() {
     let store = store_with(1, &["a", "b"]).await;
-    let mut peer = TestEntry::new("entry-1", &store);
-    let mut entry = TestEntry::new("entry-2", &store);
-    peer.run_for(Duration::from_millis(1100)).await;
-    entry.run_for(Duration::from_millis(1100)).await;
+    let [mut peer, mut entry] = pair(&store, Duration::from_millis(1100)).await;
     outage(&store, &mut peer).await;
-    store.set_faults(FaultSettings { down: true, ..FaultSettings::default() });
+    take_down(&store);
     entry.run_for(Duration::from_millis(100)).await;
-    store.set_faults(FaultSettings::default());
+    bring_back(&store);
     delete_upstream(&store, "a").await;
     peer.run_for(Duration::from_millis(800)).await;
     pass_on(&peer, &entry);
@@ -295,10 +293,7 @@
     let names: Vec<String> = (0..60).map(|index| format!("u{index}")).collect();
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
     let store = store_with(1, &names).await;
-    let mut reader = TestEntry::new("entry-1", &store);
-    let mut other = TestEntry::new("entry-2", &store);
-    reader.run_for(Duration::from_millis(1100)).await;
-    other.run_for(Duration::from_millis(1100)).await;
+    let [mut reader, mut other] = pair(&store, Duration::from_millis(1100)).await;
     other.state.take_changes();
     delete_upstream(&store, "u7").await;
     reader.run_for(Duration::from_millis(500)).await;
--- a/tests/testsuite/load_check.rs
+++ b/tests/testsuite/load_check.rs
@@ -26,6 +26,7 @@
 
 const LOAD_HEADER: HeaderName = HeaderName::from_static("x-load");
 const HEALTH_PATH: &str = "/health";
+const PURCHASE_PATH: &str = "/purchase";
 const UPSTREAMS: usize = 8;
 const WORK: Duration = Duration::from_millis(100);
 const GOAL: Duration = Duration::from_millis(250);
@@ -77,14 +78,18 @@
             tokio::time::sleep(WORK * self.percent(upstream) / 100).await;
         }
         let percent = self.percent(upstream);
-        let mut response = Response::new(Full::default());
-        let load = HeaderValue::from_str(&format!("0,0,4,{percent}")).unwrap();
-        response.headers_mut().insert(LOAD_HEADER, load);
-        AttemptOutcome::Answered(UpstreamAnswer { response })
+        loaded(&format!("0,0,4,{percent}"))
     }
 }
 
-type NoisyPlane = RequestPlane<NoisyClient, CompletionPicker, TestLedger>;
+type CheckedPlane<C> = RequestPlane<C, CompletionPicker, TestLedger>;
+
+/// An answer with a load report.
+fn loaded(load: &str) -> AttemptOutcome<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    response.headers_mut().insert(LOAD_HEADER, HeaderValue::from_str(load).unwrap());
+    AttemptOutcome::Answered(UpstreamAnswer { response })
+}
 
 fn snapshot() -> SharedSnapshot {
     let mut addrs = Vec::new();
@@ -104,26 +109,29 @@
     shared
 }
 
-fn plane(client: &NoisyClient, checks: Option<CheckSettings>) -> (NoisyPlane, SharedSnapshot) {
-    let snapshot = snapshot();
+/// A plane over `client` and `snapshot`; `seed` is that of its picker.
+fn plane<C: UpstreamClient>(
+    client: C,
+    snapshot: &SharedSnapshot,
+    seed: u64,
+    settings: ExchangeSettings,
+) -> CheckedPlane<C> {
     let freshness = Arc::new(ConfigFreshness::default());
     freshness.confirm(Duration::ZERO);
-    let picker = CompletionPicker::new(
-        FailureDomain::new("fd-a"),
-        CompletionSettings::default(),
-        SeededRandom::new(3),
-    );
+    let (domain, weights) = (FailureDomain::new("fd-a"), CompletionSettings::default());
+    let picker = CompletionPicker::new(domain, weights, SeededRandom::new(seed));
     let headers = MessageHeaders { load: LoadFormat::Counts(LOAD_HEADER), ..Default::default() };
-    let settings = ExchangeSettings { headers, checks, ..ExchangeSettings::default() };
-    let shared = Arc::clone(&snapshot);
-    let plane =
-        RequestPlane::new(shared, client.clone(), picker, single_ledger(), freshness, settings);
-    (plane, snapshot)
+    let settings = ExchangeSettings { headers, ..settings };
+    RequestPlane::new(Arc::clone(snapshot), client, picker, single_ledger(), freshness, settings)
+}
+
+fn checking(checks: Option<CheckSettings>) -> ExchangeSettings {
+    ExchangeSettings { checks, ..ExchangeSettings::default() }
 }
 
-/// Sends an at-most-once request and returns the time to its answer.
-async fn send(plane: &NoisyPlane, index: u32) -> Duration {
-    let builder = Request::builder().uri("/purchase").header("x-request-id", index);
+/// Sends a request and returns the time to the end of its answer.
+async fn send<C: UpstreamClient>(plane: &CheckedPlane<C>, path: &str, index: u32) -> Duration {
+    let builder = Request::builder().uri(path).header("x-request-id", index);
     let (parts, ()) = builder.body(()).unwrap().into_parts();
     let started = Instant::now();
     let admission = plane.admit(&parts).expect("a route selects it");
@@ -135,8 +143,9 @@
 /// At-most-once requests, one after the other; returns how many of them missed the goal.
 async fn late_purchases(seed: u64, checks: Option<CheckSettings>) -> u32 {
     let client = NoisyClient::new(seed);
-    let (plane, snapshot) = plane(&client, checks);
-    let snapshot = snapshot.load_full().unwrap();
+    let shared = snapshot();
+    let plane = plane(client.clone(), &shared, 3, checking(checks));
+    let snapshot = shared.load_full().unwrap();
     let mut late = 0;
     let mut reported = None;
     for index in 0..200 {
@@ -148,7 +157,7 @@
                 learn_shared(upstream, report, Duration::ZERO, &Default::default());
             }
         }
-        late += u32::from(send(&plane, index).await > GOAL);
+        late += u32::from(send(&plane, PURCHASE_PATH, index).await > GOAL);
         tokio::time::sleep(Duration::from_millis(7)).await;
     }
     late
@@ -170,9 +179,9 @@
     let mut late = 0;
     for seed in 0..20 {
         let client = NoisyClient::new(seed);
-        let (plane, _snapshot) = plane(&client, Some(CheckSettings::default()));
+        let plane = plane(client, &snapshot(), 3, checking(Some(CheckSettings::default())));
         for index in 0..5 {
-            late += u32::from(send(&plane, index).await > GOAL);
+            late += u32::from(send(&plane, PURCHASE_PATH, index).await > GOAL);
         }
     }
     assert!(late <= 2, "{late} of 100 late");
@@ -196,36 +205,22 @@
             return std::future::pending().await;
         }
         self.asked.fetch_add(1, Ordering::Relaxed);
-        let mut response = Response::new(Full::default());
-        response.headers_mut().insert(LOAD_HEADER, HeaderValue::from_static("4,1,4,100"));
-        AttemptOutcome::Answered(UpstreamAnswer { response })
+        loaded("4,1,4,100")
     }
 }
 
 #[tokio::test(start_paused = true)]
 async fn an_overload_is_not_made_worse_by_questions() {
     let client = BusyClient::default();
-    let snapshot = snapshot();
-    let freshness = Arc::new(ConfigFreshness::default());
-    freshness.confirm(Duration::ZERO);
-    let (domain, settings) = (FailureDomain::new("fd-a"), CompletionSettings::default());
-    let picker = CompletionPicker::new(domain, settings, SeededRandom::new(3));
-    let headers = MessageHeaders { load: LoadFormat::Counts(LOAD_HEADER), ..Default::default() };
     let checks = CheckSettings::default();
     let settings = ExchangeSettings {
-        headers,
-        checks: Some(checks.clone()),
         hedging: HedgeRule::Gain,
         first_attempt_share: 1.0,
-        ..ExchangeSettings::default()
+        ..checking(Some(checks.clone()))
     };
-    let plane =
-        RequestPlane::new(snapshot, client.clone(), picker, single_ledger(), freshness, settings);
+    let plane = plane(client.clone(), &snapshot(), 3, settings);
     // The attempt hangs, so that a hedge is looked for until the deadline.
-    let request = Request::builder().uri("/read").header("x-request-id", "r");
-    let (parts, ()) = request.body(()).unwrap().into_parts();
-    let admission = plane.admit(&parts).expect("a route selects it");
-    let _ = plane.run(admission, parts, Bytes::new()).await;
+    send(&plane, "/read", 0).await;
     let asked = client.asked.load(Ordering::Relaxed);
     assert!(asked <= checks.max_request_checks, "asked {asked} times for one request");
 }
@@ -253,9 +248,7 @@
             self.sent.fetch_add(u32::from(request.uri.path() != HEALTH_PATH), Ordering::Relaxed);
             return AttemptOutcome::Unknown(UnknownCause::ConnectionBroken);
         }
-        let mut response = Response::new(Full::default());
-        response.headers_mut().insert(LOAD_HEADER, HeaderValue::from_static("0,0,4,100"));
-        AttemptOutcome::Answered(UpstreamAnswer { response })
+        loaded("0,0,4,100")
     }
 }
 
@@ -263,21 +256,10 @@
 async fn work_that_runs_at_most_once_goes_out_only_where_a_connection_was_accepted() {
     for seed in 0..50 {
         let client = ResettingClient::default();
-        let snapshot = snapshot();
-        let freshness = Arc::new(ConfigFreshness::default());
-        let (domain, settings) = (FailureDomain::new("fd-a"), CompletionSettings::default());
-        let picker = CompletionPicker::new(domain, settings, SeededRandom::new(seed));
-        let load = LoadFormat::Counts(LOAD_HEADER);
-        let headers = MessageHeaders { load, ..Default::default() };
-        let checks = Some(CheckSettings::default());
-        let settings = ExchangeSettings { headers, checks, ..ExchangeSettings::default() };
         let sent = Arc::clone(&client.sent);
-        let plane =
-            RequestPlane::new(snapshot, client, picker, single_ledger(), freshness, settings);
-        let request = Request::builder().uri("/purchase").header("x-request-id", "p");
-        let (parts, ()) = request.body(()).unwrap().into_parts();
-        let admission = plane.admit(&parts).expect("a route selects it");
-        let _ = plane.run(admission, parts, Bytes::new()).await;
+        let settings = checking(Some(CheckSettings::default()));
+        let plane = plane(client, &snapshot(), seed, settings);
+        send(&plane, PURCHASE_PATH, 0).await;
         assert_eq!(sent.load(Ordering::Relaxed), 0, "seed {seed}");
     }
 }
