store: show the era of the store and the revisions of store and view

Nothing in logs or metrics told a restored store from an entry that misses a change: neither the store's revision nor that of the view was shown.

New gauges heatherfall_store_era, heatherfall_store_revision and heatherfall_view_revision, and one log line when the era changes. The in-memory stand-in takes copies and is restored from them; a watch from a revision that it does not have is answered as compacted. No decision depends on the era yet.

--- a/crates/heatherfall-platform-api/src/lib.rs
+++ b/crates/heatherfall-platform-api/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use crate::error::StoreError;
 pub use crate::object::{
-    LabelMap, ObjectDraft, ObjectEnvelope, ObjectList, Revision, VmList, VmRecord, VmState,
-    WatchBatch, WatchEvent,
+    LabelMap, ObjectDraft, ObjectEnvelope, ObjectList, Revision, StoreEra, StorePosition, VmList,
+    VmRecord, VmState, WatchBatch, WatchEvent,
 };
 pub use crate::store::{MAX_VALUE_BYTES, PlatformStore, Precondition, WatchRequest};
--- a/crates/heatherfall-platform-api/src/object.rs
+++ b/crates/heatherfall-platform-api/src/object.rs
@@ -8,6 +8,42 @@
 /// Revision of the whole store; incremented by every write.
 pub type Revision = u64;
 
+/// Number of a store's history, which rises by one each time that the store is restored from a copy.
+/// Writes since the copy are lost then, and their revisions are assigned again.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct StoreEra(pub u64);
+
+impl StoreEra {
+    /// Era of a store that does not report one.
+    pub const UNKNOWN: Self = Self(0);
+
+    /// Whether the store did not report its era.
+    pub fn is_unknown(&self) -> bool {
+        *self == Self::UNKNOWN
+    }
+}
+
+impl std::fmt::Display for StoreEra {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// A point in the history of a store. Revisions are comparable only within one era.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct StorePosition {
+    /// History that the revision belongs to.
+    #[serde(default)]
+    pub era: StoreEra,
+    /// Revision of the whole store.
+    pub revision: Revision,
+}
+
 /// Labels of an object, sorted by key.
 pub type LabelMap = BTreeMap<String, String>;
 
@@ -34,6 +70,16 @@
     /// Identity of the write that created this spec version, chosen by the writer.
     #[serde(default)]
     pub change_id: String,
+    /// Era of the response that contained the object.
+    #[serde(default, skip_serializing_if = "StoreEra::is_unknown")]
+    pub era: StoreEra,
+}
+
+impl ObjectEnvelope {
+    /// Position of the last write of labels, spec or status.
+    pub fn position(&self) -> StorePosition {
+        StorePosition { era: self.era, revision: self.version }
+    }
 }
 
 /// An object to be written.
@@ -61,6 +107,16 @@
     pub revision: Revision,
     /// The objects.
     pub items: Vec<ObjectEnvelope>,
+    /// Era that the revision belongs to.
+    #[serde(default, skip_serializing_if = "StoreEra::is_unknown")]
+    pub era: StoreEra,
+}
+
+impl ObjectList {
+    /// Position up to which the list reflects all writes.
+    pub fn position(&self) -> StorePosition {
+        StorePosition { era: self.era, revision: self.revision }
+    }
 }
 
 /// Change of one object.
@@ -90,6 +146,16 @@
     pub revision: Revision,
     /// Changes in the order of their revisions; empty if the wait ended without one.
     pub events: Vec<WatchEvent>,
+    /// Era that the revision belongs to.
+    #[serde(default, skip_serializing_if = "StoreEra::is_unknown")]
+    pub era: StoreEra,
+}
+
+impl WatchBatch {
+    /// Resume point within the store's history.
+    pub fn position(&self) -> StorePosition {
+        StorePosition { era: self.era, revision: self.revision }
+    }
 }
 
 /// Lifecycle state of a VM in the platform's list.
--- a/crates/heatherfall-standins/src/platform/mod.rs
+++ b/crates/heatherfall-standins/src/platform/mod.rs
@@ -8,4 +8,4 @@
 
 pub use self::faults::{CallCounts, FaultSettings};
 pub use self::http_api::serve;
-pub use self::store::StandinPlatform;
+pub use self::store::{StandinPlatform, StoreCopy};
--- a/crates/heatherfall-standins/src/platform/state.rs
+++ b/crates/heatherfall-standins/src/platform/state.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use heatherfall_platform_api::{
-    MAX_VALUE_BYTES, ObjectDraft, ObjectEnvelope, ObjectList, Precondition, Revision, StoreError,
-    WatchBatch, WatchEvent,
+    MAX_VALUE_BYTES, ObjectDraft, ObjectEnvelope, ObjectList, Precondition, Revision, StoreEra,
+    StoreError, WatchBatch, WatchEvent,
 };
 use serde_json::Value;
 
@@ -24,16 +24,29 @@
 }
 
 /// Objects by kind and name, and the log of their changes.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct StoreState {
     objects: BTreeMap<ObjectKey, ObjectEnvelope>,
     log: VecDeque<LogRecord>,
     revision: Revision,
     /// Revision of the last change that the log no longer holds.
     compacted_through: Revision,
+    era: StoreEra,
 }
 
 impl StoreState {
+    /// Replaces everything by `copy` and begins the next era. Watches from before the restore end.
+    pub(super) fn restore(&mut self, copy: Self) {
+        let era = StoreEra(self.era.0 + 1);
+        *self = copy;
+        self.era = era;
+        self.log.clear();
+        self.compacted_through = self.revision;
+        for object in self.objects.values_mut() {
+            object.era = era;
+        }
+    }
+
     /// Reads an object as it was `stale_revisions` ago.
     pub(super) fn get(
         &self,
@@ -57,7 +70,7 @@
             }
             items.push(object.clone());
         }
-        ObjectList { revision: self.revision.saturating_sub(stale_revisions), items }
+        ObjectList { revision: self.revision.saturating_sub(stale_revisions), items, era: self.era }
     }
 
     pub(super) fn put(
@@ -87,6 +100,7 @@
             version,
             spec_version: version,
             change_id: draft.change_id,
+            era: self.era,
         };
         self.record_put(object.clone());
         Ok(object)
@@ -133,7 +147,7 @@
         kinds: &[String],
         since: Revision,
     ) -> Result<WatchBatch, StoreError> {
-        if since < self.compacted_through {
+        if since < self.compacted_through || since > self.revision {
             return Err(StoreError::Compacted);
         }
         let mut events = Vec::new();
@@ -149,7 +163,7 @@
                 events.push(record.event.clone());
             }
         }
-        Ok(WatchBatch { revision: self.revision, events })
+        Ok(WatchBatch { revision: self.revision, events, era: self.era })
     }
 
     fn record_put(&mut self, object: ObjectEnvelope) {
--- a/crates/heatherfall-standins/src/platform/store.rs
+++ b/crates/heatherfall-standins/src/platform/store.rs
@@ -25,6 +25,10 @@
     watch_silence_epoch: u64,
 }
 
+/// Copy of all objects of a stand-in, to restore it from.
+#[derive(Clone, Debug)]
+pub struct StoreCopy(StoreState);
+
 /// In-memory platform; clones share its state.
 #[derive(Clone, Debug)]
 pub struct StandinPlatform {
@@ -58,6 +62,18 @@
         self.lock().faults.clone()
     }
 
+    /// Copies all objects.
+    pub fn take_copy(&self) -> StoreCopy {
+        StoreCopy(self.lock().state.clone())
+    }
+
+    /// Goes back to `copy`, in the next era: later writes are lost, and their revisions are assigned
+    /// again.
+    pub fn restore(&self, copy: StoreCopy) {
+        self.lock().state.restore(copy.0);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
     /// Calls received so far.
     pub fn counts(&self) -> CallCounts {
         self.lock().counts
--- a/src/config/generation.rs
+++ b/src/config/generation.rs
@@ -4,7 +4,7 @@
 //! records the source revision and the version of every object, so that the compiler that makes
 //! the next one can detect that its own objects are older.
 
-use heatherfall_platform_api::{LabelMap, ObjectEnvelope, ObjectList, Revision};
+use heatherfall_platform_api::{LabelMap, ObjectEnvelope, ObjectList, Revision, StoreEra};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -98,7 +98,7 @@
     pub fn to_object_set(&self) -> ObjectSet {
         let mut set = ObjectSet::default();
         for chunk in self.objects.chunk_by(|a, b| a.kind == b.kind) {
-            let mut list = ObjectList { revision: self.source_revision, items: Vec::new() };
+            let mut list = ObjectList { revision: self.source_revision, ..ObjectList::default() };
             for object in chunk {
                 list.items.push(object.to_envelope());
             }
@@ -121,6 +121,7 @@
             version: self.version,
             spec_version: self.version,
             change_id: String::new(),
+            era: StoreEra::UNKNOWN,
         }
     }
 }
--- a/src/fleet/fleet_metrics.rs
+++ b/src/fleet/fleet_metrics.rs
@@ -4,7 +4,7 @@
 
 use prometheus::{Gauge, IntCounterVec, IntGauge, Opts, Registry};
 
-use crate::platform::StoreError;
+use crate::platform::{Revision, StoreError, StorePosition};
 
 /// Kinds of store calls, by cost and failure modes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -44,6 +44,10 @@
     pub known_entries: u32,
     /// Number of upstreams in the active configuration, draining ones included.
     pub upstreams: usize,
+    /// Store revision up to which upstream changes are known.
+    pub view_revision: Revision,
+    /// Position that the store last reported to this entry.
+    pub store_position: StorePosition,
 }
 
 /// Metrics of an entry, registered in a Prometheus registry.
@@ -53,6 +57,9 @@
     view_age: Gauge,
     entries: IntGauge,
     upstreams: IntGauge,
+    view_revision: IntGauge,
+    store_revision: IntGauge,
+    store_era: IntGauge,
     calls: IntCounterVec,
 }
 
@@ -79,22 +86,40 @@
                 "heatherfall_upstreams",
                 "Upstreams in the active configuration.",
             )?,
+            view_revision: IntGauge::new(
+                "heatherfall_view_revision",
+                "Store revision up to which upstream changes are known.",
+            )?,
+            store_revision: IntGauge::new(
+                "heatherfall_store_revision",
+                "Revision that the store last reported to this entry.",
+            )?,
+            store_era: IntGauge::new(
+                "heatherfall_store_era",
+                "Era that the store last reported to this entry; rises when it is restored from a copy.",
+            )?,
             calls: IntCounterVec::new(options, &["call", "outcome"])?,
         };
         registry.register(Box::new(metrics.generation.clone()))?;
         registry.register(Box::new(metrics.view_age.clone()))?;
         registry.register(Box::new(metrics.entries.clone()))?;
         registry.register(Box::new(metrics.upstreams.clone()))?;
+        registry.register(Box::new(metrics.view_revision.clone()))?;
+        registry.register(Box::new(metrics.store_revision.clone()))?;
+        registry.register(Box::new(metrics.store_era.clone()))?;
         registry.register(Box::new(metrics.calls.clone()))?;
         Ok(metrics)
     }
 
     /// Sets the gauges.
     pub fn update(&self, status: FleetStatus) {
-        self.generation.set(i64::try_from(status.generation).unwrap_or(i64::MAX));
+        self.generation.set(gauge_value(status.generation));
         self.view_age.set(status.view_age.map_or(-1.0, |age| age.as_secs_f64()));
         self.entries.set(i64::from(status.known_entries));
         self.upstreams.set(i64::try_from(status.upstreams).unwrap_or(i64::MAX));
+        self.view_revision.set(gauge_value(status.view_revision));
+        self.store_revision.set(gauge_value(status.store_position.revision));
+        self.store_era.set(gauge_value(status.store_position.era.0));
     }
 
     /// Counts a store call by its outcome.
@@ -111,3 +136,8 @@
         self.calls.with_label_values(&[call.label(), outcome]).inc();
     }
 }
+
+/// Value of a gauge; numbers beyond its range are shown as its maximum.
+fn gauge_value(number: u64) -> i64 {
+    i64::try_from(number).unwrap_or(i64::MAX)
+}
--- a/src/fleet/objects.rs
+++ b/src/fleet/objects.rs
@@ -15,7 +15,7 @@
 use crate::config::{DeclaredUpstream, ObjectSet};
 use crate::core::{LabelSet, ObjectKind, UpstreamSpec};
 use crate::fleet::codec::{DeclaredConfig, DeclaredRoute, DeclaredService, RegisteredUpstream};
-use crate::platform::{ObjectEnvelope, ObjectList, Revision};
+use crate::platform::{ObjectEnvelope, ObjectList, Revision, StoreEra};
 use crate::util::duration_text;
 
 /// Request label: name of the route.
@@ -114,6 +114,7 @@
         version: revision,
         spec_version: revision,
         change_id: String::new(),
+        era: StoreEra::UNKNOWN,
     }
 }
 
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -15,7 +15,7 @@
 use crate::fleet::view::{DeploymentView, ViewChange, ViewWatermark};
 use crate::limits::LimitTable;
 use crate::membership::{ConfigFreshness, EntryState, SharedMembership};
-use crate::platform::StoreError;
+use crate::platform::{StoreError, StorePosition};
 
 /// Timeout of a store call, on top of the wait that a watch asks for.
 pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -78,6 +78,8 @@
     steady_since: Mutex<Option<Instant>>,
     /// The longest such period that a peer has reported recently.
     peer_steadiness: Mutex<Option<PeerSteadiness>>,
+    /// Position that the store last reported to this entry.
+    store_position: Mutex<StorePosition>,
     metrics: Option<FleetMetrics>,
     pub(super) read_schedule: ReadSchedule,
     /// Latest end of the enrolment; `None` once the entry is enrolled.
@@ -114,6 +116,7 @@
             outbox: Mutex::default(),
             steady_since: Mutex::default(),
             peer_steadiness: Mutex::default(),
+            store_position: Mutex::default(),
             metrics: None,
             read_schedule: ReadSchedule::default(),
             enrolling_until: Mutex::default(),
@@ -173,9 +176,26 @@
             view_age: self.freshness.age(),
             known_entries: self.known_entries(),
             upstreams: snapshot.map_or(0, |snapshot| snapshot.upstreams.len()),
+            view_revision: self.view().revision(),
+            store_position: *lock(&self.store_position),
         });
     }
 
+    /// Records the position that the store has reported. Logs if its history went back.
+    pub(super) fn record_store_position(&self, position: StorePosition) {
+        let known = std::mem::replace(&mut *lock(&self.store_position), position);
+        if known.revision > 0 && position.era != known.era {
+            log::warn!(
+                target: "store",
+                "history changed, the store was restored era={} known_era={} revision={} known_revision={}",
+                position.era,
+                known.era,
+                position.revision,
+                known.revision,
+            );
+        }
+    }
+
     pub(super) fn view(&self) -> MutexGuard<'_, DeploymentView<D>> {
         lock(&self.view)
     }
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -200,6 +200,7 @@
             .call_store(StoreCall::List, self.store.list(self.names().upstream_kind, ""))
             .await?;
         self.record_success(started);
+        self.state.record_store_position(list.position());
         let change = self.state.view().replace_upstreams(list, Instant::now());
         self.state.publish(change);
         self.read_config().await?;
@@ -251,6 +252,7 @@
         };
         let returned = Instant::now();
         self.record_success(returned);
+        self.state.record_store_position(batch.position());
         let change = self.state.view().apply_batch(batch, since, returned);
         self.state.publish(change);
         if !self.state.view().watermark().is_config_current() {
--- a/src/ops/scaling_bench.rs
+++ b/src/ops/scaling_bench.rs
@@ -158,7 +158,7 @@
         ("Upstream", upstreams),
     ];
     for (kind, items) in lists {
-        set.replace_kind(kind, ObjectList { revision: 1, items });
+        set.replace_kind(kind, ObjectList { revision: 1, items, ..ObjectList::default() });
     }
     set
 }
@@ -173,5 +173,6 @@
         version: 1,
         spec_version: 1,
         change_id: String::new(),
+        era: Default::default(),
     }
 }
--- a/src/platform/json_client.rs
+++ b/src/platform/json_client.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
-use http::{HeaderName, HeaderValue, Method, Request, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -32,11 +32,13 @@
     body: Bytes,
 }
 
-/// Status and body of a response.
+/// Status, headers and body of a response.
 #[derive(Clone, Debug)]
 pub struct JsonResponse {
     /// HTTP status.
     pub status: StatusCode,
+    /// All headers.
+    pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
 }
@@ -143,10 +145,10 @@
             StoreError::ResponseLost(error.to_string())
         }
     })?;
-    let status = response.status();
-    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
     let body = body.map_err(|error| StoreError::ResponseLost(error.to_string()))?;
-    Ok(JsonResponse { status, body: body.to_bytes() })
+    Ok(JsonResponse { status: head.status, headers: head.headers, body: body.to_bytes() })
 }
 
 fn new_client(connect_timeout: Duration) -> HttpClient {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,8 +5,8 @@
 
 pub use heatherfall_platform_api::{
     LabelMap, MAX_VALUE_BYTES, ObjectDraft, ObjectEnvelope, ObjectList, PlatformStore,
-    Precondition, Revision, StoreError, VmList, VmRecord, VmState, WatchBatch, WatchEvent,
-    WatchRequest,
+    Precondition, Revision, StoreEra, StoreError, StorePosition, VmList, VmRecord, VmState,
+    WatchBatch, WatchEvent, WatchRequest,
 };
 
 pub use self::http_store::{HttpStore, HttpStoreSettings};
--- a/tests/testsuite/compile.rs
+++ b/tests/testsuite/compile.rs
@@ -15,6 +15,7 @@
         version,
         spec_version: version,
         change_id: String::new(),
+        era: Default::default(),
     }
 }
 
@@ -30,7 +31,7 @@
     let mut set = ObjectSet::default();
     for kind in ["Upstream", "Route"] {
         let items = objects.iter().filter(|object| object.kind == kind).cloned().collect();
-        set.replace_kind(kind, ObjectList { revision: number, items });
+        set.replace_kind(kind, ObjectList { revision: number, items, ..ObjectList::default() });
     }
     compile(&set, GenerationNumber(number), previous)
 }
--- a/tests/testsuite/fleet_store.rs
+++ b/tests/testsuite/fleet_store.rs
@@ -202,7 +202,11 @@
         ..ViewChange::default()
     };
     view.apply_change(peer_change, Instant::now());
-    let batch = WatchBatch { revision: since + 2, events: vec![WatchEvent::Put { object }] };
+    let batch = WatchBatch {
+        revision: since + 2,
+        events: vec![WatchEvent::Put { object }],
+        ..WatchBatch::default()
+    };
     view.apply_batch(batch, since, Instant::now());
     assert!(!view.watermark().is_config_current(), "the configuration has to be read");
 }
