tests: show that a restored store hides a configuration

What callers saw: a split route kept old weights, and an added route was not served, long after the change was confirmed.

Evidence: an entry reads up to revision 10. The store goes back to a copy at revision 3 and is written past 10 before the entry asks. The new configuration has a revision that the entry has already passed, so the watch does not return it and the object counts as old: generation 2 instead of 3, for good.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -43,5 +43,6 @@
 mod scenarios;
 mod selectors;
 mod settings;
+mod store_restore;
 mod support;
 mod utility_picker;
