fleet: follow a store whose history went back

What callers saw: after a confirmed change, split routes kept old weights, added routes were answered 404, and upstreams that drain got requests, for as long as anyone looked.

Cause: positions in the store were bare revisions. A store restored from a copy assigns them again, so a configuration, a registration or a watch could lie below what an entry had passed, and was taken for old. Class of fault: an identifier that is unique only within one history, compared across two.

Ruled out: requests that move between the parts of a split (the part is assigned once and never left; `PickRequest::upstreams`), and peers that confirm an old view (the watches themselves confirmed it).

Change: a position is an era and a revision (`StorePosition`), in lists, watches, objects, watermarks, changes and gaps. Another era, or a lower revision of a store that reports none, makes the entry read everything anew; peers learn of it from its watermark and read by rank. What the copy has is weighed against what was known: the active configuration by generation, statements of upstreams by their start time and number, upstreams that were removed by what they last stated. Upstreams that the copy lacks are held for the grace period. An entry that starts before the operator writes again gets the active configuration from its peers.

Why it works: revisions of two histories are never compared, and what decides between them (generation, statement number) is not assigned by the store.

--- a/crates/heatherfall-standins/src/platform/state.rs
+++ b/crates/heatherfall-standins/src/platform/state.rs
@@ -39,9 +39,13 @@
     pub(super) fn restore(&mut self, copy: Self) {
         let era = StoreEra(self.era.0 + 1);
         *self = copy;
-        self.era = era;
         self.log.clear();
         self.compacted_through = self.revision;
+        self.set_era(era);
+    }
+
+    pub(super) fn set_era(&mut self, era: StoreEra) {
+        self.era = era;
         for object in self.objects.values_mut() {
             object.era = era;
         }
--- a/crates/heatherfall-standins/src/platform/store.rs
+++ b/crates/heatherfall-standins/src/platform/store.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use heatherfall_platform_api::{
-    ObjectDraft, ObjectEnvelope, ObjectList, PlatformStore, Precondition, Revision, StoreError,
-    VmList, VmRecord, VmState, WatchBatch, WatchRequest,
+    ObjectDraft, ObjectEnvelope, ObjectList, PlatformStore, Precondition, Revision, StoreEra,
+    StoreError, VmList, VmRecord, VmState, WatchBatch, WatchRequest,
 };
 use serde_json::Value;
 use tokio::sync::watch;
@@ -74,6 +74,11 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Reports another era from now on, with the same objects.
+    pub fn set_era(&self, era: StoreEra) {
+        self.lock().state.set_era(era);
+    }
+
     /// Calls received so far.
     pub fn counts(&self) -> CallCounts {
         self.lock().counts
--- a/src/fleet/codec.rs
+++ b/src/fleet/codec.rs
@@ -1,5 +1,6 @@
 //! Interface to a platform's data formats: the types that its objects and calls are decoded into.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -63,6 +64,27 @@
     pub services: Vec<DeclaredService>,
 }
 
+/// Order of the statements that an upstream makes about itself. It does not depend on the store, so it
+/// also holds when the store has lost some of them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StatementOrder {
+    /// Start of the upstream's process in milliseconds since the Unix epoch, if stated.
+    pub started_ms: Option<u64>,
+    /// Number of the statement within that lifetime, if stated.
+    pub sequence: Option<u64>,
+}
+
+impl StatementOrder {
+    /// Compares two statements of one upstream; `None` if they don't tell which is newer.
+    pub fn compare(&self, other: &Self) -> Option<Ordering> {
+        match (self.started_ms, other.started_ms) {
+            (Some(own), Some(other)) if own != other => return Some(own.cmp(&other)),
+            _ => {}
+        }
+        Some(self.sequence?.cmp(&other.sequence?))
+    }
+}
+
 /// An upstream as the platform registers it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RegisteredUpstream {
@@ -80,6 +102,8 @@
     pub is_draining: bool,
     /// Remaining time for which it is slow after its start.
     pub warm_up: Duration,
+    /// Order of this statement among those of the same upstream.
+    pub order: StatementOrder,
 }
 
 /// An object that cannot be decoded as its kind.
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -26,6 +26,9 @@
 /// other entries; several store calls.
 const ENROLMENT_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// Minimum time between two messages with a configuration that the store has lost.
+const CONFIG_SHARE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Loads and changes to be sent to the other entries.
 #[derive(Debug, Default)]
 pub(super) struct Outbox {
@@ -42,6 +45,8 @@
     NewerRevision,
     /// The digests differ at the same revision, which only a list can resolve.
     DigestMismatch,
+    /// The peer has read the store since it was restored from a copy.
+    NewerEra,
 }
 
 /// Changes that a peer knows and this entry has missed.
@@ -56,7 +61,9 @@
     /// Whether the peer that revealed the gap knows the change, and so has sent it to the others.
     fn covers(&self, change: &ViewChange) -> bool {
         let config = change.config.as_ref().map_or(0, |object| object.version);
-        change.revision <= self.watermark.revision && config <= self.watermark.config_revision
+        change.era == self.watermark.era
+            && change.revision <= self.watermark.revision
+            && config <= self.watermark.config_revision
     }
 }
 
@@ -80,6 +87,8 @@
     peer_steadiness: Mutex<Option<PeerSteadiness>>,
     /// Position that the store last reported to this entry.
     store_position: Mutex<StorePosition>,
+    /// When a configuration that the store has lost was last sent to the other entries.
+    config_shared_at: Mutex<Option<Instant>>,
     metrics: Option<FleetMetrics>,
     pub(super) read_schedule: ReadSchedule,
     /// Latest end of the enrolment; `None` once the entry is enrolled.
@@ -117,6 +126,7 @@
             steady_since: Mutex::default(),
             peer_steadiness: Mutex::default(),
             store_position: Mutex::default(),
+            config_shared_at: Mutex::default(),
             metrics: None,
             read_schedule: ReadSchedule::default(),
             enrolling_until: Mutex::default(),
@@ -254,6 +264,9 @@
         let Some(confirmation) = confirmation else { return };
         self.record_peer_steadiness(confirmation);
         let (own, other) = (self.view().watermark(), confirmation.mark);
+        if other.era == own.era && other.generation < own.generation {
+            self.share_kept_config();
+        }
         if is_behind(own, other) {
             log::debug!(target: "peer", "view behind own={own:?} peer={other:?}");
             let now = Instant::now();
@@ -267,6 +280,21 @@
         }
     }
 
+    /// Sends the others the active configuration if the store has lost it. An entry that started
+    /// since then has only read the older one that the store has now.
+    fn share_kept_config(&self) {
+        let Some(change) = self.view().kept_config() else { return };
+        let now = Instant::now();
+        let mut shared_at = lock(&self.config_shared_at);
+        if shared_at.is_some_and(|at| now - at < CONFIG_SHARE_INTERVAL) {
+            return;
+        }
+        *shared_at = Some(now);
+        log::info!(target: "config", "sending the configuration that the store has lost to peers");
+        lock(&self.outbox).changes.push(change);
+        self.peer_wakeup.notify_one();
+    }
+
     /// Records that the view matched the store `age` ago.
     pub(super) fn confirm(&self, age: Duration) {
         let is_outage = self.freshness.age().is_none_or(|age| age >= self.read_schedule.min_outage);
@@ -322,7 +350,11 @@
         let gap = (*gap)?;
         let is_later = gap.watermark.revision > own.revision
             || gap.watermark.config_revision > own.config_revision;
-        let kind = if is_later { GapKind::NewerRevision } else { GapKind::DigestMismatch };
+        let kind = match is_later {
+            _ if gap.watermark.era != own.era => GapKind::NewerEra,
+            true => GapKind::NewerRevision,
+            false => GapKind::DigestMismatch,
+        };
         Some((gap.noticed_at, kind))
     }
 
@@ -402,6 +434,9 @@
 
 /// Whether an entry with the watermark `own` lacks changes that one with `other` has.
 fn is_behind(own: ViewWatermark, other: ViewWatermark) -> bool {
+    if other.era != own.era {
+        return other.era > own.era;
+    }
     let is_mismatched = other.revision == own.revision && other.digest != own.digest;
     other.revision > own.revision || is_mismatched || other.config_revision > own.config_revision
 }
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -19,7 +19,7 @@
 use crate::fleet::state::{CALL_TIMEOUT, FleetState, GapKind};
 use crate::fleet::view::StoreOutage;
 use crate::kernel::{ServiceName, ServiceTask};
-use crate::platform::{PlatformStore, StoreError, WatchRequest};
+use crate::platform::{PlatformStore, StoreError, StorePosition, WatchRequest};
 use crate::util::SeededRandom;
 
 /// Minimum time between the starts of two watches, so that a burst of changes costs one call.
@@ -158,13 +158,17 @@
             // The missing change may still be in flight, and entries that keep disagreeing must not
             // overload the store.
             let last = self.last_watch_at.max(self.last_list_at);
-            let next =
-                last.map_or(now, |at| at + MIN_CATCH_UP_INTERVAL).max(noticed_at + CATCH_UP_DELAY);
+            let mut delay = CATCH_UP_DELAY;
+            if kind == GapKind::NewerEra {
+                // All entries list then, and no message can spare them the call.
+                delay += self.rank_delay(now);
+            }
+            let next = last.map_or(now, |at| at + MIN_CATCH_UP_INTERVAL).max(noticed_at + delay);
             return match kind {
                 _ if next > now => StoreAction::Sleep(next),
                 // A watch takes one call; a list may take several pages.
                 GapKind::NewerRevision => StoreAction::Watch(CONFIRMATION_WATCH_WAIT),
-                GapKind::DigestMismatch => StoreAction::List,
+                GapKind::DigestMismatch | GapKind::NewerEra => StoreAction::List,
             };
         }
         if let Some(end) = self.state.enrolment_deadline(now) {
@@ -181,8 +185,7 @@
             let wait = expiry.map_or(wait, |at| wait.min(at.saturating_duration_since(now)));
             return StoreAction::Watch(wait);
         }
-        let limit = self.state.read_schedule.confirmation_limit
-            + self.state.read_schedule.rank_delay * rank.min(MAX_DELAYED_RANK);
+        let limit = self.state.read_schedule.confirmation_limit + self.rank_delay(now);
         let age = self.state.freshness.age().unwrap_or_else(|| now - self.created_at);
         if age >= limit {
             return StoreAction::Watch(CONFIRMATION_WATCH_WAIT);
@@ -191,21 +194,38 @@
         StoreAction::Sleep(expiry.map_or(due, |at| at.min(due)))
     }
 
+    /// Stagger of this entry's reads among those of its failure domain.
+    fn rank_delay(&self, now: Instant) -> Duration {
+        let rank = self.state.table().rank(now);
+        self.state.read_schedule.rank_delay * rank.min(MAX_DELAYED_RANK)
+    }
+
     /// Reads everything, which closes any gap.
     async fn list(&mut self) -> Result<(), StoreError> {
         let started = Instant::now();
         self.last_list_at = Some(started);
+        let known = self.state.view().position();
         let list = self
             .state
             .call_store(StoreCall::List, self.store.list(self.names().upstream_kind, ""))
             .await?;
         self.record_success(started);
         self.state.record_store_position(list.position());
-        let change = self.state.view().replace_upstreams(list, Instant::now());
-        self.state.publish(change);
+        let is_restored = went_back(known, list.position());
+        if is_restored {
+            let change = self.state.view().restart_history(list, Instant::now());
+            self.state.view().log_change(&change, "restored store");
+            self.state.activate_view();
+        } else {
+            let change = self.state.view().replace_upstreams(list, Instant::now());
+            self.state.publish(change);
+        }
         self.read_config().await?;
         self.state.clear_gap();
         self.state.confirm(started.elapsed());
+        if is_restored {
+            self.state.request_message();
+        }
         Ok(())
     }
 
@@ -232,7 +252,8 @@
 
     async fn watch(&mut self, wait: Duration) -> Result<(), StoreError> {
         self.last_watch_at = Some(Instant::now());
-        let since = self.state.view().revision();
+        let known = self.state.view().position();
+        let since = known.revision;
         let kinds = vec![self.names().upstream_kind.to_owned()];
         let request = WatchRequest { kinds, since, wait };
         let batch = match self
@@ -253,6 +274,9 @@
         let returned = Instant::now();
         self.record_success(returned);
         self.state.record_store_position(batch.position());
+        if went_back(known, batch.position()) {
+            return self.list().await;
+        }
         let change = self.state.view().apply_batch(batch, since, returned);
         self.state.publish(change);
         if !self.state.view().watermark().is_config_current() {
@@ -265,12 +289,17 @@
 
     async fn read_config(&mut self) -> Result<(), StoreError> {
         let names = self.names();
-        let revision = self.state.view().revision();
+        let StorePosition { era, revision } = self.state.view().position();
         match self
             .state
             .call_store(StoreCall::Get, self.store.get(names.config_kind, names.config_name))
             .await
         {
+            Ok(object) if object.era != era => {
+                return Err(StoreError::Unavailable(
+                    "the store was restored between two reads".to_owned(),
+                ));
+            }
             Ok(object) => {
                 let change = self.state.view().apply_config(object);
                 self.state.publish(change);
@@ -314,3 +343,9 @@
         }
     }
 }
+
+/// Whether a read that began with the view at `known` shows that the store's history went back: its
+/// era changed, or a store that reports none has a lower revision than before.
+fn went_back(known: StorePosition, read: StorePosition) -> bool {
+    read.era != known.era || read.revision < known.revision
+}
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -1,9 +1,13 @@
 //! The last known configuration and upstreams of a deployment.
 //!
-//! The view never goes back to an older configuration. An upstream that is missing after a store
-//! outage is held in the view for a grace period: its lease may have expired because it could not
-//! renew it, and it may register again.
+//! The view never goes back to an older configuration, not even if the store does. An upstream that
+//! is missing after a store outage is held in the view for a grace period: its lease may have expired
+//! because it could not renew it, and it may register again.
 
+mod history;
+mod upstream_record;
+
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -15,9 +19,12 @@
     DeclaredConfig, DeclaredService, DeploymentCodec, PlatformNames, RegisteredUpstream,
 };
 use crate::fleet::objects::{declared_upstream, set_config_objects};
+use crate::fleet::view::upstream_record::{DepartedUpstreams, UpstreamRecord, is_same_lifetime};
 use crate::fleet::view_change::{NameList, entry_digest};
 pub use crate::fleet::view_change::{ViewChange, ViewWatermark};
-use crate::platform::{ObjectEnvelope, ObjectList, Revision, WatchBatch, WatchEvent};
+use crate::platform::{
+    ObjectEnvelope, ObjectList, Revision, StorePosition, WatchBatch, WatchEvent,
+};
 use crate::util::FastMap;
 
 /// Time after the end of a store outage for which missing upstreams are held. The platform states
@@ -30,12 +37,19 @@
 #[derive(Debug)]
 pub struct DeploymentView<D> {
     codec: D,
-    revision: Revision,
-    config: Option<(Revision, DeclaredConfig)>,
+    /// Position up to which upstream changes are known.
+    position: StorePosition,
+    config: Option<ActiveConfig>,
+    /// Position of the configuration object that the store has; revision 0 before it was read in
+    /// this era.
+    config_position: StorePosition,
+    /// Revision in this era up to which no newer configuration exists.
     config_known: Revision,
     upstreams: BTreeMap<String, UpstreamRecord>,
     /// Upstreams that are missing after an outage, and when each is removed.
     held: BTreeMap<String, Instant>,
+    /// Upstreams that were removed recently; a restored store may list them again.
+    departed: DepartedUpstreams,
     outage: Option<StoreOutage>,
     /// The compiled configuration without upstreams. Cleared when the configuration changes.
     base_snapshot: Option<ConfigSnapshot>,
@@ -51,12 +65,11 @@
     pub ended: Instant,
 }
 
-/// The registration of an upstream in the store.
-#[derive(Clone, Debug)]
-struct UpstreamRecord {
-    version: Revision,
-    /// `None` if the registration could not be decoded.
-    upstream: Option<RegisteredUpstream>,
+/// The configuration that is compiled, and the object that it was decoded from.
+#[derive(Debug)]
+struct ActiveConfig {
+    object: ObjectEnvelope,
+    declared: DeclaredConfig,
 }
 
 impl<D: DeploymentCodec> DeploymentView<D> {
@@ -64,11 +77,13 @@
     pub fn new(codec: D) -> Self {
         Self {
             codec,
-            revision: 0,
+            position: StorePosition::default(),
             config: None,
+            config_position: StorePosition::default(),
             config_known: 0,
             upstreams: BTreeMap::new(),
             held: BTreeMap::new(),
+            departed: DepartedUpstreams::default(),
             outage: None,
             base_snapshot: None,
             digest: 0,
@@ -82,19 +97,29 @@
 
     /// Store revision up to which upstream changes are known; 0 before the first list.
     pub fn revision(&self) -> Revision {
-        self.revision
+        self.position.revision
+    }
+
+    /// Position up to which upstream changes are known.
+    pub fn position(&self) -> StorePosition {
+        self.position
     }
 
     /// Generation of the configuration; `None` before the first one.
     pub fn generation(&self) -> Option<GenerationNumber> {
-        self.config.as_ref().map(|(_, config)| config.generation)
+        self.config.as_ref().map(|config| config.declared.generation)
     }
 
     /// Revisions and digest by which entries compare their views.
     pub fn watermark(&self) -> ViewWatermark {
-        let config_revision = self.config.as_ref().map_or(0, |(revision, _)| *revision);
-        let (revision, config_known) = (self.revision, self.config_known);
-        ViewWatermark { revision, config_revision, config_known, digest: self.digest }
+        ViewWatermark {
+            era: self.position.era,
+            revision: self.position.revision,
+            config_revision: self.config_position.revision,
+            config_known: self.config_known,
+            generation: self.generation().map_or(0, |generation| generation.0),
+            digest: self.digest,
+        }
     }
 
     /// Records that no configuration newer than the current one existed at `revision`.
@@ -122,19 +147,21 @@
         !self.held.is_empty()
     }
 
-    /// Applies a complete list of the upstreams. A list older than the view is ignored.
+    /// Applies a complete list of the upstreams in the era of the view. A list older than the view
+    /// is ignored.
     pub fn replace_upstreams(&mut self, list: ObjectList, now: Instant) -> ViewChange {
-        if list.revision < self.revision {
+        let mut change = self.change_from_here();
+        if list.position() < self.position {
             log::warn!(
                 target: "store",
                 "ignored a list older than the view revision={} known={}",
                 list.revision,
-                self.revision,
+                self.position.revision,
             );
-            return self.change_from(self.revision);
+            return change;
         }
-        let mut change = self.change_from(self.revision);
         let mut missing: BTreeSet<String> = self.upstreams.keys().cloned().collect();
+        self.position = list.position();
         for object in list.items {
             missing.remove(&object.name);
             self.put_upstream(object, &mut change);
@@ -142,17 +169,14 @@
         for name in missing {
             self.remove_upstream(&name, now, &mut change);
         }
-        self.revision = list.revision;
-        change.revision = list.revision;
-        self.refresh_digest();
-        change
+        self.finish(change)
     }
 
-    /// Applies the events of a watch that started at the revision `since`.
+    /// Applies the events of a watch that started at the revision `since`, in the era of the view.
     ///
     /// Changes from peers may have advanced the view while the watch was waiting.
     pub fn apply_batch(&mut self, batch: WatchBatch, since: Revision, now: Instant) -> ViewChange {
-        let mut change = self.change_from(self.revision);
+        let mut change = self.change_from_here();
         // The revision counts every write to the store. If it advanced by more than the number of
         // upstream events, one of the other writes may have been the configuration.
         let moved = batch.revision.saturating_sub(since);
@@ -170,18 +194,15 @@
                 }
             }
         }
-        self.revision = self.revision.max(batch.revision);
-        change.revision = self.revision;
-        self.refresh_digest();
-        change
+        self.position.revision = self.position.revision.max(batch.revision);
+        self.finish(change)
     }
 
-    /// Applies the configuration object. One that is older than the current one, by revision or by
+    /// Applies the configuration object. One that is older than the current one, by position or by
     /// generation, or that cannot be decoded is ignored.
     pub fn apply_config(&mut self, object: ObjectEnvelope) -> ViewChange {
-        let mut change = self.change_from(self.revision);
-        let known = self.config.as_ref();
-        if known.is_some_and(|(revision, _)| object.version <= *revision) {
+        let mut change = self.change_from_here();
+        if self.config.is_some() && object.position() <= self.config_position {
             return change;
         }
         let config = match self.codec.config(&object) {
@@ -195,13 +216,14 @@
                 return change;
             }
         };
-        if known.is_some_and(|(_, present)| config.generation < present.generation) {
+        if self.generation().is_some_and(|present| config.generation < present) {
             log::warn!(
                 target: "config",
                 "ignored a configuration with an older generation generation={} present={:?}",
                 config.generation,
                 self.generation(),
             );
+            self.config_position = self.config_position.max(object.position());
             return change;
         }
         log::info!(
@@ -212,7 +234,8 @@
             config.routes.len(),
             config.services.len(),
         );
-        self.config = Some((object.version, config));
+        self.config_position = object.position();
+        self.config = Some(ActiveConfig { object: object.clone(), declared: config });
         self.base_snapshot = None;
         change.config = Some(object);
         change
@@ -222,19 +245,22 @@
     /// Upstream changes that do not connect to this view's revision are ignored; the watermark of
     /// the next message then shows the gap.
     pub fn apply_change(&mut self, change: ViewChange, now: Instant) -> ViewChange {
-        let mut own = self.change_from(self.revision);
+        let mut own = self.change_from_here();
         if let Some(config) = change.config {
-            own.config = self.apply_config(config).config;
+            own.config = self.apply_peer_config(config).config;
         }
-        if change.base > self.revision || change.revision < self.revision {
+        let is_connected = change.era == self.position.era
+            && change.base <= self.position.revision
+            && change.revision >= self.position.revision;
+        if !is_connected {
             return own;
         }
         for object in change.puts {
             self.put_upstream(object, &mut own);
         }
         for name in change.deletes {
-            self.held.remove(&name);
-            if self.upstreams.remove(&name).is_some() {
+            if self.upstreams.contains_key(&name) {
+                self.depart(&name, now);
                 own.deletes.push(name);
             }
         }
@@ -244,15 +270,13 @@
                 own.held.push(name);
             }
         }
-        self.revision = change.revision;
-        own.revision = change.revision;
-        self.refresh_digest();
-        own
+        self.position.revision = change.revision;
+        self.finish(own)
     }
 
     /// Removes held upstreams whose grace period is over.
     pub fn expire(&mut self, now: Instant) -> ViewChange {
-        let mut change = self.change_from(self.revision);
+        let mut change = self.change_from_here();
         let mut expired = Vec::new();
         for (name, until) in &self.held {
             if *until <= now {
@@ -260,8 +284,7 @@
             }
         }
         for name in expired {
-            self.held.remove(&name);
-            self.upstreams.remove(&name);
+            self.depart(&name, now);
             change.deletes.push(name);
         }
         if !change.deletes.is_empty() {
@@ -278,10 +301,10 @@
     /// Compiles the view; `None` before the first configuration. Upstreams that `previous` has
     /// under the same name and address keep their key and counters.
     pub fn compile(&mut self, previous: Option<&ConfigSnapshot>) -> Option<ConfigSnapshot> {
-        let (config_revision, config) = self.config.as_ref()?;
+        let ActiveConfig { object, declared: config } = self.config.as_ref()?;
         if self.base_snapshot.is_none() {
             let mut objects = ObjectSet::default();
-            set_config_objects(&mut objects, config, *config_revision);
+            set_config_objects(&mut objects, config, object.version);
             let outcome = compile(&objects, config.generation, None);
             log_errors(&outcome.errors);
             self.base_snapshot = Some(outcome.snapshot);
@@ -340,8 +363,26 @@
         self.digest = digest;
     }
 
-    fn change_from(&self, base: Revision) -> ViewChange {
-        ViewChange { base, revision: self.revision, ..ViewChange::default() }
+    /// A change that begins at the current position.
+    fn change_from_here(&self) -> ViewChange {
+        let StorePosition { era, revision } = self.position;
+        ViewChange { base: revision, revision, era, ..ViewChange::default() }
+    }
+
+    /// Completes a change that has been applied.
+    fn finish(&mut self, mut change: ViewChange) -> ViewChange {
+        change.era = self.position.era;
+        change.revision = self.position.revision;
+        self.refresh_digest();
+        change
+    }
+
+    /// Removes an upstream and remembers what it last stated.
+    fn depart(&mut self, name: &str, now: Instant) {
+        self.held.remove(name);
+        if let Some(record) = self.upstreams.remove(name) {
+            self.departed.insert(name, record, now);
+        }
     }
 
     fn put_upstream(&mut self, object: ObjectEnvelope, change: &mut ViewChange) {
@@ -350,17 +391,12 @@
         if known.is_some_and(|known| known.version >= object.version) {
             return;
         }
-        let upstream = match self.codec.upstream(&object) {
-            Ok(upstream) => Some(upstream),
-            Err(error) => {
-                log::warn!(
-                    target: "upstream",
-                    "ignored an invalid registration instance={} reason={error}",
-                    object.name,
-                );
-                None
-            }
-        };
+        let known = known.and_then(|known| known.upstream.as_ref());
+        let upstream = self.decode_upstream(&object);
+        let is_repeated = upstream.as_ref().zip(known).is_some_and(|(new, known)| {
+            is_same_lifetime(new, known) && new.order.compare(&known.order) == Some(Ordering::Less)
+        });
+        let upstream = if is_repeated { known.cloned() } else { upstream };
         let entry = UpstreamRecord { version: object.version, upstream };
         self.upstreams.insert(object.name.clone(), entry);
         change.puts.push(object);
@@ -376,10 +412,24 @@
             change.held.push(name.to_owned());
             return;
         }
-        self.held.remove(name);
-        self.upstreams.remove(name);
+        self.depart(name, now);
         change.deletes.push(name.to_owned());
     }
+
+    /// Decodes a registration; `None` if it is invalid.
+    fn decode_upstream(&self, object: &ObjectEnvelope) -> Option<RegisteredUpstream> {
+        match self.codec.upstream(object) {
+            Ok(upstream) => Some(upstream),
+            Err(error) => {
+                log::warn!(
+                    target: "upstream",
+                    "ignored an invalid registration instance={} reason={error}",
+                    object.name,
+                );
+                None
+            }
+        }
+    }
 }
 
 fn log_errors(errors: &[SpecError]) {
--- a/src/fleet/view_change.rs
+++ b/src/fleet/view_change.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::platform::{ObjectEnvelope, Revision};
+use crate::platform::{ObjectEnvelope, Revision, StoreEra, StorePosition};
 use crate::util::fnv1a;
 
 /// Names that a [`NameList`] writes out.
@@ -23,9 +23,17 @@
     pub held: Vec<String>,
     /// The configuration object, if it changed.
     pub config: Option<ObjectEnvelope>,
+    /// Era that the revisions belong to.
+    #[serde(default)]
+    pub era: StoreEra,
 }
 
 impl ViewChange {
+    /// Position of the view after the change.
+    pub fn position(&self) -> StorePosition {
+        StorePosition { era: self.era, revision: self.revision }
+    }
+
     /// Whether at most the revision changed.
     pub fn is_empty(&self) -> bool {
         !self.has_upstreams() && self.config.is_none()
@@ -42,19 +50,31 @@
 pub struct ViewWatermark {
     /// Store revision up to which upstream changes are known.
     pub revision: Revision,
-    /// Revision of the configuration object.
+    /// Revision of the configuration object in the store, or 0 before it was read in this era.
     pub config_revision: Revision,
     /// Store revision up to which no newer configuration exists.
     pub config_known: Revision,
     /// Digest of the names and revisions of the upstreams without held ones, so that entries that
     /// hold missing upstreams and entries that don't still agree.
     pub digest: u64,
+    /// Era that the revisions belong to.
+    #[serde(default)]
+    pub era: StoreEra,
+    /// Generation of the active configuration, which may be newer than the one in a restored store;
+    /// 0 before the first one.
+    #[serde(default)]
+    pub generation: u64,
 }
 
 impl ViewWatermark {
-    /// Whether both views have the same upstreams and the same configuration.
+    /// Position up to which upstream changes are known.
+    pub fn position(&self) -> StorePosition {
+        StorePosition { era: self.era, revision: self.revision }
+    }
+
+    /// Whether both views were read from the same upstreams and the same configuration.
     pub fn matches(&self, other: &ViewWatermark) -> bool {
-        self.revision == other.revision
+        self.position() == other.position()
             && self.config_revision == other.config_revision
             && self.digest == other.digest
     }
--- a/tests/testsuite/support/fleet.rs
+++ b/tests/testsuite/support/fleet.rs
@@ -8,7 +8,7 @@
 use heatherfall::core::{FailureDomain, GenerationNumber, SharedSnapshot, VmId};
 use heatherfall::fleet::codec::{
     DeclaredBackend, DeclaredConfig, DeclaredRoute, DeclaredService, DecodeError, DeploymentCodec,
-    DirectoryQuery, PlatformNames, RegisteredUpstream,
+    DirectoryQuery, PlatformNames, RegisteredUpstream, StatementOrder,
 };
 use heatherfall::fleet::peer_table::PeerTable;
 use heatherfall::fleet::state::FleetState;
@@ -25,7 +25,8 @@
 pub(crate) const UPSTREAM_KIND: &str = "backends";
 
 /// Codec of a deployment whose configuration object is `{ "generation": N }` and whose upstream
-/// objects are `{ "service": S, "draining": B }`; all other fields have fixed values.
+/// objects are `{ "service": S, "draining": B, "started": T, "sequence": N }`; all other fields have
+/// fixed values.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct TestCodec;
 
@@ -76,6 +77,10 @@
             slots: 4,
             is_draining: object.spec["draining"].as_bool().unwrap_or_default(),
             warm_up: Duration::ZERO,
+            order: StatementOrder {
+                started_ms: object.spec["started"].as_u64(),
+                sequence: object.spec["sequence"].as_u64(),
+            },
         })
     }
 
