--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -49,3 +49,4 @@
 pub mod store_follower;
 pub mod view;
 mod view_change;
+mod view_gap;
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -12,7 +12,8 @@
 use crate::fleet::peer_message::{MeasuredLoad, MessageKey, ViewConfirmation};
 use crate::fleet::peer_table::PeerTable;
 use crate::fleet::read_schedule::ReadSchedule;
-use crate::fleet::view::{DeploymentView, ViewChange, ViewWatermark};
+use crate::fleet::view::{DeploymentView, ViewChange};
+use crate::fleet::view_gap::{GapKind, ViewGap, is_behind};
 use crate::limits::LimitTable;
 use crate::membership::{ConfigFreshness, EntryState, SharedMembership};
 use crate::platform::{StoreError, StorePosition};
@@ -38,35 +39,6 @@
     pub(super) is_urgent: bool,
 }
 
-/// How a peer's view differs from the local one.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum GapKind {
-    /// The peer knows later changes.
-    NewerRevision,
-    /// The digests differ at the same revision, which only a list can resolve.
-    DigestMismatch,
-    /// The peer has read the store since it was restored from a copy.
-    NewerEra,
-}
-
-/// Changes that a peer knows and this entry has missed.
-#[derive(Clone, Copy, Debug)]
-struct ViewGap {
-    noticed_at: Instant,
-    /// Watermark of the peer's view.
-    watermark: ViewWatermark,
-}
-
-impl ViewGap {
-    /// Whether the peer that revealed the gap knows the change, and so has sent it to the others.
-    fn covers(&self, change: &ViewChange) -> bool {
-        let config = change.config.as_ref().map_or(0, |object| object.version);
-        change.era == self.watermark.era
-            && change.revision <= self.watermark.revision
-            && config <= self.watermark.config_revision
-    }
-}
-
 /// A peer's report of uninterrupted store access.
 #[derive(Clone, Copy, Debug)]
 struct PeerSteadiness {
@@ -348,14 +320,7 @@
             *gap = None;
         }
         let gap = (*gap)?;
-        let is_later = gap.watermark.revision > own.revision
-            || gap.watermark.config_revision > own.config_revision;
-        let kind = match is_later {
-            _ if gap.watermark.era != own.era => GapKind::NewerEra,
-            true => GapKind::NewerRevision,
-            false => GapKind::DigestMismatch,
-        };
-        Some((gap.noticed_at, kind))
+        Some((gap.noticed_at, gap.kind(own)))
     }
 
     pub(super) fn clear_gap(&self) {
@@ -432,15 +397,6 @@
     }
 }
 
-/// Whether an entry with the watermark `own` lacks changes that one with `other` has.
-fn is_behind(own: ViewWatermark, other: ViewWatermark) -> bool {
-    if other.era != own.era {
-        return other.era > own.era;
-    }
-    let is_mismatched = other.revision == own.revision && other.digest != own.digest;
-    other.revision > own.revision || is_mismatched || other.config_revision > own.config_revision
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
