upstreams: show the rate limits that they name

What callers saw: an upstream in need named a limit of 1 request a second and got 21 in 4 s. Neither logs nor metrics told whether a response names a limit, which one, and whether load probes see it too.

One log line for each change, with its source, and a gauge heatherfall_limited_upstreams. Values are bounded to 0.01 to 1,000,000; what is negative or no number is ignored and counted in the log. No decision depends on the limit yet.

--- a/src/core/header.rs
+++ b/src/core/header.rs
@@ -56,6 +56,8 @@
     pub not_run_statuses: &'static [StatusCode],
     /// Drain signal of an upstream, if the deployment has one.
     pub drain: Option<HeaderName>,
+    /// Rate limit of an upstream in requests per second, if the deployment has such a header.
+    pub rate_limit: Option<HeaderName>,
     /// Format of load reports.
     pub load: LoadReportFormat,
     /// Identity of the upstream that a request is sent to; any other instance refuses it.
@@ -78,6 +80,7 @@
             not_run: HeaderName::from_static(UPSTREAM_NOT_RUN_HEADER),
             not_run_statuses: DEFAULT_NOT_RUN_STATUSES,
             drain: Some(HeaderName::from_static(UPSTREAM_DRAIN_HEADER)),
+            rate_limit: None,
             load: LoadReportFormat::Orca,
             expected_instance: None,
             response_signature: None,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,12 +1,13 @@
 //! Domain types: labels, selectors, objects, keys, result codes and the configuration snapshot.
 //!
-//! Nothing here does I/O; only drain signals and statistics read the clock.
+//! Nothing here does I/O; only drain signals, rate limits and statistics read the clock.
 
 mod drain_signal;
 mod header;
 mod identity;
 mod label;
 mod object;
+mod rate_limit;
 mod result_code;
 mod selector;
 mod snapshot;
@@ -25,6 +26,7 @@
     BudgetSpec, CONFIG_KINDS, Criticality, HedgePolicy, IdempotenceMode, IdempotenceSpec,
     ObjectKind, RequestLabelSpec, RequestMatcher, RetryPolicy, RoutePart, RouteSpec, UpstreamSpec,
 };
+pub use self::rate_limit::{LimitNews, LimitStatement, NamedRateLimit, RateLimit};
 pub use self::result_code::ResultCode;
 pub use self::selector::{LabelSelector, SelectorError};
 pub use self::snapshot::{
--- a/src/core/upstream.rs
+++ b/src/core/upstream.rs
@@ -10,6 +10,7 @@
 use crate::core::identity::FailureDomain;
 use crate::core::label::LabelSet;
 use crate::core::object::UpstreamSpec;
+use crate::core::rate_limit::NamedRateLimit;
 use crate::core::upstream_stats::UpstreamStats;
 
 slotmap::new_key_type! {
@@ -31,6 +32,7 @@
     own_signal: DrainSignal,
     /// Drain signal reported by peers.
     peer_signal: DrainSignal,
+    rate_limit: NamedRateLimit,
     stats: UpstreamStats,
 }
 
@@ -60,8 +62,8 @@
         }
     }
 
-    /// Creates the same upstream under another spec; both share in-flight count, drain signals and
-    /// statistics.
+    /// Creates the same upstream under another spec; both share in-flight count, drain signals, rate
+    /// limit and statistics.
     pub fn with_spec(&self, spec: UpstreamSpec, labels: LabelSet) -> Self {
         Self { shared: Arc::clone(&self.shared), ..Self::new(&self.name, spec, labels) }
     }
@@ -76,6 +78,11 @@
         &self.shared.stats
     }
 
+    /// Rate limit that the upstream names.
+    pub fn rate_limit(&self) -> &NamedRateLimit {
+        &self.shared.rate_limit
+    }
+
     /// Sets whether the newest configuration excludes the upstream from new attempts. This also
     /// applies to requests that were admitted under an older configuration.
     pub fn set_retired(&self, is_retired: bool) {
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -158,7 +158,7 @@
         HttpUpstreamClient::new(pool.clone()).with_framing(ResponseFraming::AllowCloseDelimited);
     let snapshot = SharedSnapshot::default();
     let freshness = Arc::new(ConfigFreshness::default());
-    let load_format = headers.load.clone();
+    let probe_headers = headers.clone();
     let failure_domain = FailureDomain::new(&settings.failure_domain);
     let picker = UtilityPicker::new(
         failure_domain.clone(),
@@ -213,7 +213,7 @@
     kernel.start_task(LoadProbeService {
         client,
         state: Arc::clone(&state),
-        settings: LoadProbeSettings { live: live_settings.clone(), format: load_format },
+        settings: LoadProbeSettings { live: live_settings.clone(), headers: probe_headers },
         recorder: LoadRecorder::default(),
         probes_sent: probe_counter(&registry)?,
     });
--- a/src/fleet/fleet_metrics.rs
+++ b/src/fleet/fleet_metrics.rs
@@ -44,6 +44,8 @@
     pub known_entries: u32,
     /// Number of upstreams in the active configuration, draining ones included.
     pub upstreams: usize,
+    /// Number of upstreams that name a rate limit.
+    pub limited_upstreams: usize,
     /// Store revision up to which upstream changes are known.
     pub view_revision: Revision,
     /// Position that the store last reported to this entry.
@@ -57,6 +59,7 @@
     view_age: Gauge,
     entries: IntGauge,
     upstreams: IntGauge,
+    limited_upstreams: IntGauge,
     view_revision: IntGauge,
     store_revision: IntGauge,
     store_era: IntGauge,
@@ -86,6 +89,10 @@
                 "heatherfall_upstreams",
                 "Upstreams in the active configuration.",
             )?,
+            limited_upstreams: IntGauge::new(
+                "heatherfall_limited_upstreams",
+                "Upstreams that name a rate limit.",
+            )?,
             view_revision: IntGauge::new(
                 "heatherfall_view_revision",
                 "Store revision up to which upstream changes are known.",
@@ -101,6 +108,7 @@
             calls: IntCounterVec::new(options, &["call", "outcome"])?,
         };
         registry.register(Box::new(metrics.generation.clone()))?;
+        registry.register(Box::new(metrics.limited_upstreams.clone()))?;
         registry.register(Box::new(metrics.view_age.clone()))?;
         registry.register(Box::new(metrics.entries.clone()))?;
         registry.register(Box::new(metrics.upstreams.clone()))?;
@@ -117,6 +125,7 @@
         self.view_age.set(status.view_age.map_or(-1.0, |age| age.as_secs_f64()));
         self.entries.set(i64::from(status.known_entries));
         self.upstreams.set(i64::try_from(status.upstreams).unwrap_or(i64::MAX));
+        self.limited_upstreams.set(i64::try_from(status.limited_upstreams).unwrap_or(i64::MAX));
         self.view_revision.set(gauge_value(status.view_revision));
         self.store_revision.set(gauge_value(status.store_position.revision));
         self.store_era.set(gauge_value(status.store_position.era.0));
--- a/src/fleet/load_probe.rs
+++ b/src/fleet/load_probe.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::balance::{LoadReport, ObserveSettings, record_shared_report};
-use crate::core::{ConfigSnapshot, FailureDomain, LoadReportFormat, UpstreamKey, UpstreamState};
+use crate::core::{ConfigSnapshot, FailureDomain, HeaderNames, UpstreamKey, UpstreamState};
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::live_settings::LiveSettings;
 use crate::fleet::peer_message::MeasuredLoad;
@@ -37,8 +37,8 @@
 pub struct LoadProbeSettings {
     /// Settings of the entry, for the probe interval.
     pub live: LiveSettings,
-    /// Format in which upstreams report their load.
-    pub format: LoadReportFormat,
+    /// Headers in which upstreams report their load and name their rate limit.
+    pub headers: HeaderNames,
 }
 
 /// Records loads from probes in the statistics of their upstreams.
@@ -180,7 +180,7 @@
             return;
         }
         self.probes_sent.inc();
-        let outcome = probe_load(&self.client, upstream, &self.settings.format, PROBE_TIMEOUT);
+        let outcome = probe_load(&self.client, upstream, &self.settings.headers, PROBE_TIMEOUT);
         let LoadProbeOutcome::Reported(report) = outcome.await else { return };
         let measured = Instant::now();
         record_shared_report(upstream, report, Duration::ZERO, &self.recorder.settings);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -44,6 +44,7 @@
 pub mod peer_message;
 pub mod peer_service;
 pub mod peer_table;
+mod rate_limits;
 pub mod read_schedule;
 pub mod state;
 pub mod store_follower;
--- a/src/fleet/peer_message.rs
+++ b/src/fleet/peer_message.rs
@@ -44,6 +44,9 @@
     pub loads: Vec<MeasuredLoad>,
     /// A change that the sender has just read from the store.
     pub change: Option<ViewChange>,
+    /// Rate limits that the sender has just learned from upstreams.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LearnedLimit>,
 }
 
 impl PeerMessage {
@@ -82,6 +85,17 @@
     pub age_ms: u64,
 }
 
+/// Rate limit of one upstream, as a response to another entry named it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LearnedLimit {
+    /// Name of the upstream.
+    pub instance: String,
+    /// Requests per second from all entries; `None` if it no longer names a limit.
+    pub per_second: Option<f64>,
+    /// Time since the response, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// Why a datagram was rejected, or a message cannot be sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum MessageError {
--- a/src/fleet/peer_service.rs
+++ b/src/fleet/peer_service.rs
@@ -14,9 +14,11 @@
 use crate::fleet::load_update::{
     CompactLoad, LoadChangeFilter, decode_load_update, encode_load_update, name_digest,
 };
-use crate::fleet::peer_message::{MeasuredLoad, MessageError, MessageKey, PeerMessage};
+use crate::fleet::peer_message::{
+    LearnedLimit, MeasuredLoad, MessageError, MessageKey, PeerMessage,
+};
 use crate::fleet::peer_table::MessageScope;
-use crate::fleet::state::FleetState;
+use crate::fleet::state::{FleetState, Outbox};
 use crate::fleet::view::ViewChange;
 use crate::kernel::{ServiceName, ServiceTask};
 use crate::util::{FastMap, SeededRandom};
@@ -110,6 +112,7 @@
             return Ok(());
         }
         self.state.apply_peer_state(message.change, message.confirmation);
+        self.state.apply_peer_limits(&message.limits);
         let snapshot = self.state.snapshot.load_full();
         let Some(snapshot) = snapshot else { return Ok(()) };
         self.recorder.record(&snapshot, &message.loads);
@@ -187,11 +190,12 @@
 struct MessageContent {
     loads: Vec<MeasuredLoad>,
     change: Option<ViewChange>,
+    limits: Vec<LearnedLimit>,
 }
 
 impl MessageContent {
     fn of_change(change: ViewChange) -> Self {
-        Self { loads: Vec::new(), change: Some(change) }
+        Self { change: Some(change), ..Self::default() }
     }
 }
 
@@ -222,6 +226,7 @@
     async fn send_due<D: DeploymentCodec>(&mut self, socket: &UdpSocket, state: &FleetState<D>) {
         let Some(key) = state.key.get() else { return };
         let now = Instant::now();
+        state.collect_limit_news(now);
         let outbox = state.take_outbox();
         let mut loads = Vec::with_capacity(outbox.loads.len());
         for (measured, load) in outbox.loads {
@@ -245,14 +250,14 @@
             return;
         }
         self.last_sent_at = Some(now);
-        let is_broadcast = outbox.is_urgent || !outbox.changes.is_empty();
+        let Outbox { mut changes, limits, is_urgent, .. } = outbox;
+        let is_broadcast = is_urgent || !changes.is_empty();
         let scope = if is_broadcast { MessageScope::All } else { MessageScope::LeaderCandidates };
-        let mut changes = outbox.changes;
         let last = changes.pop();
         for change in changes {
             self.send(socket, state, key, scope, MessageContent::of_change(change)).await;
         }
-        self.send(socket, state, key, scope, MessageContent { loads, change: last }).await;
+        self.send(socket, state, key, scope, MessageContent { loads, change: last, limits }).await;
     }
 
     /// Sends changed loads of the local upstreams to the other failure domains, if this entry is
@@ -319,6 +324,7 @@
             alive,
             loads: content.loads,
             change: content.change,
+            limits: content.limits,
         };
         let mut encoded = key.encode(&message);
         if encoded == Err(MessageError::TooLarge) {
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -9,8 +9,9 @@
 use crate::core::SharedSnapshot;
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::fleet_metrics::{FleetMetrics, FleetStatus, StoreCall};
-use crate::fleet::peer_message::{MeasuredLoad, MessageKey, ViewConfirmation};
+use crate::fleet::peer_message::{LearnedLimit, MeasuredLoad, MessageKey, ViewConfirmation};
 use crate::fleet::peer_table::PeerTable;
+use crate::fleet::rate_limits::limited_upstreams;
 use crate::fleet::read_schedule::ReadSchedule;
 use crate::fleet::view::{DeploymentView, ViewChange};
 use crate::fleet::view_gap::{GapKind, ViewGap, is_behind};
@@ -35,6 +36,7 @@
 pub(super) struct Outbox {
     pub(super) loads: Vec<(Instant, MeasuredLoad)>,
     pub(super) changes: Vec<ViewChange>,
+    pub(super) limits: Vec<LearnedLimit>,
     /// Whether a message is sent at once, not when the next one is due.
     pub(super) is_urgent: bool,
 }
@@ -158,6 +160,7 @@
             view_age: self.freshness.age(),
             known_entries: self.known_entries(),
             upstreams: snapshot.map_or(0, |snapshot| snapshot.upstreams.len()),
+            limited_upstreams: snapshot.map_or(0, |snapshot| limited_upstreams(snapshot)),
             view_revision: self.view().revision(),
             store_position: *lock(&self.store_position),
         });
@@ -336,6 +339,13 @@
         std::mem::take(&mut lock(&self.outbox).changes)
     }
 
+    /// Queues limits for the other entries, to be sent at once.
+    pub(super) fn queue_limits(&self, limits: Vec<LearnedLimit>) {
+        let mut outbox = lock(&self.outbox);
+        outbox.limits.extend(limits);
+        outbox.is_urgent = true;
+    }
+
     pub(super) fn take_outbox(&self) -> Outbox {
         std::mem::take(&mut lock(&self.outbox))
     }
--- a/src/request/execution.rs
+++ b/src/request/execution.rs
@@ -23,7 +23,9 @@
     AttemptOutcome, AttemptRequest, ConnectionPolicy, UnknownCause, UpstreamClient,
     UpstreamResponse,
 };
-use crate::request::attempt_reporter::{AttemptReporter, ReporterContext, validate_outcome};
+use crate::request::attempt_reporter::{
+    AttemptReporter, ReporterContext, limit_statement, validate_outcome,
+};
 use crate::request::attempt_trace::AttemptTrace;
 use crate::request::classify::RequestClass;
 use crate::request::execution_settings::{ExecutionSettings, HedgeTrigger, hedge_interval};
@@ -256,7 +258,11 @@
         let sent = ctx.client.send(&prepared.upstream, request);
         let outcome = match tokio::time::timeout_at(deadline, sent).await {
             Ok(outcome) => {
-                validate_outcome(outcome, self.headers.get(&header_names.request_id), header_names)
+                let statement = limit_statement(&outcome, header_names);
+                let request_id = self.headers.get(&header_names.request_id);
+                let outcome = validate_outcome(outcome, request_id, header_names);
+                reporter.record_limit(statement, &outcome);
+                outcome
             }
             Err(_) => AttemptOutcome::Unknown(UnknownCause::TimedOut),
         };
--- a/src/request/load_check.rs
+++ b/src/request/load_check.rs
@@ -23,7 +23,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::balance::{AttemptResult, LoadReport, record_probe_sent};
-use crate::core::{LoadReportFormat, UpstreamState};
+use crate::core::{HeaderNames, LimitStatement, UpstreamState};
 use crate::limits::LoadCheckLimiter;
 use crate::request::attempt::{
     AttemptOutcome, AttemptRequest, ConnectionPolicy, UnknownCause, UpstreamClient,
@@ -119,6 +119,22 @@
     }
 }
 
+/// Logs an invalid rate limit; after the first one at ever larger counts, so that an upstream cannot
+/// flood the log.
+pub(super) fn log_if_invalid(statement: LimitStatement, upstream: &UpstreamState) {
+    if statement != LimitStatement::Invalid {
+        return;
+    }
+    let count = upstream.rate_limit().count_invalid();
+    if count.is_power_of_two() {
+        log::warn!(
+            target: "upstream",
+            "ignored an invalid rate limit instance={} count={count}",
+            upstream.name,
+        );
+    }
+}
+
 /// Outcome of a query for an upstream's load.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LoadProbeOutcome {
@@ -134,9 +150,10 @@
 pub async fn probe_load<C: UpstreamClient>(
     client: &C,
     upstream: &Arc<UpstreamState>,
-    format: &LoadReportFormat,
+    header_names: &HeaderNames,
     probe_timeout: Duration,
 ) -> LoadProbeOutcome {
+    let started = Instant::now();
     record_probe_sent(upstream);
     let path = upstream.spec.health_path.as_deref().unwrap_or("/");
     let Ok(uri) = Uri::try_from(path) else { return LoadProbeOutcome::NoReport };
@@ -145,7 +162,7 @@
         uri,
         headers: HeaderMap::new(),
         body: Bytes::new(),
-        deadline: Instant::now() + probe_timeout,
+        deadline: started + probe_timeout,
         connection: ConnectionPolicy::AnyPooled,
     };
     let probe = timeout(probe_timeout, async {
@@ -159,7 +176,13 @@
             }
             AttemptOutcome::Unknown(_) => return LoadProbeOutcome::Failed(AttemptResult::Broken),
         };
-        let report = LoadReport::from_headers(answered.response.headers(), format);
+        let headers = answered.response.headers();
+        if let Some(name) = &header_names.rate_limit {
+            let statement = LimitStatement::from_headers(headers, name);
+            log_if_invalid(statement, upstream);
+            upstream.rate_limit().record_probe(statement, started.elapsed());
+        }
+        let report = LoadReport::from_headers(headers, &header_names.load);
         // The connection returns to the pool only after the response has been read to its end.
         if answered.response.into_body().collect().await.is_err() {
             return LoadProbeOutcome::Failed(AttemptResult::Broken);
--- a/src/request/upstream_selection.rs
+++ b/src/request/upstream_selection.rs
@@ -157,8 +157,9 @@
             }
             quota.take(purpose);
             history.checks_sent += 1;
-            let format = &ctx.settings.headers.load;
-            match probe_load(ctx.client, upstream, format, checker.settings.check_timeout).await {
+            let header_names = &ctx.settings.headers;
+            let check_timeout = checker.settings.check_timeout;
+            match probe_load(ctx.client, upstream, header_names, check_timeout).await {
                 LoadProbeOutcome::NoReport => {
                     return Ok(SelectedUpstream { key, inflight, slowdown: None });
                 }
--- a/tests/testsuite/fleet_peers.rs
+++ b/tests/testsuite/fleet_peers.rs
@@ -33,6 +33,7 @@
         alive: Vec::new(),
         loads: Vec::new(),
         change: None,
+        limits: Vec::new(),
     }
 }
 
