upstreams: keep to the rate limits that they name

What callers saw: upstreams in need named a limit, 1 and 2.2 requests a second, and got 21 and 19 in 4 s where 11 and 18 are allowed; some of these requests timed out there.

Class of fault: a signal of an upstream about itself that nobody reads. The drain signal and the load report were read from the same responses.

Nothing fell at the naming, so neither a limit kept by each entry alone nor one that only some attempts keep to explains it.

Change: each upstream's limit is divided among a few entries by rendezvous hashing, with a token bucket each (fleet::limit_shares, core::limit_bucket). A token is taken just before an attempt of any role is sent. An upstream without one is passed over like a draining one; if there is no other, the request is refused at once with the time until the first one opens. Learned limits go to the failure domain. A limit ends with a response to a request sent after it was last named.

The bucket is empty at first sight, so nothing goes out before the share is known.

--- a/src/balance/candidate_pool.rs
+++ b/src/balance/candidate_pool.rs
@@ -41,7 +41,7 @@
 }
 
 impl<'a> CandidatePool<'a> {
-    /// Collects the upstreams of the route that are neither draining nor in `excluded`, beginning
+    /// Collects the upstreams of the route that accept attempts and are not in `excluded`, beginning
     /// at index `start`, so that a route with more than [`MAX_CANDIDATES`] has all of them
     /// considered in turn.
     pub(super) fn collect(
@@ -65,7 +65,7 @@
             }
             let key = upstreams[(start + offset) % upstreams.len()];
             let Some(upstream) = request.snapshot.upstreams.get(key) else { continue };
-            if upstream.is_draining() || excluded.contains(&key) {
+            if !upstream.accepts_attempts(now) || excluded.contains(&key) {
                 continue;
             }
             let latency_secs = upstream.stats().latency_secs.get();
--- a/src/balance/pick.rs
+++ b/src/balance/pick.rs
@@ -7,6 +7,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::balance::report::{AttemptReport, LoadReport};
 use crate::core::{ConfigSnapshot, PartIndex, RouteRecord, UpstreamKey, UpstreamState};
 use crate::util::SeededRandom;
@@ -95,7 +97,8 @@
 pub enum PickRefusal {
     /// No upstream can take the attempt, or none promises a gain over waiting.
     NoUpstream,
-    /// The upstreams are loaded up to the bound for requests of this rank.
+    /// The upstreams are loaded up to the bound for requests of this rank, or up to the rate limits
+    /// that they name.
     Crowded,
 }
 
@@ -164,12 +167,13 @@
     }
 }
 
-/// Upstreams of the route that are neither draining nor in `excluded`.
+/// Upstreams of the route that accept attempts and are not in `excluded`.
 fn candidates(request: PickRequest<'_>, excluded: &[UpstreamKey]) -> Vec<UpstreamKey> {
+    let now = Instant::now();
     let mut candidates = Vec::with_capacity(request.upstreams().len());
     for key in request.upstreams() {
         let Some(upstream) = request.snapshot.upstreams.get(*key) else { continue };
-        if upstream.is_draining() || excluded.contains(key) {
+        if !upstream.accepts_attempts(now) || excluded.contains(key) {
             continue;
         }
         candidates.push(*key);
--- a/src/balance/utility_picker.rs
+++ b/src/balance/utility_picker.rs
@@ -141,7 +141,7 @@
         upstream.failure_domain != self.failure_domain
     }
 
-    /// The best upstream that is neither draining nor in `excluded`.
+    /// The best upstream that accepts attempts and is not in `excluded`.
     fn best(
         &self,
         request: PickRequest<'_>,
@@ -151,7 +151,7 @@
         let mut best: Option<UpstreamEstimate> = None;
         for key in request.upstreams() {
             let Some(upstream) = request.snapshot.upstreams.get(*key) else { continue };
-            if upstream.is_draining() || excluded.contains(key) {
+            if !upstream.accepts_attempts(now) || excluded.contains(key) {
                 continue;
             }
             let mut estimate = self.estimate(*key, upstream, request, now);
@@ -333,7 +333,10 @@
             return best.map(|best| best.key).ok_or(PickRefusal::NoUpstream);
         }
         let best = best.or_else(|| self.best(request, &[], now));
-        let best = best.ok_or(PickRefusal::NoUpstream)?;
+        let Some(best) = best else {
+            let is_limited = time_until_open(request, now).is_some();
+            return Err(if is_limited { PickRefusal::Crowded } else { PickRefusal::NoUpstream });
+        };
         let misses_deadline = best.expected_secs > request.profile.deadline_left.as_secs_f32();
         if misses_deadline || !best.has_room {
             return Err(PickRefusal::Crowded);
@@ -363,7 +366,8 @@
 
     fn retry_after(&self, request: PickRequest<'_>) -> Option<Duration> {
         // Within half a service time, some of the running requests will have finished.
-        Some(request.profile.service_time / 2)
+        let wait = request.profile.service_time / 2;
+        Some(time_until_open(request, Instant::now()).map_or(wait, |open| open.max(wait)))
     }
 }
 
@@ -373,6 +377,20 @@
     }
 }
 
+/// Time until the first rate limit leaves room for a request; `None` if all upstreams are draining.
+fn time_until_open(request: PickRequest<'_>, now: Instant) -> Option<Duration> {
+    let mut earliest: Option<Duration> = None;
+    for key in request.upstreams() {
+        let Some(upstream) = request.snapshot.upstreams.get(*key) else { continue };
+        if upstream.is_draining() {
+            continue;
+        }
+        let wait = upstream.rate_limit().opens_in(now);
+        earliest = Some(earliest.map_or(wait, |earliest| earliest.min(wait)));
+    }
+    earliest
+}
+
 /// Slots of an upstream whose use raises its throughput.
 ///
 /// An upstream that slows down when it is full may have a higher throughput with one slot free.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 mod header;
 mod identity;
 mod label;
+mod limit_bucket;
 mod object;
 mod rate_limit;
 mod result_code;
@@ -22,6 +23,7 @@
 };
 pub use self::identity::{FailureDomain, GenerationNumber, TenantId, VmId};
 pub use self::label::{LabelSet, is_label_key, is_label_value};
+pub use self::limit_bucket::LimitShare;
 pub use self::object::{
     BudgetSpec, CONFIG_KINDS, Criticality, HedgePolicy, IdempotenceMode, IdempotenceSpec,
     ObjectKind, RequestLabelSpec, RequestMatcher, RetryPolicy, RoutePart, RouteSpec, UpstreamSpec,
--- a/src/core/rate_limit.rs
+++ b/src/core/rate_limit.rs
@@ -1,6 +1,12 @@
-//! The rate limit that an upstream names in its responses.
+//! The rate limit that an upstream names in its responses, and the share of it that this entry uses.
 //!
-//! An upstream names a limit for all entries together, for as long as its responses say so.
+//! ```text
+//! responses, load probes, peers -> limit named by the upstream
+//! live entries                  -> share of this entry -> token bucket -> attempts
+//! ```
+//!
+//! An upstream names a limit for all entries together, for as long as its responses say so. The
+//! bucket is empty when the limit is first seen: the requests before that count too.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -9,6 +15,8 @@
 use http::{HeaderMap, HeaderName};
 use tokio::time::Instant;
 
+use crate::core::limit_bucket::{LimitBucket, LimitPermit, LimitShare};
+
 /// Lowest limit that is enforced; a lower one would never be lifted for want of responses.
 const MIN_PER_SECOND: f64 = 0.01;
 /// Highest limit that is enforced, far above what one upstream can serve.
@@ -86,6 +94,7 @@
     is_changed: bool,
     /// When the other entries last heard of the limit.
     shared_at: Option<Instant>,
+    bucket: LimitBucket,
 }
 
 impl LimitRecord {
@@ -97,6 +106,7 @@
             is_named_by_probes: false,
             is_changed: false,
             shared_at: None,
+            bucket: LimitBucket::new(now),
         }
     }
 
@@ -105,6 +115,9 @@
             self.is_changed = true;
             self.is_own = is_own;
         }
+        if self.limit.is_none() {
+            self.bucket.empty(Instant::now());
+        }
         self.limit = limit;
         self.observed_at = self.observed_at.max(observed_at);
     }
@@ -188,6 +201,51 @@
         }
     }
 
+    /// Sets this entry's share of the limit.
+    pub fn set_share(&self, share: LimitShare) {
+        let mut record = self.lock();
+        let Some(known) = record.as_mut() else { return };
+        known.bucket.set_share(share, Instant::now());
+    }
+
+    /// Whether a request may be sent to the upstream now.
+    pub fn may_send(&self, now: Instant) -> bool {
+        if !self.is_limited.load(Ordering::Relaxed) {
+            return true;
+        }
+        let mut record = self.lock();
+        let Some(known) = record.as_mut() else { return true };
+        let news_at = known.observed_at;
+        known.bucket.may_send(now, news_at)
+    }
+
+    /// Counts a request against the share of this entry; false if it may not be sent now.
+    pub fn try_take(&self, now: Instant) -> bool {
+        if !self.is_limited.load(Ordering::Relaxed) {
+            return true;
+        }
+        let mut record = self.lock();
+        let Some(known) = record.as_mut() else { return true };
+        let news_at = known.observed_at;
+        match known.bucket.take(now, news_at) {
+            LimitPermit::Share => true,
+            LimitPermit::Trial => {
+                // The next trial is due a whole delay after this one.
+                known.observed_at = now;
+                true
+            }
+            LimitPermit::None => false,
+        }
+    }
+
+    /// Time until a request may be sent to the upstream.
+    pub fn opens_in(&self, now: Instant) -> Duration {
+        if self.may_send(now) {
+            return Duration::ZERO;
+        }
+        (*self.lock()).map_or(Duration::ZERO, |known| known.bucket.opens_in(now, known.observed_at))
+    }
+
     /// What is to be logged or sent to the other entries now; each change once, and a limit that
     /// stays in effect at intervals.
     pub fn take_news(&self, now: Instant) -> Option<LimitNews> {
--- a/src/core/upstream.rs
+++ b/src/core/upstream.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use slotmap::SlotMap;
+use tokio::time::Instant;
 
 use crate::core::drain_signal::{DrainObservation, DrainSignal};
 use crate::core::identity::FailureDomain;
@@ -99,6 +100,12 @@
             || self.shared.peer_signal.is_active()
     }
 
+    /// Whether an attempt may be sent now: the upstream is not draining, and this entry's share of its
+    /// rate limit is not used up.
+    pub fn accepts_attempts(&self, now: Instant) -> bool {
+        !self.is_draining() && self.rate_limit().may_send(now)
+    }
+
     /// Records a response with or without the drain signal, `latency` after its request was sent.
     pub fn record_drain_signal(&self, is_draining: bool, latency: Duration) {
         self.shared.own_signal.record(is_draining, latency);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -37,6 +37,7 @@
 pub mod entry_node;
 pub mod entry_settings;
 pub mod fleet_metrics;
+pub mod limit_shares;
 pub mod live_settings;
 pub mod load_probe;
 pub mod load_update;
--- a/src/fleet/peer_service.rs
+++ b/src/fleet/peer_service.rs
@@ -226,7 +226,7 @@
     async fn send_due<D: DeploymentCodec>(&mut self, socket: &UdpSocket, state: &FleetState<D>) {
         let Some(key) = state.key.get() else { return };
         let now = Instant::now();
-        state.collect_limit_news(now);
+        state.update_rate_limits(now);
         let outbox = state.take_outbox();
         let mut loads = Vec::with_capacity(outbox.loads.len());
         for (measured, load) in outbox.loads {
--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -4,7 +4,7 @@
 //! each other messages several times a second, which serve as heartbeats: they decide who is alive,
 //! who is returned to callers, and who leads the domain.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::core::{FailureDomain, VmId};
+use crate::fleet::limit_shares::LimitMembers;
 use crate::fleet::load_update::name_digest;
 use crate::fleet::peer_message::PeerMessage;
 use crate::membership::{EntryRecord, EntryState, MembershipView, rendezvous_score};
@@ -307,6 +308,24 @@
         ProberSet { own: self.own.vm.clone(), others }
     }
 
+    /// The entries that share the rate limits of upstreams.
+    pub fn limit_members(&self, now: Instant) -> LimitMembers {
+        let mut domains = BTreeSet::from([self.own.failure_domain.clone()]);
+        let mut live = Vec::with_capacity(self.local_peer_count);
+        for (vm, peer) in &self.peers {
+            domains.insert(peer.record.failure_domain.clone());
+            if self.is_live(peer, now) {
+                live.push(vm.clone());
+            }
+        }
+        LimitMembers {
+            own: self.own.vm.clone(),
+            own_domain: self.own.failure_domain.clone(),
+            live,
+            domains: domains.into_iter().collect(),
+        }
+    }
+
     /// The membership by name: live entries of the local failure domain, and all known entries of
     /// the others, whose liveness is not tracked here.
     pub fn membership(&self, now: Instant) -> MembershipView {
--- a/src/fleet/rate_limits.rs
+++ b/src/fleet/rate_limits.rs
@@ -4,15 +4,17 @@
 
 use tokio::time::Instant;
 
-use crate::core::{ConfigSnapshot, RateLimit, UpstreamState};
+use crate::core::{ConfigSnapshot, LimitShare, RateLimit, UpstreamState};
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::peer_message::LearnedLimit;
 use crate::fleet::state::FleetState;
 
 impl<D: DeploymentCodec> FleetState<D> {
-    /// Logs what was learned of rate limits, and queues what this entry learned for the others.
-    pub(super) fn collect_limit_news(&self, now: Instant) {
+    /// Sets this entry's shares of rate limits, logs what was learned of them, and queues what this
+    /// entry learned for the others.
+    pub(super) fn update_rate_limits(&self, now: Instant) {
         let Some(snapshot) = self.snapshot.load_full() else { return };
+        self.set_limit_shares(&snapshot, now);
         let mut limits = Vec::new();
         for upstream in snapshot.upstreams.values() {
             let Some(news) = upstream.rate_limit().take_news(now) else { continue };
@@ -33,6 +35,21 @@
         }
     }
 
+    fn set_limit_shares(&self, snapshot: &ConfigSnapshot, now: Instant) {
+        let mut members = None;
+        for upstream in snapshot.upstreams.values() {
+            let Some(limit) = upstream.rate_limit().limit() else { continue };
+            // An entry that does not know the others yet leaves the limits to them.
+            let share = if self.enrolment_deadline(now).is_some() {
+                LimitShare::none(0)
+            } else {
+                let members = members.get_or_insert_with(|| self.table().limit_members(now));
+                members.share(&upstream.name, limit)
+            };
+            upstream.rate_limit().set_share(share);
+        }
+    }
+
     /// Records limits that another entry has learned; those of unknown upstreams are ignored.
     pub(super) fn apply_peer_limits(&self, limits: &[LearnedLimit]) {
         let Some(snapshot) = self.snapshot.load_full() else { return };
--- a/src/request/upstream_selection.rs
+++ b/src/request/upstream_selection.rs
@@ -104,12 +104,19 @@
         if !self.has_budget(role) {
             return Err(StartRefusal::BudgetSpent);
         }
-        let selected = self.select_upstream(role, route, ctx, history, trace).await?;
+        let (selected, upstream) = loop {
+            let selected = self.select_upstream(role, route, ctx, history, trace).await?;
+            let upstream = self.snapshot.upstreams.get(selected.key);
+            let upstream = upstream.ok_or(StartRefusal::NoUpstream)?;
+            if role == AttemptRole::Hedge && history.tried.contains(&selected.key) {
+                return Err(StartRefusal::NoUpstream);
+            }
+            // During the load check, other requests may have used up the share of a rate limit.
+            if upstream.rate_limit().try_take(Instant::now()) {
+                break (selected, upstream);
+            }
+        };
         let SelectedUpstream { key, inflight, slowdown } = selected;
-        let upstream = self.snapshot.upstreams.get(key).ok_or(StartRefusal::NoUpstream)?;
-        if role == AttemptRole::Hedge && history.tried.contains(&key) {
-            return Err(StartRefusal::NoUpstream);
-        }
         if !self.try_spend_budget(role) {
             return Err(StartRefusal::BudgetSpent);
         }
--- a/tests/testsuite/utility_picker.rs
+++ b/tests/testsuite/utility_picker.rs
@@ -9,8 +9,8 @@
     record_shared_report,
 };
 use heatherfall::core::{
-    ConfigSnapshot, FailureDomain, InflightGuard, LabelSet, RouteRecord, UpstreamKey, UpstreamSpec,
-    UpstreamState,
+    ConfigSnapshot, FailureDomain, InflightGuard, LabelSet, LimitShare, LimitStatement, RateLimit,
+    RouteRecord, UpstreamKey, UpstreamSpec, UpstreamState,
 };
 use heatherfall::util::SeededRandom;
 use serde_json::json;
@@ -331,3 +331,26 @@
     let pick_counts = fixture.pick_counts();
     assert!(pick_counts[0] > 10, "it is not tried again: {pick_counts:?}");
 }
+
+/// Guards against requests that wait or go out although all upstreams are at their rate limits.
+#[tokio::test(start_paused = true)]
+async fn upstreams_at_their_rate_limits_are_passed_over_and_if_all_are_the_request_is_refused() {
+    let fixture = PickerFixture::new(&[LOCAL_DOMAIN, LOCAL_DOMAIN], 1);
+    for index in 0..2 {
+        let limit = RateLimit::new(1.0).expect("a valid limit");
+        let named = fixture.upstream(index).rate_limit();
+        named.record_response(LimitStatement::Limited(limit), Duration::ZERO);
+        named.set_share(LimitShare::new(0.25 * (index + 1) as f64, 1.0));
+        if index == 0 {
+            assert_eq!(fixture.pick(), Ok(fixture.key(1)));
+        }
+    }
+    assert_eq!(fixture.pick(), Err(PickRefusal::Crowded));
+    let request = PickRequest {
+        profile: fixture.profile,
+        ..PickRequest::new(&fixture.snapshot, &fixture.snapshot.routes[0], &[])
+    };
+    assert_eq!(fixture.picker.retry_after(request), Some(Duration::from_secs(2)), "the earliest");
+    advance(Duration::from_millis(2001)).await;
+    assert_eq!(fixture.pick(), Ok(fixture.key(1)));
+}
