request: bound the selections of an attempt by rate limits

A picker that does not look at rate limits would have been asked for ever. After four selections whose limits were used up meanwhile the attempt is refused as crowded.

--- a/src/request/upstream_selection.rs
+++ b/src/request/upstream_selection.rs
@@ -25,6 +25,9 @@
 use crate::request::execution_state::{AttemptIndex, AttemptRole, StartRefusal};
 use crate::request::load_check::{LoadProbeOutcome, probe_load};
 
+/// Selections for one attempt, if the rate limits of the selected upstreams are used up meanwhile.
+const MAX_SELECTIONS: u32 = 4;
+
 /// An attempt that is about to start.
 pub(super) struct PreparedAttempt {
     pub(super) index: AttemptIndex,
@@ -104,19 +107,9 @@
         if !self.has_budget(role) {
             return Err(StartRefusal::BudgetSpent);
         }
-        let (selected, upstream) = loop {
-            let selected = self.select_upstream(role, route, ctx, history, trace).await?;
-            let upstream = self.snapshot.upstreams.get(selected.key);
-            let upstream = upstream.ok_or(StartRefusal::NoUpstream)?;
-            if role == AttemptRole::Hedge && history.tried.contains(&selected.key) {
-                return Err(StartRefusal::NoUpstream);
-            }
-            // During the load check, other requests may have used up the share of a rate limit.
-            if upstream.rate_limit().try_take(Instant::now()) {
-                break (selected, upstream);
-            }
-        };
+        let selected = self.select_within_limits(role, route, ctx, history, trace).await?;
         let SelectedUpstream { key, inflight, slowdown } = selected;
+        let upstream = self.snapshot.upstreams.get(key).ok_or(StartRefusal::NoUpstream)?;
         if !self.try_spend_budget(role) {
             return Err(StartRefusal::BudgetSpent);
         }
@@ -124,6 +117,29 @@
         Ok(PreparedAttempt { index, role, key, upstream: Arc::clone(upstream), inflight, slowdown })
     }
 
+    /// Selects an upstream and counts the attempt against its rate limit.
+    async fn select_within_limits<C: UpstreamClient, P: UpstreamPicker>(
+        &self,
+        role: AttemptRole,
+        route: &RouteRecord,
+        ctx: &ExecutionContext<'_, C, P>,
+        history: &mut AttemptHistory,
+        trace: &mut AttemptTrace,
+    ) -> Result<SelectedUpstream, StartRefusal> {
+        for _ in 0..MAX_SELECTIONS {
+            let selected = self.select_upstream(role, route, ctx, history, trace).await?;
+            if role == AttemptRole::Hedge && history.tried.contains(&selected.key) {
+                return Err(StartRefusal::NoUpstream);
+            }
+            let upstream = self.snapshot.upstreams.get(selected.key);
+            // During the load check, other requests may have used up this entry's share of a limit.
+            if upstream.is_some_and(|upstream| upstream.rate_limit().try_take(Instant::now())) {
+                return Ok(selected);
+            }
+        }
+        Err(StartRefusal::Crowded)
+    }
+
     /// Selects an upstream, with load checks of the best candidates.
     async fn select_upstream<C: UpstreamClient, P: UpstreamPicker>(
         &self,
