upstreams: heed the drain signal of the users' targets

A value of 0 counts as none. What is known of an upstream ends with its process: another start time under the same name and address starts afresh, so an old signal does not outlive a new start.

--- a/src/balance/observe.rs
+++ b/src/balance/observe.rs
@@ -69,6 +69,22 @@
     record_result(upstream, report, own, settings);
 }
 
+/// Records the drain signal of a response, or its absence. Attempts without a response say nothing.
+pub(super) fn record_drain_signal(upstream: &UpstreamState, report: AttemptReport) {
+    let is_response = matches!(
+        report.result,
+        AttemptResult::Answered | AttemptResult::ServerError | AttemptResult::Shed
+    );
+    if !is_response {
+        return;
+    }
+    let was_draining = upstream.is_draining();
+    upstream.record_drain_signal(report.is_draining, report.latency);
+    if !was_draining && upstream.is_draining() {
+        log::info!(target: "upstream", "signals that it is draining instance={}", upstream.name);
+    }
+}
+
 /// Records a probe: its latency is ignored, and it does not count as in flight.
 pub(super) fn record_probe(
     upstream: &UpstreamState,
--- a/src/balance/utility_picker.rs
+++ b/src/balance/utility_picker.rs
@@ -18,7 +18,7 @@
 
 use crate::balance::observe::{self, ObserveSettings};
 use crate::balance::pick::{PickPurpose, PickRefusal, PickRequest, RequestProfile, UpstreamPicker};
-use crate::balance::report::{AttemptReport, AttemptResult, LoadReport};
+use crate::balance::report::{AttemptReport, LoadReport};
 use crate::core::{FailureDomain, UpstreamKey, UpstreamState};
 use crate::util::{SeededRandom, SharedRandom};
 
@@ -358,9 +358,7 @@
     }
 
     fn record_attempt(&self, upstream: &Arc<UpstreamState>, report: AttemptReport) {
-        if matches!(report.result, AttemptResult::Answered | AttemptResult::Shed) {
-            upstream.record_drain_signal(report.is_draining, report.latency);
-        }
+        observe::record_drain_signal(upstream, report);
         observe::record_attempt(upstream, report, Duration::ZERO, &self.settings.observe);
     }
 
--- a/src/config/compile.rs
+++ b/src/config/compile.rs
@@ -78,7 +78,7 @@
 }
 
 /// Returns a snapshot with the rules of `rules` and these upstreams. An upstream that `previous`
-/// has under the same name and address keeps its key and counters.
+/// has under the same name, address and start keeps its key and counters.
 ///
 /// Upstreams change far more often than rules, so this avoids parsing the rules again.
 pub fn with_upstreams(
@@ -192,8 +192,8 @@
     arena
 }
 
-/// Inserts or updates one upstream. One that keeps its address keeps its key and counters; at
-/// another address it is a different server and starts afresh.
+/// Inserts or updates one upstream. One that keeps its address and its process keeps its key and
+/// counters; otherwise it is a different server and starts afresh.
 fn merge_upstream(
     arena: &mut UpstreamArena,
     known_key: Option<UpstreamKey>,
@@ -203,7 +203,10 @@
     let Some((key, state)) = known_key.and_then(|key| Some((key, arena.get_mut(key)?))) else {
         return arena.insert(Arc::new(UpstreamState::new(&name, spec, labels)));
     };
-    if state.spec.address != spec.address {
+    let is_restarted = state.spec.started_ms.is_some()
+        && spec.started_ms.is_some()
+        && state.spec.started_ms != spec.started_ms;
+    if state.spec.address != spec.address || is_restarted {
         return arena.insert(Arc::new(UpstreamState::new(&name, spec, labels)));
     }
     if state.spec != spec || state.labels != labels {
--- a/src/core/object.rs
+++ b/src/core/object.rs
@@ -73,6 +73,10 @@
     /// Time after its start for which its service times are longer.
     #[serde(default, with = "duration_text")]
     pub warm_up: Duration,
+    /// Start of its process in milliseconds since the Unix epoch, if known. What is known of an
+    /// upstream does not outlive its process.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub started_ms: Option<u64>,
 }
 
 fn default_slots() -> u32 {
--- a/src/fleet/objects.rs
+++ b/src/fleet/objects.rs
@@ -57,6 +57,7 @@
         draining: upstream.is_draining,
         health_path: service.map(|found| found.health_path.clone()),
         warm_up: upstream.warm_up,
+        started_ms: upstream.order.started_ms,
     };
     let labels = BTreeMap::from([(SERVICE_LABEL.to_owned(), upstream.service.clone())]);
     DeclaredUpstream { name: upstream.instance.clone(), labels: LabelSet::new(labels), spec }
--- a/src/request/attempt_reporter.rs
+++ b/src/request/attempt_reporter.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use http::header::CONTENT_ENCODING;
-use http::{HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode};
 use tokio::time::Instant;
 
 use crate::balance::{AttemptReport, AttemptResult, LoadReport, UpstreamPicker};
@@ -200,7 +200,13 @@
 }
 
 fn has_drain_signal<B>(answered: &UpstreamResponse<B>, header_names: &HeaderNames) -> bool {
-    header_names.drain.as_ref().is_some_and(|name| answered.response.headers().contains_key(name))
+    is_drain_signal(answered.response.headers(), header_names)
+}
+
+/// Whether response headers carry the drain signal.
+pub(super) fn is_drain_signal(headers: &HeaderMap, header_names: &HeaderNames) -> bool {
+    let value = header_names.drain.as_ref().and_then(|name| headers.get(name));
+    value.is_some_and(|value| value.as_bytes() != b"0")
 }
 
 fn outcome_kind<B>(outcome: &AttemptOutcome<B>) -> OutcomeKind {
--- a/src/request/load_check.rs
+++ b/src/request/load_check.rs
@@ -28,6 +28,7 @@
 use crate::request::attempt::{
     AttemptOutcome, AttemptRequest, ConnectionPolicy, UnknownCause, UpstreamClient,
 };
+use crate::request::attempt_reporter::is_drain_signal;
 use crate::request::execution_state::AttemptRole;
 
 /// Limits of load checks.
@@ -177,6 +178,9 @@
             AttemptOutcome::Unknown(_) => return LoadProbeOutcome::Failed(AttemptResult::Broken),
         };
         let headers = answered.response.headers();
+        if is_drain_signal(headers, header_names) {
+            upstream.record_drain_signal(true, started.elapsed());
+        }
         if let Some(name) = &header_names.rate_limit {
             let statement = LimitStatement::from_headers(headers, name);
             log_if_invalid(statement, upstream);
