tests: show that registrations and the key stay lost after a restore

Evidence: 2 s after such a restore the store has neither key nor registrations; an entry that starts then and the others reject each other's messages.

--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -307,6 +307,11 @@
         }
     }
 
+    /// Keys that sign and verify messages; `None` before the deployment's key is known.
+    pub fn message_keys(&self) -> Option<&MessageKey> {
+        self.key.get()
+    }
+
     /// Whether a peer has recently reported uninterrupted store access since `began` or earlier.
     pub(super) fn was_steady_for_peers(&self, began: Instant) -> bool {
         let known = *lock(&self.peer_steadiness);
--- a/tests/testsuite/enrolment.rs
+++ b/tests/testsuite/enrolment.rs
@@ -7,6 +7,7 @@
 use heatherfall::fleet::read_schedule::{ChangeBounds, ReadSchedule};
 use heatherfall::fleet::store_follower::StoreService;
 use heatherfall::kernel::ServiceTask;
+use heatherfall::platform::PlatformStore;
 use heatherfall::util::SeededRandom;
 use heatherfall_standins::platform::{CallCounts, StandinPlatform};
 use tokio_util::sync::CancellationToken;
@@ -76,6 +77,62 @@
     }
 }
 
+/// Kind of the entries' registrations.
+const ENTRY_KIND: &str = "heatherfall-entries";
+/// Time within which a restored store has the registrations and the key again.
+const REWRITE_LIMIT: Duration = Duration::from_secs(2);
+
+/// The key that the store has.
+async fn stored_key(store: &StandinPlatform) -> Option<String> {
+    let key = store.get("heatherfall-keys", "peers").await.ok()?;
+    key.spec.as_str().map(str::to_owned)
+}
+
+/// Guards against entries that are unknown for good, and a second key, after a restore from a copy
+/// that is older than both.
+#[tokio::test(start_paused = true)]
+async fn registrations_and_the_key_that_a_restored_store_has_lost_are_written_again() {
+    let store = StandinPlatform::default();
+    put_config(&store, 1).await;
+    let copy = store.take_copy();
+    let mut entries = Vec::new();
+    for index in 0..5 {
+        entries.push(start(&format!("entry-{index}"), &store, index));
+    }
+    for round in 0..3 {
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        let key = stored_key(&store).await.expect("a key");
+        store.restore(copy.clone());
+        let before = store.counts();
+        tokio::time::sleep(REWRITE_LIMIT).await;
+        assert_eq!(stored_key(&store).await, Some(key), "round {round}");
+        let registered = store.list(ENTRY_KIND, "").await.expect("listed").items.len();
+        assert_eq!(registered, 5, "round {round}");
+        let writes = store.counts().writes - before.writes;
+        assert!(writes <= 2 * 5, "{writes} writes of 5 entries in round {round}");
+    }
+}
+
+/// Guards against an entry whose messages the others reject, because it started between a restore
+/// and the rewrite of the key.
+#[tokio::test(start_paused = true)]
+async fn all_entries_use_one_key_though_one_started_while_the_store_had_none() {
+    let store = StandinPlatform::default();
+    put_config(&store, 1).await;
+    let copy = store.take_copy();
+    let (old, _old_stop) = start("entry-1", &store, 1);
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    let old_datagram = old.state.message_keys().expect("a key").sign(b"before");
+    store.restore(copy);
+    let (fresh, _fresh_stop) = start("entry-2", &store, 2);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let keys = [&old, &fresh].map(|entry| entry.state.message_keys().expect("a key"));
+    assert_eq!(keys[0].verify(&keys[1].sign(b"to the old")), Ok(&b"to the old"[..]));
+    assert_eq!(keys[1].verify(&keys[0].sign(b"to the fresh")), Ok(&b"to the fresh"[..]));
+    assert_eq!(keys[0].verify(&old_datagram), Ok(&b"before"[..]), "still in flight");
+    assert_eq!(store.list(ENTRY_KIND, "").await.expect("listed").items.len(), 2);
+}
+
 #[test]
 fn a_shorter_bound_gives_a_shorter_schedule() {
     let normal = ReadSchedule::default();
