--- a/src/fleet/peer_message.rs
+++ b/src/fleet/peer_message.rs
@@ -5,6 +5,7 @@
 //! entry that misses a change notices it by the watermark of the next message.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use hmac::{Hmac, KeyInit, Mac};
 use serde::{Deserialize, Serialize};
@@ -112,7 +113,11 @@
 
 /// Key of the deployment, which signs the datagrams between entries.
 #[derive(Clone)]
-pub struct MessageKey(Hmac<Sha256>);
+pub struct MessageKey {
+    /// As the store has it.
+    text: Arc<str>,
+    mac: Hmac<Sha256>,
+}
 
 impl std::fmt::Debug for MessageKey {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
@@ -121,9 +126,15 @@
 }
 
 impl MessageKey {
-    /// Creates the key from its bytes; `None` if HMAC does not accept them.
-    pub fn new(key: &[u8]) -> Option<Self> {
-        Hmac::new_from_slice(key).ok().map(Self)
+    /// Creates the key from its text; `None` if it is empty.
+    pub fn new(text: &str) -> Option<Self> {
+        let mac = Hmac::new_from_slice(text.as_bytes()).ok().filter(|_| !text.is_empty())?;
+        Some(Self { text: text.into(), mac })
+    }
+
+    /// The key as the store has it.
+    pub(super) fn text(&self) -> &str {
+        &self.text
     }
 
     /// Encodes and signs a message as a datagram.
@@ -141,7 +152,7 @@
 
     /// Prepends the HMAC to a payload.
     pub fn sign(&self, payload: &[u8]) -> Vec<u8> {
-        let mac = self.0.clone().chain_update(payload).finalize().into_bytes();
+        let mac = self.mac.clone().chain_update(payload).finalize().into_bytes();
         let mut datagram = Vec::with_capacity(MAC_BYTES + payload.len());
         datagram.extend_from_slice(&mac[..MAC_BYTES]);
         datagram.extend_from_slice(payload);
@@ -155,7 +166,7 @@
     /// Returns an error if the datagram is too short, or was not signed with this key.
     pub fn verify<'a>(&self, datagram: &'a [u8]) -> Result<&'a [u8], MessageError> {
         let (mac, payload) = datagram.split_at_checked(MAC_BYTES).ok_or(MessageError::Malformed)?;
-        let expected = self.0.clone().chain_update(payload);
+        let expected = self.mac.clone().chain_update(payload);
         expected.verify_truncated_left(mac).map_err(|_| MessageError::Unauthenticated)?;
         Ok(payload)
     }
@@ -169,3 +180,45 @@
         PeerMessage::parse(self.verify(datagram)?)
     }
 }
+
+/// The key that signs messages, and the one before it, whose messages may still be in flight.
+#[derive(Clone, Debug)]
+pub struct MessageKeys {
+    current: MessageKey,
+    previous: Option<MessageKey>,
+}
+
+impl MessageKeys {
+    /// Keys of an entry that has read `current`, and had `known` before.
+    pub fn new(current: MessageKey, known: Option<&Self>) -> Self {
+        let previous = match known {
+            Some(known) if known.current.text() == current.text() => known.previous.clone(),
+            Some(known) => Some(known.current.clone()),
+            None => None,
+        };
+        Self { current, previous }
+    }
+
+    /// The key that signs messages.
+    pub(super) fn current(&self) -> &MessageKey {
+        &self.current
+    }
+
+    /// Prepends the HMAC by the current key to a payload.
+    pub fn sign(&self, payload: &[u8]) -> Vec<u8> {
+        self.current.sign(payload)
+    }
+
+    /// Verifies a datagram with both keys and returns its payload.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the datagram is too short, or was signed with neither key.
+    pub fn verify<'a>(&self, datagram: &'a [u8]) -> Result<&'a [u8], MessageError> {
+        let verified = self.current.verify(datagram);
+        match (&self.previous, verified) {
+            (Some(previous), Err(MessageError::Unauthenticated)) => previous.verify(datagram),
+            (_, verified) => verified,
+        }
+    }
+}
--- a/src/fleet/peer_service.rs
+++ b/src/fleet/peer_service.rs
@@ -101,8 +101,8 @@
         from: SocketAddr,
         sender: &mut PeerSender,
     ) -> Result<(), MessageError> {
-        let Some(key) = self.state.key.get() else { return Ok(()) };
-        let payload = key.verify(datagram)?;
+        let Some(keys) = self.state.message_keys() else { return Ok(()) };
+        let payload = keys.verify(datagram)?;
         if let Some(loads) = decode_load_update(payload) {
             self.receive_load_update(&loads?, from, &mut sender.index);
             return Ok(());
@@ -224,7 +224,8 @@
 
     /// Sends the outbox, and a regular message if one is due.
     async fn send_due<D: DeploymentCodec>(&mut self, socket: &UdpSocket, state: &FleetState<D>) {
-        let Some(key) = state.key.get() else { return };
+        let Some(keys) = state.message_keys() else { return };
+        let key = keys.current();
         let now = Instant::now();
         state.update_rate_limits(now);
         let outbox = state.take_outbox();
@@ -269,7 +270,8 @@
         loads: &[MeasuredLoad],
     ) {
         let now = Instant::now();
-        let (Some(key), Some(snapshot)) = (state.key.get(), state.snapshot.load_full()) else {
+        let (Some(keys), Some(snapshot)) = (state.message_keys(), state.snapshot.load_full())
+        else {
             return;
         };
         let (gateways, local_domain) = {
@@ -293,7 +295,7 @@
             return;
         }
         self.load_updates_sent += 1;
-        send_all(socket, &encode_load_update(key, &changed), &gateways).await;
+        send_all(socket, &encode_load_update(keys.current(), &changed), &gateways).await;
     }
 
     async fn send<D: DeploymentCodec>(
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -1,15 +1,18 @@
 //! What the services of one entry share.
 
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use arc_swap::ArcSwapOption;
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout};
 
 use crate::core::SharedSnapshot;
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::fleet_metrics::{FleetMetrics, FleetStatus, StoreCall};
-use crate::fleet::peer_message::{LearnedLimit, MeasuredLoad, MessageKey, ViewConfirmation};
+use crate::fleet::peer_message::{
+    LearnedLimit, MeasuredLoad, MessageKey, MessageKeys, ViewConfirmation,
+};
 use crate::fleet::peer_table::PeerTable;
 use crate::fleet::rate_limits::limited_upstreams;
 use crate::fleet::read_schedule::ReadSchedule;
@@ -24,6 +27,9 @@
 /// Time for which a peer's report of uninterrupted store access is used; several messages.
 const PEER_STEADINESS_TTL: Duration = Duration::from_secs(2);
 
+/// Rank above which store calls are no longer staggered.
+const MAX_DELAYED_RANK: u32 = 8;
+
 /// Time for which a starting entry does not act for its failure domain while it cannot list the
 /// other entries; several store calls.
 const ENROLMENT_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -71,8 +77,10 @@
     pub(super) peer_wakeup: Notify,
     /// Wakes the store service when there may be something to read.
     pub(super) store_wakeup: Notify,
-    /// Key of the deployment, once it has been read from the store.
-    pub(super) key: OnceLock<MessageKey>,
+    /// Tells the enrolment that the store was restored.
+    pub(super) restore_notice: Notify,
+    /// Keys of the deployment, once one has been read from the store.
+    keys: ArcSwapOption<MessageKeys>,
     /// Active configuration, read by the data plane.
     pub snapshot: SharedSnapshot,
     /// Live entries, read by the directory.
@@ -106,7 +114,8 @@
             enrolling_until: Mutex::default(),
             peer_wakeup: Notify::new(),
             store_wakeup: Notify::new(),
-            key: OnceLock::new(),
+            restore_notice: Notify::new(),
+            keys: ArcSwapOption::default(),
             snapshot,
             membership,
             freshness,
@@ -308,8 +317,14 @@
     }
 
     /// Keys that sign and verify messages; `None` before the deployment's key is known.
-    pub fn message_keys(&self) -> Option<&MessageKey> {
-        self.key.get()
+    pub fn message_keys(&self) -> Option<Arc<MessageKeys>> {
+        self.keys.load_full()
+    }
+
+    /// Makes `key` the one that signs messages.
+    pub(super) fn set_message_key(&self, key: MessageKey) {
+        let known = self.keys.load_full();
+        self.keys.store(Some(Arc::new(MessageKeys::new(key, known.as_deref()))));
     }
 
     /// Whether a peer has recently reported uninterrupted store access since `began` or earlier.
@@ -395,6 +410,12 @@
         lock(&self.enrolling_until).filter(|end| *end > now)
     }
 
+    /// Stagger of this entry's store calls among those of its failure domain.
+    pub(super) fn rank_delay(&self, now: Instant) -> Duration {
+        let rank = self.table().rank(now);
+        self.read_schedule.rank_delay * rank.min(MAX_DELAYED_RANK)
+    }
+
     /// Number of known entries in all failure domains, this one included.
     pub fn known_entries(&self) -> u32 {
         self.table().entry_count()
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -32,8 +32,6 @@
 const CATCH_UP_DELAY: Duration = Duration::from_millis(200);
 /// Wait of a watch that only confirms the view.
 const CONFIRMATION_WATCH_WAIT: Duration = Duration::from_millis(1);
-/// Rank above which reads are no longer staggered.
-const MAX_DELAYED_RANK: u32 = 8;
 /// Backoff after the first failed call; doubles up to [`MAX_BACKOFF`].
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest backoff after a failed call.
@@ -162,7 +160,7 @@
             let mut delay = CATCH_UP_DELAY;
             if kind == GapKind::NewerEra {
                 // All entries list then, and no message can spare them the call.
-                delay += self.rank_delay(now);
+                delay += self.state.rank_delay(now);
             }
             let next = last.map_or(now, |at| at + MIN_CATCH_UP_INTERVAL).max(noticed_at + delay);
             return match kind {
@@ -186,7 +184,7 @@
             let wait = expiry.map_or(wait, |at| wait.min(at.saturating_duration_since(now)));
             return StoreAction::Watch(wait);
         }
-        let limit = self.state.read_schedule.confirmation_limit + self.rank_delay(now);
+        let limit = self.state.read_schedule.confirmation_limit + self.state.rank_delay(now);
         let age = self.state.freshness.age().unwrap_or_else(|| now - self.created_at);
         if age >= limit {
             return StoreAction::Watch(CONFIRMATION_WATCH_WAIT);
@@ -195,12 +193,6 @@
         StoreAction::Sleep(expiry.map_or(due, |at| at.min(due)))
     }
 
-    /// Stagger of this entry's reads among those of its failure domain.
-    fn rank_delay(&self, now: Instant) -> Duration {
-        let rank = self.state.table().rank(now);
-        self.state.read_schedule.rank_delay * rank.min(MAX_DELAYED_RANK)
-    }
-
     /// Reads everything, which closes any gap.
     async fn list(&mut self) -> Result<(), StoreError> {
         let started = Instant::now();
@@ -225,6 +217,7 @@
         self.state.clear_gap();
         self.state.confirm(started.elapsed());
         if is_restored {
+            self.state.restore_notice.notify_one();
             self.state.request_message();
         }
         Ok(())
--- a/tests/testsuite/fleet_peers.rs
+++ b/tests/testsuite/fleet_peers.rs
@@ -18,7 +18,7 @@
 }
 
 fn key() -> MessageKey {
-    MessageKey::new(b"the key of a deployment of tests").expect("usable")
+    MessageKey::new("the key of a deployment of tests").expect("usable")
 }
 
 fn message(vm: &str, domain: &str, sequence: u64) -> PeerMessage {
@@ -56,7 +56,7 @@
 
 #[test]
 fn a_message_signed_with_another_key_is_rejected() {
-    let other_key = MessageKey::new(b"another key").expect("usable");
+    let other_key = MessageKey::new("another key").expect("usable");
     let datagram = other_key.encode(&message("entry-1", "fd-a", 1)).expect("fits");
     assert_eq!(key().decode(&datagram), Err(MessageError::Unauthenticated));
 }
