--- a/src/core/limit_bucket.rs
+++ b/src/core/limit_bucket.rs
@@ -86,13 +86,11 @@
         LimitPermit::Share
     }
 
-    /// Time until a request may be sent.
-    pub(super) fn opens_in(&self, now: Instant, news_at: Instant) -> Duration {
-        if let Some(at) = self.trial_at(news_at) {
-            return at.saturating_duration_since(now);
-        }
+    /// Time from the last refill to the next token; `None` without a share.
+    pub(super) fn next_token_in(&self) -> Option<Duration> {
         let missing = (1.0 - self.tokens).max(0.0);
-        Duration::from_secs_f64(missing / self.share.per_second)
+        let has_share = self.share.per_second > 0.0;
+        has_share.then(|| Duration::from_secs_f64(missing / self.share.per_second))
     }
 
     fn refill(&mut self, now: Instant) {
--- a/src/core/rate_limit.rs
+++ b/src/core/rate_limit.rs
@@ -238,12 +238,17 @@
         }
     }
 
-    /// Time until a request may be sent to the upstream.
+    /// Time until this entry may send the upstream a request or, if it has no share, until one of the
+    /// others may.
     pub fn opens_in(&self, now: Instant) -> Duration {
         if self.may_send(now) {
             return Duration::ZERO;
         }
-        (*self.lock()).map_or(Duration::ZERO, |known| known.bucket.opens_in(now, known.observed_at))
+        let Some(LimitRecord { limit: Some(limit), bucket, .. }) = *self.lock() else {
+            return Duration::ZERO;
+        };
+        let interval = Duration::from_secs_f64(1.0 / limit.per_second());
+        bucket.next_token_in().unwrap_or(interval)
     }
 
     /// What is to be logged or sent to the other entries now; each change once, and a limit that
--- a/src/core/upstream_stats.rs
+++ b/src/core/upstream_stats.rs
@@ -149,7 +149,7 @@
 
     /// Time at `now` until the end of the pause that the upstream has asked for; zero without one.
     pub fn pause_left(&self, now: Instant) -> Duration {
-        let until = self.paused_until.get().unwrap_or_default();
+        let Some(until) = self.paused_until.get() else { return Duration::ZERO };
         Duration::from_nanos(until.saturating_sub(self.nanos_at(now)))
     }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -25,6 +25,7 @@
 //! - [`store_follower`]: follows the store; `enrolment` registers an entry there.
 //! - [`peer_message`], [`peer_table`], [`peer_service`]: messages between entries, and liveness.
 //! - [`state`]: state that the services of an entry share.
+//! - [`limit_shares`]: divides the rate limits of upstreams; `rate_limits` shares news of them.
 //! - [`load_probe`]: probes the load of the local upstreams; [`load_update`]: sends it to other
 //!   failure domains.
 //! - [`directory`], [`control_api`]: HTTP API for callers, the platform and operators.
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -1,26 +1,27 @@
 //! What the services of one entry share.
 
+mod status;
+
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use tokio::sync::Notify;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 use crate::core::SharedSnapshot;
 use crate::fleet::codec::DeploymentCodec;
-use crate::fleet::fleet_metrics::{FleetMetrics, FleetStatus, StoreCall};
+use crate::fleet::fleet_metrics::FleetMetrics;
 use crate::fleet::peer_message::{
     LearnedLimit, MeasuredLoad, MessageKey, MessageKeys, ViewConfirmation,
 };
 use crate::fleet::peer_table::PeerTable;
-use crate::fleet::rate_limits::limited_upstreams;
 use crate::fleet::read_schedule::ReadSchedule;
 use crate::fleet::view::{DeploymentView, ViewChange};
 use crate::fleet::view_gap::{GapKind, ViewGap, is_behind};
 use crate::limits::LimitTable;
 use crate::membership::{ConfigFreshness, EntryState, SharedMembership};
-use crate::platform::{StoreError, StorePosition};
+use crate::platform::StorePosition;
 
 /// Timeout of a store call, on top of the wait that a watch asks for.
 pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -135,61 +136,6 @@
         Self { metrics: Some(metrics), ..self }
     }
 
-    /// Awaits a store call other than a watch, with [`CALL_TIMEOUT`], and counts it.
-    pub(super) async fn call_store<T>(
-        &self,
-        call: StoreCall,
-        response: impl Future<Output = Result<T, StoreError>>,
-    ) -> Result<T, StoreError> {
-        self.call_store_within(call, CALL_TIMEOUT, response).await
-    }
-
-    /// Awaits a store call, with a timeout of `limit`, and counts it.
-    pub(super) async fn call_store_within<T>(
-        &self,
-        call: StoreCall,
-        limit: Duration,
-        response: impl Future<Output = Result<T, StoreError>>,
-    ) -> Result<T, StoreError> {
-        let timed_out = || StoreError::ResponseLost(format!("no response within {limit:?}"));
-        let result = timeout(limit, response).await.unwrap_or_else(|_| Err(timed_out()));
-        if let Some(metrics) = &self.metrics {
-            metrics.count_call(call, &result);
-        }
-        result
-    }
-
-    /// Updates the metrics from the current state.
-    pub(super) fn update_metrics(&self) {
-        let Some(metrics) = &self.metrics else { return };
-        let snapshot = self.snapshot.load();
-        let snapshot = snapshot.as_ref();
-        metrics.update(FleetStatus {
-            generation: snapshot.map_or(0, |snapshot| snapshot.generation.0),
-            view_age: self.freshness.age(),
-            known_entries: self.known_entries(),
-            upstreams: snapshot.map_or(0, |snapshot| snapshot.upstreams.len()),
-            limited_upstreams: snapshot.map_or(0, |snapshot| limited_upstreams(snapshot)),
-            view_revision: self.view().revision(),
-            store_position: *lock(&self.store_position),
-        });
-    }
-
-    /// Records the position that the store has reported. Logs if its history went back.
-    pub(super) fn record_store_position(&self, position: StorePosition) {
-        let known = std::mem::replace(&mut *lock(&self.store_position), position);
-        if known.revision > 0 && position.era != known.era {
-            log::warn!(
-                target: "store",
-                "history changed, the store was restored era={} known_era={} revision={} known_revision={}",
-                position.era,
-                known.era,
-                position.revision,
-                known.revision,
-            );
-        }
-    }
-
     pub(super) fn view(&self) -> MutexGuard<'_, DeploymentView<D>> {
         lock(&self.view)
     }
--- /dev/null
+++ b/src/fleet/state/status.rs
@@ -0,0 +1,68 @@
+//! Store calls and positions as metrics and log lines.
+
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use crate::fleet::codec::DeploymentCodec;
+use crate::fleet::fleet_metrics::{FleetStatus, StoreCall};
+use crate::fleet::rate_limits::limited_upstreams;
+use crate::fleet::state::{CALL_TIMEOUT, FleetState, lock};
+use crate::platform::{StoreError, StorePosition};
+
+impl<D: DeploymentCodec> FleetState<D> {
+    /// Awaits a store call other than a watch, with [`CALL_TIMEOUT`], and counts it.
+    pub(in crate::fleet) async fn call_store<T>(
+        &self,
+        call: StoreCall,
+        response: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        self.call_store_within(call, CALL_TIMEOUT, response).await
+    }
+
+    /// Awaits a store call, with a timeout of `limit`, and counts it.
+    pub(in crate::fleet) async fn call_store_within<T>(
+        &self,
+        call: StoreCall,
+        limit: Duration,
+        response: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let timed_out = || StoreError::ResponseLost(format!("no response within {limit:?}"));
+        let result = timeout(limit, response).await.unwrap_or_else(|_| Err(timed_out()));
+        if let Some(metrics) = &self.metrics {
+            metrics.count_call(call, &result);
+        }
+        result
+    }
+
+    /// Updates the metrics from the current state.
+    pub(in crate::fleet) fn update_metrics(&self) {
+        let Some(metrics) = &self.metrics else { return };
+        let snapshot = self.snapshot.load();
+        let snapshot = snapshot.as_ref();
+        metrics.update(FleetStatus {
+            generation: snapshot.map_or(0, |snapshot| snapshot.generation.0),
+            view_age: self.freshness.age(),
+            known_entries: self.known_entries(),
+            upstreams: snapshot.map_or(0, |snapshot| snapshot.upstreams.len()),
+            limited_upstreams: snapshot.map_or(0, |snapshot| limited_upstreams(snapshot)),
+            view_revision: self.view().revision(),
+            store_position: *lock(&self.store_position),
+        });
+    }
+
+    /// Records the position that the store has reported. Logs if its history went back.
+    pub(in crate::fleet) fn record_store_position(&self, position: StorePosition) {
+        let known = std::mem::replace(&mut *lock(&self.store_position), position);
+        if known.revision > 0 && position.era != known.era {
+            log::warn!(
+                target: "store",
+                "history changed, the store was restored era={} known_era={} revision={} known_revision={}",
+                position.era,
+                known.era,
+                position.revision,
+                known.revision,
+            );
+        }
+    }
+}
--- a/tests/testsuite/rate_limits.rs
+++ b/tests/testsuite/rate_limits.rs
@@ -153,6 +153,11 @@
 async fn an_entry_without_a_share_tries_one_request_after_a_time_without_news() {
     let first = limited(1.0, LimitShare::none(0));
     let second = limited(1.0, LimitShare::none(1));
+    assert_eq!(
+        first.opens_in(Instant::now()),
+        Duration::from_secs(1),
+        "another entry may send then"
+    );
     advance(Duration::from_millis(4900)).await;
     assert!(!first.may_send(Instant::now()));
     advance(Duration::from_millis(200)).await;
