--- a/src/core/rate_limit.rs
+++ b/src/core/rate_limit.rs
@@ -128,7 +128,7 @@
 pub struct NamedRateLimit {
     /// Copy of whether a limit is named; spares the lock for the many upstreams without one.
     is_limited: AtomicBool,
-    /// Whether the record has something to share or to log.
+    /// Whether there is a record; spares the lock likewise.
     is_known: AtomicBool,
     /// Number of invalid limits that the upstream has named.
     invalid: AtomicU64,
--- a/src/fleet/view/upstream_record.rs
+++ b/src/fleet/view/upstream_record.rs
@@ -29,13 +29,12 @@
 
 /// Whether `listed`, from a restored store, is older than `known`, from before the restore.
 pub(super) fn is_restored_older(listed: &RegisteredUpstream, known: &RegisteredUpstream) -> bool {
-    // Without a start time, a lower number may also be that of a new process, elsewhere.
-    let is_comparable = is_same_lifetime(listed, known)
-        || (listed.order.started_ms.is_none() && listed.address == known.address);
+    // Without a start time, a lower number may also be that of a new process at another address.
+    let is_same_address = listed.address == known.address;
     match listed.order.compare(&known.order) {
-        Some(Ordering::Less) => is_comparable || listed.order.started_ms.is_some(),
+        Some(Ordering::Less) => listed.order.started_ms.is_some() || is_same_address,
         Some(_) => false,
-        None => is_comparable && known.is_draining && !listed.is_draining,
+        None => is_same_address && known.is_draining && !listed.is_draining,
     }
 }
 
