--- a/src/balance/pick.rs
+++ b/src/balance/pick.rs
@@ -90,6 +90,21 @@
     pub fn upstreams(&self) -> &'a [UpstreamKey] {
         self.route.upstreams_of(self.part)
     }
+
+    /// Time until the first of these upstreams accepts an attempt, at its rate limit or after a pause;
+    /// `None` if all are draining.
+    pub fn opens_in(&self, now: Instant) -> Option<Duration> {
+        let mut earliest: Option<Duration> = None;
+        for key in self.upstreams() {
+            let Some(upstream) = self.snapshot.upstreams.get(*key) else { continue };
+            if upstream.is_draining() {
+                continue;
+            }
+            let wait = upstream.opens_in(now);
+            earliest = Some(earliest.map_or(wait, |earliest| earliest.min(wait)));
+        }
+        earliest
+    }
 }
 
 /// Why no upstream was picked.
--- a/src/balance/utility_picker.rs
+++ b/src/balance/utility_picker.rs
@@ -334,7 +334,7 @@
         }
         let best = best.or_else(|| self.best(request, &[], now));
         let Some(best) = best else {
-            let is_limited = time_until_open(request, now).is_some();
+            let is_limited = request.opens_in(now).is_some();
             return Err(if is_limited { PickRefusal::Crowded } else { PickRefusal::NoUpstream });
         };
         let misses_deadline = best.expected_secs > request.profile.deadline_left.as_secs_f32();
@@ -365,7 +365,7 @@
     fn retry_after(&self, request: PickRequest<'_>) -> Option<Duration> {
         // Within half a service time, some of the running requests will have finished.
         let wait = request.profile.service_time / 2;
-        Some(time_until_open(request, Instant::now()).map_or(wait, |open| open.max(wait)))
+        Some(request.opens_in(Instant::now()).map_or(wait, |open| open.max(wait)))
     }
 }
 
@@ -375,21 +375,6 @@
     }
 }
 
-/// Time until the first upstream accepts an attempt again, after a pause or at its rate limit; `None`
-/// if all are draining.
-fn time_until_open(request: PickRequest<'_>, now: Instant) -> Option<Duration> {
-    let mut earliest: Option<Duration> = None;
-    for key in request.upstreams() {
-        let Some(upstream) = request.snapshot.upstreams.get(*key) else { continue };
-        if upstream.is_draining() {
-            continue;
-        }
-        let wait = upstream.opens_in(now);
-        earliest = Some(earliest.map_or(wait, |earliest| earliest.min(wait)));
-    }
-    earliest
-}
-
 /// Slots of an upstream whose use raises its throughput.
 ///
 /// An upstream that slows down when it is full may have a higher throughput with one slot free.
