--- a/crates/heatherfall-platform-api/src/object.rs
+++ b/crates/heatherfall-platform-api/src/object.rs
@@ -9,7 +9,7 @@
 pub type Revision = u64;
 
 /// Number of a store's history, which rises by one each time that the store is restored from a copy.
-/// Writes since the copy are lost then, and their revisions are assigned again.
+/// Writes made after the copy are lost, and their revisions are assigned again.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
 )]
--- a/src/core/header.rs
+++ b/src/core/header.rs
@@ -21,7 +21,8 @@
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Set by an upstream that did not run the request.
 pub const UPSTREAM_NOT_RUN_HEADER: &str = "x-upstream-not-run";
-/// Drain signal: set by an upstream that is draining and wants no new requests; `0` counts as unset.
+/// Drain signal: set by an upstream that is draining and wants no new requests. A value of `0` counts
+/// as not set.
 pub const UPSTREAM_DRAIN_HEADER: &str = "x-upstream-drain";
 /// Load report of an upstream in the text form of Open Request Cost Aggregation (ORCA).
 pub const LOAD_METRICS_HEADER: &str = "endpoint-load-metrics";
--- a/src/fleet/view/history.rs
+++ b/src/fleet/view/history.rs
@@ -75,7 +75,7 @@
             return self.apply_config(object);
         }
         let mut change = self.change_from_here();
-        // An invalid one was logged by the peer, which keeps its current one too.
+        // Peers send only configurations that they could decode.
         let Ok(declared) = self.codec.config(&object) else { return change };
         if self.generation().is_some_and(|present| declared.generation <= present) {
             return change;
--- a/src/request/upstream_notices.rs
+++ b/src/request/upstream_notices.rs
@@ -106,7 +106,7 @@
     }
 }
 
-/// Logs an invalid notice; after the first one at ever larger counts, so that an upstream cannot
+/// Counts an invalid notice, and logs the count when it is a power of two, so that an upstream cannot
 /// flood the log.
 fn log_invalid(upstream: &UpstreamState) {
     let count = upstream.rate_limit().count_invalid();
--- a/src/request/upstream_selection.rs
+++ b/src/request/upstream_selection.rs
@@ -25,7 +25,8 @@
 use crate::request::execution_state::{AttemptIndex, AttemptRole, StartRefusal};
 use crate::request::load_check::{LoadProbeOutcome, probe_load};
 
-/// Selections for one attempt, if the rate limits of the selected upstreams are used up meanwhile.
+/// Maximum number of selections for one attempt. A selection is repeated if other requests have used
+/// up this entry's share of the selected upstream's rate limit.
 const MAX_SELECTIONS: u32 = 4;
 
 /// An attempt that is about to start.
--- a/tests/testsuite/rate_limits.rs
+++ b/tests/testsuite/rate_limits.rs
@@ -147,8 +147,8 @@
     assert!(named.take_news(Instant::now()).is_some_and(|news| news.is_own && !news.is_changed));
 }
 
-/// Guards against entries without a share that never learn that a limit was lifted, and against all
-/// of them trying at once.
+/// Guards against entries without a share that stop using an upstream for good, and against all of
+/// them trying it at the same time.
 #[tokio::test(start_paused = true)]
 async fn an_entry_without_a_share_tries_one_request_after_a_time_without_news() {
     let first = limited(1.0, LimitShare::none(0));
--- a/tests/testsuite/store_restore.rs
+++ b/tests/testsuite/store_restore.rs
@@ -25,7 +25,7 @@
     store
 }
 
-/// Writes an upstream's numbered statement about itself.
+/// Registers an upstream with a start time and the number of its statement.
 async fn put_statement(store: &StandinPlatform, name: &str, is_draining: bool, sequence: u64) {
     let spec = json!({
         "service": "reads", "draining": is_draining, "started": 1000, "sequence": sequence,
@@ -203,7 +203,8 @@
     assert_eq!(fresh.generation(), Some(3));
 }
 
-/// Guards against entries that follow only the first of several restores, or an era that rises.
+/// Guards against entries that follow only the first of several restores, or that ignore a restore
+/// after which the era is lower or missing.
 #[tokio::test(start_paused = true)]
 async fn each_of_several_restores_is_followed_and_so_is_an_era_that_falls_or_is_missing() {
     let store = store_with(1).await;
