--- a/src/fleet/codec.rs
+++ b/src/fleet/codec.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 
-use crate::core::GenerationNumber;
+use crate::core::{GenerationNumber, IdempotenceMode};
 use crate::platform::ObjectEnvelope;
 
 /// A route as the platform's configuration declares it.
@@ -20,7 +20,7 @@
     /// host wins.
     pub path_prefix: String,
     /// Whether its requests may run more than once.
-    pub is_idempotent: bool,
+    pub mode: IdempotenceMode,
     /// Longest time that a caller waits for the response.
     pub timeout: Duration,
     /// Response time goal.
--- a/src/fleet/objects.rs
+++ b/src/fleet/objects.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 
 use crate::config::{DeclaredUpstream, ObjectSet};
-use crate::core::{LabelSet, ObjectKind, UpstreamSpec};
+use crate::core::{IdempotenceMode, LabelSet, ObjectKind, UpstreamSpec};
 use crate::fleet::codec::{DeclaredConfig, DeclaredRoute, DeclaredService, RegisteredUpstream};
 use crate::platform::{ObjectEnvelope, ObjectList, Revision, StoreEra};
 use crate::util::duration_text;
@@ -64,7 +64,10 @@
 }
 
 fn label_object(route: &DeclaredRoute, revision: Revision) -> ObjectEnvelope {
-    let repeat = if route.is_idempotent { REPEAT_SAFE } else { REPEAT_NEVER };
+    let repeat = match route.mode {
+        IdempotenceMode::Idempotent => REPEAT_SAFE,
+        IdempotenceMode::AtMostOnce => REPEAT_NEVER,
+    };
     let spec = json!({
         "match": { "host": route.host, "path_prefix": route.path_prefix },
         "labels": { ROUTE_LABEL: route.name, REPEAT_LABEL: repeat },
--- a/tests/testsuite/support/fleet.rs
+++ b/tests/testsuite/support/fleet.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use heatherfall::core::{FailureDomain, GenerationNumber, SharedSnapshot, VmId};
+use heatherfall::core::{FailureDomain, GenerationNumber, IdempotenceMode, SharedSnapshot, VmId};
 use heatherfall::fleet::codec::{
     DeclaredBackend, DeclaredConfig, DeclaredRoute, DeclaredService, DecodeError, DeploymentCodec,
     DirectoryQuery, PlatformNames, RegisteredUpstream, StatementOrder,
@@ -48,7 +48,7 @@
             name: "reads".to_owned(),
             host: "reads.example".to_owned(),
             path_prefix: "/".to_owned(),
-            is_idempotent: true,
+            mode: IdempotenceMode::Idempotent,
             timeout: Duration::from_secs(1),
             goal: Duration::from_millis(200),
             rank: 0,
