serve: bound what waits for callers that read slowly

200 callers that read answers of 4 MB at 10 KB a second took an entry to 145 MB (large_answers, dev build; an entry of the large fleets has 160 MB). Cause: the HTTP library reads a response in parts of up to 400 KB, and each waits whole until the caller has read the one before.

--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -59,6 +59,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Idle timeout of callers' connections; longer than the 15 s for which callers may rely on theirs.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Largest head of a caller's request, and the most bytes of a response that wait for a caller that
+/// reads slowly.
+const MAX_CALLER_HEAD_BYTES: usize = 32 << 10;
 /// Largest request body, 64 MiB; the platform limits what callers send.
 const MAX_BODY_BYTES: usize = 64 << 20;
 /// Limit on buffered request bodies in total, 96 MiB; well below the memory of the smallest VM,
@@ -258,8 +261,11 @@
 impl EntrySockets {
     async fn bind(settings: &EntrySettings) -> miette::Result<Self> {
         let listen = &settings.listen;
-        let server_settings =
-            CallerServerSettings { header_timeout: CALLER_IDLE_TIMEOUT, ..Default::default() };
+        let server_settings = CallerServerSettings {
+            header_timeout: CALLER_IDLE_TIMEOUT,
+            max_head_bytes: MAX_CALLER_HEAD_BYTES,
+            ..Default::default()
+        };
         let callers = CallerServer::bind(listen.callers, server_settings);
         let callers = callers.await.into_diagnostic().wrap_err_with(|| failed("callers"))?;
         let mut control = Vec::new();
--- a/src/serve/connection_pool.rs
+++ b/src/serve/connection_pool.rs
@@ -59,6 +59,10 @@
     upstream_pools: RwLock<FastMap<SocketAddr, Arc<HttpUpstreamPool>>>,
 }
 
+/// Largest buffer of a connection, and so the largest head and body part of a response that is read
+/// at once. A response to a caller that reads slowly stays in such a buffer.
+const MAX_BUFFER_BYTES: usize = 16 << 10;
+
 /// HTTP connections to one upstream.
 pub(super) type HttpUpstreamPool = UpstreamPool<HttpConnection>;
 /// A checked-out HTTP connection.
@@ -155,7 +159,9 @@
             .await
             .map_err(std::io::Error::from)??;
         stream.set_nodelay(true)?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_BUFFER_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(std::io::Error::other)?;
         let driver = tokio::spawn(async move {
             let _ = driver.await;
