request: go by what load checks have found once none remains

An old report that looks better than all that was just checked is probably outdated.

Once no check remains, or the rate limit allows none, upstreams with a report of the last 25 ms come first if one has room. Besides, an attempt that took the last slot is given the time of a saturated upstream before it counts as overdue: `hedges` fed the overload, because these upstreams take 1.7 times as long when they are full.

--- a/src/balance/pick.rs
+++ b/src/balance/pick.rs
@@ -42,6 +42,8 @@
     pub attempt_elapsed: Duration,
     /// Slowdown factor of the last attempt's upstream when that attempt was started, if known.
     pub attempt_slowdown: Option<f32>,
+    /// Whether that attempt left no slot of its upstream free, or had to wait for one.
+    pub is_attempt_saturated: bool,
 }
 
 impl Default for RequestProfile {
@@ -54,6 +56,7 @@
             deadline_left: Duration::MAX,
             attempt_elapsed: Duration::ZERO,
             attempt_slowdown: None,
+            is_attempt_saturated: false,
         }
     }
 }
@@ -73,6 +76,9 @@
     pub purpose: PickPurpose,
     /// Expected cost of the request.
     pub profile: RequestProfile,
+    /// Upstreams with a load report up to this age come first, if one of them has room; none to
+    /// disregard the age.
+    pub preferred_report_age: Option<Duration>,
 }
 
 impl<'a> PickRequest<'a> {
@@ -82,8 +88,15 @@
         route: &'a RouteRecord,
         tried: &'a [UpstreamKey],
     ) -> Self {
-        let purpose = PickPurpose::default();
-        Self { snapshot, route, tried, part: None, purpose, profile: RequestProfile::default() }
+        Self {
+            snapshot,
+            route,
+            tried,
+            part: None,
+            purpose: PickPurpose::default(),
+            profile: RequestProfile::default(),
+            preferred_report_age: None,
+        }
     }
 
     /// Upstreams to which the request may be sent, draining ones included.
--- a/src/balance/utility_picker.rs
+++ b/src/balance/utility_picker.rs
@@ -141,12 +141,29 @@
         upstream.failure_domain != self.failure_domain
     }
 
-    /// The best upstream that accepts attempts and is not in `excluded`.
+    /// The best upstream that accepts attempts and is not in `excluded`; one with a report of the
+    /// preferred age, if one of those has room.
     fn best(
         &self,
         request: PickRequest<'_>,
         excluded: &[UpstreamKey],
         now: Instant,
+    ) -> Option<UpstreamEstimate> {
+        let preferred = request.preferred_report_age;
+        let recent = preferred.and_then(|age| self.best_reported(request, excluded, age, now));
+        recent
+            .filter(|recent| recent.has_room)
+            .or_else(|| self.best_reported(request, excluded, Duration::MAX, now))
+    }
+
+    /// The best upstream that accepts attempts, is not in `excluded`, and whose last load report is
+    /// at most `max_age` old; with the longest age, those without a report too.
+    fn best_reported(
+        &self,
+        request: PickRequest<'_>,
+        excluded: &[UpstreamKey],
+        max_age: Duration,
+        now: Instant,
     ) -> Option<UpstreamEstimate> {
         let mut best: Option<UpstreamEstimate> = None;
         for key in request.upstreams() {
@@ -154,6 +171,9 @@
             if !upstream.accepts_attempts(now) || excluded.contains(key) {
                 continue;
             }
+            if upstream.stats().report_age(now).unwrap_or(Duration::MAX) > max_age {
+                continue;
+            }
             let mut estimate = self.estimate(*key, upstream, request, now);
             estimate.utility += self.settings.jitter * self.random.unit();
             if best.is_none_or(|best| estimate.is_better_than(&best)) {
@@ -258,7 +278,10 @@
         profile: RequestProfile,
         now: Instant,
     ) -> f32 {
-        let service_secs = profile.service_time.as_secs_f32();
+        let mut service_secs = profile.service_time.as_secs_f32();
+        if profile.is_attempt_saturated {
+            service_secs *= profile.saturation_factor;
+        }
         let elapsed_secs = profile.attempt_elapsed.as_secs_f32();
         let min_remaining_secs =
             (service_secs - elapsed_secs).max(MIN_REMAINING_FRACTION * service_secs);
--- a/src/request/attempt_reporter.rs
+++ b/src/request/attempt_reporter.rs
@@ -180,7 +180,7 @@
 
 /// Whether a request already counted as in flight takes the upstream's last slot; none if no slot
 /// was left for it.
-fn takes_last_slot(upstream: &UpstreamState) -> Option<bool> {
+pub(super) fn takes_last_slot(upstream: &UpstreamState) -> Option<bool> {
     let load = upstream.inflight() as f32 + upstream.stats().reported_peer_inflight.get();
     let slots = upstream.spec.slots as f32;
     if load > slots + 0.5 {
--- a/src/request/execution.rs
+++ b/src/request/execution.rs
@@ -23,7 +23,9 @@
     AttemptOutcome, AttemptRequest, ConnectionPolicy, UnknownCause, UpstreamClient,
     UpstreamResponse,
 };
-use crate::request::attempt_reporter::{AttemptReporter, ReporterContext, validate_outcome};
+use crate::request::attempt_reporter::{
+    AttemptReporter, ReporterContext, takes_last_slot, validate_outcome,
+};
 use crate::request::attempt_trace::AttemptTrace;
 use crate::request::classify::RequestClass;
 use crate::request::execution_settings::{ExecutionSettings, HedgeTrigger, hedge_interval};
@@ -136,6 +138,7 @@
             tried: Vec::new(),
             began: Instant::now(),
             slowdown: None,
+            is_saturated: false,
             checks_sent: 0,
         };
         let mut last_response: Option<FinishedAttempt<C::Body>> = None;
@@ -169,6 +172,7 @@
                             trace.started(start.role, &start.upstream);
                             history.began = Instant::now();
                             history.slowdown = start.slowdown;
+                            history.is_saturated = takes_last_slot(&start.upstream) != Some(false);
                             history.tried.push(start.key);
                             let attempt = Some(self.attempt(start, route, &ctx));
                             if slot.is_none() {
--- a/src/request/load_check.rs
+++ b/src/request/load_check.rs
@@ -52,6 +52,10 @@
     /// whether the upstream accepts the connection: an upstream with a long queue resets new
     /// connections, and a request sent on one of those may have run.
     pub max_connect_checks: u32,
+    /// Once no check remains, upstreams with a load report up to this age are preferred: the time
+    /// that the checks of one request take. An older report that looks better than those is
+    /// probably outdated.
+    pub preferred_report_age: Duration,
     /// Most checks per second that one upstream gets from all entries together; 0 for no limit.
     pub max_checks_per_second: f64,
 }
@@ -65,6 +69,7 @@
             max_hedge_checks: 2,
             max_request_checks: 8,
             max_connect_checks: 2,
+            preferred_report_age: Duration::from_millis(25),
             max_checks_per_second: 0.0,
         }
     }
@@ -89,13 +94,22 @@
     ///
     /// Only upstreams that report their load respond to a check without queueing for a slot. One
     /// that has not been probed yet is checked once to learn whether it reports its load.
-    pub fn should_check(&self, upstream: &UpstreamState, upstreams: usize, entries: u32) -> bool {
-        if upstream.spec.health_path.is_none() {
-            return false;
-        }
+    pub fn decide(
+        &self,
+        upstream: &UpstreamState,
+        upstreams: usize,
+        entries: u32,
+    ) -> CheckDecision {
         let stats = upstream.stats();
         let may_report = stats.slowdown_factor().is_some() || stats.last_probe_at.get().is_none();
-        may_report && !self.is_recent(upstream) && self.limiter.try_spend(upstreams, entries)
+        if upstream.spec.health_path.is_none() || !may_report || self.is_recent(upstream) {
+            return CheckDecision::Needless;
+        }
+        if self.limiter.try_spend(upstreams, entries) {
+            CheckDecision::Check
+        } else {
+            CheckDecision::RateLimited
+        }
     }
 
     /// Slowdown factor of `upstream`, if its load report is recent: the service time as a multiple
@@ -121,6 +135,17 @@
     }
 }
 
+/// Whether a selected upstream is checked before a request is sent to it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CheckDecision {
+    /// It is checked.
+    Check,
+    /// Its last load report is recent, or it reports no load.
+    Needless,
+    /// A check would exceed this entry's share of the rate limit.
+    RateLimited,
+}
+
 /// Outcome of a query for an upstream's load.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LoadProbeOutcome {
--- a/src/request/upstream_selection.rs
+++ b/src/request/upstream_selection.rs
@@ -23,7 +23,7 @@
 use crate::request::attempt_trace::AttemptTrace;
 use crate::request::execution::{ExecutionContext, RequestExecution};
 use crate::request::execution_state::{AttemptIndex, AttemptRole, StartRefusal};
-use crate::request::load_check::{LoadProbeOutcome, probe_load};
+use crate::request::load_check::{CheckDecision, LoadProbeOutcome, probe_load};
 
 /// Maximum number of selections for one attempt. A selection is repeated if other requests have used
 /// up this entry's share of the selected upstream's rate limit.
@@ -50,6 +50,8 @@
     pub(super) began: Instant,
     /// Slowdown factor of the last attempt's upstream, if it was known.
     pub(super) slowdown: Option<f32>,
+    /// Whether the last attempt left no slot of its upstream free, or had to wait for one.
+    pub(super) is_saturated: bool,
     /// Load checks sent for the request so far.
     pub(super) checks_sent: u32,
 }
@@ -157,6 +159,11 @@
             let mut pick = self.pick_request(role, route, &excluded, ctx);
             pick.profile.attempt_elapsed = history.began.elapsed();
             pick.profile.attempt_slowdown = history.slowdown;
+            pick.profile.is_attempt_saturated = history.is_saturated;
+            if quota.selection == 0 {
+                pick.preferred_report_age =
+                    ctx.load_checker.map(|checker| checker.settings.preferred_report_age);
+            }
             let key = ctx.picker.pick(pick).map_err(|refusal| match refusal {
                 PickRefusal::NoUpstream => StartRefusal::NoUpstream,
                 PickRefusal::Crowded => StartRefusal::Crowded,
@@ -166,18 +173,20 @@
             // attempt.
             let inflight = upstream.start_request();
             let Some((checker, purpose)) = ctx.load_checker.zip(quota.next()) else {
-                return Ok(SelectedUpstream { key, inflight, slowdown: None });
+                let checker = ctx.load_checker;
+                let slowdown = checker.and_then(|checker| checker.recent_slowdown(upstream));
+                return Ok(SelectedUpstream { key, inflight, slowdown });
             };
-            if !checker.should_check(
-                upstream,
-                self.snapshot.upstreams.len(),
-                self.sharing_entries(),
-            ) {
-                return Ok(SelectedUpstream {
-                    key,
-                    inflight,
-                    slowdown: checker.recent_slowdown(upstream),
-                });
+            match checker.decide(upstream, self.snapshot.upstreams.len(), self.sharing_entries()) {
+                CheckDecision::Check => {}
+                CheckDecision::Needless => {
+                    let slowdown = checker.recent_slowdown(upstream);
+                    return Ok(SelectedUpstream { key, inflight, slowdown });
+                }
+                CheckDecision::RateLimited => {
+                    quota = CheckQuota::default();
+                    continue;
+                }
             }
             quota.take(purpose);
             history.checks_sent += 1;
@@ -250,13 +259,22 @@
             deadline_left: self.deadline.saturating_duration_since(now),
             attempt_elapsed: Duration::ZERO,
             attempt_slowdown: None,
+            is_attempt_saturated: false,
         };
         let purpose = match role {
             AttemptRole::First => PickPurpose::First,
             AttemptRole::Retry => PickPurpose::Retry,
             AttemptRole::Hedge => PickPurpose::Hedge,
         };
-        PickRequest { snapshot: &self.snapshot, route, tried, part: self.part, purpose, profile }
+        PickRequest {
+            snapshot: &self.snapshot,
+            route,
+            tried,
+            part: self.part,
+            purpose,
+            profile,
+            preferred_report_age: None,
+        }
     }
 
     /// Whether the budget allows the attempt, as far as that is known before it is spent.
--- a/tests/testsuite/load_check.rs
+++ b/tests/testsuite/load_check.rs
@@ -229,6 +229,64 @@
     assert!(sent <= checks.max_request_checks, "{sent} load checks for one request");
 }
 
+/// Upstreams that are slower than the shared reports of them say; counts the requests sent to the
+/// slowest.
+#[derive(Clone, Debug, Default)]
+struct SlowerClient {
+    sent_to_slowest: Arc<AtomicU32>,
+}
+
+impl SlowerClient {
+    /// Number of the slowest upstreams, of all [`UPSTREAMS`].
+    const SLOWEST: u16 = 5;
+    /// Service time on the other machines, in percent of the usual one.
+    const OTHER_PERCENT: u32 = 230;
+}
+
+impl UpstreamClient for SlowerClient {
+    type Body = Full<Bytes>;
+
+    async fn send(
+        &self,
+        upstream: &Arc<UpstreamState>,
+        request: AttemptRequest,
+    ) -> AttemptOutcome<Full<Bytes>> {
+        let is_slowest = upstream.spec.address.port() <= Self::SLOWEST;
+        let percent = if is_slowest { SLOW_PERCENT } else { Self::OTHER_PERCENT };
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        if request.uri.path() != HEALTH_PATH {
+            self.sent_to_slowest.fetch_add(u32::from(is_slowest), Ordering::Relaxed);
+            tokio::time::sleep(SERVICE_TIME * percent / 100).await;
+        }
+        response_with_load(&format!("0,0,4,{percent}"))
+    }
+}
+
+/// Guards against requests that go to an upstream without a check because old reports of it look
+/// better than what the checks of others have found.
+#[tokio::test(start_paused = true)]
+async fn a_request_whose_checks_all_disappoint_goes_to_the_best_of_the_checked_upstreams() {
+    const REQUESTS: u32 = 400;
+    let client = SlowerClient::default();
+    let sent_to_slowest = Arc::clone(&client.sent_to_slowest);
+    let shared = snapshot();
+    let settings = settings_with_checks(Some(LoadCheckSettings::default()));
+    let plane = plane(client, &shared, 3, settings);
+    let snapshot = shared.load_full().unwrap();
+    for index in 0..REQUESTS {
+        tokio::time::sleep(REPORT_INTERVAL).await;
+        for upstream in snapshot.upstreams.values() {
+            let report = LoadReport { inflight: 0, work_percent: Some(100) };
+            record_shared_report(upstream, report, REPORT_INTERVAL / 2, &Default::default());
+        }
+        send(&plane, PURCHASE_PATH, index).await;
+    }
+    let sent = sent_to_slowest.load(Ordering::Relaxed);
+    println!("{sent} of {REQUESTS} requests went to the slowest");
+    // Four checks find only slowest ones in 5 of 70 cases.
+    assert!(sent <= REQUESTS / 10, "{sent} of {REQUESTS} requests went to the slowest");
+}
+
 /// Upstreams, some of which reset every connection; counts the requests sent to those.
 #[derive(Clone, Debug, Default)]
 struct ResettingClient {
--- a/tests/testsuite/utility_picker.rs
+++ b/tests/testsuite/utility_picker.rs
@@ -243,6 +243,26 @@
     assert_eq!(hedge, Err(PickRefusal::NoUpstream));
 }
 
+/// Guards against hedges that load upstreams further because they slow down when they are full.
+#[tokio::test(start_paused = true)]
+async fn an_attempt_that_took_the_last_slot_is_given_the_time_of_a_saturated_upstream() {
+    let mut fixture = PickerFixture::new(&[LOCAL_DOMAIN, LOCAL_DOMAIN], 0);
+    fixture.profile.saturation_factor = 1.7;
+    fixture.report(0, SLOTS, 100);
+    fixture.report(1, 0, 100);
+    let _running = fixture.start_requests(0, 1);
+    fixture.profile.attempt_slowdown = Some(1.0);
+    // A saturated upstream needs 170 ms.
+    fixture.profile.attempt_elapsed = Duration::from_millis(165);
+    fixture.profile.goal_left = GOAL - fixture.profile.attempt_elapsed;
+    fixture.profile.is_attempt_saturated = true;
+    let hedge = fixture.pick_for(PickPurpose::Hedge, &[fixture.key(0)]);
+    assert_eq!(hedge, Err(PickRefusal::NoUpstream));
+    fixture.profile.is_attempt_saturated = false;
+    let hedge = fixture.pick_for(PickPurpose::Hedge, &[fixture.key(0)]);
+    assert_eq!(hedge, Ok(fixture.key(1)));
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_overdue_attempt_is_hedged_in_time_for_the_goal() {
     let mut fixture = PickerFixture::new(&[LOCAL_DOMAIN, LOCAL_DOMAIN], 0);
