fleet: one roster a failure domain in place of a registration an entry

The store has one roster object a failure domain. An entry that is not listed sends the listed ones a message, and the first of them adds all that it hears with one conditional write. Until it is listed, an entry tells that it may not lead, so that a start has one leader a domain. A view whose digest and configuration equal those of a later revision moves there without a read, and the configuration is not read again where a peer knows it to be the newest.

The digests of live entries are kept, not computed for each message.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -22,7 +22,8 @@
 //! - [`entry_settings`], [`live_settings`]: settings, and those that can be reloaded.
 //! - [`fleet_metrics`]: metrics of the view, its age and the store calls.
 //! - [`read_schedule`]: when an entry reads the store.
-//! - [`store_follower`]: follows the store; `enrolment` registers an entry there.
+//! - [`store_follower`]: follows the store; `enrolment` makes an entry known to the others, by the
+//!   [`roster`] of its failure domain.
 //! - [`peer_message`], [`peer_table`], [`peer_service`]: messages between entries, and liveness.
 //! - [`state`]: state that the services of an entry share.
 //! - [`limit_shares`]: divides the rate limits of upstreams; `rate_limits` shares news of them.
@@ -48,6 +49,7 @@
 pub mod peer_table;
 mod rate_limits;
 pub mod read_schedule;
+pub mod roster;
 pub mod state;
 pub mod store_follower;
 pub mod view;
--- a/src/fleet/peer_message.rs
+++ b/src/fleet/peer_message.rs
@@ -35,6 +35,10 @@
     pub caller_address: SocketAddr,
     /// Lifecycle state of the sender.
     pub state: EntryState,
+    /// Whether the sender is listed, and so may act for its failure domain. Entries of former
+    /// versions, which do not tell, are.
+    #[serde(default = "enrolled_by_default")]
+    pub is_enrolled: bool,
     /// State of the sender's view; `None` before its first confirmation.
     pub confirmation: Option<ViewConfirmation>,
     /// Name digests of live, ready entries, sent by the leader of a large failure domain, in which
@@ -50,6 +54,10 @@
     pub limits: Vec<LearnedLimit>,
 }
 
+fn enrolled_by_default() -> bool {
+    true
+}
+
 impl PeerMessage {
     /// Parses the payload of a datagram.
     ///
--- a/src/fleet/peer_service.rs
+++ b/src/fleet/peer_service.rs
@@ -108,7 +108,7 @@
             return Ok(());
         }
         let message = PeerMessage::parse(payload)?;
-        if !self.state.table().apply_message(&message, from, Instant::now()) {
+        if !self.state.apply_message(&message, from) {
             return Ok(());
         }
         self.state.apply_peer_state(message.change, message.confirmation);
@@ -308,9 +308,10 @@
     ) {
         self.sequence += 1;
         let now = Instant::now();
-        let (own, recipients, alive) = {
+        let recipients = state.recipients(scope);
+        let (own, alive) = {
             let table = state.table();
-            (table.own().clone(), table.recipients(scope, now), table.alive_digests(now))
+            (table.own().clone(), table.alive_digests(now))
         };
         if recipients.is_empty() {
             return;
@@ -322,6 +323,7 @@
             failure_domain: own.failure_domain.to_string(),
             caller_address: own.caller_address,
             state: own.state,
+            is_enrolled: state.is_enrolled(),
             confirmation: state.confirmation(),
             alive,
             loads: content.loads,
--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -15,7 +15,9 @@
 use crate::fleet::limit_shares::LimitMembers;
 use crate::fleet::load_update::name_digest;
 use crate::fleet::peer_message::PeerMessage;
+use crate::fleet::roster::DomainRoster;
 use crate::membership::{EntryRecord, EntryState, MembershipView, rendezvous_score};
+use crate::util::FastSet;
 
 /// Largest failure domain, in entries, in which every entry sends every message to all others.
 const MAX_MESH_ENTRIES: usize = 12;
@@ -73,6 +75,9 @@
     incarnation: u64,
     sequence: u64,
     last_heard_at: Option<Instant>,
+    is_enrolled: bool,
+    /// [`name_digest`] of its VM.
+    digest: u32,
 }
 
 /// The entries that share the probing of the upstreams of a failure domain.
@@ -139,7 +144,14 @@
             Some(known) if known.last_heard_at.is_none() => known.record = record,
             Some(_) => {}
             None => {
-                let entry = PeerEntry { record, incarnation: 0, sequence: 0, last_heard_at: None };
+                let entry = PeerEntry {
+                    record,
+                    incarnation: 0,
+                    sequence: 0,
+                    last_heard_at: None,
+                    is_enrolled: true,
+                    digest: name_digest(vm.as_str()),
+                };
                 self.insert(vm, entry);
             }
         }
@@ -171,6 +183,8 @@
             incarnation: message.incarnation,
             sequence: message.sequence,
             last_heard_at: Some(now),
+            is_enrolled: message.is_enrolled,
+            digest: name_digest(vm.as_str()),
         };
         let Some(known) = self.peers.get_mut(&vm) else {
             log::info!(target: "peer", "first message of a peer vm={vm} address={from}");
@@ -207,7 +221,7 @@
 
     /// Peer address of the leader; `None` if this entry is the leader.
     pub fn leader_address(&self, now: Instant) -> Option<SocketAddr> {
-        let first = self.peers.iter().find(|(_, peer)| self.is_live(peer, now));
+        let first = self.peers.iter().find(|(_, peer)| self.is_candidate(peer, now));
         let (_, peer) = first.filter(|(vm, _)| **vm < self.own.vm)?;
         Some(peer.record.peer_address)
     }
@@ -223,8 +237,8 @@
         if scope == MessageScope::All || self.is_full_mesh() || self.rank(now) == 0 {
             return self.local_peers().map(|peer| peer.record.peer_address).collect();
         }
-        let live = self.local_peers().filter(|peer| self.is_live(peer, now));
-        live.take(LEADER_CANDIDATES).map(|peer| peer.record.peer_address).collect()
+        let candidates = self.local_peers().filter(|peer| self.is_candidate(peer, now));
+        candidates.take(LEADER_CANDIDATES).map(|peer| peer.record.peer_address).collect()
     }
 
     /// Name digests of the live, ready entries, if this one leads a large domain; otherwise empty.
@@ -235,7 +249,7 @@
         }
         for peer in self.local_peers() {
             if self.is_live(peer, now) && peer.record.state == EntryState::Ready {
-                alive.push(name_digest(peer.record.vm.as_str()));
+                alive.push(peer.digest);
             }
         }
         alive
@@ -243,10 +257,14 @@
 
     /// Marks entries as alive that the leader reports so.
     fn apply_alive_digests(&mut self, alive: &[u32], now: Instant) {
+        if alive.is_empty() {
+            return;
+        }
+        let alive: FastSet<u32> = alive.iter().copied().collect();
         let heard_at = now + ALIVE_DIGEST_GRACE;
-        for (vm, peer) in &mut self.peers {
+        for peer in self.peers.values_mut() {
             let is_local = peer.record.failure_domain == self.own.failure_domain;
-            if is_local && alive.contains(&name_digest(vm.as_str())) {
+            if is_local && alive.contains(&peer.digest) {
                 peer.last_heard_at = peer.last_heard_at.max(Some(heard_at));
             }
         }
@@ -283,16 +301,36 @@
         self.active_gateways.insert(0, ActiveGateway { address, last_update_at: now });
     }
 
+    /// Registrations of the live entries of the local failure domain, this one included.
+    pub fn live_registrations(&self, now: Instant) -> BTreeMap<String, EntryRegistration> {
+        let mut live = BTreeMap::from([(self.own.vm.to_string(), registration(&self.own))]);
+        for (vm, peer) in &self.peers {
+            if self.is_live(peer, now) {
+                live.insert(vm.to_string(), registration(&peer.record));
+            }
+        }
+        live
+    }
+
+    /// Whether no live entry of the local failure domain with a lower name is on `roster`.
+    pub fn is_first_of(&self, roster: &DomainRoster, now: Instant) -> bool {
+        let lower = self.peers.range(..&self.own.vm);
+        !lower
+            .into_iter()
+            .any(|(vm, peer)| self.is_live(peer, now) && roster.entries.contains_key(vm.as_str()))
+    }
+
     /// Number of entries in all failure domains, this one included.
     pub fn entry_count(&self) -> u32 {
         self.peers.len() as u32 + 1
     }
 
-    /// Number of live entries of the local failure domain with lower names; 0 for the leader.
+    /// Number of live, enrolled entries of the local failure domain with lower names; 0 for the
+    /// leader.
     pub fn rank(&self, now: Instant) -> u32 {
         let mut rank = 0;
         for (_, peer) in self.peers.range(..&self.own.vm) {
-            rank += u32::from(self.is_live(peer, now));
+            rank += u32::from(self.is_candidate(peer, now));
         }
         rank
     }
@@ -340,6 +378,11 @@
         MembershipView { entries }
     }
 
+    /// Whether the entry may lead its failure domain.
+    fn is_candidate(&self, peer: &PeerEntry, now: Instant) -> bool {
+        peer.is_enrolled && self.is_live(peer, now)
+    }
+
     fn is_live(&self, peer: &PeerEntry, now: Instant) -> bool {
         let failure_timeout =
             MIN_FAILURE_TIMEOUT.max(self.message_interval() * MAX_MISSED_MESSAGES);
@@ -347,3 +390,11 @@
         is_local && peer.last_heard_at.is_some_and(|at| now - at <= failure_timeout)
     }
 }
+
+fn registration(record: &EntryRecord) -> EntryRegistration {
+    EntryRegistration {
+        failure_domain: record.failure_domain.to_string(),
+        caller_address: record.caller_address,
+        peer_address: record.peer_address,
+    }
+}
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -2,6 +2,8 @@
 
 mod status;
 
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -13,9 +15,9 @@
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::fleet_metrics::FleetMetrics;
 use crate::fleet::peer_message::{
-    LearnedLimit, MeasuredLoad, MessageKey, MessageKeys, ViewConfirmation,
+    LearnedLimit, MeasuredLoad, MessageKey, MessageKeys, PeerMessage, ViewConfirmation,
 };
-use crate::fleet::peer_table::PeerTable;
+use crate::fleet::peer_table::{MessageScope, PeerTable};
 use crate::fleet::read_schedule::ReadSchedule;
 use crate::fleet::view::{DeploymentView, ViewChange};
 use crate::fleet::view_gap::{GapKind, ViewGap, is_behind};
@@ -31,9 +33,13 @@
 /// Rank above which store calls are no longer staggered.
 const MAX_DELAYED_RANK: u32 = 8;
 
-/// Time for which a starting entry does not act for its failure domain while it cannot list the
-/// other entries; several store calls.
-const ENROLMENT_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Time for which a starting entry does not act for its failure domain while it is not listed among
+/// the others: a few rounds of the enrolment.
+const ENROLMENT_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Time from the message that announces an enrolled entry until it acts for its failure domain, in
+/// which it hears from entries that were enrolled at the same time.
+const ANNOUNCEMENT_TIME: Duration = Duration::from_millis(300);
 
 /// Minimum time between two messages with a configuration that the store has lost.
 const CONFIG_SHARE_INTERVAL: Duration = Duration::from_secs(1);
@@ -72,8 +78,10 @@
     config_shared_at: Mutex<Option<Instant>>,
     metrics: Option<FleetMetrics>,
     pub(super) read_schedule: ReadSchedule,
-    /// Latest end of the enrolment; `None` once the entry is enrolled.
-    enrolling_until: Mutex<Option<Instant>>,
+    /// From when this entry acts for its failure domain; `None` if it does not enrol.
+    acting_from: Mutex<Option<Instant>>,
+    /// Whether the enrolment has ended.
+    is_listed: AtomicBool,
     /// Wakes the peer service when the outbox has something to send.
     pub(super) peer_wakeup: Notify,
     /// Wakes the store service when there may be something to read.
@@ -112,7 +120,8 @@
             config_shared_at: Mutex::default(),
             metrics: None,
             read_schedule: ReadSchedule::default(),
-            enrolling_until: Mutex::default(),
+            acting_from: Mutex::default(),
+            is_listed: AtomicBool::default(),
             peer_wakeup: Notify::new(),
             store_wakeup: Notify::new(),
             restore_notice: Notify::new(),
@@ -193,7 +202,12 @@
         }
         let Some(confirmation) = confirmation else { return };
         self.record_peer_steadiness(confirmation);
-        let (own, other) = (self.view().watermark(), confirmation.mark);
+        let other = confirmation.mark;
+        let own = {
+            let mut view = self.view();
+            view.fast_forward(&other);
+            view.watermark()
+        };
         if other.era == own.era && other.generation < own.generation {
             self.share_kept_config();
         }
@@ -292,6 +306,17 @@
         Some((gap.noticed_at, gap.kind(own)))
     }
 
+    /// Takes over up to which revision the peer that revealed a gap knows the configuration, if that
+    /// is the configuration of this view.
+    pub(super) fn confirm_config_by_gap(&self) {
+        let Some(gap) = *lock(&self.gap) else { return };
+        let mut view = self.view();
+        let own = view.watermark();
+        if gap.watermark.era == own.era && gap.watermark.config_revision == own.config_revision {
+            view.confirm_config(gap.watermark.config_known);
+        }
+    }
+
     pub(super) fn clear_gap(&self) {
         *lock(&self.gap) = None;
     }
@@ -340,20 +365,44 @@
         self.peer_wakeup.notify_one();
     }
 
-    /// Starts the enrolment. Until the entry has listed the others, it would consider itself the
-    /// leader of its failure domain and the only prober.
+    /// Starts the enrolment. Until the entry is listed and has heard from the others, it would
+    /// consider itself the leader of its failure domain and the only prober.
     pub(super) fn begin_enrolment(&self, now: Instant) {
-        *lock(&self.enrolling_until) = Some(now + ENROLMENT_TIMEOUT);
+        *lock(&self.acting_from) = Some(now + ENROLMENT_TIMEOUT);
     }
 
     pub(super) fn end_enrolment(&self) {
-        *lock(&self.enrolling_until) = None;
+        self.is_listed.store(true, Ordering::Relaxed);
+        *lock(&self.acting_from) = Some(Instant::now() + ANNOUNCEMENT_TIME);
+        self.request_message();
         self.store_wakeup.notify_one();
     }
 
-    /// Latest time from which this entry acts for its failure domain; `None` if it already does.
+    /// Time from which this entry acts for its failure domain; `None` if it already does.
     pub(super) fn enrolment_deadline(&self, now: Instant) -> Option<Instant> {
-        lock(&self.enrolling_until).filter(|end| *end > now)
+        self.acting_from().filter(|from| *from > now)
+    }
+
+    /// Since when, or from when on, this entry acts for its failure domain; `None` if it does not
+    /// enrol.
+    pub(super) fn acting_from(&self) -> Option<Instant> {
+        *lock(&self.acting_from)
+    }
+
+    /// Whether this entry may be considered the leader of its failure domain.
+    pub fn is_enrolled(&self) -> bool {
+        self.is_listed.load(Ordering::Relaxed) || self.enrolment_deadline(Instant::now()).is_none()
+    }
+
+    /// Addresses of the entries that a message is sent to.
+    pub fn recipients(&self, scope: MessageScope) -> Vec<SocketAddr> {
+        self.table().recipients(scope, Instant::now())
+    }
+
+    /// Applies what a message says about its sender and the other entries. Returns false if it is
+    /// this entry's own, or not newer than the last one of the same sender.
+    pub fn apply_message(&self, message: &PeerMessage, from: SocketAddr) -> bool {
+        self.table().apply_message(message, from, Instant::now())
     }
 
     /// Stagger of this entry's store calls among those of its failure domain.
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -16,6 +16,7 @@
 use crate::fleet::enrolment::{EntryEnrolment, new_key};
 use crate::fleet::fleet_metrics::StoreCall;
 use crate::fleet::peer_table::EntryRegistration;
+use crate::fleet::roster::DomainRoster;
 use crate::fleet::state::{CALL_TIMEOUT, FleetState};
 use crate::fleet::view::StoreOutage;
 use crate::fleet::view_gap::GapKind;
@@ -80,6 +81,7 @@
             vm,
             registration: &self.registration,
             key_candidate,
+            roster: DomainRoster::default(),
         };
         stop.run_until_cancelled(async { tokio::join!(reads, enrolment.run()) }).await;
     }
@@ -185,7 +187,10 @@
             return StoreAction::Watch(wait);
         }
         let limit = self.state.read_schedule.confirmation_limit + self.state.rank_delay(now);
-        let age = self.state.freshness.age().unwrap_or_else(|| now - self.created_at);
+        let age = self.state.freshness.age().unwrap_or_else(|| {
+            // The leader confirms the view of an entry that has just enrolled.
+            now - self.state.acting_from().map_or(self.created_at, |at| at.max(self.created_at))
+        });
         if age >= limit {
             return StoreAction::Watch(CONFIRMATION_WATCH_WAIT);
         }
@@ -273,6 +278,7 @@
         }
         let change = self.state.view().apply_batch(batch, since, returned);
         self.state.publish(change);
+        self.state.confirm_config_by_gap();
         if !self.state.view().watermark().is_config_current() {
             self.read_config().await?;
         }
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -120,6 +120,14 @@
         self.config_known = self.config_known.max(revision);
     }
 
+    /// Moves this view to the revision of a peer's, if nothing that it contains has changed since its
+    /// own.
+    pub fn fast_forward(&mut self, peer: &ViewWatermark) {
+        if self.watermark().is_unchanged_in(peer) {
+            self.position.revision = peer.revision;
+        }
+    }
+
     /// Records an outage that has ended. Upstreams that are missing within the grace period after
     /// it are held.
     pub fn record_outage(&mut self, outage: StoreOutage) {
--- a/src/fleet/view_change.rs
+++ b/src/fleet/view_change.rs
@@ -79,6 +79,15 @@
             && self.digest == other.digest
     }
 
+    /// Whether `newer` was read from the same upstreams and the same configuration at a later
+    /// revision of the same era, so that only other objects have changed since.
+    pub fn is_unchanged_in(&self, newer: &ViewWatermark) -> bool {
+        self.era == newer.era
+            && self.revision < newer.revision
+            && self.config_revision == newer.config_revision
+            && self.digest == newer.digest
+    }
+
     /// Whether the configuration is known up to the revision of the upstreams.
     pub fn is_config_current(&self) -> bool {
         self.config_known >= self.revision
--- a/tests/testsuite/fleet_peers.rs
+++ b/tests/testsuite/fleet_peers.rs
@@ -29,6 +29,7 @@
         failure_domain: domain.to_owned(),
         caller_address: address(80),
         state: EntryState::Ready,
+        is_enrolled: true,
         confirmation: None,
         alive: Vec::new(),
         loads: Vec::new(),
--- a/tests/testsuite/support/fleet.rs
+++ b/tests/testsuite/support/fleet.rs
@@ -105,11 +105,16 @@
 
 impl TestEntry {
     pub(crate) fn new(vm: &str, store: &StandinPlatform) -> Self {
+        Self::at(vm, [127, 0, 0, 1], store)
+    }
+
+    /// An entry on the host with this IP address.
+    pub(crate) fn at(vm: &str, host: [u8; 4], store: &StandinPlatform) -> Self {
         let own = EntryRecord {
             vm: VmId::new(vm),
             failure_domain: FailureDomain::new("fd-a"),
-            caller_address: SocketAddr::from(([127, 0, 0, 1], 2)),
-            peer_address: SocketAddr::from(([127, 0, 0, 1], 3)),
+            caller_address: SocketAddr::from((host, 2)),
+            peer_address: SocketAddr::from((host, 3)),
             state: EntryState::Starting,
         };
         let state = Arc::new(FleetState::new(
