--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -19,7 +19,7 @@
 /// Object kind of the rosters; their names are those of the failure domains.
 pub(super) const ROSTER_KIND: &str = "heatherfall-rosters";
 
-/// Number of groups that the entries of a new deployment are divided into.
+/// Binary logarithm of the number of groups that entries are divided into by their names.
 const CREATOR_GROUPS_LOG2: u32 = 5;
 
 /// Registered entries of a failure domain by VM.
@@ -82,10 +82,11 @@
     }
 }
 
-/// Whether an entry that finds nothing in the store creates it in this round, counted from 0.
+/// Whether an entry may create what the store lacks in this round of its enrolment, counted from 0.
 ///
-/// The entries of a new deployment start together, and reads may be stale for a while. Twice as
-/// many entries as in the round before may create, from one in 32 on, so that few try in vain.
+/// The entries of a new deployment start together, and for a while their reads may miss what one of
+/// them has created. One group of 32 may create in the first round, and twice as many in each
+/// further one, so that few attempts are in vain and none waits for an entry that never started.
 pub fn may_create(vm: &str, round: u32) -> bool {
     const FIBONACCI_MULTIPLIER: u32 = 0x9e37_79b9;
     let mixed = name_digest(vm).wrapping_mul(FIBONACCI_MULTIPLIER);
