upstreams: send nothing to one whose address another one has

Its answers to load checks look idle, so requests went there, were turned away as misdirected, and again after each ejection; each second attempt counts at the service that has the address now, whose budget is not the route's.

A response of a health check names its upstream, and one that names another, or a request that is turned away as misdirected, now pauses the upstream for 5 s, in which its registration expires. load_check::a_replaced_upstream_... failed before.

--- a/src/core/header.rs
+++ b/src/core/header.rs
@@ -66,6 +66,8 @@
     pub load: LoadReportFormat,
     /// Identity of the upstream that a request is sent to; any other instance refuses it.
     pub expected_instance: Option<HeaderName>,
+    /// Response header of health checks that names the upstream which answered.
+    pub instance: Option<HeaderName>,
     /// Present on every genuine successful response of an upstream; without it, a success may come
     /// from something else.
     pub response_signature: Option<HeaderName>,
@@ -88,6 +90,7 @@
             pause: None,
             load: LoadReportFormat::Orca,
             expected_instance: None,
+            instance: None,
             response_signature: None,
             echoes_request_id: false,
             caller_not_run_statuses: &[],
--- a/src/request/attempt_reporter.rs
+++ b/src/request/attempt_reporter.rs
@@ -12,7 +12,7 @@
 use crate::limits::{CongestionSignal, RouteLimits};
 use crate::request::attempt::{AttemptOutcome, NotRunProof, UnknownCause, UpstreamResponse};
 use crate::request::execution_state::OutcomeKind;
-use crate::request::upstream_notices::UpstreamNotices;
+use crate::request::upstream_notices::{UpstreamNotices, record_replacement};
 
 /// An upstream that reports more requests per slot than this counts as congested.
 const CONGESTED_REQUESTS_PER_SLOT: u32 = 2;
@@ -66,6 +66,9 @@
     /// Reports the outcome and returns its kind.
     pub(super) fn finish<B>(mut self, outcome: &AttemptOutcome<B>) -> OutcomeKind {
         self.is_finished = true;
+        if matches!(outcome, AttemptOutcome::NotRun(NotRunProof::WrongInstance)) {
+            record_replacement(self.upstream);
+        }
         let report = attempt_report(outcome, self.started.elapsed(), self.headers);
         match report.result {
             AttemptResult::Answered => {
--- a/src/request/load_check.rs
+++ b/src/request/load_check.rs
@@ -30,7 +30,7 @@
 };
 use crate::request::attempt_reporter::is_drain_signal;
 use crate::request::execution_state::AttemptRole;
-use crate::request::upstream_notices::UpstreamNotices;
+use crate::request::upstream_notices::{UpstreamNotices, record_replacement};
 
 /// Limits of load checks.
 #[derive(Clone, Debug, PartialEq)]
@@ -188,6 +188,10 @@
             AttemptOutcome::Unknown(_) => return LoadProbeOutcome::Failed(AttemptResult::Broken),
         };
         let headers = answered.response.headers();
+        if is_other_instance(headers, header_names, upstream) {
+            record_replacement(upstream);
+            return LoadProbeOutcome::Failed(AttemptResult::ConnectFailed);
+        }
         if is_drain_signal(headers, header_names) {
             upstream.record_drain_signal(true, started.elapsed());
         }
@@ -205,3 +209,13 @@
     });
     probe.await.unwrap_or(LoadProbeOutcome::Failed(AttemptResult::TimedOut))
 }
+
+/// Whether the response names another upstream than the one that was asked.
+fn is_other_instance(
+    headers: &HeaderMap,
+    header_names: &HeaderNames,
+    upstream: &UpstreamState,
+) -> bool {
+    let value = header_names.instance.as_ref().and_then(|name| headers.get(name));
+    value.is_some_and(|value| value.as_bytes() != upstream.name.as_bytes())
+}
--- a/src/request/upstream_notices.rs
+++ b/src/request/upstream_notices.rs
@@ -10,6 +10,10 @@
 /// Longest pause that an upstream gets; a longer one would be a mistake.
 const MAX_PAUSE: Duration = Duration::from_secs(600);
 
+/// Pause of an upstream whose address belongs to another one: a few heartbeats, after which its
+/// registration has expired.
+const REPLACEMENT_PAUSE: Duration = Duration::from_secs(5);
+
 /// The pause that a response asks for.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum PauseStatement {
@@ -118,3 +122,16 @@
         );
     }
 }
+
+/// Records that another upstream answers at this one's address. It gets nothing until its
+/// registration has had time to expire.
+pub(super) fn record_replacement(upstream: &UpstreamState) {
+    if upstream.pause(REPLACEMENT_PAUSE) {
+        log::info!(
+            target: "upstream",
+            "another upstream answers at its address instance={} address={}",
+            upstream.name,
+            upstream.spec.address,
+        );
+    }
+}
--- a/tests/testsuite/load_check.rs
+++ b/tests/testsuite/load_check.rs
@@ -20,7 +20,7 @@
     UnknownCause, UpstreamClient, UpstreamResponse,
 };
 use heatherfall::util::SeededRandom;
-use http::{HeaderName, HeaderValue, Request, Response};
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use serde_json::json;
 use tokio::time::Instant;
@@ -28,6 +28,7 @@
 use crate::support::{TestLedger, single_node_ledger, snapshot_for};
 
 const LOAD_HEADER: HeaderName = HeaderName::from_static("x-load");
+const INSTANCE_HEADER: HeaderName = HeaderName::from_static("x-instance");
 const HEALTH_PATH: &str = "/health";
 const PURCHASE_PATH: &str = "/purchase";
 const UPSTREAMS: usize = 8;
@@ -123,7 +124,12 @@
     freshness.confirm(Duration::ZERO);
     let (domain, weights) = (FailureDomain::new("fd-a"), UtilityPickerSettings::default());
     let picker = UtilityPicker::new(domain, weights, SeededRandom::new(seed));
-    let headers = HeaderNames { load: LoadReportFormat::Counts(LOAD_HEADER), ..Default::default() };
+    let headers = HeaderNames {
+        load: LoadReportFormat::Counts(LOAD_HEADER),
+        expected_instance: Some(HeaderName::from_static("x-expected")),
+        instance: Some(INSTANCE_HEADER),
+        ..Default::default()
+    };
     let settings = ExecutionSettings { headers, ..settings };
     DataPlane::new(Arc::clone(snapshot), client, picker, single_node_ledger(), freshness, settings)
 }
@@ -287,6 +293,62 @@
     assert!(sent <= REQUESTS / 10, "{sent} of {REQUESTS} requests went to the slowest");
 }
 
+/// Upstreams, some of which have ended and left their addresses to idle ones of another service;
+/// counts the requests sent there.
+#[derive(Clone, Debug, Default)]
+struct ReplacedClient {
+    sent: Arc<AtomicU32>,
+}
+
+impl ReplacedClient {
+    /// Number of upstreams that have been replaced, of all [`UPSTREAMS`].
+    const REPLACED: u16 = 3;
+}
+
+impl UpstreamClient for ReplacedClient {
+    type Body = Full<Bytes>;
+
+    async fn send(
+        &self,
+        upstream: &Arc<UpstreamState>,
+        request: AttemptRequest,
+    ) -> AttemptOutcome<Full<Bytes>> {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        let is_replaced = upstream.spec.address.port() <= Self::REPLACED;
+        if !is_replaced {
+            return response_with_load("2,0,4,100");
+        }
+        let mut outcome = response_with_load("0,0,4,100");
+        if let AttemptOutcome::Answered(answered) = &mut outcome {
+            let headers = answered.response.headers_mut();
+            headers.insert(INSTANCE_HEADER, HeaderValue::from_static("another"));
+            if request.uri.path() != HEALTH_PATH {
+                self.sent.fetch_add(1, Ordering::Relaxed);
+                *answered.response.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+            }
+        }
+        outcome
+    }
+}
+
+/// Guards against upstreams that have ended but attract requests, because whoever has their
+/// addresses now is idle.
+#[tokio::test(start_paused = true)]
+async fn a_replaced_upstream_gets_no_further_requests_even_without_checks() {
+    for checks in [Some(LoadCheckSettings::default()), None] {
+        let client = ReplacedClient::default();
+        let sent = Arc::clone(&client.sent);
+        let most = if checks.is_some() { 0 } else { u32::from(ReplacedClient::REPLACED) };
+        let plane = plane(client, &snapshot(), 3, settings_with_checks(checks));
+        for index in 0..200 {
+            send(&plane, PURCHASE_PATH, index).await;
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let sent = sent.load(Ordering::Relaxed);
+        assert!(sent <= most, "{sent} requests went to replaced upstreams");
+    }
+}
+
 /// Upstreams, some of which reset every connection; counts the requests sent to those.
 #[derive(Clone, Debug, Default)]
 struct ResettingClient {
