--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -61,7 +61,7 @@
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Largest head of a caller's request, and the most bytes of a response that wait for a caller that
 /// reads slowly.
-const MAX_CALLER_HEAD_BYTES: usize = 32 << 10;
+const MAX_CALLER_HEAD_BYTES: usize = 20 << 10;
 /// Largest request body, 64 MiB; the platform limits what callers send.
 const MAX_BODY_BYTES: usize = 64 << 20;
 /// Limit on buffered request bodies in total, 96 MiB; well below the memory of the smallest VM,
