limits: begin the part sequences of the entries at random positions

What callers saw: weights are not kept, a service got N of N requests of a split route, on deployments of 103 and 143 entries.

Cause: every entry assigned requests to the parts of a split route by the same golden-ratio sequence from its beginning, so the first requests of all entries went to the same part. With few requests an entry, a large fleet keeps to no weight. The daemon of the other platform did the same.

Change: each sequence begins at a random position, so that the sum over the entries has the shares of the weights whatever each has had. The requests by part are a metric.

--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -179,6 +179,7 @@
     .with_limits(RouteLimitSettings {
         repeats: Some(settings.repeats.allowance()),
         is_gate_disabled: true,
+        part_seed: SeededRandom::from_entropy().bits(),
     });
     LimitMetrics::register(&registry, plane.limits()).into_diagnostic()?;
 
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -5,7 +5,8 @@
 //! All of these are kept per route name (gates per group of routes), so that a configuration change
 //! does not refill a budget. [`WindowBudget`] replaces the two budgets where a platform sets an
 //! allowance for the whole deployment, [`LoadCheckLimiter`] bounds the load checks sent to
-//! upstreams, and [`RouteCostEstimator`] estimates the cost of a route's requests.
+//! upstreams, [`RouteCostEstimator`] estimates the cost of a route's requests, and [`PartSequence`]
+//! divides the requests of a split route.
 
 mod adaptive_limit;
 mod admission_gate;
@@ -14,6 +15,7 @@
 mod hedge_budget;
 mod latency_window;
 mod load_check_limiter;
+mod part_sequence;
 mod ratio_budget;
 mod retry_budget;
 mod route_cost;
@@ -28,6 +30,7 @@
 pub use self::hedge_budget::HedgeBudget;
 pub use self::latency_window::LatencyWindow;
 pub use self::load_check_limiter::LoadCheckLimiter;
+pub use self::part_sequence::PartSequence;
 pub use self::ratio_budget::BudgetUsage;
 pub use self::retry_budget::RetryBudget;
 pub use self::route_cost::RouteCostEstimator;
--- a/src/limits/route_cost.rs
+++ b/src/limits/route_cost.rs
@@ -1,9 +1,8 @@
 //! Estimates of the service time and size of a route's requests.
 
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use crate::core::{AtomicF32, PartIndex, RouteRecord};
+use crate::core::{AtomicF32, RouteRecord};
 
 /// Service time assumed before the first response, as a fraction of the route's latency goal.
 const DEFAULT_GOAL_FRACTION: f32 = 0.36;
@@ -20,8 +19,6 @@
 const ESTIMATE_STEP: f32 = 0.08;
 /// Weight of the latest request in the mean size.
 const SIZE_WEIGHT: f32 = 0.05;
-/// Step of the golden-ratio sequence, which is evenly distributed over any stretch (H. Weyl, 1916).
-const GOLDEN_RATIO_STEP: f64 = 0.618_033_988_749_894_9;
 
 /// Service time and size of one route's requests, estimated from responses.
 #[derive(Debug, Default)]
@@ -30,8 +27,6 @@
     /// Service time of requests that took the last free slot of their upstream.
     saturated_secs: AtomicF32,
     mean_kilobytes: AtomicF32,
-    /// Number of requests assigned to parts, the position in the golden-ratio sequence.
-    assigned: AtomicU64,
 }
 
 impl RouteCostEstimator {
@@ -85,15 +80,4 @@
         }
         self.mean_kilobytes.blend(kilobytes, SIZE_WEIGHT);
     }
-
-    /// Assigns the next request to a part of the route; none if the route is not split.
-    ///
-    /// The golden-ratio sequence keeps the parts close to their weights over any stretch.
-    pub fn next_part(&self, route: &RouteRecord) -> Option<PartIndex> {
-        if route.parts.is_empty() {
-            return None;
-        }
-        let assigned = self.assigned.fetch_add(1, Ordering::Relaxed);
-        route.part_at((assigned as f64 * GOLDEN_RATIO_STEP).fract())
-    }
 }
--- a/src/limits/route_limits.rs
+++ b/src/limits/route_limits.rs
@@ -9,11 +9,12 @@
 use crate::limits::admission_gate::{AdmissionGate, GateSettings};
 use crate::limits::hedge_budget::HedgeBudget;
 use crate::limits::latency_window::LatencyWindow;
+use crate::limits::part_sequence::PartSequence;
 use crate::limits::retry_budget::RetryBudget;
 use crate::limits::route_cost::RouteCostEstimator;
 use crate::limits::route_group::route_groups;
 use crate::limits::window_budget::{WindowAllowance, WindowBudget};
-use crate::util::FastMap;
+use crate::util::{FastMap, SeededRandom};
 
 /// How the requests of all routes are limited.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -23,6 +24,9 @@
     pub repeats: Option<WindowAllowance>,
     /// Whether requests bypass the admission gate; the picker then decides which to refuse.
     pub is_gate_disabled: bool,
+    /// Seed of the positions at which split routes begin to assign requests to their parts; each
+    /// entry needs a seed of its own.
+    pub part_seed: u64,
 }
 
 /// Limits of one route.
@@ -38,20 +42,23 @@
     pub gate: Arc<AdmissionGate>,
     /// Service time and size of the route's requests.
     pub cost_estimator: RouteCostEstimator,
+    /// Assigns requests to the parts of the route, if it is split.
+    pub part_sequence: PartSequence,
     /// Budgets for repeats: one for each part of the route in order, or a single one if the route
     /// is not split; shared by routes with the same upstream selector. None without an allowance.
     window_budgets: ArcSwapOption<Vec<Arc<WindowBudget>>>,
 }
 
 impl RouteLimits {
-    /// Creates the limits of a route behind `gate`.
-    pub fn new(gate: Arc<AdmissionGate>) -> Self {
+    /// Creates the limits of a route behind `gate`, whose requests `part_sequence` assigns to parts.
+    pub fn new(gate: Arc<AdmissionGate>, part_sequence: PartSequence) -> Self {
         Self {
             retries: RetryBudget::default(),
             hedges: HedgeBudget::default(),
             latency: LatencyWindow::default(),
             gate,
             cost_estimator: RouteCostEstimator::default(),
+            part_sequence,
             window_budgets: ArcSwapOption::empty(),
         }
     }
@@ -65,13 +72,21 @@
 }
 
 /// Limits of all routes by name.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LimitTable {
     settings: RouteLimitSettings,
     entries: AtomicU32,
     /// Limits of the snapshot that was asked for last, readable without a lock.
     current: ArcSwapOption<SnapshotLimits>,
     retained: Mutex<RetainedLimits>,
+    /// Draws the starts of part sequences.
+    part_random: Mutex<SeededRandom>,
+}
+
+impl Default for LimitTable {
+    fn default() -> Self {
+        Self::new(RouteLimitSettings::default())
+    }
 }
 
 /// Limits of one route, with its name.
@@ -104,7 +119,14 @@
 impl LimitTable {
     /// Creates an empty table.
     pub fn new(settings: RouteLimitSettings) -> Self {
-        Self { settings, ..Self::default() }
+        let part_random = Mutex::new(SeededRandom::new(settings.part_seed));
+        Self {
+            settings,
+            entries: AtomicU32::default(),
+            current: ArcSwapOption::default(),
+            retained: Mutex::default(),
+            part_random,
+        }
     }
 
     /// Settings that the table was created with.
@@ -157,6 +179,11 @@
         routes
     }
 
+    fn new_part_sequence(&self) -> PartSequence {
+        let mut random = self.part_random.lock().unwrap_or_else(PoisonError::into_inner);
+        PartSequence::starting_at(random.unit())
+    }
+
     fn rebuild(&self, snapshot: &Arc<ConfigSnapshot>) -> Arc<SnapshotLimits> {
         let mut retained = self.retained.lock().unwrap_or_else(PoisonError::into_inner);
         let mut next =
@@ -172,7 +199,7 @@
             gate.set_slots(group.slots);
             let limits = match retained.routes.remove(&route.name) {
                 Some(limits) if Arc::ptr_eq(&limits.gate, gate) => limits,
-                _ => Arc::new(RouteLimits::new(Arc::clone(gate))),
+                _ => Arc::new(RouteLimits::new(Arc::clone(gate), self.new_part_sequence())),
             };
             if let Some(allowance) = allowance {
                 let budgets = window_budgets_of(
--- a/src/ops/node/components.rs
+++ b/src/ops/node/components.rs
@@ -11,6 +11,7 @@
 use crate::core::{FailureDomain, SharedSnapshot, VmId};
 use crate::kernel::{ConfigService, DrainService, ProbeMetrics, ProbeService, ServiceKernel};
 use crate::ledger::{EntryIdentity, LedgerMetrics, LedgerParts, NodeLedger, WallClock};
+use crate::limits::RouteLimitSettings;
 use crate::membership::{
     AddressResolver, AssignmentSettings, ConfigFreshness, ControlNode, MembershipDriverArgs,
     NodeIdentity, SharedMembership,
@@ -179,7 +180,11 @@
             ledger,
             Arc::clone(&self.freshness),
             ExecutionSettings::default(),
-        );
+        )
+        .with_limits(RouteLimitSettings {
+            part_seed: SeededRandom::from_entropy().bits(),
+            ..RouteLimitSettings::default()
+        });
         LimitMetrics::register(&self.registry, data_plane.limits()).into_diagnostic()?;
         Ok(data_plane)
     }
--- a/src/request/data_plane.rs
+++ b/src/request/data_plane.rs
@@ -251,7 +251,7 @@
 
     fn select_part(&self, admitted: &AdmittedRequest) -> Option<PartIndex> {
         let route = admitted.class.route.and_then(|key| admitted.snapshot.route(key))?;
-        admitted.limits.cost_estimator.next_part(route)
+        admitted.limits.part_sequence.next_part(route)
     }
 
     /// Counts the request in the budgets that its retries and hedges will be spent from.
--- a/src/serve/limit_metrics.rs
+++ b/src/serve/limit_metrics.rs
@@ -18,6 +18,7 @@
     retry_tokens: GaugeVec,
     retries: GaugeVec,
     hedges: GaugeVec,
+    part_requests: GaugeVec,
 }
 
 impl LimitMetrics {
@@ -29,6 +30,7 @@
     pub fn register(registry: &Registry, limits: Arc<LimitTable>) -> prometheus::Result<()> {
         let gauge = |name, help| GaugeVec::new(Opts::new(name, help), &["route"]);
         let attempts = |name, help| GaugeVec::new(Opts::new(name, help), &["route", "budget"]);
+        let parts = |name, help| GaugeVec::new(Opts::new(name, help), &["route", "part"]);
         let metrics = Self {
             limits,
             limit: gauge("heatherfall_limit", "Concurrency limit of requests.")?,
@@ -37,11 +39,15 @@
             retry_tokens: gauge("heatherfall_retry_tokens", "Retries that the budget allows now.")?,
             retries: attempts("heatherfall_retries", "Retries, by decision of the budget.")?,
             hedges: attempts("heatherfall_hedges", "Hedges, by decision of the budget.")?,
+            part_requests: parts(
+                "heatherfall_part_requests",
+                "Requests of split routes, by part.",
+            )?,
         };
         registry.register(Box::new(metrics))
     }
 
-    fn gauges(&self) -> [&GaugeVec; 6] {
+    fn gauges(&self) -> [&GaugeVec; 7] {
         [
             &self.limit,
             &self.in_flight,
@@ -49,6 +55,7 @@
             &self.retry_tokens,
             &self.retries,
             &self.hedges,
+            &self.part_requests,
         ]
     }
 }
@@ -70,6 +77,10 @@
             self.in_flight.with_label_values(&name).set(f64::from(gate.in_flight()));
             self.waiting.with_label_values(&name).set(f64::from(gate.waiting()));
             self.retry_tokens.with_label_values(&name).set(limits.retries.tokens());
+            for (part, count) in limits.part_sequence.counts().into_iter().enumerate() {
+                let part = part.to_string();
+                self.part_requests.with_label_values(&[name[0], &part]).set(count as f64);
+            }
             let budgets =
                 [(&self.retries, limits.retries.usage()), (&self.hedges, limits.hedges.usage())];
             for (vec, usage) in budgets {
--- a/tests/testsuite/live_settings.rs
+++ b/tests/testsuite/live_settings.rs
@@ -25,8 +25,11 @@
 }
 
 fn start_settings(settings: &EntrySettings) -> (LiveSettings, Arc<LimitTable>) {
-    let limit_settings =
-        RouteLimitSettings { repeats: Some(settings.repeats.allowance()), is_gate_disabled: true };
+    let limit_settings = RouteLimitSettings {
+        repeats: Some(settings.repeats.allowance()),
+        is_gate_disabled: true,
+        ..RouteLimitSettings::default()
+    };
     let limits = Arc::new(LimitTable::new(limit_settings));
     (LiveSettings::new(settings.clone(), Arc::clone(&limits)), limits)
 }
--- a/tests/testsuite/repeat_window.rs
+++ b/tests/testsuite/repeat_window.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use heatherfall::core::{PartIndex, RouteRecord};
-use heatherfall::limits::{RouteCostEstimator, WindowAllowance, WindowBudget};
+use heatherfall::limits::{PartSequence, RouteCostEstimator, WindowAllowance, WindowBudget};
 use heatherfall::util::SeededRandom;
 use serde_json::json;
 use tokio::time::advance;
@@ -108,10 +108,10 @@
 fn parts_keep_to_their_weights_over_a_few_hundred_requests() {
     for weights in [vec![90, 10], vec![50, 50], vec![1, 2, 5]] {
         let route = split_route(&weights);
-        let cost = RouteCostEstimator::default();
+        let sequence = PartSequence::default();
         let mut counts = vec![0_u32; weights.len()];
         for _ in 0..300 {
-            let PartIndex(index) = cost.next_part(&route).expect("split");
+            let PartIndex(index) = sequence.next_part(&route).expect("split");
             counts[index as usize] += 1;
         }
         let total: u32 = weights.iter().sum();
@@ -123,6 +123,28 @@
     }
 }
 
+/// Guards against sequences that all entries begin alike, so that a route is off its weights by as
+/// much as one entry's first requests are.
+#[test]
+fn a_fleet_keeps_to_the_weights_from_the_first_requests_on() {
+    let mut random = SeededRandom::new(11);
+    for weights in [vec![10, 90], vec![30, 70], vec![50, 50], vec![1, 2, 5]] {
+        let route = split_route(&weights);
+        for requests in 1..=3 {
+            let mut first = 0_u32;
+            for _ in 0..143 {
+                let sequence = PartSequence::starting_at(random.unit());
+                for _ in 0..requests {
+                    first += u32::from(sequence.next_part(&route) == Some(PartIndex(0)));
+                }
+            }
+            let expected = f64::from(weights[0]) / f64::from(weights.iter().sum::<u32>());
+            let share = f64::from(first) / f64::from(143 * requests);
+            assert!((share - expected).abs() < 0.2, "{weights:?}: {share} of {requests} each");
+        }
+    }
+}
+
 #[test]
 fn slowed_down_upstreams_do_not_raise_the_service_time() {
     let route = split_route(&[1]);
