request: refuse a request that crashes the upstreams that run it

What callers saw: audio-clip was not served for seconds, again and again; 29 and 32 upstreams ended under two requests that came again at all entries.

Cause: nothing kept under which request an upstream had ended, so each coming was a new request and cost one upstream, or two with its retry.

Change: if a connection breaks and the upstream no longer accepts new ones, the entry records the request's fingerprint (caller, method, host, path and query, content) and the upstream's process. A response clears it, so that what an upstream takes along when it ends is not refused. Records go to all entries by datagrams, and the leaders repeat those of refused requests for entries that start later. Nothing is done while no request has records.

--- a/src/core/result_code.rs
+++ b/src/core/result_code.rs
@@ -51,6 +51,8 @@
     Overloaded = 1010, "The request was shed under overload.";
     /// The upstream's response is incomplete, or could not be verified to be complete.
     AnswerNotWhole = 1011, "The upstream's answer was not whole.";
+    /// Upstreams have ended while they ran the same request, so it is refused for some time.
+    CrashesUpstreams = 1012, "Upstreams ended while they ran this request.";
     /// An earlier request with the same key has no outcome yet and may be running.
     KeyInProgress = 1020, "A request with this idempotency key is in progress.";
     /// The key was used with another request.
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -192,6 +192,7 @@
         plane.limits(),
     );
     let state = state
+        .with_quarantine(plane.quarantine())
         .with_read_schedule(ReadSchedule::new(&settings.changes))
         .with_metrics(FleetMetrics::new(&registry).into_diagnostic()?);
     let state = Arc::new(state);
--- a/src/fleet/fleet_metrics.rs
+++ b/src/fleet/fleet_metrics.rs
@@ -46,6 +46,8 @@
     pub upstreams: usize,
     /// Number of upstreams that name a rate limit.
     pub limited_upstreams: usize,
+    /// Requests that are refused because they crash upstreams.
+    pub refused_requests: usize,
     /// Store revision up to which upstream changes are known.
     pub view_revision: Revision,
     /// Position that the store last reported to this entry.
@@ -60,6 +62,7 @@
     entries: IntGauge,
     upstreams: IntGauge,
     limited_upstreams: IntGauge,
+    refused_requests: IntGauge,
     view_revision: IntGauge,
     store_revision: IntGauge,
     store_era: IntGauge,
@@ -93,6 +96,10 @@
                 "heatherfall_limited_upstreams",
                 "Upstreams that name a rate limit.",
             )?,
+            refused_requests: IntGauge::new(
+                "heatherfall_refused_requests",
+                "Requests that are refused because upstreams ended while they ran them.",
+            )?,
             view_revision: IntGauge::new(
                 "heatherfall_view_revision",
                 "Store revision up to which upstream changes are known.",
@@ -109,6 +116,7 @@
         };
         registry.register(Box::new(metrics.generation.clone()))?;
         registry.register(Box::new(metrics.limited_upstreams.clone()))?;
+        registry.register(Box::new(metrics.refused_requests.clone()))?;
         registry.register(Box::new(metrics.view_age.clone()))?;
         registry.register(Box::new(metrics.entries.clone()))?;
         registry.register(Box::new(metrics.upstreams.clone()))?;
@@ -126,6 +134,7 @@
         self.entries.set(i64::from(status.known_entries));
         self.upstreams.set(i64::try_from(status.upstreams).unwrap_or(i64::MAX));
         self.limited_upstreams.set(i64::try_from(status.limited_upstreams).unwrap_or(i64::MAX));
+        self.refused_requests.set(i64::try_from(status.refused_requests).unwrap_or(i64::MAX));
         self.view_revision.set(gauge_value(status.view_revision));
         self.store_revision.set(gauge_value(status.store_position.revision));
         self.store_era.set(gauge_value(status.store_position.era.0));
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -27,6 +27,7 @@
 //! - [`peer_message`], [`peer_table`], [`peer_service`]: messages between entries, and liveness.
 //! - [`state`]: state that the services of an entry share.
 //! - [`limit_shares`]: divides the rate limits of upstreams; `rate_limits` shares news of them.
+//! - [`crash_update`]: shares which requests crash upstreams.
 //! - [`load_probe`]: probes the load of the local upstreams; [`load_update`]: sends it to other
 //!   failure domains.
 //! - [`directory`], [`control_api`]: HTTP API for callers, the platform and operators.
@@ -34,6 +35,7 @@
 
 pub mod codec;
 pub mod control_api;
+pub mod crash_update;
 pub mod directory;
 mod enrolment;
 pub mod entry_node;
--- a/src/fleet/peer_service.rs
+++ b/src/fleet/peer_service.rs
@@ -10,6 +10,9 @@
 
 use crate::core::{ConfigSnapshot, UpstreamKey};
 use crate::fleet::codec::DeploymentCodec;
+use crate::fleet::crash_update::{
+    CrashRelay, RecordScope, decode_crash_update, encode_crash_updates,
+};
 use crate::fleet::load_probe::LoadRecorder;
 use crate::fleet::load_update::{
     CompactLoad, LoadChangeFilter, decode_load_update, encode_load_update, name_digest,
@@ -21,6 +24,8 @@
 use crate::fleet::state::{FleetState, Outbox};
 use crate::fleet::view::ViewChange;
 use crate::kernel::{ServiceName, ServiceTask};
+use crate::limits::{RecordEffect, RunRecord};
+use crate::request::log_refusal;
 use crate::util::{FastMap, SeededRandom};
 
 /// Time between two checks whether a message is due.
@@ -107,6 +112,10 @@
             self.receive_load_update(&loads?, from, &mut sender.index);
             return Ok(());
         }
+        if let Some(records) = decode_crash_update(payload) {
+            self.receive_crash_update(&records?, from, &mut sender.crash_relay);
+            return Ok(());
+        }
         let message = PeerMessage::parse(payload)?;
         if !self.state.apply_message(&message, from) {
             return Ok(());
@@ -147,6 +156,27 @@
             self.state.queue_load(now, load);
         }
     }
+
+    /// Applies a crash update. What is new and comes from another failure domain is forwarded to the
+    /// local one.
+    fn receive_crash_update(
+        &self,
+        records: &[RunRecord],
+        from: SocketAddr,
+        relay: &mut CrashRelay,
+    ) {
+        let now = Instant::now();
+        let is_local = self.state.table().is_local_address(from);
+        for record in records {
+            let effect = self.state.quarantine.record(*record, now);
+            if effect == RecordEffect::Refused {
+                log_refusal(record.request, "peer");
+            }
+            if effect != RecordEffect::None && !is_local {
+                relay.queue(*record, RecordScope::Domain, now);
+            }
+        }
+    }
 }
 
 /// Upstreams by the name digests of load updates; rebuilt when the snapshot changes.
@@ -207,6 +237,8 @@
     filter: LoadChangeFilter,
     index: DigestIndex,
     load_updates_sent: usize,
+    crash_relay: CrashRelay,
+    crash_updates_sent: usize,
     last_sent_at: Option<Instant>,
 }
 
@@ -218,6 +250,8 @@
             filter: LoadChangeFilter::default(),
             index: DigestIndex::default(),
             load_updates_sent: 0,
+            crash_relay: CrashRelay::default(),
+            crash_updates_sent: 0,
             last_sent_at: None,
         }
     }
@@ -227,6 +261,7 @@
         let Some(keys) = state.message_keys() else { return };
         let key = keys.current();
         let now = Instant::now();
+        self.send_crash_updates(socket, state, key).await;
         state.update_rate_limits(now);
         let outbox = state.take_outbox();
         let mut loads = Vec::with_capacity(outbox.loads.len());
@@ -298,6 +333,36 @@
         send_all(socket, &encode_load_update(keys.current(), &changed), &gateways).await;
     }
 
+    /// Sends the records of requests that crash upstreams that are due.
+    async fn send_crash_updates<D: DeploymentCodec>(
+        &mut self,
+        socket: &UdpSocket,
+        state: &FleetState<D>,
+        key: &MessageKey,
+    ) {
+        if state.quarantine.is_empty() && self.crash_relay.is_idle() {
+            return;
+        }
+        let now = Instant::now();
+        let is_leader = state.table().rank(now) == 0;
+        let due = self.crash_relay.take_due(&state.quarantine, is_leader, now);
+        if due.domain.is_empty() {
+            return;
+        }
+        let (domain, gateways) = {
+            let table = state.table();
+            let gateways = table.gateways(self.crash_updates_sent, now);
+            (table.recipients(MessageScope::All, now), gateways)
+        };
+        self.crash_updates_sent += 1;
+        for datagram in encode_crash_updates(key, &due.domain) {
+            send_all(socket, &datagram, &domain).await;
+        }
+        for datagram in encode_crash_updates(key, &due.gateways) {
+            send_all(socket, &datagram, &gateways).await;
+        }
+    }
+
     async fn send<D: DeploymentCodec>(
         &mut self,
         socket: &UdpSocket,
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -21,7 +21,7 @@
 use crate::fleet::read_schedule::ReadSchedule;
 use crate::fleet::view::{DeploymentView, ViewChange};
 use crate::fleet::view_gap::{GapKind, ViewGap, is_behind};
-use crate::limits::LimitTable;
+use crate::limits::{LimitTable, QuarantineTable};
 use crate::membership::{ConfigFreshness, EntryState, SharedMembership};
 use crate::platform::StorePosition;
 
@@ -97,6 +97,8 @@
     /// Time of the last confirmation that the view matches the store.
     pub freshness: Arc<ConfigFreshness>,
     limits: Arc<LimitTable>,
+    /// Requests that are refused because they crash upstreams, shared with the data plane.
+    pub(super) quarantine: Arc<QuarantineTable>,
 }
 
 impl<D: DeploymentCodec> FleetState<D> {
@@ -130,9 +132,16 @@
             membership,
             freshness,
             limits,
+            quarantine: Arc::default(),
         }
     }
 
+    /// Shares the records of the data plane's `quarantine` with the other entries.
+    #[must_use]
+    pub fn with_quarantine(self, quarantine: Arc<QuarantineTable>) -> Self {
+        Self { quarantine, ..self }
+    }
+
     /// Replaces the default read schedule.
     #[must_use]
     pub fn with_read_schedule(self, read_schedule: ReadSchedule) -> Self {
--- a/src/fleet/state/status.rs
+++ b/src/fleet/state/status.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::fleet_metrics::{FleetStatus, StoreCall};
@@ -46,6 +46,7 @@
             known_entries: self.known_entries(),
             upstreams: snapshot.map_or(0, |snapshot| snapshot.upstreams.len()),
             limited_upstreams: snapshot.map_or(0, |snapshot| limited_upstreams(snapshot)),
+            refused_requests: self.quarantine.refused_requests(Instant::now()),
             view_revision: self.view().revision(),
             store_position: *lock(&self.store_position),
         });
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -5,8 +5,9 @@
 //! All of these are kept per route name (gates per group of routes), so that a configuration change
 //! does not refill a budget. [`WindowBudget`] replaces the two budgets where a platform sets an
 //! allowance for the whole deployment, [`LoadCheckLimiter`] bounds the load checks sent to
-//! upstreams, [`RouteCostEstimator`] estimates the cost of a route's requests, and [`PartSequence`]
-//! divides the requests of a split route.
+//! upstreams, [`RouteCostEstimator`] estimates the cost of a route's requests, [`PartSequence`]
+//! divides the requests of a split route, and [`QuarantineTable`] names the requests that are refused
+//! because they crash upstreams.
 
 mod adaptive_limit;
 mod admission_gate;
@@ -16,6 +17,7 @@
 mod latency_window;
 mod load_check_limiter;
 mod part_sequence;
+mod quarantine;
 mod ratio_budget;
 mod retry_budget;
 mod route_cost;
@@ -31,6 +33,9 @@
 pub use self::latency_window::LatencyWindow;
 pub use self::load_check_limiter::LoadCheckLimiter;
 pub use self::part_sequence::PartSequence;
+pub use self::quarantine::{
+    QuarantineSettings, QuarantineTable, RecordEffect, RequestFingerprint, RunOutcome, RunRecord,
+};
 pub use self::ratio_budget::BudgetUsage;
 pub use self::retry_budget::RetryBudget;
 pub use self::route_cost::RouteCostEstimator;
--- a/src/request/attempt_trace.rs
+++ b/src/request/attempt_trace.rs
@@ -77,7 +77,9 @@
 
     pub(super) fn refused(&mut self, role: AttemptRole, refusal: StartRefusal) {
         // A hedge that found no better upstream is routine; only a spent budget is logged.
-        if role != AttemptRole::Hedge || refusal == StartRefusal::BudgetSpent {
+        if role != AttemptRole::Hedge
+            || matches!(refusal, StartRefusal::BudgetSpent | StartRefusal::Quarantined)
+        {
             self.refused = Some((role, refusal));
         }
     }
--- /dev/null
+++ b/src/request/crash_watch.rs
@@ -0,0 +1,206 @@
+//! Watches for requests that crash the upstreams that run them, and refuses those.
+//!
+//! ```text
+//! connection broken -> does the upstream still accept connections? --no--> UpstreamEnded
+//! response -----------------------------------------------------------> Answered
+//! ```
+//!
+//! Whether the upstream has ended is checked, since a connection also breaks for other reasons: the
+//! network, an upstream that drops idle connections or resets some requests.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::{HeaderMap, Method, Uri};
+use sha2::{Digest, Sha256};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::core::UpstreamState;
+use crate::limits::{QuarantineTable, RecordEffect, RequestFingerprint, RunOutcome};
+use crate::request::attempt::{
+    AttemptOutcome, AttemptRequest, ConnectionPolicy, NotRunProof, UnknownCause, UpstreamClient,
+};
+use crate::request::execution::{ExecutionContext, RequestExecution};
+use crate::request::execution_state::OutcomeKind;
+use crate::request::load_check::is_other_instance;
+use crate::util::fnv1a;
+
+/// Longest wait for an upstream that may have ended: some round trips between failure domains. The
+/// retry of the request waits meanwhile.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
+/// Pauses before the checks whether an upstream has ended.
+const CRASH_CHECK_DELAYS: [Duration; 3] =
+    [Duration::ZERO, Duration::from_millis(5), Duration::from_millis(20)];
+/// Bytes of the content that its digest covers, besides the length. Bounds the time that digesting a
+/// large one takes.
+const MAX_DIGESTED_BYTES: usize = 1 << 20;
+
+/// Address of the caller of a request, an extension of its head.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerAddress(pub IpAddr);
+
+impl RequestExecution {
+    /// Time for which the request is refused, because upstreams have ended under it; none if it may
+    /// be sent.
+    pub(super) fn refusal_left(&self, quarantine: &QuarantineTable) -> Option<Duration> {
+        let request = self.suspect_fingerprint(quarantine)?;
+        quarantine.refusal_left(request, Instant::now())
+    }
+
+    /// Fingerprint of the request if one with its target has records. Most have none, and their
+    /// content is not digested.
+    fn suspect_fingerprint(&self, quarantine: &QuarantineTable) -> Option<RequestFingerprint> {
+        if quarantine.is_empty() {
+            return None;
+        }
+        let target = self.target_digest();
+        let is_suspect = quarantine.has_target(target);
+        is_suspect.then(|| RequestFingerprint { target, content: content_digest(&self.body) })
+    }
+
+    /// Records whether the attempt at `upstream` ended with it, or showed that the request does not
+    /// crash it.
+    pub(super) async fn record_run<C: UpstreamClient, P>(
+        &self,
+        outcome: OutcomeKind,
+        upstream: &Arc<UpstreamState>,
+        ctx: &ExecutionContext<'_, C, P>,
+    ) {
+        match outcome {
+            OutcomeKind::Answered | OutcomeKind::ServerError => {
+                if let Some(request) = self.suspect_fingerprint(ctx.quarantine) {
+                    let now = Instant::now();
+                    ctx.quarantine.record_own(request, RunOutcome::Answered, now);
+                }
+            }
+            OutcomeKind::Unknown(UnknownCause::ConnectionBroken) => {
+                if has_ended(upstream, ctx).await {
+                    self.record_crash(upstream, ctx);
+                }
+            }
+            OutcomeKind::Unknown(_) | OutcomeKind::NotRun => {}
+        }
+    }
+
+    fn record_crash<C, P>(&self, upstream: &UpstreamState, ctx: &ExecutionContext<'_, C, P>) {
+        let target = self.target_digest();
+        let request = RequestFingerprint { target, content: content_digest(&self.body) };
+        let ended = RunOutcome::UpstreamEnded(lifetime_digest(upstream));
+        let effect = ctx.quarantine.record_own(request, ended, Instant::now());
+        let id = self.headers.get(&ctx.settings.headers.request_id);
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let caller = self.caller.map(|caller| caller.0.to_string()).unwrap_or_default();
+        log::info!(
+            target: "request",
+            "upstream ended while it ran id={id:?} instance={} caller={caller} fingerprint={request}",
+            upstream.name,
+        );
+        if effect == RecordEffect::Refused {
+            log_refusal(request, "attempt");
+        }
+    }
+
+    /// Digest of what identifies the request besides its content.
+    fn target_digest(&self) -> u64 {
+        let mut digest = Sha256::new();
+        let caller = self.caller.map(|caller| caller.0.to_string()).unwrap_or_default();
+        let uri = self.uri.to_string();
+        let host = self.headers.get(HOST).map_or(&[][..], |host| host.as_bytes());
+        for part in [caller.as_bytes(), self.method.as_str().as_bytes(), host, uri.as_bytes()] {
+            digest.update((part.len() as u64).to_be_bytes());
+            digest.update(part);
+        }
+        first_word(digest)
+    }
+}
+
+/// Logs that a request is refused from now on; `source` tells who noticed.
+pub(crate) fn log_refusal(request: RequestFingerprint, source: &str) {
+    log::warn!(
+        target: "request",
+        "refusing a request that ends the upstreams that run it fingerprint={request} source={source}",
+    );
+}
+
+fn content_digest(body: &Bytes) -> u64 {
+    let mut digest = Sha256::new();
+    digest.update((body.len() as u64).to_be_bytes());
+    digest.update(&body[..body.len().min(MAX_DIGESTED_BYTES)]);
+    first_word(digest)
+}
+
+fn first_word(digest: Sha256) -> u64 {
+    let mut word = [0; 8];
+    word.copy_from_slice(&digest.finalize()[..8]);
+    u64::from_be_bytes(word)
+}
+
+/// Digest of an upstream's process: an upstream may start again under the same name.
+fn lifetime_digest(upstream: &UpstreamState) -> u32 {
+    let started_ms = upstream.spec.started_ms.unwrap_or_default();
+    let bytes = upstream.name.bytes().chain([0]).chain(started_ms.to_be_bytes());
+    fnv1a(bytes) as u32
+}
+
+/// What a new connection shows of an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum UpstreamPresence {
+    /// It responds.
+    Running,
+    /// Nobody listens at its address, or another upstream does.
+    Ended,
+    /// It accepted the connection and closed it.
+    Unclear,
+}
+
+/// Whether the upstream has ended. One without a health path cannot be asked, and counts as running.
+async fn has_ended<C: UpstreamClient, P>(
+    upstream: &Arc<UpstreamState>,
+    ctx: &ExecutionContext<'_, C, P>,
+) -> bool {
+    let Some(path) = upstream.spec.health_path.as_deref() else { return false };
+    let Ok(uri) = Uri::try_from(path) else { return false };
+    let check = async {
+        // A process that ends closes its connections and its listener one after the other.
+        for delay in CRASH_CHECK_DELAYS {
+            sleep(delay).await;
+            match check_presence(upstream, uri.clone(), ctx).await {
+                UpstreamPresence::Running => return false,
+                UpstreamPresence::Ended => return true,
+                UpstreamPresence::Unclear => {}
+            }
+        }
+        false
+    };
+    timeout(CRASH_CHECK_TIMEOUT, check).await.unwrap_or(false)
+}
+
+async fn check_presence<C: UpstreamClient, P>(
+    upstream: &Arc<UpstreamState>,
+    uri: Uri,
+    ctx: &ExecutionContext<'_, C, P>,
+) -> UpstreamPresence {
+    let request = AttemptRequest {
+        method: Method::GET,
+        uri,
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        deadline: Instant::now() + CRASH_CHECK_TIMEOUT,
+        connection: ConnectionPolicy::NewOrVerified,
+    };
+    match ctx.client.send(upstream, request).await {
+        AttemptOutcome::Answered(answered) => {
+            let headers = answered.response.headers();
+            if is_other_instance(headers, &ctx.settings.headers, upstream) {
+                return UpstreamPresence::Ended;
+            }
+            UpstreamPresence::Running
+        }
+        AttemptOutcome::NotRun(NotRunProof::ConnectFailed) => UpstreamPresence::Ended,
+        AttemptOutcome::NotRun(NotRunProof::ShareInUse) => UpstreamPresence::Running,
+        AttemptOutcome::NotRun(_) | AttemptOutcome::Unknown(_) => UpstreamPresence::Unclear,
+    }
+}
--- a/src/request/data_plane.rs
+++ b/src/request/data_plane.rs
@@ -21,12 +21,14 @@
 };
 use crate::ledger::ClaimLedger;
 use crate::limits::{
-    GatePermit, GateRefusal, GateRequest, LimitTable, RouteLimitSettings, RouteLimits,
+    GatePermit, GateRefusal, GateRequest, LimitTable, QuarantineTable, RouteLimitSettings,
+    RouteLimits,
 };
 use crate::membership::ConfigFreshness;
 use crate::request::attempt::UpstreamClient;
 use crate::request::attempt_trace::AttemptTrace;
 use crate::request::classify::{RequestClass, RequestHead, classify};
+use crate::request::crash_watch::CallerAddress;
 use crate::request::execution::{
     ExecutionContext, ExecutionFailure, ExecutionOutcome, RepeatBudgetShare, RequestExecution,
 };
@@ -86,6 +88,7 @@
     freshness: Arc<ConfigFreshness>,
     settings: ExecutionSettings,
     load_checker: Option<LoadChecker>,
+    quarantine: Arc<QuarantineTable>,
     pub(super) ledger: L,
 }
 
@@ -97,6 +100,7 @@
             freshness: &self.freshness,
             settings: &self.settings,
             load_checker: self.load_checker.as_ref(),
+            quarantine: &self.quarantine,
         }
     }
 }
@@ -121,8 +125,15 @@
         settings: ExecutionSettings,
     ) -> Self {
         let load_checker = settings.load_checks.clone().map(LoadChecker::new);
-        let core =
-            Arc::new(DataPlaneCore { client, picker, freshness, settings, load_checker, ledger });
+        let core = Arc::new(DataPlaneCore {
+            client,
+            picker,
+            freshness,
+            settings,
+            load_checker,
+            quarantine: Arc::default(),
+            ledger,
+        });
         Self { snapshot, limits: Arc::default(), core, keyed_tasks: TaskTracker::new() }
     }
 
@@ -139,6 +150,11 @@
         self.keyed_tasks.clone()
     }
 
+    /// Requests that are refused because they crash upstreams.
+    pub fn quarantine(&self) -> Arc<QuarantineTable> {
+        Arc::clone(&self.core.quarantine)
+    }
+
     /// Limits of all routes.
     pub fn limits(&self) -> Arc<LimitTable> {
         Arc::clone(&self.limits)
@@ -189,6 +205,7 @@
         let key = claim_key(&parts.headers, admitted.class.mode, &self.core.freshness);
         let key = key.map(|key| key.map(str::to_owned));
         let uri = origin_form(&parts.uri);
+        let caller = parts.extensions.get::<CallerAddress>().copied();
         let execution = RequestExecution {
             snapshot: admitted.snapshot,
             class: admitted.class,
@@ -202,6 +219,7 @@
             retry_allowance: allowance.map(|retries| retries.min(u64::from(u32::MAX)) as u32),
             part,
             repeat_budget_share,
+            caller,
         };
         match key {
             Ok(None) => {}
--- a/src/request/execution.rs
+++ b/src/request/execution.rs
@@ -17,7 +17,7 @@
 use crate::core::{
     ConfigSnapshot, IdempotenceMode, InflightGuard, PartIndex, ResultCode, RouteRecord,
 };
-use crate::limits::{RouteLimits, WindowBudget};
+use crate::limits::{QuarantineTable, RouteLimits, WindowBudget};
 use crate::membership::ConfigFreshness;
 use crate::request::attempt::{
     AttemptOutcome, AttemptRequest, ConnectionPolicy, UnknownCause, UpstreamClient,
@@ -28,6 +28,7 @@
 };
 use crate::request::attempt_trace::AttemptTrace;
 use crate::request::classify::RequestClass;
+use crate::request::crash_watch::CallerAddress;
 use crate::request::execution_settings::{ExecutionSettings, HedgeTrigger, hedge_interval};
 use crate::request::execution_state::{
     AttemptIndex, AttemptPolicy, AttemptRole, ConfigConfirmation, ExecutionAction, ExecutionEvent,
@@ -50,6 +51,8 @@
     pub settings: &'a ExecutionSettings,
     /// Checks the load of upstreams before attempts; none disables load checks.
     pub load_checker: Option<&'a LoadChecker>,
+    /// Requests that are refused because they crash upstreams.
+    pub quarantine: &'a QuarantineTable,
 }
 
 /// An admitted request, ready to run.
@@ -79,6 +82,8 @@
     pub part: Option<PartIndex>,
     /// Budget for retries and hedges that replaces the route's own budgets.
     pub repeat_budget_share: Option<RepeatBudgetShare>,
+    /// Address of the caller, if known.
+    pub caller: Option<CallerAddress>,
 }
 
 /// This entry's share of a budget for repeats (retries and hedges) that all entries spend from.
@@ -201,6 +206,10 @@
                     event = record_end(finished, trace, &mut last_response);
                 }
                 ExecutionAction::Respond(index) => return forward_response(last_response, index),
+                ExecutionAction::Fail(code @ ResultCode::CrashesUpstreams) => {
+                    let retry_after = self.refusal_left(ctx.quarantine);
+                    return ExecutionOutcome::Failed(ExecutionFailure { code, retry_after });
+                }
                 ExecutionAction::Fail(code) => {
                     let pick = self.pick_request(AttemptRole::Retry, route, &history.tried, &ctx);
                     let retry_after = ctx.picker.retry_after(pick);
@@ -270,6 +279,7 @@
             Err(_) => AttemptOutcome::Unknown(UnknownCause::TimedOut),
         };
         let kind = reporter.finish(&outcome);
+        self.record_run(kind, &prepared.upstream, ctx).await;
         let response = match outcome {
             AttemptOutcome::Answered(response) => Some(response),
             AttemptOutcome::NotRun(_) | AttemptOutcome::Unknown(_) => None,
--- a/src/request/execution_state.rs
+++ b/src/request/execution_state.rs
@@ -82,6 +82,8 @@
     Crowded,
     /// The retry or hedge budget is exhausted.
     BudgetSpent,
+    /// Upstreams have ended while they ran the request.
+    Quarantined,
 }
 
 /// Input of the state machine.
@@ -194,6 +196,9 @@
             (AttemptRole::First, StartRefusal::Crowded) => {
                 ExecutionAction::Fail(ResultCode::Overloaded)
             }
+            (AttemptRole::First, StartRefusal::Quarantined) => {
+                ExecutionAction::Fail(ResultCode::CrashesUpstreams)
+            }
             (AttemptRole::First, _) => ExecutionAction::Fail(ResultCode::NoUpstream),
             (AttemptRole::Retry | AttemptRole::Hedge, _) => self.conclude(),
         }
--- a/src/request/load_check.rs
+++ b/src/request/load_check.rs
@@ -211,7 +211,7 @@
 }
 
 /// Whether the response names another upstream than the one that was asked.
-fn is_other_instance(
+pub(super) fn is_other_instance(
     headers: &HeaderMap,
     header_names: &HeaderNames,
     upstream: &UpstreamState,
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -13,6 +13,7 @@
 mod attempt_reporter;
 mod attempt_trace;
 mod classify;
+mod crash_watch;
 mod data_plane;
 mod execution;
 mod execution_settings;
@@ -32,6 +33,8 @@
 pub use self::attempt_trace::AttemptTrace;
 pub(crate) use self::classify::matches_request;
 pub use self::classify::{RequestClass, RequestHead, classify};
+pub use self::crash_watch::CallerAddress;
+pub(crate) use self::crash_watch::log_refusal;
 pub use self::data_plane::{AdmittedRequest, DataPlane, PlaneResponse, ResponseGuard};
 pub use self::execution::{
     ExecutionContext, ExecutionFailure, ExecutionOutcome, RepeatBudgetShare, RequestExecution,
--- a/src/request/response.rs
+++ b/src/request/response.rs
@@ -237,6 +237,7 @@
             | ResultCode::MalformedRequest
             | ResultCode::NotReady
             | ResultCode::Overloaded
+            | ResultCode::CrashesUpstreams
             | ResultCode::KeyMalformed
             | ResultCode::LedgerUnavailable
             | ResultCode::LedgerFull
--- a/src/request/upstream_selection.rs
+++ b/src/request/upstream_selection.rs
@@ -107,6 +107,9 @@
         history: &mut AttemptHistory,
         trace: &mut AttemptTrace,
     ) -> Result<PreparedAttempt, StartRefusal> {
+        if self.refusal_left(ctx.quarantine).is_some() {
+            return Err(StartRefusal::Quarantined);
+        }
         if !self.has_budget(role) {
             return Err(StartRefusal::BudgetSpent);
         }
--- a/src/serve/caller_server.rs
+++ b/src/serve/caller_server.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::Request;
+use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
@@ -13,7 +15,7 @@
 
 use crate::balance::UpstreamPicker;
 use crate::ledger::ClaimLedger;
-use crate::request::UpstreamClient;
+use crate::request::{CallerAddress, UpstreamClient};
 use crate::serve::proxy_service::ProxyService;
 use crate::serve::write_timeout::WriteTimeoutStream;
 
@@ -82,8 +84,8 @@
             tokio::select! {
                 () = stop.cancelled() => break,
                 accepted = self.listener.accept() => {
-                    let Ok((stream, _)) = accepted else { continue };
-                    self.serve(stream, Arc::clone(&proxy), &graceful);
+                    let Ok((stream, caller)) = accepted else { continue };
+                    self.serve(stream, CallerAddress(caller.ip()), Arc::clone(&proxy), &graceful);
                 }
             }
         }
@@ -96,11 +98,13 @@
     fn serve<C: UpstreamClient, P: UpstreamPicker, L: ClaimLedger>(
         &self,
         stream: TcpStream,
+        caller: CallerAddress,
         proxy: Arc<ProxyService<C, P, L>>,
         graceful: &GracefulShutdown,
     ) {
         let _ = stream.set_nodelay(true);
-        let service = service_fn(move |request| {
+        let service = service_fn(move |mut request: Request<Incoming>| {
+            request.extensions_mut().insert(caller);
             let proxy = Arc::clone(&proxy);
             proxy.serve_request(request)
         });
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -34,6 +34,7 @@
 mod peer_calls;
 mod probe_budget;
 mod processes;
+mod quarantine;
 mod rate_limits;
 mod repeat_window;
 mod request_execution;
--- /dev/null
+++ b/tests/testsuite/quarantine.rs
@@ -0,0 +1,248 @@
+//! Requests that crash upstreams: when they are refused, and how the entries share that, on the
+//! paused clock.
+
+use std::time::Duration;
+
+use heatherfall::fleet::crash_update::{
+    CrashRelay, DueRecords, RecordScope, decode_crash_update, encode_crash_updates,
+};
+use heatherfall::fleet::peer_message::{MessageError, MessageKey};
+use heatherfall::limits::{
+    QuarantineSettings, QuarantineTable, RecordEffect, RequestFingerprint, RunOutcome, RunRecord,
+};
+use heatherfall::util::SeededRandom;
+use proptest::prelude::*;
+use tokio::time::{Instant, advance};
+
+const REQUEST: RequestFingerprint = RequestFingerprint { target: 7, content: 1 };
+/// Differs from [`REQUEST`] in the content alone.
+const OTHER: RequestFingerprint = RequestFingerprint { content: 2, ..REQUEST };
+
+fn ended(upstream: u32) -> RunOutcome {
+    RunOutcome::UpstreamEnded(upstream)
+}
+
+fn record(request: RequestFingerprint, outcome: RunOutcome, age_ms: u64) -> RunRecord {
+    RunRecord { request, outcome, age: Duration::from_millis(age_ms) }
+}
+
+fn crash_three(table: &QuarantineTable) {
+    for upstream in 1..=3 {
+        table.record_own(REQUEST, ended(upstream), Instant::now());
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_is_refused_once_three_upstreams_have_ended_under_it_and_no_other_is() {
+    let table = QuarantineTable::default();
+    for (upstream, effect) in [
+        (1, RecordEffect::New),
+        (2, RecordEffect::New),
+        // Two comings of the request that ran on the same process.
+        (2, RecordEffect::None),
+        (3, RecordEffect::Refused),
+        (4, RecordEffect::New),
+    ] {
+        assert_eq!(table.record_own(REQUEST, ended(upstream), Instant::now()), effect);
+    }
+    table.record_own(OTHER, ended(1), Instant::now());
+    let left = table.refusal_left(REQUEST, Instant::now());
+    assert_eq!(left, Some(QuarantineSettings::default().refusal_time));
+    assert_eq!(table.refusal_left(OTHER, Instant::now()), None);
+    assert_eq!(table.refused_requests(Instant::now()), 1);
+}
+
+/// Guards against the refusal of a request that upstreams took along with them when they ended for
+/// other reasons, over a long time.
+#[tokio::test(start_paused = true)]
+async fn a_response_clears_a_request_also_of_crashes_that_are_reported_later() {
+    let table = QuarantineTable::default();
+    for upstream in 1..=20 {
+        table.record_own(REQUEST, ended(upstream), Instant::now());
+        advance(Duration::from_secs(1)).await;
+        table.record_own(REQUEST, RunOutcome::Answered, Instant::now());
+        assert_eq!(
+            table.record(record(REQUEST, ended(100), 500), Instant::now()),
+            RecordEffect::None
+        );
+    }
+    table.record_own(REQUEST, ended(21), Instant::now());
+    table.record_own(REQUEST, ended(22), Instant::now());
+    assert_eq!(table.refusal_left(REQUEST, Instant::now()), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn old_crashes_of_a_request_that_is_not_refused_do_not_count() {
+    let table = QuarantineTable::default();
+    for upstream in 1..=10 {
+        table.record_own(REQUEST, ended(upstream), Instant::now());
+        advance(Duration::from_secs(90)).await;
+    }
+    assert_eq!(table.refusal_left(REQUEST, Instant::now()), None);
+    advance(Duration::from_secs(120)).await;
+    table.remove_expired(Instant::now());
+    assert!(table.is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn after_its_refusal_a_request_is_sent_and_refused_again_after_one_crash() {
+    let table = QuarantineTable::default();
+    crash_three(&table);
+    advance(QuarantineSettings::default().refusal_time).await;
+    table.remove_expired(Instant::now());
+    assert_eq!(table.refusal_left(REQUEST, Instant::now()), None);
+    assert_eq!(table.record_own(REQUEST, ended(4), Instant::now()), RecordEffect::Refused);
+    assert!(table.refusal_left(REQUEST, Instant::now()).is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_full_table_drops_the_request_whose_last_crash_is_the_oldest() {
+    let settings = QuarantineSettings { max_requests: 100, ..QuarantineSettings::default() };
+    let table = QuarantineTable::new(settings);
+    for content in 0..1000 {
+        let request = RequestFingerprint { target: content % 7, content };
+        table.record_own(request, ended(1), Instant::now());
+        advance(Duration::from_millis(1)).await;
+    }
+    assert!(!table.has_target(8));
+    crash_three(&table);
+    assert!(table.refusal_left(REQUEST, Instant::now()).is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_crash_is_shared_unless_a_response_follows_at_once() {
+    let table = QuarantineTable::default();
+    table.record_own(REQUEST, ended(1), Instant::now());
+    table.record_own(OTHER, ended(1), Instant::now());
+    advance(Duration::from_millis(200)).await;
+    assert_eq!(table.take_unshared(Instant::now()), []);
+    table.record_own(OTHER, RunOutcome::Answered, Instant::now());
+    advance(Duration::from_millis(300)).await;
+    let shared = table.take_unshared(Instant::now());
+    assert_eq!(shared, [record(REQUEST, ended(1), 500)]);
+    // The others know of the crash, so they must learn of the response.
+    table.record_own(REQUEST, RunOutcome::Answered, Instant::now());
+    let shared = table.take_unshared(Instant::now());
+    assert_eq!(shared, [record(REQUEST, RunOutcome::Answered, 0)]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_second_crash_is_shared_at_once_with_the_first() {
+    let table = QuarantineTable::default();
+    table.record_own(REQUEST, ended(1), Instant::now());
+    table.record_own(REQUEST, ended(2), Instant::now());
+    assert_eq!(table.take_unshared(Instant::now()).len(), 2);
+}
+
+/// Entries of three failure domains, of which the first leads each; one datagram in three is lost.
+struct RelayFleet {
+    tables: Vec<QuarantineTable>,
+    relays: Vec<CrashRelay>,
+    random: SeededRandom,
+}
+
+impl RelayFleet {
+    const DOMAINS: usize = 3;
+    const ENTRIES: usize = 4 * Self::DOMAINS;
+
+    fn new(seed: u64) -> Self {
+        let tables = (0..Self::ENTRIES).map(|_| QuarantineTable::default()).collect();
+        let relays = (0..Self::ENTRIES).map(|_| CrashRelay::default()).collect();
+        Self { tables, relays, random: SeededRandom::new(seed) }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, records: &[RunRecord]) {
+        if self.random.below(3) == 0 {
+            return;
+        }
+        let now = Instant::now();
+        for record in records {
+            let effect = self.tables[to].record(*record, now);
+            let is_local = from % Self::DOMAINS == to % Self::DOMAINS;
+            if effect != RecordEffect::None && !is_local {
+                self.relays[to].queue(*record, RecordScope::Domain, now);
+            }
+        }
+    }
+
+    /// Lets the entries exchange what is due for `time`.
+    async fn run(&mut self, time: Duration) {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            for from in 0..Self::ENTRIES {
+                let is_leader = from < Self::DOMAINS;
+                let now = Instant::now();
+                let due = self.relays[from].take_due(&self.tables[from], is_leader, now);
+                let DueRecords { domain, gateways } = due;
+                for to in 0..Self::ENTRIES {
+                    if to != from && to % Self::DOMAINS == from % Self::DOMAINS {
+                        self.deliver(from, to, &domain);
+                    }
+                }
+                for gateway in 0..Self::DOMAINS {
+                    if gateway != from % Self::DOMAINS {
+                        self.deliver(from, gateway, &gateways);
+                    }
+                }
+            }
+            advance(Duration::from_millis(100)).await;
+        }
+    }
+
+    fn refusing(&self) -> usize {
+        let now = Instant::now();
+        let refusing =
+            self.tables.iter().filter(|table| table.refusal_left(REQUEST, now).is_some());
+        refusing.count()
+    }
+}
+
+/// Guards against entries that each know only what they saw themselves, and against an entry that
+/// knows nothing after its start.
+#[tokio::test(start_paused = true)]
+async fn all_entries_refuse_a_request_within_three_seconds_of_its_third_crash() {
+    for seed in 0..200 {
+        let mut fleet = RelayFleet::new(seed);
+        for (entry, upstream) in [(5, 1), (7, 2), (9, 3)] {
+            fleet.tables[entry].record_own(REQUEST, ended(upstream), Instant::now());
+            fleet.run(Duration::from_millis(700)).await;
+        }
+        fleet.run(Duration::from_millis(2300)).await;
+        assert_eq!(fleet.refusing(), RelayFleet::ENTRIES, "seed {seed}");
+        // All entries of a failure domain start again.
+        for entry in (0..RelayFleet::ENTRIES).step_by(RelayFleet::DOMAINS) {
+            fleet.tables[entry] = QuarantineTable::default();
+            fleet.relays[entry] = CrashRelay::default();
+        }
+        fleet.run(Duration::from_secs(3)).await;
+        assert_eq!(fleet.refusing(), RelayFleet::ENTRIES, "seed {seed}, after a start");
+    }
+}
+
+#[test]
+fn damaged_crash_updates_are_rejected() {
+    let key = MessageKey::new("key").expect("a key");
+    let records = [record(REQUEST, ended(9), 0), record(OTHER, RunOutcome::Answered, 300)];
+    let datagrams = encode_crash_updates(&key, &records);
+    let payload = key.verify(&datagrams[0]).expect("signed");
+    assert_eq!(decode_crash_update(payload), Some(Ok(records.to_vec())));
+    let cut = &payload[..payload.len() - 1];
+    assert_eq!(decode_crash_update(cut), Some(Err(MessageError::Malformed)));
+    assert_eq!(decode_crash_update(b"{}"), None);
+    assert_eq!(decode_crash_update(b""), None);
+}
+
+proptest! {
+    #[test]
+    fn no_payload_of_a_crash_update_panics(payload in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+        let _entered = runtime.enter();
+        let table = QuarantineTable::default();
+        let tagged: Vec<u8> = [2].into_iter().chain(payload).collect();
+        if let Some(Ok(records)) = decode_crash_update(&tagged) {
+            for record in records {
+                table.record(record, Instant::now());
+            }
+        }
+    }
+}
