limits: learn which traits of a crashing request matter

Cause: a request was known again only if caller address, query and content were all the same.

Change: records are kept by method, host, path and content. Query, caller address and headers are traits: what differs among the crashes does not count, what they have in common does, and a response clears what has as much in common with its request. Crashes within 50 ms count as one unless all traits are the same, so that upstreams that fail together do not have a popular path refused. The latest crashes are kept in whatever order they arrive.

--- a/src/fleet/crash_update.rs
+++ b/src/fleet/crash_update.rs
@@ -11,18 +11,18 @@
 use tokio::time::Instant;
 
 use crate::fleet::peer_message::{MessageError, MessageKey};
-use crate::limits::{QuarantineTable, RequestFingerprint, RunOutcome, RunRecord};
+use crate::limits::{QuarantineTable, RequestFingerprint, RequestTraits, RunOutcome, RunRecord};
 
 /// First byte of a crash update; a load update has another one, and a `PeerMessage` is JSON.
 const CRASH_UPDATE_TAG: u8 = 2;
-/// Encoded length of a record: 16 bytes fingerprint, 4 bytes upstream, 2 bytes age.
-const RECORD_BYTES: usize = 22;
+/// Encoded length of a record: 28 bytes fingerprint, 4 bytes upstream, 2 bytes age.
+const RECORD_BYTES: usize = 34;
 /// Encoded upstream of a response.
 const ANSWERED: u32 = 0;
 /// Resolution of the encoded age.
-const AGE_STEP: Duration = Duration::from_millis(100);
+const AGE_STEP: Duration = Duration::from_millis(10);
 /// Most records in one datagram, which then fits into few packets.
-const MAX_RECORDS: usize = 256;
+const MAX_RECORDS: usize = 128;
 /// Most records that wait to be sent; further ones are dropped.
 const MAX_PENDING_RECORDS: usize = 4096;
 /// Times that a record is sent.
@@ -41,8 +41,12 @@
         for record in chunk {
             payload.extend_from_slice(&record.request.target.to_be_bytes());
             payload.extend_from_slice(&record.request.content.to_be_bytes());
+            let RequestTraits { query, caller, headers } = record.request.traits;
+            for digest in [query, caller, headers] {
+                payload.extend_from_slice(&digest.to_be_bytes());
+            }
             let upstream = match record.outcome {
-                RunOutcome::UpstreamEnded(upstream) => upstream.max(1),
+                RunOutcome::UpstreamEnded(upstream) => upstream,
                 RunOutcome::Answered => ANSWERED,
             };
             payload.extend_from_slice(&upstream.to_be_bytes());
@@ -79,12 +83,14 @@
     let number = |from: usize, to: usize| {
         bytes[from..to].iter().fold(0_u64, |number, byte| number << 8 | u64::from(*byte))
     };
-    let request = RequestFingerprint { target: number(0, 8), content: number(8, 16) };
-    let outcome = match number(16, 20) as u32 {
+    let digest = |from: usize| number(from, from + 4) as u32;
+    let traits = RequestTraits { query: digest(16), caller: digest(20), headers: digest(24) };
+    let request = RequestFingerprint { target: number(0, 8), content: number(8, 16), traits };
+    let outcome = match digest(28) {
         ANSWERED => RunOutcome::Answered,
         upstream => RunOutcome::UpstreamEnded(upstream),
     };
-    RunRecord { request, outcome, age: AGE_STEP * number(20, 22) as u32 }
+    RunRecord { request, outcome, age: AGE_STEP * number(32, 34) as u32 }
 }
 
 /// Which entries a record is sent to.
--- a/src/limits/quarantine.rs
+++ b/src/limits/quarantine.rs
@@ -2,11 +2,20 @@
 //!
 //! A request may crash every upstream that begins to run it, and its caller may send it again and
 //! again, to any entry. Each entry records under which requests upstreams have ended, and shares the
-//! records with the others. A request with enough of them is refused for some time. After that time
-//! it is sent again, and refused again as soon as one more upstream ends under it.
+//! records with the others. A request that has enough in common with them is refused for some time.
 //!
-//! An upstream that ends takes along whatever else it was running. A response therefore clears a
-//! request: it does not crash every upstream.
+//! Records are kept by method, host, path and content. Whether query, caller address and headers
+//! matter too is learned: what differs among the crashes does not cause them.
+//!
+//! ```text
+//! crashes of GET /a      request of     refused
+//!   caller 1 (3 times)   caller 1       yes
+//!                        caller 2       no, the caller may matter
+//!   callers 1, 2, 3      caller 4       yes, unless a request got a response since
+//! ```
+//!
+//! An upstream that ends takes along whatever else it was running. A response therefore clears what
+//! has as much in common with its request: that does not crash every upstream.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -16,26 +25,85 @@
 
 use crate::util::FastMap;
 
-/// Records kept of one request.
-const MAX_REQUEST_RECORDS: usize = 8;
+/// Crashes that are kept of one target and content, the latest ones.
+const MAX_CRASHES: usize = 16;
+/// Responses that are kept of one target and content, the latest of each kind of request.
+const MAX_RESPONSES: usize = 8;
+/// Time by which a crash must be later than the oldest kept one to replace it. Entries know the ages
+/// of crashes within some hundred milliseconds only, and must not replace them by turns.
+const REPLACEMENT_MARGIN: Duration = Duration::from_secs(1);
+/// Least time between crashes that count if they do not have all traits in common. Upstreams that
+/// fail together take along several requests for the same popular target.
+const MIN_CRASH_GAP: Duration = Duration::from_millis(50);
 /// Own records that wait to be shared.
 const MAX_UNSHARED_RECORDS: usize = 1024;
 /// Time after which the first crash under a request is shared. Most requests that an upstream takes
 /// along with it when it ends get a response elsewhere until then.
 const SHARE_DELAY: Duration = Duration::from_millis(500);
 
-/// Identifies a request that comes again: the digests of its two parts.
+/// What a request consists of that comes again, as digests.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct RequestFingerprint {
-    /// Digest of caller, method, host, path and query.
+    /// Method, host and path.
     pub target: u64,
-    /// Digest of the content.
+    /// Content.
     pub content: u64,
+    /// What may or may not matter.
+    pub traits: RequestTraits,
+}
+
+/// Traits of a request beside its target and content, as digests.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RequestTraits {
+    /// Query.
+    pub query: u32,
+    /// Address of the caller.
+    pub caller: u32,
+    /// Headers that do not change from one send to the next.
+    pub headers: u32,
+}
+
+impl RequestTraits {
+    fn values(self) -> [u32; TRAITS] {
+        [self.query, self.caller, self.headers]
+    }
+}
+
+/// Number of traits.
+const TRAITS: usize = 3;
+
+/// A set of traits, one bit each.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct TraitSet(u8);
+
+impl TraitSet {
+    /// The set of all traits.
+    const ALL: Self = Self((1 << TRAITS) - 1);
+
+    /// All sets.
+    fn all() -> impl Iterator<Item = Self> {
+        (0..1 << TRAITS).map(Self)
+    }
+
+    fn contains(self, index: usize) -> bool {
+        self.0 & 1 << index != 0
+    }
+
+    /// Whether the requests have all traits of this set in common.
+    fn is_common(self, one: RequestTraits, other: RequestTraits) -> bool {
+        let (one, other) = (one.values(), other.values());
+        (0..TRAITS).all(|index| !self.contains(index) || one[index] == other[index])
+    }
 }
 
 impl std::fmt::Display for RequestFingerprint {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{:016x}{:016x}", self.target, self.content)
+        let [query, caller, headers] = self.traits.values();
+        write!(
+            f,
+            "{:016x}-{:016x}-{query:08x}-{caller:08x}-{headers:08x}",
+            self.target, self.content
+        )
     }
 }
 
@@ -66,7 +134,7 @@
     None,
     /// It is new.
     New,
-    /// It is new, and the request is refused from now on.
+    /// It is new, and its request is refused from now on.
     Refused,
 }
 
@@ -75,11 +143,12 @@
 pub struct QuarantineSettings {
     /// Upstreams that must have ended under a request before it is refused.
     pub min_crashes: usize,
-    /// Time for which a record counts while its request is not refused.
+    /// Time for which a record counts. Longer than `refusal_time`, so that a request is refused again
+    /// after one more crash.
     pub record_ttl: Duration,
-    /// Time from the last record for which a request is refused.
+    /// Time from the last crash for which a request is refused.
     pub refusal_time: Duration,
-    /// Most requests with records; the one with the oldest record makes room for another.
+    /// Most targets and contents with records; the one whose last crash is the oldest makes room.
     pub max_requests: usize,
 }
 
@@ -87,85 +156,145 @@
     fn default() -> Self {
         Self {
             min_crashes: 3,
-            record_ttl: Duration::from_secs(120),
+            record_ttl: Duration::from_secs(640),
             refusal_time: Duration::from_secs(600),
-            max_requests: 2048,
+            max_requests: 1024,
         }
     }
 }
 
-/// The records of one request.
+/// The records of the requests with one target and content.
 #[derive(Clone, Debug, Default)]
-struct SuspectRequest {
+struct RequestHistory {
+    /// Oldest first.
     crashes: Vec<UpstreamCrash>,
-    /// When it last got a response; earlier crashes no longer count.
-    answered_at: Option<Instant>,
+    /// Oldest first.
+    responses: Vec<RequestResponse>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct UpstreamCrash {
     upstream: u32,
+    traits: RequestTraits,
     at: Instant,
 }
 
-impl SuspectRequest {
-    /// Time of the latest crash.
-    fn last_crash_at(&self) -> Option<Instant> {
-        self.crashes.iter().map(|crash| crash.at).max()
-    }
+#[derive(Clone, Copy, Debug)]
+struct RequestResponse {
+    traits: RequestTraits,
+    at: Instant,
+}
 
-    fn is_dangerous(&self, settings: &QuarantineSettings) -> bool {
-        self.crashes.len() >= settings.min_crashes
+impl RequestHistory {
+    fn last_crash_at(&self) -> Option<Instant> {
+        self.crashes.last().map(|crash| crash.at)
     }
 
-    /// Until when the request is refused; none if too few upstreams have ended under it.
-    fn refused_until(&self, settings: &QuarantineSettings) -> Option<Instant> {
-        let last_at = self.last_crash_at().filter(|_| self.is_dangerous(settings))?;
+    /// Until when a request with these traits is refused; none if it may be sent.
+    fn refused_until(
+        &self,
+        traits: RequestTraits,
+        settings: &QuarantineSettings,
+    ) -> Option<Instant> {
+        if self.crashes.len() < settings.min_crashes {
+            return None;
+        }
+        let sets = TraitSet::all();
+        let last_at = sets.filter_map(|set| self.last_crash_of(set, traits, settings)).max()?;
         Some(last_at + settings.refusal_time)
     }
 
-    fn is_refused(&self, settings: &QuarantineSettings, now: Instant) -> bool {
-        self.refused_until(settings).is_some_and(|until| until > now)
-    }
-
-    /// Whether no record counts any more.
-    fn is_expired(&self, settings: &QuarantineSettings, now: Instant) -> bool {
-        let mut ttl = settings.record_ttl;
-        if self.is_dangerous(settings) {
-            ttl += settings.refusal_time;
+    /// Time of the last crash if enough have `set` in common with a request of these traits, and all
+    /// other traits differ among them.
+    fn last_crash_of(
+        &self,
+        set: TraitSet,
+        traits: RequestTraits,
+        settings: &QuarantineSettings,
+    ) -> Option<Instant> {
+        let responses = self.responses.iter().filter(|known| set.is_common(known.traits, traits));
+        let answered_at = responses.map(|response| response.at).max();
+        let mut crashes = Vec::with_capacity(self.crashes.len());
+        for crash in &self.crashes {
+            if set.is_common(crash.traits, traits) && Some(crash.at) > answered_at {
+                crashes.push(crash);
+            }
+        }
+        let gap = if set == TraitSet::ALL { Duration::ZERO } else { MIN_CRASH_GAP };
+        if count_crashes(&crashes, gap) < settings.min_crashes {
+            return None;
+        }
+        for index in 0..TRAITS {
+            let first = crashes[0].traits.values()[index];
+            let differs = crashes.iter().any(|crash| crash.traits.values()[index] != first);
+            if !set.contains(index) && !differs {
+                return None;
+            }
         }
-        let last_at = self.last_crash_at().max(self.answered_at);
-        last_at.is_none_or(|at| now.saturating_duration_since(at) >= ttl)
+        crashes.last().map(|crash| crash.at)
     }
 
-    /// Adds a crash; returns whether it is new.
-    fn add_crash(
-        &mut self,
-        crash: UpstreamCrash,
-        settings: &QuarantineSettings,
-        now: Instant,
-    ) -> bool {
-        let is_known = self.crashes.iter().any(|known| known.upstream == crash.upstream);
-        if is_known || self.answered_at.is_some_and(|at| crash.at <= at) {
+    /// Adds a crash; returns whether it is new. The latest are kept, in whatever order they arrive.
+    fn add_crash(&mut self, crash: UpstreamCrash) -> bool {
+        let is_known = self
+            .crashes
+            .iter()
+            .any(|known| known.upstream == crash.upstream && known.traits == crash.traits);
+        let is_cleared = self
+            .responses
+            .iter()
+            .any(|response| response.traits == crash.traits && response.at >= crash.at);
+        if is_known || is_cleared {
             return false;
         }
-        if !self.is_dangerous(settings) {
-            self.crashes.retain(|known| now - known.at < settings.record_ttl);
-        }
-        if self.crashes.len() == MAX_REQUEST_RECORDS {
+        if self.crashes.len() == MAX_CRASHES {
+            if crash.at <= self.crashes[0].at + REPLACEMENT_MARGIN {
+                return false;
+            }
             self.crashes.remove(0);
         }
-        self.crashes.push(crash);
+        let index = self.crashes.partition_point(|known| known.at <= crash.at);
+        self.crashes.insert(index, crash);
         true
     }
 
-    /// Records a response; returns whether it makes crashes irrelevant.
-    fn answer(&mut self, at: Instant) -> bool {
-        self.answered_at = self.answered_at.max(Some(at));
-        let known = self.crashes.len();
-        self.crashes.retain(|crash| crash.at > at);
-        self.crashes.len() < known
+    /// Adds a response; returns whether it clears a crash.
+    fn add_response(&mut self, response: RequestResponse) -> bool {
+        let known = self.responses.iter().position(|known| known.traits == response.traits);
+        let known = known.map(|index| self.responses.remove(index));
+        let known_at = known.map(|known| known.at);
+        let latest = RequestResponse {
+            at: known_at.map_or(response.at, |at| at.max(response.at)),
+            ..response
+        };
+        if self.responses.len() == MAX_RESPONSES {
+            self.responses.remove(0);
+        }
+        let index = self.responses.partition_point(|known| known.at <= latest.at);
+        self.responses.insert(index, latest);
+        self.crashes.iter().any(|crash| Some(crash.at) > known_at && crash.at <= response.at)
+    }
+
+    /// Drops the records that no longer count; returns whether crashes are left.
+    fn retain_valid(&mut self, settings: &QuarantineSettings, now: Instant) -> bool {
+        let is_valid = |at: Instant| now.saturating_duration_since(at) < settings.record_ttl;
+        self.crashes.retain(|crash| is_valid(crash.at));
+        self.responses.retain(|response| is_valid(response.at));
+        !self.crashes.is_empty()
+    }
+}
+
+/// Number of different upstreams, without crashes that follow a counted one within `gap`.
+fn count_crashes(crashes: &[&UpstreamCrash], gap: Duration) -> usize {
+    let mut counted: Vec<&UpstreamCrash> = Vec::with_capacity(crashes.len());
+    for crash in crashes {
+        let is_known = counted.iter().any(|known| known.upstream == crash.upstream);
+        let is_later = counted.last().is_none_or(|last| crash.at >= last.at + gap);
+        if is_later && !is_known {
+            counted.push(crash);
+        }
     }
+    counted.len()
 }
 
 /// A record of this entry that has not been shared yet.
@@ -177,34 +306,22 @@
     due_at: Instant,
 }
 
+/// Target and content of a request.
+type HistoryKey = (u64, u64);
+
 #[derive(Debug, Default)]
 struct TableState {
-    /// By the digest of the target, then of the content.
-    requests: FastMap<u64, FastMap<u64, SuspectRequest>>,
+    histories: FastMap<HistoryKey, RequestHistory>,
     unshared: Vec<UnsharedRecord>,
 }
 
 impl TableState {
-    fn remove(&mut self, request: RequestFingerprint) {
-        let Some(contents) = self.requests.get_mut(&request.target) else { return };
-        contents.remove(&request.content);
-        if contents.is_empty() {
-            self.requests.remove(&request.target);
-        }
-    }
-
-    fn crashes_of(&self, request: RequestFingerprint) -> usize {
-        let contents = self.requests.get(&request.target);
-        let suspect = contents.and_then(|contents| contents.get(&request.content));
-        suspect.map_or(0, |suspect| suspect.crashes.len())
+    fn history(&self, request: RequestFingerprint) -> Option<&RequestHistory> {
+        self.histories.get(&(request.target, request.content))
     }
 
-    fn suspects(&self) -> impl Iterator<Item = (RequestFingerprint, &SuspectRequest)> {
-        self.requests.iter().flat_map(|(target, contents)| {
-            contents.iter().map(|(content, suspect)| {
-                (RequestFingerprint { target: *target, content: *content }, suspect)
-            })
-        })
+    fn has_target(&self, target: u64) -> bool {
+        self.histories.keys().any(|(known, _)| *known == target)
     }
 }
 
@@ -213,7 +330,7 @@
 pub struct QuarantineTable {
     settings: QuarantineSettings,
     state: Mutex<TableState>,
-    /// Number of requests with records, readable without the lock.
+    /// Number of histories, readable without the lock.
     count: AtomicUsize,
 }
 
@@ -231,28 +348,27 @@
     /// Whether a request with this digest of its target has a record. Only then is its content worth
     /// digesting.
     pub fn has_target(&self, target: u64) -> bool {
-        !self.is_empty() && self.lock().requests.contains_key(&target)
+        !self.is_empty() && self.lock().has_target(target)
     }
 
     /// Time for which the request is still refused; none if it may be sent.
     pub fn refusal_left(&self, request: RequestFingerprint, now: Instant) -> Option<Duration> {
         let state = self.lock();
-        let suspect = state.requests.get(&request.target)?.get(&request.content)?;
-        let until = suspect.refused_until(&self.settings)?;
+        let until = state.history(request)?.refused_until(request.traits, &self.settings)?;
         Some(until.saturating_duration_since(now)).filter(|left| !left.is_zero())
     }
 
     /// Records how a run by this entry has just ended, to be shared with the others.
     ///
-    /// The first crash under a request is shared after [`SHARE_DELAY`], unless a response comes
-    /// before, and at once if another follows.
+    /// The first crash of a history is shared after [`SHARE_DELAY`], unless a response comes before,
+    /// and at once if another follows.
     pub fn record_own(
         &self,
         request: RequestFingerprint,
         outcome: RunOutcome,
         now: Instant,
     ) -> RecordEffect {
-        let known_crashes = self.lock().crashes_of(request);
+        let known_crashes = self.lock().history(request).map_or(0, |known| known.crashes.len());
         let effect = self.record(RunRecord { request, outcome, age: Duration::ZERO }, now);
         if effect == RecordEffect::None {
             return effect;
@@ -272,8 +388,7 @@
             RunOutcome::Answered => {
                 let waiting = state.unshared.len();
                 state.unshared.retain(|record| record.request != request);
-                let withdrawn = waiting - state.unshared.len();
-                is_shared = withdrawn < known_crashes;
+                is_shared = waiting - state.unshared.len() < known_crashes;
             }
         }
         if is_shared && state.unshared.len() < MAX_UNSHARED_RECORDS {
@@ -286,34 +401,41 @@
     pub fn record(&self, record: RunRecord, now: Instant) -> RecordEffect {
         let RunRecord { request, outcome, age } = record;
         let Some(at) = now.checked_sub(age) else { return RecordEffect::None };
-        if age >= self.settings.record_ttl + self.settings.refusal_time {
+        if age >= self.settings.record_ttl {
             return RecordEffect::None;
         }
+        let key = (request.target, request.content);
+        let traits = request.traits;
         let mut state = self.lock();
-        let effect = match outcome {
+        match outcome {
             RunOutcome::Answered => {
-                let known = state.requests.get_mut(&request.target);
-                let suspect = known.and_then(|known| known.get_mut(&request.content));
-                let is_changed = suspect.is_some_and(|suspect| suspect.answer(at));
-                if is_changed { RecordEffect::New } else { RecordEffect::None }
+                let Some(history) = state.histories.get_mut(&key) else {
+                    return RecordEffect::None;
+                };
+                let clears = history.add_response(RequestResponse { traits, at });
+                if clears { RecordEffect::New } else { RecordEffect::None }
             }
             RunOutcome::UpstreamEnded(upstream) => {
-                self.make_room(&mut state, now);
-                let contents = state.requests.entry(request.target).or_default();
-                let suspect = contents.entry(request.content).or_default();
-                let was_refused = suspect.is_refused(&self.settings, now);
-                let crash = UpstreamCrash { upstream, at };
-                let is_new = suspect.add_crash(crash, &self.settings, now);
-                let is_refused = suspect.is_refused(&self.settings, now);
+                if !state.histories.contains_key(&key) {
+                    self.make_room(&mut state, now);
+                }
+                let history = state.histories.entry(key).or_default();
+                let is_refused = |history: &RequestHistory| {
+                    let until = history.refused_until(traits, &self.settings);
+                    until.is_some_and(|until| until > now)
+                };
+                history.retain_valid(&self.settings, now);
+                let was_refused = is_refused(history);
+                let is_new = history.add_crash(UpstreamCrash { upstream, traits, at });
+                let is_refused = is_refused(history);
+                self.update_count(&state);
                 match (is_new, is_refused && !was_refused) {
                     (false, _) => RecordEffect::None,
                     (true, false) => RecordEffect::New,
                     (true, true) => RecordEffect::Refused,
                 }
             }
-        };
-        self.update_count(&state);
-        effect
+        }
     }
 
     /// Takes this entry's records that are due to be shared.
@@ -327,29 +449,46 @@
         records
     }
 
-    /// All crashes under the requests that are refused now.
+    /// All records of the histories by which requests are refused now.
     pub fn refused_records(&self, now: Instant) -> Vec<RunRecord> {
         let mut records = Vec::new();
-        for (request, suspect) in self.lock().suspects() {
-            if !suspect.is_refused(&self.settings, now) {
+        for ((target, content), history) in &self.lock().histories {
+            if !self.refuses(history, now) {
                 continue;
             }
-            for crash in &suspect.crashes {
+            let request =
+                |traits| RequestFingerprint { target: *target, content: *content, traits };
+            for crash in &history.crashes {
                 let outcome = RunOutcome::UpstreamEnded(crash.upstream);
-                let age = now.saturating_duration_since(crash.at);
-                records.push(RunRecord { request, outcome, age });
+                records.push(RunRecord {
+                    request: request(crash.traits),
+                    outcome,
+                    age: now - crash.at,
+                });
+            }
+            for response in &history.responses {
+                let (request, outcome) = (request(response.traits), RunOutcome::Answered);
+                records.push(RunRecord { request, outcome, age: now - response.at });
             }
         }
         records
     }
 
-    /// Number of requests that are refused now.
+    /// Number of histories by which requests are refused now.
     pub fn refused_requests(&self, now: Instant) -> usize {
         let state = self.lock();
-        state.suspects().filter(|(_, suspect)| suspect.is_refused(&self.settings, now)).count()
+        state.histories.values().filter(|history| self.refuses(history, now)).count()
+    }
+
+    /// Whether requests like those that have crashed upstreams are refused.
+    fn refuses(&self, history: &RequestHistory, now: Instant) -> bool {
+        history.crashes.iter().any(|crash| {
+            let until = history.refused_until(crash.traits, &self.settings);
+            until.is_some_and(|until| until > now)
+        })
     }
 
-    /// Drops the requests whose records no longer count.
+    /// Drops the records that no longer count.
     pub fn remove_expired(&self, now: Instant) {
         if !self.is_empty() {
             self.drop_expired(&mut self.lock(), now);
@@ -357,32 +496,28 @@
     }
 
     fn drop_expired(&self, state: &mut TableState, now: Instant) {
-        state.requests.retain(|_, contents| {
-            contents.retain(|_, suspect| !suspect.is_expired(&self.settings, now));
-            !contents.is_empty()
-        });
+        state.histories.retain(|_, history| history.retain_valid(&self.settings, now));
         self.update_count(state);
     }
 
-    /// If the table is full, drops expired requests and, if that is not enough, the one whose last
+    /// If the table is full, drops what has expired and, if that is not enough, the history whose last
     /// crash is the oldest.
     fn make_room(&self, state: &mut TableState, now: Instant) {
-        if self.count.load(Ordering::Relaxed) < self.settings.max_requests {
+        if state.histories.len() < self.settings.max_requests {
             return;
         }
         self.drop_expired(state, now);
-        if self.count.load(Ordering::Relaxed) < self.settings.max_requests {
+        if state.histories.len() < self.settings.max_requests {
             return;
         }
-        let oldest = state.suspects().min_by_key(|(_, suspect)| suspect.last_crash_at());
-        if let Some((request, _)) = oldest {
-            state.remove(request);
+        let oldest = state.histories.iter().min_by_key(|(_, history)| history.last_crash_at());
+        if let Some(key) = oldest.map(|(key, _)| *key) {
+            state.histories.remove(&key);
         }
     }
 
     fn update_count(&self, state: &TableState) {
-        let count = state.requests.values().map(FastMap::len).sum();
-        self.count.store(count, Ordering::Relaxed);
+        self.count.store(state.histories.len(), Ordering::Relaxed);
     }
 
     fn lock(&self) -> MutexGuard<'_, TableState> {
--- a/src/request/crash_watch.rs
+++ b/src/request/crash_watch.rs
@@ -18,8 +18,8 @@
 use sha2::{Digest, Sha256};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::core::UpstreamState;
-use crate::limits::{QuarantineTable, RecordEffect, RequestFingerprint, RunOutcome};
+use crate::core::{HeaderNames, UpstreamState};
+use crate::limits::{RecordEffect, RequestFingerprint, RequestTraits, RunOutcome};
 use crate::request::attempt::{
     AttemptOutcome, AttemptRequest, ConnectionPolicy, NotRunProof, UnknownCause, UpstreamClient,
 };
@@ -45,20 +45,32 @@
 impl RequestExecution {
     /// Time for which the request is refused, because upstreams have ended under it; none if it may
     /// be sent.
-    pub(super) fn refusal_left(&self, quarantine: &QuarantineTable) -> Option<Duration> {
-        let request = self.suspect_fingerprint(quarantine)?;
-        quarantine.refusal_left(request, Instant::now())
+    pub(super) fn refusal_left<C, P>(&self, ctx: &ExecutionContext<'_, C, P>) -> Option<Duration> {
+        let request = self.suspect_fingerprint(ctx)?;
+        ctx.quarantine.refusal_left(request, Instant::now())
     }
 
     /// Fingerprint of the request if one with its target has records. Most have none, and their
     /// content is not digested.
-    fn suspect_fingerprint(&self, quarantine: &QuarantineTable) -> Option<RequestFingerprint> {
-        if quarantine.is_empty() {
+    fn suspect_fingerprint<C, P>(
+        &self,
+        ctx: &ExecutionContext<'_, C, P>,
+    ) -> Option<RequestFingerprint> {
+        if ctx.quarantine.is_empty() {
             return None;
         }
         let target = self.target_digest();
-        let is_suspect = quarantine.has_target(target);
-        is_suspect.then(|| RequestFingerprint { target, content: content_digest(&self.body) })
+        ctx.quarantine.has_target(target).then(|| self.fingerprint(target, &ctx.settings.headers))
+    }
+
+    fn fingerprint(&self, target: u64, header_names: &HeaderNames) -> RequestFingerprint {
+        let caller = self.caller.map(|caller| caller.0.to_string()).unwrap_or_default();
+        let traits = RequestTraits {
+            query: digest([self.uri.query().unwrap_or_default().as_bytes()]) as u32,
+            caller: digest([caller.as_bytes()]) as u32,
+            headers: self.headers_digest(header_names),
+        };
+        RequestFingerprint { target, content: content_digest(&self.body), traits }
     }
 
     /// Records whether the attempt at `upstream` ended with it, or showed that the request does not
@@ -70,8 +82,8 @@
         ctx: &ExecutionContext<'_, C, P>,
     ) {
         match outcome {
-            OutcomeKind::Answered | OutcomeKind::ServerError => {
-                if let Some(request) = self.suspect_fingerprint(ctx.quarantine) {
+            OutcomeKind::Answered => {
+                if let Some(request) = self.suspect_fingerprint(ctx) {
                     let now = Instant::now();
                     ctx.quarantine.record_own(request, RunOutcome::Answered, now);
                 }
@@ -81,13 +93,12 @@
                     self.record_crash(upstream, ctx);
                 }
             }
-            OutcomeKind::Unknown(_) | OutcomeKind::NotRun => {}
+            OutcomeKind::ServerError | OutcomeKind::Unknown(_) | OutcomeKind::NotRun => {}
         }
     }
 
     fn record_crash<C, P>(&self, upstream: &UpstreamState, ctx: &ExecutionContext<'_, C, P>) {
-        let target = self.target_digest();
-        let request = RequestFingerprint { target, content: content_digest(&self.body) };
+        let request = self.fingerprint(self.target_digest(), &ctx.settings.headers);
         let ended = RunOutcome::UpstreamEnded(lifetime_digest(upstream));
         let effect = ctx.quarantine.record_own(request, ended, Instant::now());
         let id = self.headers.get(&ctx.settings.headers.request_id);
@@ -103,17 +114,24 @@
         }
     }
 
-    /// Digest of what identifies the request besides its content.
+    /// Digest of method, host and path.
     fn target_digest(&self) -> u64 {
-        let mut digest = Sha256::new();
-        let caller = self.caller.map(|caller| caller.0.to_string()).unwrap_or_default();
-        let uri = self.uri.to_string();
         let host = self.headers.get(HOST).map_or(&[][..], |host| host.as_bytes());
-        for part in [caller.as_bytes(), self.method.as_str().as_bytes(), host, uri.as_bytes()] {
-            digest.update((part.len() as u64).to_be_bytes());
-            digest.update(part);
+        digest([self.method.as_str().as_bytes(), host, self.uri.path().as_bytes()])
+    }
+
+    /// Digest of the headers, in whatever order, without those that the target covers or that differ
+    /// from one send to the next.
+    fn headers_digest(&self, header_names: &HeaderNames) -> u32 {
+        let mut sum = 0_u64;
+        for (name, value) in &self.headers {
+            let changes = *name == header_names.request_id || *name == header_names.deadline;
+            if changes || name == HOST || header_names.retry_allowance.as_ref() == Some(name) {
+                continue;
+            }
+            sum = sum.wrapping_add(digest([name.as_str().as_bytes(), value.as_bytes()]));
         }
-        first_word(digest)
+        sum as u32
     }
 }
 
@@ -126,23 +144,27 @@
 }
 
 fn content_digest(body: &Bytes) -> u64 {
-    let mut digest = Sha256::new();
-    digest.update((body.len() as u64).to_be_bytes());
-    digest.update(&body[..body.len().min(MAX_DIGESTED_BYTES)]);
-    first_word(digest)
+    let length = (body.len() as u64).to_be_bytes();
+    digest([&length, &body[..body.len().min(MAX_DIGESTED_BYTES)]])
 }
 
-fn first_word(digest: Sha256) -> u64 {
+/// First word of SHA-256 over the parts and their lengths. Callers cannot construct collisions.
+fn digest<const PARTS: usize>(parts: [&[u8]; PARTS]) -> u64 {
+    let mut digest = Sha256::new();
+    for part in parts {
+        digest.update((part.len() as u64).to_be_bytes());
+        digest.update(part);
+    }
     let mut word = [0; 8];
     word.copy_from_slice(&digest.finalize()[..8]);
     u64::from_be_bytes(word)
 }
 
-/// Digest of an upstream's process: an upstream may start again under the same name.
+/// Digest of an upstream's process, not 0: an upstream may start again under the same name.
 fn lifetime_digest(upstream: &UpstreamState) -> u32 {
     let started_ms = upstream.spec.started_ms.unwrap_or_default();
     let bytes = upstream.name.bytes().chain([0]).chain(started_ms.to_be_bytes());
-    fnv1a(bytes) as u32
+    (fnv1a(bytes) as u32).max(1)
 }
 
 /// What a new connection shows of an upstream.
--- a/src/request/execution.rs
+++ b/src/request/execution.rs
@@ -207,7 +207,7 @@
                 }
                 ExecutionAction::Respond(index) => return forward_response(last_response, index),
                 ExecutionAction::Fail(code @ ResultCode::CrashesUpstreams) => {
-                    let retry_after = self.refusal_left(ctx.quarantine);
+                    let retry_after = self.refusal_left(&ctx);
                     return ExecutionOutcome::Failed(ExecutionFailure { code, retry_after });
                 }
                 ExecutionAction::Fail(code) => {
--- a/src/request/upstream_selection.rs
+++ b/src/request/upstream_selection.rs
@@ -107,7 +107,7 @@
         history: &mut AttemptHistory,
         trace: &mut AttemptTrace,
     ) -> Result<PreparedAttempt, StartRefusal> {
-        if self.refusal_left(ctx.quarantine).is_some() {
+        if self.refusal_left(ctx).is_some() {
             return Err(StartRefusal::Quarantined);
         }
         if !self.has_budget(role) {
--- a/tests/testsuite/quarantine.rs
+++ b/tests/testsuite/quarantine.rs
@@ -8,13 +8,15 @@
 };
 use heatherfall::fleet::peer_message::{MessageError, MessageKey};
 use heatherfall::limits::{
-    QuarantineSettings, QuarantineTable, RecordEffect, RequestFingerprint, RunOutcome, RunRecord,
+    QuarantineSettings, QuarantineTable, RecordEffect, RequestFingerprint, RequestTraits,
+    RunOutcome, RunRecord,
 };
 use heatherfall::util::SeededRandom;
 use proptest::prelude::*;
 use tokio::time::{Instant, advance};
 
-const REQUEST: RequestFingerprint = RequestFingerprint { target: 7, content: 1 };
+const TRAITS: RequestTraits = RequestTraits { query: 1, caller: 1, headers: 1 };
+const REQUEST: RequestFingerprint = RequestFingerprint { target: 7, content: 1, traits: TRAITS };
 /// Differs from [`REQUEST`] in the content alone.
 const OTHER: RequestFingerprint = RequestFingerprint { content: 2, ..REQUEST };
 
@@ -38,7 +40,7 @@
     for (upstream, effect) in [
         (1, RecordEffect::New),
         (2, RecordEffect::New),
-        // Two comings of the request that ran on the same process.
+        // Sent twice to the same process.
         (2, RecordEffect::None),
         (3, RecordEffect::Refused),
         (4, RecordEffect::New),
@@ -52,6 +54,61 @@
     assert_eq!(table.refused_requests(Instant::now()), 1);
 }
 
+/// A request that differs from [`REQUEST`] in these traits.
+fn varied(query: u32, caller: u32, headers: u32) -> RequestFingerprint {
+    RequestFingerprint { traits: RequestTraits { query, caller, headers }, ..REQUEST }
+}
+
+/// Guards against a request that is taken for a new one each time because a trait changes that does
+/// not matter.
+#[tokio::test(start_paused = true)]
+async fn traits_that_differ_among_the_crashes_do_not_matter_and_the_others_do() {
+    let crashing = [
+        [varied(1, 1, 1), varied(2, 1, 1), varied(3, 1, 1)],
+        [varied(1, 1, 1), varied(1, 2, 1), varied(1, 3, 1)],
+        [varied(1, 1, 1), varied(1, 1, 2), varied(2, 1, 1)],
+    ];
+    let (refused, others) = (
+        [varied(9, 1, 1), varied(1, 9, 1), varied(9, 1, 9)],
+        [varied(9, 9, 1), varied(1, 9, 9), varied(1, 9, 1)],
+    );
+    for (index, requests) in crashing.into_iter().enumerate() {
+        let table = QuarantineTable::default();
+        for (request, upstream) in requests.into_iter().zip(1..) {
+            table.record_own(request, ended(upstream), Instant::now());
+            advance(Duration::from_millis(100)).await;
+        }
+        let now = Instant::now();
+        assert!(table.refusal_left(refused[index], now).is_some(), "refused {index}");
+        assert_eq!(table.refusal_left(others[index], now), None, "other {index}");
+    }
+}
+
+/// Guards against the refusal of a popular target whose upstreams fail together.
+#[tokio::test(start_paused = true)]
+async fn upstreams_that_fail_together_do_not_have_a_popular_target_refused() {
+    let table = QuarantineTable::default();
+    for upstream in 1..=10 {
+        table.record_own(varied(1, upstream, 1), ended(upstream), Instant::now());
+        advance(Duration::from_millis(4)).await;
+    }
+    assert_eq!(table.refusal_left(varied(1, 99, 1), Instant::now()), None);
+}
+
+/// Guards against the refusal of everybody else's requests for a target.
+#[tokio::test(start_paused = true)]
+async fn a_response_to_another_caller_shows_that_the_caller_matters() {
+    let table = QuarantineTable::default();
+    for upstream in 1..=6 {
+        table.record_own(varied(1, upstream, 1), ended(upstream), Instant::now());
+        advance(Duration::from_millis(100)).await;
+        if upstream % 2 == 0 {
+            table.record_own(varied(1, 99, 1), RunOutcome::Answered, Instant::now());
+        }
+    }
+    assert_eq!(table.refusal_left(varied(1, 98, 1), Instant::now()), None);
+}
+
 /// Guards against the refusal of a request that upstreams took along with them when they ended for
 /// other reasons, over a long time.
 #[tokio::test(start_paused = true)]
@@ -66,24 +123,47 @@
             RecordEffect::None
         );
     }
+    advance(Duration::from_secs(1)).await;
     table.record_own(REQUEST, ended(21), Instant::now());
     table.record_own(REQUEST, ended(22), Instant::now());
     assert_eq!(table.refusal_left(REQUEST, Instant::now()), None);
 }
 
 #[tokio::test(start_paused = true)]
-async fn old_crashes_of_a_request_that_is_not_refused_do_not_count() {
+async fn old_crashes_do_not_count() {
     let table = QuarantineTable::default();
     for upstream in 1..=10 {
         table.record_own(REQUEST, ended(upstream), Instant::now());
-        advance(Duration::from_secs(90)).await;
+        advance(Duration::from_secs(330)).await;
     }
     assert_eq!(table.refusal_left(REQUEST, Instant::now()), None);
-    advance(Duration::from_secs(120)).await;
+    advance(Duration::from_secs(640)).await;
     table.remove_expired(Instant::now());
     assert!(table.is_empty());
 }
 
+/// Guards against entries that keep different crashes of a long series, and tell each other of those
+/// that they lack for ever.
+#[tokio::test(start_paused = true)]
+async fn the_latest_crashes_of_a_long_series_are_kept_in_whatever_order_they_arrive() {
+    let (forward, backward) = (QuarantineTable::default(), QuarantineTable::default());
+    advance(Duration::from_secs(60)).await;
+    let now = Instant::now();
+    let crash = |upstream: u32| record(REQUEST, ended(upstream), u64::from(30 - upstream) * 1000);
+    for upstream in 0..30 {
+        forward.record(crash(upstream), now);
+        backward.record(crash(29 - upstream), now);
+    }
+    let mut kept = forward.refused_records(now);
+    let mut kept_backward = backward.refused_records(now);
+    kept.sort_by_key(|record| record.age);
+    kept_backward.sort_by_key(|record| record.age);
+    assert_eq!(kept, kept_backward);
+    for upstream in 0..30 {
+        assert_eq!(forward.record(crash(upstream), now), RecordEffect::None);
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn after_its_refusal_a_request_is_sent_and_refused_again_after_one_crash() {
     let table = QuarantineTable::default();
@@ -100,7 +180,7 @@
     let settings = QuarantineSettings { max_requests: 100, ..QuarantineSettings::default() };
     let table = QuarantineTable::new(settings);
     for content in 0..1000 {
-        let request = RequestFingerprint { target: content % 7, content };
+        let request = RequestFingerprint { target: content % 7, content, traits: TRAITS };
         table.record_own(request, ended(1), Instant::now());
         advance(Duration::from_millis(1)).await;
     }
@@ -209,7 +289,8 @@
         }
         fleet.run(Duration::from_millis(2300)).await;
         assert_eq!(fleet.refusing(), RelayFleet::ENTRIES, "seed {seed}");
-        // All entries of a failure domain start again.
+        // All entries of a failure domain start again, while the request is still refused.
+        advance(Duration::from_secs(300)).await;
         for entry in (0..RelayFleet::ENTRIES).step_by(RelayFleet::DOMAINS) {
             fleet.tables[entry] = QuarantineTable::default();
             fleet.relays[entry] = CrashRelay::default();
