limits: refuse what has only some traits in common for a minute

A popular path whose upstreams fail one after the other, without a response in between, would have been refused for everybody for ten minutes. What has only some traits in common with the crashes is now refused for one minute; found by reading, the test of the traits asks for it.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -27,7 +27,7 @@
 //! - [`peer_message`], [`peer_table`], [`peer_service`]: messages between entries, and liveness.
 //! - [`state`]: state that the services of an entry share.
 //! - [`limit_shares`]: divides the rate limits of upstreams; `rate_limits` shares news of them.
-//! - [`crash_update`]: shares which requests crash upstreams.
+//! - [`crash_update`]: which requests crash upstreams, shared by `crash_exchange`.
 //! - [`load_probe`]: probes the load of the local upstreams; [`load_update`]: sends it to other
 //!   failure domains.
 //! - [`directory`], [`control_api`]: HTTP API for callers, the platform and operators.
@@ -35,6 +35,7 @@
 
 pub mod codec;
 pub mod control_api;
+mod crash_exchange;
 pub mod crash_update;
 pub mod directory;
 mod enrolment;
--- a/src/fleet/peer_service.rs
+++ b/src/fleet/peer_service.rs
@@ -10,9 +10,8 @@
 
 use crate::core::{ConfigSnapshot, UpstreamKey};
 use crate::fleet::codec::DeploymentCodec;
-use crate::fleet::crash_update::{
-    CrashRelay, RecordScope, decode_crash_update, encode_crash_updates,
-};
+use crate::fleet::crash_exchange::CrashExchange;
+use crate::fleet::crash_update::decode_crash_update;
 use crate::fleet::load_probe::LoadRecorder;
 use crate::fleet::load_update::{
     CompactLoad, LoadChangeFilter, decode_load_update, encode_load_update, name_digest,
@@ -24,8 +23,6 @@
 use crate::fleet::state::{FleetState, Outbox};
 use crate::fleet::view::ViewChange;
 use crate::kernel::{ServiceName, ServiceTask};
-use crate::limits::{RecordEffect, RunRecord};
-use crate::request::log_refusal;
 use crate::util::{FastMap, SeededRandom};
 
 /// Time between two checks whether a message is due.
@@ -113,7 +110,7 @@
             return Ok(());
         }
         if let Some(records) = decode_crash_update(payload) {
-            self.receive_crash_update(&records?, from, &mut sender.crash_relay);
+            sender.crash_exchange.receive(&self.state, &records?, from);
             return Ok(());
         }
         let message = PeerMessage::parse(payload)?;
@@ -156,27 +153,6 @@
             self.state.queue_load(now, load);
         }
     }
-
-    /// Applies a crash update. What is new and comes from another failure domain is forwarded to the
-    /// local one.
-    fn receive_crash_update(
-        &self,
-        records: &[RunRecord],
-        from: SocketAddr,
-        relay: &mut CrashRelay,
-    ) {
-        let now = Instant::now();
-        let is_local = self.state.table().is_local_address(from);
-        for record in records {
-            let effect = self.state.quarantine.record(*record, now);
-            if effect == RecordEffect::Refused {
-                log_refusal(record.request, "peer");
-            }
-            if effect != RecordEffect::None && !is_local {
-                relay.queue(*record, RecordScope::Domain, now);
-            }
-        }
-    }
 }
 
 /// Upstreams by the name digests of load updates; rebuilt when the snapshot changes.
@@ -237,8 +213,7 @@
     filter: LoadChangeFilter,
     index: DigestIndex,
     load_updates_sent: usize,
-    crash_relay: CrashRelay,
-    crash_updates_sent: usize,
+    crash_exchange: CrashExchange,
     last_sent_at: Option<Instant>,
 }
 
@@ -250,8 +225,7 @@
             filter: LoadChangeFilter::default(),
             index: DigestIndex::default(),
             load_updates_sent: 0,
-            crash_relay: CrashRelay::default(),
-            crash_updates_sent: 0,
+            crash_exchange: CrashExchange::default(),
             last_sent_at: None,
         }
     }
@@ -261,7 +235,7 @@
         let Some(keys) = state.message_keys() else { return };
         let key = keys.current();
         let now = Instant::now();
-        self.send_crash_updates(socket, state, key).await;
+        self.crash_exchange.send_due(socket, state, key).await;
         state.update_rate_limits(now);
         let outbox = state.take_outbox();
         let mut loads = Vec::with_capacity(outbox.loads.len());
@@ -333,36 +307,6 @@
         send_all(socket, &encode_load_update(keys.current(), &changed), &gateways).await;
     }
 
-    /// Sends the records of requests that crash upstreams that are due.
-    async fn send_crash_updates<D: DeploymentCodec>(
-        &mut self,
-        socket: &UdpSocket,
-        state: &FleetState<D>,
-        key: &MessageKey,
-    ) {
-        if state.quarantine.is_empty() && self.crash_relay.is_idle() {
-            return;
-        }
-        let now = Instant::now();
-        let is_leader = state.table().rank(now) == 0;
-        let due = self.crash_relay.take_due(&state.quarantine, is_leader, now);
-        if due.domain.is_empty() {
-            return;
-        }
-        let (domain, gateways) = {
-            let table = state.table();
-            let gateways = table.gateways(self.crash_updates_sent, now);
-            (table.recipients(MessageScope::All, now), gateways)
-        };
-        self.crash_updates_sent += 1;
-        for datagram in encode_crash_updates(key, &due.domain) {
-            send_all(socket, &datagram, &domain).await;
-        }
-        for datagram in encode_crash_updates(key, &due.gateways) {
-            send_all(socket, &datagram, &gateways).await;
-        }
-    }
-
     async fn send<D: DeploymentCodec>(
         &mut self,
         socket: &UdpSocket,
@@ -412,7 +356,7 @@
 }
 
 /// Sends a datagram to each address. Send errors are ignored, like losses on the way.
-async fn send_all(socket: &UdpSocket, datagram: &[u8], addresses: &[SocketAddr]) {
+pub(super) async fn send_all(socket: &UdpSocket, datagram: &[u8], addresses: &[SocketAddr]) {
     for address in addresses {
         let _ = socket.send_to(datagram, address).await;
     }
--- a/src/request/execution.rs
+++ b/src/request/execution.rs
@@ -206,13 +206,12 @@
                     event = record_end(finished, trace, &mut last_response);
                 }
                 ExecutionAction::Respond(index) => return forward_response(last_response, index),
-                ExecutionAction::Fail(code @ ResultCode::CrashesUpstreams) => {
-                    let retry_after = self.refusal_left(&ctx);
-                    return ExecutionOutcome::Failed(ExecutionFailure { code, retry_after });
-                }
                 ExecutionAction::Fail(code) => {
                     let pick = self.pick_request(AttemptRole::Retry, route, &history.tried, &ctx);
-                    let retry_after = ctx.picker.retry_after(pick);
+                    let retry_after = match code {
+                        ResultCode::CrashesUpstreams => self.refusal_left(&ctx),
+                        _ => ctx.picker.retry_after(pick),
+                    };
                     return ExecutionOutcome::Failed(ExecutionFailure { code, retry_after });
                 }
             }
--- a/tests/testsuite/quarantine.rs
+++ b/tests/testsuite/quarantine.rs
@@ -81,6 +81,9 @@
         let now = Instant::now();
         assert!(table.refusal_left(refused[index], now).is_some(), "refused {index}");
         assert_eq!(table.refusal_left(others[index], now), None, "other {index}");
+        advance(QuarantineSettings::default().partial_refusal_time).await;
+        let now = Instant::now();
+        assert_eq!(table.refusal_left(refused[index], now), None, "refused too long {index}");
     }
 }
 
