serve: pause after a connection could not be accepted

An entry whose descriptors were used up retried to accept at once and without end: 1.00 of a core for as long as its callers kept their connections, and no log line. On a VM with a fifth of a core nothing else runs in time then. Found while looking for an unexpected error that takes a whole process down.

Cause: four accept loops went on at once after an error; a listener with a connection in its queue is always ready.

--- a/src/fleet/control_api.rs
+++ b/src/fleet/control_api.rs
@@ -21,7 +21,7 @@
 use crate::fleet::directory::EntryDirectory;
 use crate::fleet::state::FleetState;
 use crate::membership::EntryState;
-use crate::serve::{metrics_response, plain_response};
+use crate::serve::{accept_connection, metrics_response, plain_response};
 
 const METRICS_PATH: &str = "/metrics";
 
@@ -50,11 +50,10 @@
     /// Serves one listener until `stop` is cancelled.
     pub async fn serve(self: Arc<Self>, listener: TcpListener, stop: CancellationToken) {
         loop {
-            let accepted = tokio::select! {
+            let (stream, _) = tokio::select! {
                 () = stop.cancelled() => return,
-                accepted = listener.accept() => accepted,
+                accepted = accept_connection(&listener) => accepted,
             };
-            let Ok((stream, _)) = accepted else { continue };
             let api = Arc::clone(&self);
             tokio::spawn(async move {
                 let service = service_fn(|request: Request<Incoming>| {
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -17,6 +17,7 @@
 
 use crate::core::ResultCode;
 use crate::peer::auth::PeerAuth;
+use crate::serve::accept_connection;
 
 /// Interval of keep-alive pings on a connection, and time limit of their responses.
 const KEEP_ALIVE: Duration = Duration::from_secs(5);
@@ -53,8 +54,7 @@
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
-                accepted = self.listener.accept() => {
-                    let Ok((stream, source)) = accepted else { continue };
+                (stream, source) = accept_connection(&self.listener) => {
                     let routes = TowerToHyperService::new(routes.clone());
                     let served = serve(stream, source, routes, self.auth.clone());
                     tokio::spawn(stop.clone().run_until_cancelled_owned(served));
--- a/src/serve/admin.rs
+++ b/src/serve/admin.rs
@@ -18,6 +18,7 @@
 use crate::core::ResultCode;
 use crate::kernel::{ServiceKernel, ServiceName};
 use crate::ops::node_status::StatusSource;
+use crate::serve::accept::accept_connection;
 use crate::serve::plain_response::{metrics_response, plain_response};
 
 /// Admin server of a node.
@@ -59,8 +60,7 @@
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
-                accepted = server.listener.accept() => {
-                    let Ok((stream, _)) = accepted else { continue };
+                (stream, _) = accept_connection(&server.listener) => {
                     let server = Arc::clone(&server);
                     tokio::spawn(async move {
                         let service = service_fn(|request: Request<Incoming>| {
--- a/src/serve/caller_server.rs
+++ b/src/serve/caller_server.rs
@@ -16,6 +16,7 @@
 use crate::balance::UpstreamPicker;
 use crate::ledger::ClaimLedger;
 use crate::request::{CallerAddress, UpstreamClient};
+use crate::serve::accept::accept_connection;
 use crate::serve::proxy_service::ProxyService;
 use crate::serve::write_timeout::WriteTimeoutStream;
 
@@ -83,8 +84,7 @@
         loop {
             tokio::select! {
                 () = stop.cancelled() => break,
-                accepted = self.listener.accept() => {
-                    let Ok((stream, caller)) = accepted else { continue };
+                (stream, caller) = accept_connection(&self.listener) => {
                     self.serve(stream, CallerAddress(caller.ip()), Arc::clone(&proxy), &graceful);
                 }
             }
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -1,5 +1,6 @@
 //! Network side of the data plane: listener for callers, upstream connections, admin port.
 
+mod accept;
 mod admin;
 mod caller_server;
 mod connection_pool;
@@ -12,6 +13,7 @@
 mod upstream_pool;
 mod write_timeout;
 
+pub(crate) use self::accept::accept_connection;
 pub use self::admin::AdminServer;
 pub use self::caller_server::{CallerServer, CallerServerSettings};
 pub use self::connection_pool::{ConnectionPool, PoolSettings};
