limits: keep with each crash what has cleared it

Found by reading: after one crash at a popular path, the first response to each further caller was told to all entries, for eleven minutes. Whether a response clears a crash depends only on the traits that their requests have in common, so each crash now carries the sets of traits that have been cleared, and is sent again only when a set is new: at most eight times. The test counts 1 message for 1,996 responses to other callers.

--- a/src/fleet/crash_exchange.rs
+++ b/src/fleet/crash_exchange.rs
@@ -11,7 +11,7 @@
 use crate::fleet::peer_service::send_all;
 use crate::fleet::peer_table::MessageScope;
 use crate::fleet::state::FleetState;
-use crate::limits::{RecordEffect, RunRecord};
+use crate::limits::{CrashRecord, RecordEffect};
 use crate::request::log_refusal;
 
 /// Exchanges with the other entries which requests crash upstreams.
@@ -57,7 +57,7 @@
     pub(super) fn receive<D: DeploymentCodec>(
         &mut self,
         state: &FleetState<D>,
-        records: &[RunRecord],
+        records: &[CrashRecord],
         from: SocketAddr,
     ) {
         let now = Instant::now();
--- a/src/fleet/crash_update.rs
+++ b/src/fleet/crash_update.rs
@@ -11,14 +11,13 @@
 use tokio::time::Instant;
 
 use crate::fleet::peer_message::{MessageError, MessageKey};
-use crate::limits::{QuarantineTable, RequestFingerprint, RequestTraits, RunOutcome, RunRecord};
+use crate::limits::{CrashRecord, QuarantineTable, RequestFingerprint, RequestTraits, TraitSets};
 
 /// First byte of a crash update; a load update has another one, and a `PeerMessage` is JSON.
 const CRASH_UPDATE_TAG: u8 = 2;
-/// Encoded length of a record: 28 bytes fingerprint, 4 bytes upstream, 2 bytes age.
-const RECORD_BYTES: usize = 34;
-/// Encoded upstream of a response.
-const ANSWERED: u32 = 0;
+/// Encoded length of a record: 28 bytes fingerprint, 4 bytes upstream, 2 bytes age, 1 byte of what
+/// has cleared it.
+const RECORD_BYTES: usize = 35;
 /// Resolution of the encoded age.
 const AGE_STEP: Duration = Duration::from_millis(10);
 /// Most records in one datagram, which then fits into few packets.
@@ -33,7 +32,7 @@
 const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Encodes and signs records as datagrams.
-pub fn encode_crash_updates(key: &MessageKey, records: &[RunRecord]) -> Vec<Vec<u8>> {
+pub fn encode_crash_updates(key: &MessageKey, records: &[CrashRecord]) -> Vec<Vec<u8>> {
     let mut datagrams = Vec::with_capacity(records.len().div_ceil(MAX_RECORDS));
     for chunk in records.chunks(MAX_RECORDS) {
         let mut payload = Vec::with_capacity(1 + chunk.len() * RECORD_BYTES);
@@ -45,13 +44,10 @@
             for digest in [query, caller, headers] {
                 payload.extend_from_slice(&digest.to_be_bytes());
             }
-            let upstream = match record.outcome {
-                RunOutcome::UpstreamEnded(upstream) => upstream,
-                RunOutcome::Answered => ANSWERED,
-            };
-            payload.extend_from_slice(&upstream.to_be_bytes());
+            payload.extend_from_slice(&record.upstream.to_be_bytes());
             let steps = record.age.as_millis() / AGE_STEP.as_millis();
             payload.extend_from_slice(&u16::try_from(steps).unwrap_or(u16::MAX).to_be_bytes());
+            payload.push(record.cleared.0);
         }
         datagrams.push(key.sign(&payload));
     }
@@ -63,7 +59,7 @@
 /// # Errors
 ///
 /// Returns [`MessageError::Malformed`] if the last record is truncated.
-pub fn decode_crash_update(payload: &[u8]) -> Option<Result<Vec<RunRecord>, MessageError>> {
+pub fn decode_crash_update(payload: &[u8]) -> Option<Result<Vec<CrashRecord>, MessageError>> {
     let (tag, rest) = payload.split_first()?;
     if *tag != CRASH_UPDATE_TAG {
         return None;
@@ -79,18 +75,15 @@
     Some(Ok(records))
 }
 
-fn decode_record(bytes: &[u8; RECORD_BYTES]) -> RunRecord {
+fn decode_record(bytes: &[u8; RECORD_BYTES]) -> CrashRecord {
     let number = |from: usize, to: usize| {
         bytes[from..to].iter().fold(0_u64, |number, byte| number << 8 | u64::from(*byte))
     };
     let digest = |from: usize| number(from, from + 4) as u32;
     let traits = RequestTraits { query: digest(16), caller: digest(20), headers: digest(24) };
     let request = RequestFingerprint { target: number(0, 8), content: number(8, 16), traits };
-    let outcome = match digest(28) {
-        ANSWERED => RunOutcome::Answered,
-        upstream => RunOutcome::UpstreamEnded(upstream),
-    };
-    RunRecord { request, outcome, age: AGE_STEP * number(32, 34) as u32 }
+    let age = AGE_STEP * number(32, 34) as u32;
+    CrashRecord { request, upstream: digest(28), cleared: TraitSets(bytes[34]), age }
 }
 
 /// Which entries a record is sent to.
@@ -104,7 +97,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct PendingRecord {
-    record: RunRecord,
+    record: CrashRecord,
     received_at: Instant,
     scope: RecordScope,
     sends_left: u32,
@@ -114,9 +107,9 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct DueRecords {
     /// To the entries of the local failure domain.
-    pub domain: Vec<RunRecord>,
+    pub domain: Vec<CrashRecord>,
     /// To the gateways of the other failure domains.
-    pub gateways: Vec<RunRecord>,
+    pub gateways: Vec<CrashRecord>,
 }
 
 /// Decides which records are sent when.
@@ -129,7 +122,7 @@
 
 impl CrashRelay {
     /// Queues a record to be sent.
-    pub fn queue(&mut self, record: RunRecord, scope: RecordScope, now: Instant) {
+    pub fn queue(&mut self, record: CrashRecord, scope: RecordScope, now: Instant) {
         if self.pending.len() >= MAX_PENDING_RECORDS {
             return;
         }
@@ -161,7 +154,7 @@
         for pending in &mut self.pending {
             pending.sends_left -= 1;
             let age = pending.record.age + (now - pending.received_at);
-            due.add(RunRecord { age, ..pending.record }, pending.scope);
+            due.add(CrashRecord { age, ..pending.record }, pending.scope);
         }
         self.pending.retain(|pending| pending.sends_left > 0);
         if self.repeated_at.is_some_and(|at| now - at < REPEAT_INTERVAL) {
@@ -179,7 +172,7 @@
 }
 
 impl DueRecords {
-    fn add(&mut self, record: RunRecord, scope: RecordScope) {
+    fn add(&mut self, record: CrashRecord, scope: RecordScope) {
         self.domain.push(record);
         if scope == RecordScope::Fleet {
             self.gateways.push(record);
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -34,8 +34,8 @@
 pub use self::load_check_limiter::LoadCheckLimiter;
 pub use self::part_sequence::PartSequence;
 pub use self::quarantine::{
-    QuarantineSettings, QuarantineTable, RecordEffect, RequestFingerprint, RequestTraits,
-    RunOutcome, RunRecord,
+    CrashRecord, QuarantineSettings, QuarantineTable, RecordEffect, RequestFingerprint,
+    RequestTraits, TraitSets,
 };
 pub use self::ratio_budget::BudgetUsage;
 pub use self::retry_budget::RetryBudget;
--- a/src/limits/quarantine/history.rs
+++ b/src/limits/quarantine/history.rs
@@ -5,11 +5,11 @@
 use tokio::time::Instant;
 
 use crate::limits::quarantine::QuarantineSettings;
-use crate::limits::quarantine::request::{RequestTraits, TRAITS, TraitSet};
+use crate::limits::quarantine::request::{RequestTraits, TRAITS, TraitSet, TraitSets};
 
 /// Crashes that are kept of one target and content, the latest ones.
 const MAX_CRASHES: usize = 16;
-/// Responses that are kept of one target and content, the latest of each kind of request.
+/// Latest responses that are kept of one target and content, for crashes that are reported later.
 const MAX_RESPONSES: usize = 8;
 /// Time by which a crash must be later than the oldest kept one to replace it. Entries know the ages
 /// of crashes within some hundred milliseconds only, and must not replace them by turns.
@@ -24,7 +24,7 @@
     /// Oldest first.
     pub(super) crashes: Vec<UpstreamCrash>,
     /// Oldest first.
-    pub(super) responses: Vec<RequestResponse>,
+    responses: Vec<RequestResponse>,
 }
 
 /// An upstream that ended under a request with these traits.
@@ -33,16 +33,23 @@
     pub(super) upstream: u32,
     pub(super) traits: RequestTraits,
     pub(super) at: Instant,
+    /// See `CrashRecord::cleared`.
+    pub(super) cleared: TraitSets,
 }
 
-/// The latest response to a request with these traits.
+/// A response to a request with these traits.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct RequestResponse {
-    pub(super) traits: RequestTraits,
-    pub(super) at: Instant,
+struct RequestResponse {
+    traits: RequestTraits,
+    at: Instant,
 }
 
 impl RequestHistory {
+    /// Whether there is a crash that has not been cleared.
+    pub(super) fn is_suspect(&self) -> bool {
+        self.crashes.iter().any(|crash| crash.cleared != TraitSets::ALL)
+    }
+
     /// Time of the latest crash.
     pub(super) fn last_crash_at(&self) -> Option<Instant> {
         self.crashes.last().map(|crash| crash.at)
@@ -77,11 +84,10 @@
         traits: RequestTraits,
         settings: &QuarantineSettings,
     ) -> Option<Instant> {
-        let responses = self.responses.iter().filter(|known| set.is_common(known.traits, traits));
-        let answered_at = responses.map(|response| response.at).max();
         let mut crashes = Vec::with_capacity(self.crashes.len());
         for crash in &self.crashes {
-            if set.is_common(crash.traits, traits) && Some(crash.at) > answered_at {
+            let is_selected = set.is_subset(TraitSet::common(crash.traits, traits));
+            if is_selected && !crash.cleared.contains(set) {
                 crashes.push(crash);
             }
         }
@@ -99,18 +105,17 @@
         crashes.last().map(|crash| crash.at)
     }
 
-    /// Adds a crash; returns whether it is new. The latest are kept, in whatever order they arrive.
-    pub(super) fn add_crash(&mut self, crash: UpstreamCrash) -> bool {
-        let is_known = self
-            .crashes
-            .iter()
-            .any(|known| known.upstream == crash.upstream && known.traits == crash.traits);
-        let is_cleared = self
-            .responses
-            .iter()
-            .any(|response| response.traits == crash.traits && response.at >= crash.at);
-        if is_known || is_cleared {
-            return false;
+    /// Adds a crash; returns whether it, or what clears it, is new. The latest are kept, in whatever
+    /// order they arrive.
+    pub(super) fn add_crash(&mut self, mut crash: UpstreamCrash) -> bool {
+        for response in &self.responses {
+            if response.at >= crash.at {
+                let common = TraitSet::common(crash.traits, response.traits);
+                crash.cleared.add(TraitSets::subsets_of(common));
+            }
+        }
+        if let Some(known) = self.crash_mut(crash.traits, crash.upstream) {
+            return known.cleared.add(crash.cleared);
         }
         if self.crashes.len() == MAX_CRASHES {
             if crash.at <= self.crashes[0].at + REPLACEMENT_MARGIN {
@@ -123,28 +128,35 @@
         true
     }
 
-    /// Adds a response; returns whether it clears a crash.
-    pub(super) fn add_response(&mut self, response: RequestResponse) -> bool {
-        let known = self.responses.iter().position(|known| known.traits == response.traits);
-        let known = known.map(|index| self.responses.remove(index));
-        let known_at = known.map(|known| known.at);
-        let latest = RequestResponse {
-            at: known_at.map_or(response.at, |at| at.max(response.at)),
-            ..response
-        };
+    fn crash_mut(&mut self, traits: RequestTraits, upstream: u32) -> Option<&mut UpstreamCrash> {
+        self.crashes.iter_mut().find(|known| known.traits == traits && known.upstream == upstream)
+    }
+
+    /// The crash of this upstream under a request with these traits.
+    pub(super) fn crash(&self, traits: RequestTraits, upstream: u32) -> Option<&UpstreamCrash> {
+        self.crashes.iter().find(|known| known.traits == traits && known.upstream == upstream)
+    }
+
+    /// Clears what has as much in common with a request that got a response; returns the crashes
+    /// for which that is new.
+    pub(super) fn clear(&mut self, traits: RequestTraits, now: Instant) -> Vec<UpstreamCrash> {
         if self.responses.len() == MAX_RESPONSES {
             self.responses.remove(0);
         }
-        let index = self.responses.partition_point(|known| known.at <= latest.at);
-        self.responses.insert(index, latest);
-        self.crashes.iter().any(|crash| Some(crash.at) > known_at && crash.at <= response.at)
+        self.responses.push(RequestResponse { traits, at: now });
+        let mut changed = Vec::new();
+        for crash in &mut self.crashes {
+            let common = TraitSet::common(crash.traits, traits);
+            if crash.cleared.add(TraitSets::subsets_of(common)) {
+                changed.push(*crash);
+            }
+        }
+        changed
     }
 
     /// Drops the records that no longer count; returns whether crashes are left.
     pub(super) fn retain_valid(&mut self, settings: &QuarantineSettings, now: Instant) -> bool {
-        let is_valid = |at: Instant| now.saturating_duration_since(at) < settings.record_ttl;
-        self.crashes.retain(|crash| is_valid(crash.at));
-        self.responses.retain(|response| is_valid(response.at));
+        self.crashes.retain(|crash| now.saturating_duration_since(crash.at) < settings.record_ttl);
         !self.crashes.is_empty()
     }
 }
--- a/src/limits/quarantine/mod.rs
+++ b/src/limits/quarantine/mod.rs
@@ -26,9 +26,9 @@
 
 use tokio::time::Instant;
 
-use crate::limits::quarantine::history::{RequestHistory, RequestResponse, UpstreamCrash};
+use crate::limits::quarantine::history::{RequestHistory, UpstreamCrash};
 pub use crate::limits::quarantine::request::{
-    RecordEffect, RequestFingerprint, RequestTraits, RunOutcome, RunRecord,
+    CrashRecord, RecordEffect, RequestFingerprint, RequestTraits, TraitSets,
 };
 use crate::util::FastMap;
 
@@ -68,13 +68,20 @@
     }
 }
 
-/// A record of this entry that has not been shared yet.
+/// A crash of which the other entries do not know, or not that it has been cleared.
 #[derive(Clone, Copy, Debug)]
-struct UnsharedRecord {
+struct UnsharedCrash {
     request: RequestFingerprint,
-    outcome: RunOutcome,
-    at: Instant,
+    upstream: u32,
     due_at: Instant,
+    /// Whether they know of the crash itself.
+    is_update: bool,
+}
+
+impl UnsharedCrash {
+    fn is_crash(&self, request: RequestFingerprint, upstream: u32) -> bool {
+        self.request == request && self.upstream == upstream
+    }
 }
 
 /// Target and content of a request.
@@ -83,7 +90,7 @@
 #[derive(Debug, Default)]
 struct TableState {
     histories: FastMap<HistoryKey, RequestHistory>,
-    unshared: Vec<UnsharedRecord>,
+    unshared: Vec<UnsharedCrash>,
 }
 
 impl TableState {
@@ -91,6 +98,12 @@
         self.histories.get(&(request.target, request.content))
     }
 
+    fn queue(&mut self, unshared: UnsharedCrash) {
+        if self.unshared.len() < MAX_UNSHARED_RECORDS {
+            self.unshared.push(unshared);
+        }
+    }
+
     fn has_target(&self, target: u64) -> bool {
         self.histories.keys().any(|(known, _)| *known == target)
     }
@@ -129,48 +142,64 @@
         Some(until.saturating_duration_since(now)).filter(|left| !left.is_zero())
     }
 
-    /// Records how a run by this entry has just ended, to be shared with the others.
+    /// Records that an upstream has just ended while it ran a request of this entry, to be shared
+    /// with the others.
     ///
-    /// The first crash of a history is shared after [`SHARE_DELAY`], unless a response comes before,
-    /// and at once if another follows.
-    pub fn record_own(
+    /// The first crash that nothing has cleared is shared after [`SHARE_DELAY`], unless a response clears it
+    /// before, and at once if another follows.
+    pub fn record_crash(
         &self,
         request: RequestFingerprint,
-        outcome: RunOutcome,
+        upstream: u32,
         now: Instant,
     ) -> RecordEffect {
-        let known_crashes = self.lock().history(request).map_or(0, |known| known.crashes.len());
-        let effect = self.record(RunRecord { request, outcome, age: Duration::ZERO }, now);
+        let is_first = !self.lock().history(request).is_some_and(RequestHistory::is_suspect);
+        let (cleared, age) = (TraitSets::default(), Duration::ZERO);
+        let effect = self.record(CrashRecord { request, upstream, cleared, age }, now);
         if effect == RecordEffect::None {
             return effect;
         }
         let mut state = self.lock();
-        let mut due_at = now;
-        let mut is_shared = true;
-        match outcome {
-            RunOutcome::UpstreamEnded(_) if known_crashes == 0 => due_at = now + SHARE_DELAY,
-            RunOutcome::UpstreamEnded(_) => {
-                for record in &mut state.unshared {
-                    if record.request == request {
-                        record.due_at = now;
-                    }
-                }
+        let due_at = if is_first { now + SHARE_DELAY } else { now };
+        for unshared in &mut state.unshared {
+            if unshared.request == request {
+                unshared.due_at = now;
             }
-            RunOutcome::Answered => {
-                let waiting = state.unshared.len();
-                state.unshared.retain(|record| record.request != request);
-                is_shared = waiting - state.unshared.len() < known_crashes;
-            }
-        }
-        if is_shared && state.unshared.len() < MAX_UNSHARED_RECORDS {
-            state.unshared.push(UnsharedRecord { request, outcome, at: now, due_at });
         }
+        state.queue(UnsharedCrash { request, upstream, due_at, is_update: false });
         effect
     }
 
+    /// Records that a request of this entry has got a response, which clears the crashes of what has
+    /// as much in common with it.
+    pub fn record_response(&self, request: RequestFingerprint, now: Instant) {
+        let mut state = self.lock();
+        let Some(history) = state.histories.get_mut(&(request.target, request.content)) else {
+            return;
+        };
+        for crash in history.clear(request.traits, now) {
+            let crashed = RequestFingerprint { traits: crash.traits, ..request };
+            let waiting = state.unshared.iter().position(|unshared| {
+                unshared.is_crash(crashed, crash.upstream) && !unshared.is_update
+            });
+            match waiting {
+                Some(index) if crash.cleared == TraitSets::ALL => {
+                    state.unshared.remove(index);
+                }
+                // It will be shared as it is then.
+                Some(_) => {}
+                None => {
+                    let upstream = crash.upstream;
+                    let (request, due_at) = (crashed, now);
+                    state.queue(UnsharedCrash { request, upstream, due_at, is_update: true });
+                }
+            }
+        }
+    }
+
     /// Applies a record, for example of another entry.
-    pub fn record(&self, record: RunRecord, now: Instant) -> RecordEffect {
-        let RunRecord { request, outcome, age } = record;
+    pub fn record(&self, record: CrashRecord, now: Instant) -> RecordEffect {
+        let CrashRecord { request, upstream, cleared, age } = record;
         let Some(at) = now.checked_sub(age) else { return RecordEffect::None };
         if age >= self.settings.record_ttl {
             return RecordEffect::None;
@@ -178,50 +207,43 @@
         let key = (request.target, request.content);
         let traits = request.traits;
         let mut state = self.lock();
-        match outcome {
-            RunOutcome::Answered => {
-                let Some(history) = state.histories.get_mut(&key) else {
-                    return RecordEffect::None;
-                };
-                let clears = history.add_response(RequestResponse { traits, at });
-                if clears { RecordEffect::New } else { RecordEffect::None }
-            }
-            RunOutcome::UpstreamEnded(upstream) => {
-                if !state.histories.contains_key(&key) {
-                    self.make_room(&mut state, now);
-                }
-                let history = state.histories.entry(key).or_default();
-                let is_refused = |history: &RequestHistory| {
-                    let until = history.refused_until(traits, &self.settings);
-                    until.is_some_and(|until| until > now)
-                };
-                history.retain_valid(&self.settings, now);
-                let was_refused = is_refused(history);
-                let is_new = history.add_crash(UpstreamCrash { upstream, traits, at });
-                let is_refused = is_refused(history);
-                self.update_count(&state);
-                match (is_new, is_refused && !was_refused) {
-                    (false, _) => RecordEffect::None,
-                    (true, false) => RecordEffect::New,
-                    (true, true) => RecordEffect::Refused,
-                }
-            }
+        if !state.histories.contains_key(&key) {
+            self.make_room(&mut state, now);
+        }
+        let history = state.histories.entry(key).or_default();
+        let is_refused = |history: &RequestHistory| {
+            history.refused_until(traits, &self.settings).is_some_and(|until| until > now)
+        };
+        history.retain_valid(&self.settings, now);
+        let was_refused = is_refused(history);
+        let is_new = history.add_crash(UpstreamCrash { upstream, traits, at, cleared });
+        let is_refused = is_refused(history);
+        self.update_count(&state);
+        match (is_new, is_refused && !was_refused) {
+            (false, _) => RecordEffect::None,
+            (true, false) => RecordEffect::New,
+            (true, true) => RecordEffect::Refused,
         }
     }
 
-    /// Takes this entry's records that are due to be shared.
-    pub fn take_unshared(&self, now: Instant) -> Vec<RunRecord> {
+    /// Takes the crashes that are due to be shared.
+    pub fn take_unshared(&self, now: Instant) -> Vec<CrashRecord> {
         let mut state = self.lock();
-        let due = state.unshared.extract_if(.., |record| record.due_at <= now);
-        let mut records = Vec::new();
-        for UnsharedRecord { request, outcome, at, .. } in due {
-            records.push(RunRecord { request, outcome, age: now - at });
+        let due = state.unshared.extract_if(.., |unshared| unshared.due_at <= now);
+        let due: Vec<UnsharedCrash> = due.collect();
+        let mut records = Vec::with_capacity(due.len());
+        for UnsharedCrash { request, upstream, .. } in due {
+            let history = state.history(request);
+            let crash = history.and_then(|history| history.crash(request.traits, upstream));
+            if let Some(crash) = crash {
+                records.push(crash.record(request, now));
+            }
         }
         records
     }
 
     /// All records of the histories by which requests are refused now.
-    pub fn refused_records(&self, now: Instant) -> Vec<RunRecord> {
+    pub fn refused_records(&self, now: Instant) -> Vec<CrashRecord> {
         let mut records = Vec::new();
         for ((target, content), history) in &self.lock().histories {
             if !self.refuses(history, now) {
@@ -230,16 +252,7 @@
             let request =
                 |traits| RequestFingerprint { target: *target, content: *content, traits };
             for crash in &history.crashes {
-                let outcome = RunOutcome::UpstreamEnded(crash.upstream);
-                records.push(RunRecord {
-                    request: request(crash.traits),
-                    outcome,
-                    age: now - crash.at,
-                });
-            }
-            for response in &history.responses {
-                let (request, outcome) = (request(response.traits), RunOutcome::Answered);
-                records.push(RunRecord { request, outcome, age: now - response.at });
+                records.push(crash.record(request(crash.traits), now));
             }
         }
         records
@@ -295,3 +308,10 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl UpstreamCrash {
+    fn record(&self, request: RequestFingerprint, now: Instant) -> CrashRecord {
+        let age = now.saturating_duration_since(self.at);
+        CrashRecord { request, upstream: self.upstream, cleared: self.cleared, age }
+    }
+}
--- a/src/limits/quarantine/request.rs
+++ b/src/limits/quarantine/request.rs
@@ -46,14 +46,51 @@
         (0..1 << TRAITS).map(Self)
     }
 
+    /// The traits that two requests have in common.
+    pub(super) fn common(one: RequestTraits, other: RequestTraits) -> Self {
+        let (one, other) = (one.values(), other.values());
+        let mut set = Self(0);
+        for index in 0..TRAITS {
+            set.0 |= u8::from(one[index] == other[index]) << index;
+        }
+        set
+    }
+
     pub(super) fn contains(self, index: usize) -> bool {
         self.0 & 1 << index != 0
     }
 
-    /// Whether the requests have all traits of this set in common.
-    pub(super) fn is_common(self, one: RequestTraits, other: RequestTraits) -> bool {
-        let (one, other) = (one.values(), other.values());
-        (0..TRAITS).all(|index| !self.contains(index) || one[index] == other[index])
+    pub(super) fn is_subset(self, other: Self) -> bool {
+        self.0 & other.0 == self.0
+    }
+}
+
+/// Sets of traits, one bit each: the eight subsets of three traits.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TraitSets(pub u8);
+
+impl TraitSets {
+    /// All sets.
+    pub(super) const ALL: Self = Self(u8::MAX);
+
+    /// The set and all of its subsets.
+    pub(super) fn subsets_of(set: TraitSet) -> Self {
+        let mut sets = Self::default();
+        for subset in TraitSet::all() {
+            sets.0 |= u8::from(subset.is_subset(set)) << subset.0;
+        }
+        sets
+    }
+
+    pub(super) fn contains(self, set: TraitSet) -> bool {
+        self.0 & 1 << set.0 != 0
+    }
+
+    /// Adds sets; returns whether one of them is new.
+    pub(super) fn add(&mut self, other: Self) -> bool {
+        let known = self.0;
+        self.0 |= other.0;
+        self.0 != known
     }
 }
 
@@ -68,23 +105,17 @@
     }
 }
 
-/// How a run of a request ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RunOutcome {
-    /// The upstream ended: the digest of its name and start, which differs between its processes.
-    UpstreamEnded(u32),
-    /// The upstream responded, so the request does not crash every upstream.
-    Answered,
-}
-
-/// How a run of a request ended, and when.
+/// An upstream that ended while it ran a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct RunRecord {
+pub struct CrashRecord {
     /// The request.
     pub request: RequestFingerprint,
-    /// How the run ended.
-    pub outcome: RunOutcome,
-    /// Time since then.
+    /// Digest of the upstream's name and start, which differs between its processes.
+    pub upstream: u32,
+    /// The sets of traits that a later request had in common with this one when it got a response.
+    /// What such a set selects does not crash every upstream.
+    pub cleared: TraitSets,
+    /// Time since the crash.
     pub age: Duration,
 }
 
@@ -93,7 +124,7 @@
 pub enum RecordEffect {
     /// Nothing: it was known already, or is too old.
     None,
-    /// It is new.
+    /// It is new, or shows that the crash has been cleared.
     New,
     /// It is new, and its request is refused from now on.
     Refused,
--- a/src/request/crash_watch.rs
+++ b/src/request/crash_watch.rs
@@ -1,8 +1,8 @@
 //! Watches for requests that crash the upstreams that run them, and refuses those.
 //!
 //! ```text
-//! connection broken -> does the upstream still accept connections? --no--> UpstreamEnded
-//! response -----------------------------------------------------------> Answered
+//! connection broken -> does the upstream still accept connections? --no--> record_crash
+//! response -----------------------------------------------------------> record_response
 //! ```
 //!
 //! Whether the upstream has ended is checked, since a connection also breaks for other reasons: the
@@ -19,7 +19,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::core::{HeaderNames, UpstreamState};
-use crate::limits::{RecordEffect, RequestFingerprint, RequestTraits, RunOutcome};
+use crate::limits::{RecordEffect, RequestFingerprint, RequestTraits};
 use crate::request::attempt::{
     AttemptOutcome, AttemptRequest, ConnectionPolicy, NotRunProof, UnknownCause, UpstreamClient,
 };
@@ -84,8 +84,7 @@
         match outcome {
             OutcomeKind::Answered => {
                 if let Some(request) = self.suspect_fingerprint(ctx) {
-                    let now = Instant::now();
-                    ctx.quarantine.record_own(request, RunOutcome::Answered, now);
+                    ctx.quarantine.record_response(request, Instant::now());
                 }
             }
             OutcomeKind::Unknown(UnknownCause::ConnectionBroken) => {
@@ -99,8 +98,8 @@
 
     fn record_crash<C, P>(&self, upstream: &UpstreamState, ctx: &ExecutionContext<'_, C, P>) {
         let request = self.fingerprint(self.target_digest(), &ctx.settings.headers);
-        let ended = RunOutcome::UpstreamEnded(lifetime_digest(upstream));
-        let effect = ctx.quarantine.record_own(request, ended, Instant::now());
+        let digest = lifetime_digest(upstream);
+        let effect = ctx.quarantine.record_crash(request, digest, Instant::now());
         let id = self.headers.get(&ctx.settings.headers.request_id);
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
         let caller = self.caller.map(|caller| caller.0.to_string()).unwrap_or_default();
@@ -160,11 +159,11 @@
     u64::from_be_bytes(word)
 }
 
-/// Digest of an upstream's process, not 0: an upstream may start again under the same name.
+/// Digest of an upstream's process: an upstream may start again under the same name.
 fn lifetime_digest(upstream: &UpstreamState) -> u32 {
     let started_ms = upstream.spec.started_ms.unwrap_or_default();
     let bytes = upstream.name.bytes().chain([0]).chain(started_ms.to_be_bytes());
-    (fnv1a(bytes) as u32).max(1)
+    fnv1a(bytes) as u32
 }
 
 /// What a new connection shows of an upstream.
--- a/tests/testsuite/quarantine.rs
+++ b/tests/testsuite/quarantine.rs
@@ -8,8 +8,8 @@
 };
 use heatherfall::fleet::peer_message::{MessageError, MessageKey};
 use heatherfall::limits::{
-    QuarantineSettings, QuarantineTable, RecordEffect, RequestFingerprint, RequestTraits,
-    RunOutcome, RunRecord,
+    CrashRecord, QuarantineSettings, QuarantineTable, RecordEffect, RequestFingerprint,
+    RequestTraits, TraitSets,
 };
 use heatherfall::util::SeededRandom;
 use proptest::prelude::*;
@@ -17,20 +17,19 @@
 
 const TRAITS: RequestTraits = RequestTraits { query: 1, caller: 1, headers: 1 };
 const REQUEST: RequestFingerprint = RequestFingerprint { target: 7, content: 1, traits: TRAITS };
+/// All sets of traits.
+const ALL_SETS: TraitSets = TraitSets(u8::MAX);
 /// Differs from [`REQUEST`] in the content alone.
 const OTHER: RequestFingerprint = RequestFingerprint { content: 2, ..REQUEST };
 
-fn ended(upstream: u32) -> RunOutcome {
-    RunOutcome::UpstreamEnded(upstream)
-}
-
-fn record(request: RequestFingerprint, outcome: RunOutcome, age_ms: u64) -> RunRecord {
-    RunRecord { request, outcome, age: Duration::from_millis(age_ms) }
+fn crash(request: RequestFingerprint, upstream: u32, age_ms: u64) -> CrashRecord {
+    let age = Duration::from_millis(age_ms);
+    CrashRecord { request, upstream, cleared: TraitSets::default(), age }
 }
 
 fn crash_three(table: &QuarantineTable) {
     for upstream in 1..=3 {
-        table.record_own(REQUEST, ended(upstream), Instant::now());
+        table.record_crash(REQUEST, upstream, Instant::now());
     }
 }
 
@@ -45,9 +44,9 @@
         (3, RecordEffect::Refused),
         (4, RecordEffect::New),
     ] {
-        assert_eq!(table.record_own(REQUEST, ended(upstream), Instant::now()), effect);
+        assert_eq!(table.record_crash(REQUEST, upstream, Instant::now()), effect);
     }
-    table.record_own(OTHER, ended(1), Instant::now());
+    table.record_crash(OTHER, 1, Instant::now());
     let left = table.refusal_left(REQUEST, Instant::now());
     assert_eq!(left, Some(QuarantineSettings::default().refusal_time));
     assert_eq!(table.refusal_left(OTHER, Instant::now()), None);
@@ -75,7 +74,7 @@
     for (index, requests) in crashing.into_iter().enumerate() {
         let table = QuarantineTable::default();
         for (request, upstream) in requests.into_iter().zip(1..) {
-            table.record_own(request, ended(upstream), Instant::now());
+            table.record_crash(request, upstream, Instant::now());
             advance(Duration::from_millis(100)).await;
         }
         let now = Instant::now();
@@ -92,7 +91,7 @@
 async fn upstreams_that_fail_together_do_not_have_a_popular_target_refused() {
     let table = QuarantineTable::default();
     for upstream in 1..=10 {
-        table.record_own(varied(1, upstream, 1), ended(upstream), Instant::now());
+        table.record_crash(varied(1, upstream, 1), upstream, Instant::now());
         advance(Duration::from_millis(4)).await;
     }
     assert_eq!(table.refusal_left(varied(1, 99, 1), Instant::now()), None);
@@ -103,32 +102,48 @@
 async fn a_response_to_another_caller_shows_that_the_caller_matters() {
     let table = QuarantineTable::default();
     for upstream in 1..=6 {
-        table.record_own(varied(1, upstream, 1), ended(upstream), Instant::now());
+        table.record_crash(varied(1, upstream, 1), upstream, Instant::now());
         advance(Duration::from_millis(100)).await;
         if upstream % 2 == 0 {
-            table.record_own(varied(1, 99, 1), RunOutcome::Answered, Instant::now());
+            table.record_response(varied(1, 99, 1), Instant::now());
         }
     }
     assert_eq!(table.refusal_left(varied(1, 98, 1), Instant::now()), None);
 }
 
+/// Guards against a message to all entries for each response of a popular target.
+#[tokio::test(start_paused = true)]
+async fn responses_that_clear_nothing_further_are_not_shared() {
+    let table = QuarantineTable::default();
+    table.record_crash(varied(1, 1, 1), 1, Instant::now());
+    advance(Duration::from_secs(1)).await;
+    assert_eq!(table.take_unshared(Instant::now()).len(), 1);
+    let mut shared = 0;
+    for caller in 2..1000 {
+        table.record_response(varied(1, caller, 1), Instant::now());
+        table.record_response(varied(caller, caller, 1), Instant::now());
+        shared += table.take_unshared(Instant::now()).len();
+    }
+    assert_eq!(shared, 1);
+    table.record_response(varied(1, 1, 1), Instant::now());
+    assert_eq!(table.take_unshared(Instant::now()).len(), 1);
+    assert_eq!(table.refused_requests(Instant::now()), 0);
+}
+
 /// Guards against the refusal of a request that upstreams took along with them when they ended for
 /// other reasons, over a long time.
 #[tokio::test(start_paused = true)]
 async fn a_response_clears_a_request_also_of_crashes_that_are_reported_later() {
     let table = QuarantineTable::default();
     for upstream in 1..=20 {
-        table.record_own(REQUEST, ended(upstream), Instant::now());
+        table.record_crash(REQUEST, upstream, Instant::now());
         advance(Duration::from_secs(1)).await;
-        table.record_own(REQUEST, RunOutcome::Answered, Instant::now());
-        assert_eq!(
-            table.record(record(REQUEST, ended(100), 500), Instant::now()),
-            RecordEffect::None
-        );
+        table.record_response(REQUEST, Instant::now());
+        table.record(crash(REQUEST, 100 + upstream, 500), Instant::now());
     }
     advance(Duration::from_secs(1)).await;
-    table.record_own(REQUEST, ended(21), Instant::now());
-    table.record_own(REQUEST, ended(22), Instant::now());
+    table.record_crash(REQUEST, 21, Instant::now());
+    table.record_crash(REQUEST, 22, Instant::now());
     assert_eq!(table.refusal_left(REQUEST, Instant::now()), None);
 }
 
@@ -136,7 +151,7 @@
 async fn old_crashes_do_not_count() {
     let table = QuarantineTable::default();
     for upstream in 1..=10 {
-        table.record_own(REQUEST, ended(upstream), Instant::now());
+        table.record_crash(REQUEST, upstream, Instant::now());
         advance(Duration::from_secs(330)).await;
     }
     assert_eq!(table.refusal_left(REQUEST, Instant::now()), None);
@@ -152,7 +167,7 @@
     let (forward, backward) = (QuarantineTable::default(), QuarantineTable::default());
     advance(Duration::from_secs(60)).await;
     let now = Instant::now();
-    let crash = |upstream: u32| record(REQUEST, ended(upstream), u64::from(30 - upstream) * 1000);
+    let crash = |upstream: u32| crash(REQUEST, upstream, u64::from(30 - upstream) * 1000);
     for upstream in 0..30 {
         forward.record(crash(upstream), now);
         backward.record(crash(29 - upstream), now);
@@ -174,7 +189,7 @@
     advance(QuarantineSettings::default().refusal_time).await;
     table.remove_expired(Instant::now());
     assert_eq!(table.refusal_left(REQUEST, Instant::now()), None);
-    assert_eq!(table.record_own(REQUEST, ended(4), Instant::now()), RecordEffect::Refused);
+    assert_eq!(table.record_crash(REQUEST, 4, Instant::now()), RecordEffect::Refused);
     assert!(table.refusal_left(REQUEST, Instant::now()).is_some());
 }
 
@@ -184,7 +199,7 @@
     let table = QuarantineTable::new(settings);
     for content in 0..1000 {
         let request = RequestFingerprint { target: content % 7, content, traits: TRAITS };
-        table.record_own(request, ended(1), Instant::now());
+        table.record_crash(request, 1, Instant::now());
         advance(Duration::from_millis(1)).await;
     }
     assert!(!table.has_target(8));
@@ -195,25 +210,27 @@
 #[tokio::test(start_paused = true)]
 async fn a_crash_is_shared_unless_a_response_follows_at_once() {
     let table = QuarantineTable::default();
-    table.record_own(REQUEST, ended(1), Instant::now());
-    table.record_own(OTHER, ended(1), Instant::now());
+    table.record_crash(REQUEST, 1, Instant::now());
+    table.record_crash(OTHER, 1, Instant::now());
     advance(Duration::from_millis(200)).await;
     assert_eq!(table.take_unshared(Instant::now()), []);
-    table.record_own(OTHER, RunOutcome::Answered, Instant::now());
+    table.record_response(OTHER, Instant::now());
     advance(Duration::from_millis(300)).await;
     let shared = table.take_unshared(Instant::now());
-    assert_eq!(shared, [record(REQUEST, ended(1), 500)]);
+    assert_eq!(shared, [crash(REQUEST, 1, 500)]);
     // The others know of the crash, so they must learn of the response.
-    table.record_own(REQUEST, RunOutcome::Answered, Instant::now());
+    table.record_response(REQUEST, Instant::now());
     let shared = table.take_unshared(Instant::now());
-    assert_eq!(shared, [record(REQUEST, RunOutcome::Answered, 0)]);
+    assert_eq!(shared, [CrashRecord { cleared: ALL_SETS, ..crash(REQUEST, 1, 500) }]);
+    table.record_response(REQUEST, Instant::now());
+    assert_eq!(table.take_unshared(Instant::now()), []);
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_second_crash_is_shared_at_once_with_the_first() {
     let table = QuarantineTable::default();
-    table.record_own(REQUEST, ended(1), Instant::now());
-    table.record_own(REQUEST, ended(2), Instant::now());
+    table.record_crash(REQUEST, 1, Instant::now());
+    table.record_crash(REQUEST, 2, Instant::now());
     assert_eq!(table.take_unshared(Instant::now()).len(), 2);
 }
 
@@ -234,7 +251,7 @@
         Self { tables, relays, random: SeededRandom::new(seed) }
     }
 
-    fn deliver(&mut self, from: usize, to: usize, records: &[RunRecord]) {
+    fn deliver(&mut self, from: usize, to: usize, records: &[CrashRecord]) {
         if self.random.below(3) == 0 {
             return;
         }
@@ -287,7 +304,7 @@
     for seed in 0..200 {
         let mut fleet = RelayFleet::new(seed);
         for (entry, upstream) in [(5, 1), (7, 2), (9, 3)] {
-            fleet.tables[entry].record_own(REQUEST, ended(upstream), Instant::now());
+            fleet.tables[entry].record_crash(REQUEST, upstream, Instant::now());
             fleet.run(Duration::from_millis(700)).await;
         }
         fleet.run(Duration::from_millis(2300)).await;
@@ -306,7 +323,7 @@
 #[test]
 fn damaged_crash_updates_are_rejected() {
     let key = MessageKey::new("key").expect("a key");
-    let records = [record(REQUEST, ended(9), 0), record(OTHER, RunOutcome::Answered, 300)];
+    let records = [crash(REQUEST, 9, 0), CrashRecord { cleared: ALL_SETS, ..crash(OTHER, 1, 300) }];
     let datagrams = encode_crash_updates(&key, &records);
     let payload = key.verify(&datagrams[0]).expect("signed");
     assert_eq!(decode_crash_update(payload), Some(Ok(records.to_vec())));
