--- a/src/limits/quarantine/history.rs
+++ b/src/limits/quarantine/history.rs
@@ -15,7 +15,7 @@
 /// of crashes within some hundred milliseconds only, and must not replace them by turns.
 const REPLACEMENT_MARGIN: Duration = Duration::from_secs(1);
 /// Least time between crashes that count if they do not have all traits in common. Upstreams that
-/// fail together take along several requests for the same popular target.
+/// fail together were running several requests for the same popular target.
 const MIN_CRASH_GAP: Duration = Duration::from_millis(50);
 
 /// The records of the requests with one target and content.
--- a/src/limits/quarantine/mod.rs
+++ b/src/limits/quarantine/mod.rs
@@ -14,8 +14,8 @@
 //!   callers 1, 2, 3      caller 4       yes, unless a request got a response since
 //! ```
 //!
-//! An upstream that ends takes along whatever else it was running. A response therefore clears what
-//! has as much in common with its request: that does not crash every upstream.
+//! An upstream that ends also ends whatever else it was running. A response therefore clears the
+//! crashes of what has as much in common with its request: that does not crash every upstream.
 
 mod history;
 mod request;
@@ -34,8 +34,8 @@
 
 /// Own records that wait to be shared.
 const MAX_UNSHARED_RECORDS: usize = 1024;
-/// Time after which the first crash under a request is shared. Most requests that an upstream takes
-/// along with it when it ends get a response elsewhere until then.
+/// Time after which the first crash under a request is shared. Most requests that were running at an
+/// upstream when it ended get a response elsewhere until then.
 const SHARE_DELAY: Duration = Duration::from_millis(500);
 
 /// Bounds of a [`QuarantineTable`].
--- a/src/limits/quarantine/request.rs
+++ b/src/limits/quarantine/request.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-/// What a request consists of that comes again, as digests.
+/// Identity of a request over all of its sends, as digests.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct RequestFingerprint {
     /// Method, host and path.
     pub target: u64,
     /// Content.
     pub content: u64,
-    /// What may or may not matter.
+    /// The rest, of which some or all may matter.
     pub traits: RequestTraits,
 }
 
