--- a/src/limits/quarantine/mod.rs
+++ b/src/limits/quarantine/mod.rs
@@ -145,8 +145,8 @@
     /// Records that an upstream has just ended while it ran a request of this entry, to be shared
     /// with the others.
     ///
-    /// The first crash that nothing has cleared is shared after [`SHARE_DELAY`], unless a response clears it
-    /// before, and at once if another follows.
+    /// The first crash that nothing has cleared is shared after half a second, unless a response
+    /// clears it before, and at once if another follows.
     pub fn record_crash(
         &self,
         request: RequestFingerprint,
