--- a/src/limits/quarantine/mod.rs
+++ b/src/limits/quarantine/mod.rs
@@ -68,7 +68,7 @@
     }
 }
 
-/// A crash of which the other entries do not know, or not that it has been cleared.
+/// A crash, or the fact that something has cleared it, that the other entries do not know yet.
 #[derive(Clone, Copy, Debug)]
 struct UnsharedCrash {
     request: RequestFingerprint,
--- a/src/request/crash_watch.rs
+++ b/src/request/crash_watch.rs
@@ -147,7 +147,7 @@
     digest([&length, &body[..body.len().min(MAX_DIGESTED_BYTES)]])
 }
 
-/// First word of SHA-256 over the parts and their lengths. Callers cannot construct collisions.
+/// First word of SHA-256 over the parts and their lengths.
 fn digest<const PARTS: usize>(parts: [&[u8]; PARTS]) -> u64 {
     let mut digest = Sha256::new();
     for part in parts {
