--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -3,6 +3,7 @@
 mod candidate_pool;
 mod load_picker;
 mod observe;
+mod path_monitor;
 mod pick;
 mod probe_budget;
 mod probe_plan;
@@ -11,6 +12,7 @@
 
 pub use self::load_picker::{LoadPicker, LoadPickerSettings};
 pub use self::observe::{ObserveSettings, record_shared_report};
+pub use self::path_monitor::{PathChange, PathMonitor, PathResult, PathTrial, PathVerdict};
 pub use self::pick::{
     PickPurpose, PickRefusal, PickRequest, RequestProfile, TwoChoicesPicker, UpstreamPicker,
 };
--- a/src/core/header.rs
+++ b/src/core/header.rs
@@ -17,6 +17,12 @@
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 /// Present on a response that was stored for an earlier request with the same idempotency key.
 pub const REPLAYED_HEADER: &str = "heatherfall-replayed";
+/// What an entry tells a peer about a request that it forwards; not on requests to upstreams.
+pub const FORWARDED_HEADER: &str = "heatherfall-forwarded";
+/// Why a peer has not taken a forwarded request, which has not run.
+pub const FORWARD_REFUSED_HEADER: &str = "heatherfall-forward-refused";
+/// Name of the upstream that has answered a forwarded request; not on responses to callers.
+pub const UPSTREAM_HEADER: &str = "heatherfall-upstream";
 /// Identity of the request, passed on to the upstream.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Set by an upstream that did not run the request.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O; only drain signals, rate limits and statistics read the clock.
 
 mod drain_signal;
+mod entry_peer;
 mod header;
 mod identity;
 mod label;
@@ -16,10 +17,12 @@
 mod upstream_stats;
 
 pub use self::drain_signal::{DRAIN_SIGNAL_TTL, DrainObservation, DrainSignal, FLAP_HOLD_DOWN};
+pub use self::entry_peer::EntryPeer;
 pub use self::header::{
-    DEADLINE_HEADER, HeaderNames, IDEMPOTENCY_KEY_HEADER, LOAD_METRICS_HEADER, LoadReportFormat,
-    NOT_DISPATCHED_HEADER, NOT_RUN_HEADER, REPLAYED_HEADER, REQUEST_ID_HEADER, RESULT_CODE_HEADER,
-    RETRY_ALLOWANCE_HEADER, UPSTREAM_DRAIN_HEADER, UPSTREAM_NOT_RUN_HEADER,
+    DEADLINE_HEADER, FORWARD_REFUSED_HEADER, FORWARDED_HEADER, HeaderNames, IDEMPOTENCY_KEY_HEADER,
+    LOAD_METRICS_HEADER, LoadReportFormat, NOT_DISPATCHED_HEADER, NOT_RUN_HEADER, REPLAYED_HEADER,
+    REQUEST_ID_HEADER, RESULT_CODE_HEADER, RETRY_ALLOWANCE_HEADER, UPSTREAM_DRAIN_HEADER,
+    UPSTREAM_HEADER, UPSTREAM_NOT_RUN_HEADER,
 };
 pub use self::identity::{FailureDomain, GenerationNumber, TenantId, VmId};
 pub use self::label::{LabelSet, is_label_key, is_label_value};
--- a/src/core/result_code.rs
+++ b/src/core/result_code.rs
@@ -20,6 +20,12 @@
                 match self { $(Self::$name => $number,)+ }
             }
 
+            /// Reads the displayed form of a code; `None` if there is no such code.
+            pub fn parse(text: &str) -> Option<Self> {
+                let number = text.strip_prefix("HF-")?.parse::<u16>().ok()?;
+                Self::ALL.iter().copied().find(|code| code.number() == number)
+            }
+
             /// One sentence that describes the result.
             pub fn summary(self) -> &'static str {
                 match self { $(Self::$name => $summary,)+ }
--- a/src/core/upstream_stats.rs
+++ b/src/core/upstream_stats.rs
@@ -153,6 +153,19 @@
         Duration::from_nanos(until.saturating_sub(self.nanos_at(now)))
     }
 
+    /// Forgets failures since a point in time, and the ejection that they caused.
+    pub fn forget_failures_since(&self, since: Instant) {
+        let since = self.nanos_at(since);
+        if self.last_failure_at.get().is_none_or(|failed_at| failed_at < since) {
+            return;
+        }
+        self.last_failure_at.clear();
+        self.error_rate.set(0.0);
+        self.consecutive_failures.store(0, Ordering::Relaxed);
+        self.consecutive_ejections.store(0, Ordering::Relaxed);
+        self.ejected_until.clear();
+    }
+
     /// Whether the upstream is ejected at `now`.
     pub fn is_ejected(&self, now: Instant) -> bool {
         self.ejected_until.get().is_some_and(|until| self.nanos_at(now) < until)
--- a/src/fleet/directory.rs
+++ b/src/fleet/directory.rs
@@ -39,24 +39,30 @@
 
     /// Caller addresses of the ready entries in the failure domain, up to a limit per response.
     ///
-    /// If none is ready, those of leaving ones, which still serve during their shutdown.
+    /// Entries without a path to the upstreams are left out, unless that would leave fewer than half:
+    /// they still serve, by others. If none is ready, those of leaving ones, which still serve during
+    /// their shutdown.
     pub fn addresses(&self) -> Vec<SocketAddr> {
-        let ready = self.addresses_in(EntryState::Ready);
-        if ready.is_empty() { self.addresses_in(EntryState::Leaving) } else { ready }
+        let mut addresses = self.addresses_in(EntryState::Ready);
+        if addresses.is_empty() {
+            addresses = self.addresses_in(EntryState::Leaving);
+        }
+        addresses.truncate(MAX_ADDRESSES);
+        addresses
     }
 
     fn addresses_in(&self, state: EntryState) -> Vec<SocketAddr> {
         let view = self.membership.load();
-        let mut addresses = Vec::new();
+        let (mut connected, mut all) = (Vec::new(), Vec::new());
         for entry in &view.entries {
             if entry.failure_domain != self.failure_domain || entry.state != state {
                 continue;
             }
-            addresses.push(entry.caller_address);
-            if addresses.len() == MAX_ADDRESSES {
-                break;
+            all.push(entry.caller_address);
+            if entry.has_path {
+                connected.push(entry.caller_address);
             }
         }
-        addresses
+        if 2 * connected.len() >= all.len() { connected } else { all }
     }
 }
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -16,7 +16,7 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use crate::balance::{UtilityPicker, UtilityPickerSettings};
+use crate::balance::{PathMonitor, UtilityPicker, UtilityPickerSettings};
 use crate::core::{FailureDomain, HeaderNames, ResultCode, SharedSnapshot, VmId};
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::control_api::ControlApi;
@@ -25,6 +25,7 @@
 use crate::fleet::fleet_metrics::FleetMetrics;
 use crate::fleet::live_settings::LiveSettings;
 use crate::fleet::load_probe::{LoadProbeService, LoadProbeSettings, LoadRecorder};
+use crate::fleet::path_check::{CHECK_CONNECT_TIMEOUT, PathCheckService};
 use crate::fleet::peer_service::PeerService;
 use crate::fleet::peer_table::{EntryRegistration, PeerTable};
 use crate::fleet::read_schedule::ReadSchedule;
@@ -39,12 +40,13 @@
 };
 use crate::platform::PlatformStore;
 use crate::request::{
-    DataPlane, ExecutionSettings, HedgeTrigger, LoadCheckSettings, RetryAfterFormat,
+    DataPlane, ExecutionSettings, ForwardTable, HedgeTrigger, LoadCheckSettings, PeerForwarder,
+    RetryAfterFormat,
 };
 use crate::serve::{
     CallerServer, CallerServerSettings, ConnectionPool, HttpUpstreamClient, LatencyMetrics,
-    LeavingFlag, LimitMetrics, PoolSettings, ProxyService, ProxySettings, ResponseFraming,
-    UpstreamPoolSettings,
+    LeavingFlag, LimitMetrics, PoolSettings, ProxyService, ProxySettings, RequestOrigin,
+    ResponseFraming, UpstreamPoolSettings,
 };
 use crate::util::SeededRandom;
 
@@ -157,8 +159,14 @@
     let registry = Registry::new();
     let membership = SharedMembership::default();
     let pool = ConnectionPool::new(pool_settings(), Arc::clone(&membership));
-    let client =
-        HttpUpstreamClient::new(pool.clone()).with_framing(ResponseFraming::AllowCloseDelimited);
+    let path = Arc::new(PathMonitor::default());
+    let client = HttpUpstreamClient::new(pool.clone())
+        .with_framing(ResponseFraming::AllowCloseDelimited)
+        .with_path_monitor(Arc::clone(&path));
+    let forward_table =
+        Arc::new(ForwardTable::new(Arc::clone(&path), SeededRandom::from_entropy()));
+    let forwarder =
+        PeerForwarder { client: unmonitored_client(CONNECT_TIMEOUT), table: forward_table };
     let snapshot = SharedSnapshot::default();
     let freshness = Arc::new(ConfigFreshness::default());
     let probe_headers = headers.clone();
@@ -181,6 +189,8 @@
         is_gate_disabled: true,
         part_seed: SeededRandom::from_entropy().bits(),
     });
+    let forward_table = Arc::clone(&forwarder.table);
+    let plane = plane.with_forwarder(forwarder);
     LimitMetrics::register(&registry, plane.limits()).into_diagnostic()?;
 
     let state = FleetState::new(
@@ -193,6 +203,7 @@
     );
     let state = state
         .with_quarantine(plane.quarantine())
+        .with_forwarding(forward_table)
         .with_read_schedule(ReadSchedule::new(&settings.changes))
         .with_metrics(FleetMetrics::new(&registry).into_diagnostic()?);
     let state = Arc::new(state);
@@ -220,8 +231,15 @@
         state: Arc::clone(&state),
         settings: LoadProbeSettings { live: live_settings.clone(), headers: probe_headers },
         recorder: LoadRecorder::default(),
+        path: Arc::clone(&path),
         probes_sent: probe_counter(&registry)?,
     });
+    kernel.start_task(PathCheckService {
+        client: unmonitored_client(CHECK_CONNECT_TIMEOUT),
+        state: Arc::clone(&state),
+        monitor: path,
+        random: SeededRandom::from_entropy(),
+    });
 
     let stops = EntryStops::default();
     let directory =
@@ -240,7 +258,11 @@
     let metrics = LatencyMetrics::new(&registry).into_diagnostic()?;
     let proxy = Arc::new(ProxyService::new(plane, addresses, metrics, proxy_settings()));
     let leaving_flag = proxy.leaving_flag();
-    let callers = tokio::spawn(sockets.callers.run(proxy, stops.callers.clone()));
+    let forwarded = sockets.forwarded.run(Arc::clone(&proxy), stops.callers.clone());
+    let callers = sockets.callers.run(proxy, stops.callers.clone());
+    let callers = tokio::spawn(async move {
+        tokio::join!(callers, forwarded);
+    });
     tokio::spawn(pool.maintain(stops.control.clone()));
     log::info!(
         target: "node",
@@ -258,6 +280,8 @@
     callers: CallerServer,
     control: Vec<TcpListener>,
     peers: UdpSocket,
+    /// Requests that peers forward, on the same port as their datagrams.
+    forwarded: CallerServer,
 }
 
 impl EntrySockets {
@@ -268,6 +292,9 @@
             max_head_bytes: MAX_CALLER_HEAD_BYTES,
             ..Default::default()
         };
+        let forwarded = CallerServer::bind(listen.peers, server_settings.clone()).await;
+        let forwarded = forwarded.into_diagnostic().wrap_err_with(|| failed("peers"))?;
+        let forwarded = forwarded.with_origin(RequestOrigin::Peers);
         let callers = CallerServer::bind(listen.callers, server_settings);
         let callers = callers.await.into_diagnostic().wrap_err_with(|| failed("callers"))?;
         let mut control = Vec::new();
@@ -279,7 +306,7 @@
         }
         let peers = UdpSocket::bind(listen.peers).await;
         let peers = peers.into_diagnostic().wrap_err_with(|| failed("peers"))?;
-        Ok(Self { callers, control, peers })
+        Ok(Self { callers, control, peers, forwarded })
     }
 }
 
@@ -294,6 +321,7 @@
         caller_address: settings.listen.callers,
         peer_address: settings.listen.peers,
         state: EntryState::Starting,
+        has_path: true,
     }
 }
 
@@ -303,6 +331,16 @@
     PoolSettings { per_upstream, connect_timeout: CONNECT_TIMEOUT }
 }
 
+/// A client whose connections are apart from those to upstreams, and tell nothing about the path to
+/// them.
+fn unmonitored_client(connect_timeout: Duration) -> HttpUpstreamClient {
+    // Nothing trims the idle connections of this pool, so it keeps none.
+    let per_upstream = UpstreamPoolSettings { max_idle_connections: 0, ..Default::default() };
+    let settings = PoolSettings { per_upstream, connect_timeout };
+    HttpUpstreamClient::new(ConnectionPool::new(settings, SharedMembership::default()))
+        .with_framing(ResponseFraming::AllowCloseDelimited)
+}
+
 fn execution_settings(headers: HeaderNames, max_per_second: f64) -> ExecutionSettings {
     ExecutionSettings {
         headers,
--- a/src/fleet/load_probe.rs
+++ b/src/fleet/load_probe.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
-use crate::balance::{LoadReport, ObserveSettings, record_shared_report};
+use crate::balance::{LoadReport, ObserveSettings, PathMonitor, PathTrial, record_shared_report};
 use crate::core::{ConfigSnapshot, FailureDomain, HeaderNames, UpstreamKey, UpstreamState};
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::live_settings::LiveSettings;
@@ -75,6 +75,8 @@
     pub settings: LoadProbeSettings,
     /// Records the measured loads.
     pub recorder: LoadRecorder,
+    /// Whether this entry has a path to the upstreams; without one it probes none.
+    pub path: Arc<PathMonitor>,
     /// Number of probes sent.
     pub probes_sent: IntCounter,
 }
@@ -150,7 +152,7 @@
         let snapshot = self.state.snapshot.load_full();
         let Some(snapshot) = snapshot else { return };
         let now = Instant::now();
-        if self.state.enrolment_deadline(now).is_some() {
+        if self.state.enrolment_deadline(now).is_some() || self.path.is_cut() {
             return;
         }
         let (probers, local_domain) = {
@@ -182,7 +184,9 @@
         }
         self.probes_sent.inc();
         let outcome = probe_load(&self.client, upstream, &self.settings.headers, PROBE_TIMEOUT);
-        let LoadProbeOutcome::Reported(report) = outcome.await else { return };
+        let outcome = outcome.await;
+        self.path.record(upstream.spec.address, PathTrial::Exchange, outcome.path_result());
+        let LoadProbeOutcome::Reported(report) = outcome else { return };
         let measured = Instant::now();
         record_shared_report(upstream, report, Duration::ZERO, &self.recorder.settings);
         let load = MeasuredLoad {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -30,6 +30,7 @@
 //! - [`crash_update`]: which requests crash upstreams, shared by `crash_exchange`.
 //! - [`load_probe`]: probes the load of the local upstreams; [`load_update`]: sends it to other
 //!   failure domains.
+//! - [`path_check`]: checks whether this entry has a path to the upstreams.
 //! - [`directory`], [`control_api`]: HTTP API for callers, the platform and operators.
 //! - [`entry_node`]: wires one entry.
 
@@ -47,6 +48,7 @@
 pub mod load_probe;
 pub mod load_update;
 pub mod objects;
+pub mod path_check;
 pub mod peer_message;
 pub mod peer_service;
 pub mod peer_table;
--- a/src/fleet/peer_message.rs
+++ b/src/fleet/peer_message.rs
@@ -13,6 +13,7 @@
 
 use crate::fleet::view::{ViewChange, ViewWatermark};
 use crate::membership::EntryState;
+use crate::request::{ForwardKey, ForwardKeys};
 
 /// Length of the truncated HMAC; RFC 2104, section 5, allows half of the hash's output.
 const MAC_BYTES: usize = 16;
@@ -45,6 +46,12 @@
     /// heartbeats don't reach all entries.
     #[serde(default)]
     pub alive: Vec<u32>,
+    /// Whether the sender has no path to the upstreams.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub has_no_path: bool,
+    /// Name digests of live entries without a path to the upstreams, sent like `alive`.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub no_path: Vec<u32>,
     /// Loads that the sender has just measured.
     pub loads: Vec<MeasuredLoad>,
     /// A change that the sender has just read from the store.
@@ -58,6 +65,11 @@
     true
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
+
 impl PeerMessage {
     /// Parses the payload of a datagram.
     ///
@@ -207,6 +219,13 @@
         Self { current, previous }
     }
 
+    /// The same keys for forwarded requests.
+    pub(super) fn forward_keys(&self) -> Option<ForwardKeys> {
+        let current = ForwardKey::new(self.current.text())?;
+        let previous = self.previous.as_ref().and_then(|key| ForwardKey::new(key.text()));
+        Some(ForwardKeys { current, previous })
+    }
+
     /// The key that signs messages.
     pub(super) fn current(&self) -> &MessageKey {
         &self.current
--- a/src/fleet/peer_service.rs
+++ b/src/fleet/peer_service.rs
@@ -318,9 +318,9 @@
         self.sequence += 1;
         let now = Instant::now();
         let recipients = state.recipients(scope);
-        let (own, alive) = {
+        let (own, alive, no_path) = {
             let table = state.table();
-            (table.own().clone(), table.alive_digests(now))
+            (table.own().clone(), table.alive_digests(now), table.no_path_digests(now))
         };
         if recipients.is_empty() {
             return;
@@ -335,6 +335,8 @@
             is_enrolled: state.is_enrolled(),
             confirmation: state.confirmation(),
             alive,
+            has_no_path: !own.has_path,
+            no_path,
             loads: content.loads,
             change: content.change,
             limits: content.limits,
--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -100,6 +100,15 @@
     }
 }
 
+/// Entries that requests may be forwarded to.
+#[derive(Clone, Debug, Default)]
+pub struct ForwardCandidates {
+    /// Those of the local failure domain.
+    pub local: Vec<EntryRecord>,
+    /// Those of the others.
+    pub remote: Vec<EntryRecord>,
+}
+
 /// The known entries, from registrations and messages.
 #[derive(Debug)]
 pub struct PeerTable {
@@ -127,6 +136,11 @@
         self.own.state = state;
     }
 
+    /// Sets whether this entry has a path to the upstreams; false if that is no change.
+    pub fn set_own_path(&mut self, has_path: bool) -> bool {
+        std::mem::replace(&mut self.own.has_path, has_path) != has_path
+    }
+
     /// Applies a registration from the store; what messages of the entry say takes precedence.
     pub fn register(&mut self, vm: &str, registration: &EntryRegistration) {
         let vm = VmId::new(vm);
@@ -139,6 +153,7 @@
             caller_address: registration.caller_address,
             peer_address: registration.peer_address,
             state: EntryState::Ready,
+            has_path: true,
         };
         match self.peers.get_mut(&vm) {
             Some(known) if known.last_heard_at.is_none() => known.record = record,
@@ -170,13 +185,14 @@
         if vm == self.own.vm {
             return false;
         }
-        self.apply_alive_digests(&message.alive, now);
+        self.apply_alive_digests(&message.alive, &message.no_path, now);
         let record = EntryRecord {
             vm: vm.clone(),
             failure_domain: FailureDomain::new(&message.failure_domain),
             caller_address: message.caller_address,
             peer_address: from,
             state: message.state,
+            has_path: !message.has_no_path,
         };
         let entry = PeerEntry {
             record,
@@ -195,9 +211,15 @@
             return false;
         }
         let is_returning = known.last_heard_at.is_none_or(|at| now - at > MIN_FAILURE_TIMEOUT);
-        let is_changed = known.record.state != entry.record.state;
+        let is_changed = known.record.state != entry.record.state
+            || known.record.has_path != entry.record.has_path;
         if is_returning || is_changed {
-            log::info!(target: "peer", "vm={vm} state={:?} address={from}", entry.record.state);
+            log::info!(
+                target: "peer",
+                "vm={vm} state={:?} has_path={} address={from}",
+                entry.record.state,
+                entry.record.has_path,
+            );
         }
         *known = entry;
         true
@@ -255,8 +277,23 @@
         alive
     }
 
-    /// Marks entries as alive that the leader reports so.
-    fn apply_alive_digests(&mut self, alive: &[u32], now: Instant) {
+    /// Name digests of the live entries without a path to the upstreams, if this one leads a large
+    /// domain; otherwise empty.
+    pub fn no_path_digests(&self, now: Instant) -> Vec<u32> {
+        let mut no_path = Vec::new();
+        if self.is_full_mesh() || self.rank(now) > 0 {
+            return no_path;
+        }
+        for peer in self.local_peers() {
+            if self.is_live(peer, now) && !peer.record.has_path {
+                no_path.push(peer.digest);
+            }
+        }
+        no_path
+    }
+
+    /// Marks entries as alive that the leader reports so, and which of them have no path.
+    fn apply_alive_digests(&mut self, alive: &[u32], no_path: &[u32], now: Instant) {
         if alive.is_empty() {
             return;
         }
@@ -266,6 +303,7 @@
             let is_local = peer.record.failure_domain == self.own.failure_domain;
             if is_local && alive.contains(&peer.digest) {
                 peer.last_heard_at = peer.last_heard_at.max(Some(heard_at));
+                peer.record.has_path = !no_path.contains(&peer.digest);
             }
         }
     }
@@ -335,11 +373,12 @@
         rank
     }
 
-    /// The live entries of the local failure domain, this one included, which share the probing.
+    /// The live entries of the local failure domain with a path to the upstreams, this one included,
+    /// which share the probing.
     pub fn probers(&self, now: Instant) -> ProberSet {
         let mut others = Vec::with_capacity(self.local_peer_count);
         for (vm, peer) in &self.peers {
-            if self.is_live(peer, now) {
+            if self.is_live(peer, now) && peer.record.has_path {
                 others.push(vm.clone());
             }
         }
@@ -352,7 +391,7 @@
         let mut live = Vec::with_capacity(self.local_peer_count);
         for (vm, peer) in &self.peers {
             domains.insert(peer.record.failure_domain.clone());
-            if self.is_live(peer, now) {
+            if self.is_live(peer, now) && peer.record.has_path {
                 live.push(vm.clone());
             }
         }
@@ -378,6 +417,25 @@
         MembershipView { entries }
     }
 
+    /// Entries that requests may be forwarded to: the live, ready ones of the local failure domain
+    /// with a path to the upstreams, and all known ones of the others, whose liveness is not tracked
+    /// here.
+    pub fn forward_candidates(&self, now: Instant) -> ForwardCandidates {
+        let mut candidates = ForwardCandidates::default();
+        for peer in self.peers.values() {
+            let record = &peer.record;
+            if record.failure_domain != self.own.failure_domain {
+                candidates.remote.push(record.clone());
+            } else if self.is_live(peer, now)
+                && record.has_path
+                && record.state == EntryState::Ready
+            {
+                candidates.local.push(record.clone());
+            }
+        }
+        candidates
+    }
+
     /// Whether the entry may lead its failure domain.
     fn is_candidate(&self, peer: &PeerEntry, now: Instant) -> bool {
         peer.is_enrolled && self.is_live(peer, now)
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -11,19 +11,20 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::core::SharedSnapshot;
+use crate::core::{EntryPeer, SharedSnapshot};
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::fleet_metrics::FleetMetrics;
 use crate::fleet::peer_message::{
     LearnedLimit, MeasuredLoad, MessageKey, MessageKeys, PeerMessage, ViewConfirmation,
 };
-use crate::fleet::peer_table::{MessageScope, PeerTable};
+use crate::fleet::peer_table::{ForwardCandidates, MessageScope, PeerTable};
 use crate::fleet::read_schedule::ReadSchedule;
 use crate::fleet::view::{DeploymentView, ViewChange};
 use crate::fleet::view_gap::{GapKind, ViewGap, is_behind};
 use crate::limits::{LimitTable, QuarantineTable};
-use crate::membership::{ConfigFreshness, EntryState, SharedMembership};
+use crate::membership::{ConfigFreshness, EntryRecord, EntryState, SharedMembership};
 use crate::platform::StorePosition;
+use crate::request::ForwardTable;
 
 /// Timeout of a store call, on top of the wait that a watch asks for.
 pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -99,6 +100,8 @@
     limits: Arc<LimitTable>,
     /// Requests that are refused because they crash upstreams, shared with the data plane.
     pub(super) quarantine: Arc<QuarantineTable>,
+    /// Peers that requests are forwarded to, shared with the data plane.
+    forwarding: Option<Arc<ForwardTable>>,
 }
 
 impl<D: DeploymentCodec> FleetState<D> {
@@ -133,6 +136,7 @@
             freshness,
             limits,
             quarantine: Arc::default(),
+            forwarding: None,
         }
     }
 
@@ -142,6 +146,12 @@
         Self { quarantine, ..self }
     }
 
+    /// Keeps the data plane's `forwarding` up to date with the other entries.
+    #[must_use]
+    pub fn with_forwarding(self, forwarding: Arc<ForwardTable>) -> Self {
+        Self { forwarding: Some(forwarding), ..self }
+    }
+
     /// Replaces the default read schedule.
     #[must_use]
     pub fn with_read_schedule(self, read_schedule: ReadSchedule) -> Self {
@@ -293,7 +303,11 @@
     /// Makes `key` the one that signs messages.
     pub(super) fn set_message_key(&self, key: MessageKey) {
         let known = self.keys.load_full();
-        self.keys.store(Some(Arc::new(MessageKeys::new(key, known.as_deref()))));
+        let keys = MessageKeys::new(key, known.as_deref());
+        if let (Some(forwarding), Some(keys)) = (&self.forwarding, keys.forward_keys()) {
+            forwarding.set_keys(keys);
+        }
+        self.keys.store(Some(Arc::new(keys)));
     }
 
     /// Whether a peer has recently reported uninterrupted store access since `began` or earlier.
@@ -368,6 +382,22 @@
         self.request_message();
     }
 
+    /// Sets whether this entry has a path to the upstreams, and sends it to the others at once if that
+    /// has changed.
+    pub(super) fn set_path(&self, has_path: bool) {
+        if self.table().set_own_path(has_path) {
+            self.refresh_membership();
+            self.request_message();
+        }
+    }
+
+    /// Updates the peers that requests are forwarded to.
+    pub(super) fn refresh_forwarding(&self) {
+        let Some(forwarding) = &self.forwarding else { return };
+        let ForwardCandidates { local, remote } = self.table().forward_candidates(Instant::now());
+        forwarding.set_peers(entry_peers(&local), entry_peers(&remote));
+    }
+
     /// Wakes the peer service to send a message to all entries of the domain at once.
     pub(super) fn request_message(&self) {
         lock(&self.outbox).is_urgent = true;
@@ -437,6 +467,18 @@
     }
 }
 
+fn entry_peers(records: &[EntryRecord]) -> Vec<EntryPeer> {
+    let mut peers = Vec::with_capacity(records.len());
+    for record in records {
+        peers.push(EntryPeer {
+            name: record.vm.to_string(),
+            address: record.peer_address,
+            failure_domain: record.failure_domain.to_string(),
+        });
+    }
+    peers
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/kernel/service_kernel.rs
+++ b/src/kernel/service_kernel.rs
@@ -27,6 +27,8 @@
     Peer,
     /// Measures the load of the failure domain's upstreams.
     Load,
+    /// Checks whether this entry has a path to the upstreams.
+    Path,
 }
 
 impl ServiceName {
@@ -40,6 +42,7 @@
             Self::Store => "store",
             Self::Peer => "peer",
             Self::Load => "load",
+            Self::Path => "path",
         }
     }
 }
--- a/src/limits/window_budget.rs
+++ b/src/limits/window_budget.rs
@@ -69,6 +69,14 @@
         }
     }
 
+    /// Takes back one recorded request, which another entry counts.
+    pub fn withdraw_request(&self) {
+        let mut state = self.lock();
+        if let Some(step) = state.steps.iter_mut().rev().find(|step| step.requests > 0) {
+            step.requests -= 1;
+        }
+    }
+
     /// Counts one repeat if it is allowed; false if this entry, one of `entries`, has used up its
     /// share.
     pub fn try_spend(&self, entries: u32) -> bool {
--- a/src/membership/replicated_view.rs
+++ b/src/membership/replicated_view.rs
@@ -124,6 +124,7 @@
         caller_address: record.caller_address.parse().ok()?,
         peer_address: record.peer_address.parse().ok()?,
         state: entry_state(record),
+        has_path: true,
     })
 }
 
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -36,6 +36,8 @@
     pub peer_address: SocketAddr,
     /// Lifecycle state.
     pub state: EntryState,
+    /// Whether it has a path to the upstreams. An entry without one forwards requests to others.
+    pub has_path: bool,
 }
 
 /// The entry VMs that are alive, sorted by identity.
--- a/src/ops/ledger_bench.rs
+++ b/src/ops/ledger_bench.rs
@@ -217,6 +217,7 @@
         caller_address: address,
         peer_address: address,
         state: EntryState::Ready,
+        has_path: true,
     };
     let membership = SharedMembership::default();
     membership.store(Arc::new(MembershipView { entries: vec![entry] }));
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -20,6 +20,8 @@
     AnyPooled,
     /// A new connection, or one that has just completed an exchange.
     NewOrVerified,
+    /// A new connection, which shows whether one can be opened.
+    New,
 }
 
 /// The request that an attempt sends.
@@ -57,6 +59,10 @@
     StreamRefused,
     /// The address now belongs to another upstream, which rejected the misdirected request.
     WrongInstance,
+    /// This entry has no path to the upstreams, and no peer has taken the request.
+    NoPath,
+    /// The peer to which the request was forwarded has refused it.
+    PeerRefused,
 }
 
 /// Why it is unknown whether an attempt ran.
--- a/src/request/attempt_reporter.rs
+++ b/src/request/attempt_reporter.rs
@@ -202,7 +202,7 @@
     value.is_some_and(|value| value.as_bytes() != b"0")
 }
 
-fn outcome_kind<B>(outcome: &AttemptOutcome<B>) -> OutcomeKind {
+pub(super) fn outcome_kind<B>(outcome: &AttemptOutcome<B>) -> OutcomeKind {
     match outcome {
         AttemptOutcome::Answered(answered) if is_retryable_status(answered) => {
             OutcomeKind::ServerError
--- a/src/request/crash_watch.rs
+++ b/src/request/crash_watch.rs
@@ -6,7 +6,8 @@
 //! ```
 //!
 //! Whether the upstream has ended is checked, since a connection also breaks for other reasons: the
-//! network, an upstream that drops idle connections or resets some requests.
+//! network, an upstream that drops idle connections or resets some requests. An entry that reaches no
+//! other upstream either cannot tell, and records nothing.
 
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -18,6 +19,7 @@
 use sha2::{Digest, Sha256};
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::balance::{PathResult, PathTrial};
 use crate::core::{HeaderNames, UpstreamState};
 use crate::limits::{RecordEffect, RequestFingerprint, RequestTraits};
 use crate::request::attempt::{
@@ -34,6 +36,8 @@
 /// Pauses before the checks whether an upstream has ended.
 const CRASH_CHECK_DELAYS: [Duration; 3] =
     [Duration::ZERO, Duration::from_millis(5), Duration::from_millis(20)];
+/// Most other upstreams that are asked whether this entry still reaches any.
+const COMPARED_UPSTREAMS: usize = 3;
 /// Bytes of the content that its digest covers, besides the length. Bounds the time that digesting a
 /// large one takes.
 const MAX_DIGESTED_BYTES: usize = 1 << 20;
@@ -88,7 +92,7 @@
                 }
             }
             OutcomeKind::Unknown(UnknownCause::ConnectionBroken) => {
-                if has_ended(upstream, ctx).await {
+                if has_ended(upstream, ctx).await && self.reaches_another(upstream, ctx).await {
                     self.record_crash(upstream, ctx);
                 }
             }
@@ -96,6 +100,52 @@
         }
     }
 
+    /// Whether another upstream responds. If none does, this entry has lost its path to the upstreams,
+    /// and the one that ran the request may be well. True if there is no other upstream.
+    async fn reaches_another<C: UpstreamClient, P>(
+        &self,
+        upstream: &Arc<UpstreamState>,
+        ctx: &ExecutionContext<'_, C, P>,
+    ) -> bool {
+        if ctx.path.is_cut() {
+            return false;
+        }
+        let others = self.recently_reached(upstream);
+        let mut has_failed = false;
+        for other in others {
+            let Some(uri) = health_uri(&other) else { continue };
+            let check = timeout(CRASH_CHECK_TIMEOUT, check_presence(&other, uri, ctx)).await;
+            let result = match check {
+                Ok(UpstreamPresence::Running) => PathResult::Reached,
+                _ => PathResult::Unreached,
+            };
+            ctx.path.record(other.spec.address, PathTrial::Exchange, result);
+            if result == PathResult::Reached {
+                return true;
+            }
+            has_failed = true;
+        }
+        !has_failed
+    }
+
+    /// The other upstreams that were last reached, the latest first.
+    fn recently_reached(&self, upstream: &UpstreamState) -> Vec<Arc<UpstreamState>> {
+        let now = Instant::now();
+        let mut others = Vec::new();
+        for other in self.snapshot.upstreams.values() {
+            if other.name == upstream.name || other.spec.health_path.is_none() {
+                continue;
+            }
+            let stats = other.stats();
+            let reached_at = stats.last_exchange_at.get().max(stats.last_response_at.get());
+            let age = reached_at.map_or(Duration::MAX, |at| stats.age_at(now, at));
+            others.push((age, Arc::clone(other)));
+        }
+        others.sort_by_key(|(age, _)| *age);
+        others.truncate(COMPARED_UPSTREAMS);
+        others.into_iter().map(|(_, other)| other).collect()
+    }
+
     fn record_crash<C, P>(&self, upstream: &UpstreamState, ctx: &ExecutionContext<'_, C, P>) {
         let request = self.fingerprint(self.target_digest(), &ctx.settings.headers);
         let digest = lifetime_digest(upstream);
@@ -182,8 +232,7 @@
     upstream: &Arc<UpstreamState>,
     ctx: &ExecutionContext<'_, C, P>,
 ) -> bool {
-    let Some(path) = upstream.spec.health_path.as_deref() else { return false };
-    let Ok(uri) = Uri::try_from(path) else { return false };
+    let Some(uri) = health_uri(upstream) else { return false };
     let check = async {
         // A process that ends closes its connections and its listener one after the other.
         for delay in CRASH_CHECK_DELAYS {
@@ -199,6 +248,10 @@
     timeout(CRASH_CHECK_TIMEOUT, check).await.unwrap_or(false)
 }
 
+fn health_uri(upstream: &UpstreamState) -> Option<Uri> {
+    Uri::try_from(upstream.spec.health_path.as_deref()?).ok()
+}
+
 async fn check_presence<C: UpstreamClient, P>(
     upstream: &Arc<UpstreamState>,
     uri: Uri,
@@ -210,7 +263,7 @@
         headers: HeaderMap::new(),
         body: Bytes::new(),
         deadline: Instant::now() + CRASH_CHECK_TIMEOUT,
-        connection: ConnectionPolicy::NewOrVerified,
+        connection: ConnectionPolicy::New,
     };
     match ctx.client.send(upstream, request).await {
         AttemptOutcome::Answered(answered) => {
--- a/src/request/data_plane.rs
+++ b/src/request/data_plane.rs
@@ -15,9 +15,10 @@
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 
-use crate::balance::UpstreamPicker;
+use crate::balance::{PathMonitor, UpstreamPicker};
 use crate::core::{
     ConfigSnapshot, Criticality, InflightGuard, PartIndex, ResultCode, SharedSnapshot,
+    UPSTREAM_HEADER,
 };
 use crate::ledger::ClaimLedger;
 use crate::limits::{
@@ -33,6 +34,10 @@
     ExecutionContext, ExecutionFailure, ExecutionOutcome, RepeatBudgetShare, RequestExecution,
 };
 use crate::request::execution_settings::ExecutionSettings;
+use crate::request::forward_attempt::PeerForwarder;
+use crate::request::forward_gate::ForwardRefusal;
+use crate::request::forward_header::{AttemptOrder, ForwardedRequest};
+use crate::request::forward_table::ForwardTable;
 use crate::request::head_validation::validate_head;
 use crate::request::keyed::{claim_intent, claim_key};
 use crate::request::load_check::LoadChecker;
@@ -89,6 +94,8 @@
     settings: ExecutionSettings,
     load_checker: Option<LoadChecker>,
     quarantine: Arc<QuarantineTable>,
+    path: Arc<PathMonitor>,
+    forwarder: Option<PeerForwarder<C>>,
     pub(super) ledger: L,
 }
 
@@ -101,6 +108,8 @@
             settings: &self.settings,
             load_checker: self.load_checker.as_ref(),
             quarantine: &self.quarantine,
+            path: &self.path,
+            forwarder: self.forwarder.as_ref(),
         }
     }
 }
@@ -132,6 +141,8 @@
             settings,
             load_checker,
             quarantine: Arc::default(),
+            path: Arc::default(),
+            forwarder: None,
             ledger,
         });
         Self { snapshot, limits: Arc::default(), core, keyed_tasks: TaskTracker::new() }
@@ -144,6 +155,54 @@
         self
     }
 
+    /// Forwards requests to peers while this entry has no path to the upstreams, and takes theirs.
+    ///
+    /// # Panics
+    ///
+    /// Panics if requests are already being run.
+    #[must_use]
+    pub fn with_forwarder(mut self, forwarder: PeerForwarder<C>) -> Self {
+        #[expect(clippy::expect_used, reason = "the data plane has not been shared yet")]
+        let core = Arc::get_mut(&mut self.core).expect("no request is being run");
+        core.path = Arc::clone(forwarder.table.path());
+        core.forwarder = Some(forwarder);
+        self
+    }
+
+    /// Whether this entry has a path to the upstreams.
+    pub fn path(&self) -> Arc<PathMonitor> {
+        Arc::clone(&self.core.path)
+    }
+
+    /// What a peer tells about a request that it forwards to this entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is not taken, as far as its head shows.
+    pub fn check_forwarded(&self, parts: &Parts) -> Result<ForwardedRequest, ForwardRefusal> {
+        let table = self.forward_table()?;
+        table.check_head(parts, self.snapshot.load().as_deref())
+    }
+
+    /// Verifies a complete request that a peer has forwarded.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is not taken.
+    pub fn accept_forwarded(
+        &self,
+        parts: &mut Parts,
+        body: &Bytes,
+        forwarded: ForwardedRequest,
+    ) -> Result<(), ForwardRefusal> {
+        self.forward_table()?.accept(parts, body, forwarded)
+    }
+
+    fn forward_table(&self) -> Result<&ForwardTable, ForwardRefusal> {
+        let forwarder = self.core.forwarder.as_ref().ok_or(ForwardRefusal::NoPath)?;
+        Ok(&forwarder.table)
+    }
+
     /// Tasks of keyed requests. Each ends when the outcome of its request has been recorded and the
     /// rest of its response relayed.
     pub fn keyed_tasks(&self) -> TaskTracker {
@@ -198,10 +257,12 @@
             return limit_claim_to_this_send(&parts.headers, response);
         };
         let part = self.select_part(&admitted);
-        let repeat_budget_share = self.record_request(&admitted, part);
+        let forwarded = parts.extensions.get::<ForwardedRequest>().copied();
+        let repeat_budget_share = self.record_request(&admitted, part, forwarded);
         let header_names = &self.core.settings.headers;
         let allowance = header_names.retry_allowance.as_ref();
         let allowance = allowance.and_then(|name| header_u64(&parts.headers, name));
+        let allowance = forwarded.map(|forwarded| forwarded.retries.into()).or(allowance);
         let key = claim_key(&parts.headers, admitted.class.mode, &self.core.freshness);
         let key = key.map(|key| key.map(str::to_owned));
         let uri = origin_form(&parts.uri);
@@ -220,6 +281,7 @@
             part,
             repeat_budget_share,
             caller,
+            forwarded,
         };
         match key {
             Ok(None) => {}
@@ -232,13 +294,18 @@
         log_entry.write(&outcome);
         drop(log_entry);
         match outcome {
-            ExecutionOutcome::Answered { response: upstream, inflight } => {
-                record_transfer_size(&execution, &upstream.response);
+            ExecutionOutcome::Answered { response: answered, inflight, upstream } => {
+                record_transfer_size(&execution, &answered.response);
                 let guard = ResponseGuard { _inflight: inflight, _permit: permit };
-                let mut response = upstream
+                let mut response = answered
                     .response
                     .map(|body| ResponseBody::Stream(ResponseStream::new(body, deadline, guard)));
                 sanitize_response_headers(response.headers_mut());
+                if forwarded.is_some()
+                    && let Ok(name) = HeaderValue::from_str(&upstream.name)
+                {
+                    response.headers_mut().insert(UPSTREAM_HEADER, name);
+                }
                 response
             }
             ExecutionOutcome::Failed(ExecutionFailure { code, retry_after }) => {
@@ -277,12 +344,16 @@
         &self,
         admitted: &AdmittedRequest,
         part: Option<PartIndex>,
+        forwarded: Option<ForwardedRequest>,
     ) -> Option<RepeatBudgetShare> {
         let budget = &admitted.snapshot.budget;
         admitted.limits.retries.record_request(budget.retry_ratio);
         admitted.limits.hedges.record_request(budget.hedge_ratio);
         let window = admitted.limits.window_budget(part)?;
-        window.record_request();
+        // A repeat has been counted where it came from.
+        if forwarded.is_none_or(|forwarded| forwarded.order == AttemptOrder::First) {
+            window.record_request();
+        }
         Some(RepeatBudgetShare { window, entries: self.limits.entries() })
     }
 
--- a/src/request/execution.rs
+++ b/src/request/execution.rs
@@ -13,9 +13,10 @@
 use http::{HeaderMap, HeaderValue, Method, Uri};
 use tokio::time::Instant;
 
-use crate::balance::UpstreamPicker;
+use crate::balance::{PathMonitor, PathResult, PathTrial, UpstreamPicker};
 use crate::core::{
     ConfigSnapshot, IdempotenceMode, InflightGuard, PartIndex, ResultCode, RouteRecord,
+    UpstreamState,
 };
 use crate::limits::{QuarantineTable, RouteLimits, WindowBudget};
 use crate::membership::ConfigFreshness;
@@ -34,6 +35,9 @@
     AttemptIndex, AttemptPolicy, AttemptRole, ConfigConfirmation, ExecutionAction, ExecutionEvent,
     ExecutionState, OutcomeKind, StartRefusal, StepContext,
 };
+use crate::request::forward_attempt::PeerForwarder;
+use crate::request::forward_header::ForwardedRequest;
+use crate::request::forward_table::FORWARD_RETRY_AFTER;
 use crate::request::load_check::LoadChecker;
 use crate::request::upstream_notices::UpstreamNotices;
 use crate::request::upstream_selection::{AttemptHistory, PreparedAttempt};
@@ -53,6 +57,10 @@
     pub load_checker: Option<&'a LoadChecker>,
     /// Requests that are refused because they crash upstreams.
     pub quarantine: &'a QuarantineTable,
+    /// Whether this entry has a path to the upstreams.
+    pub path: &'a PathMonitor,
+    /// Forwards requests to peers while there is no path; none disables that.
+    pub forwarder: Option<&'a PeerForwarder<C>>,
 }
 
 /// An admitted request, ready to run.
@@ -84,6 +92,8 @@
     pub repeat_budget_share: Option<RepeatBudgetShare>,
     /// Address of the caller, if known.
     pub caller: Option<CallerAddress>,
+    /// What the peer that forwarded the request told about it; `None` if a caller sent it here.
+    pub forwarded: Option<ForwardedRequest>,
 }
 
 /// This entry's share of a budget for repeats (retries and hedges) that all entries spend from.
@@ -104,6 +114,8 @@
         response: UpstreamResponse<B>,
         /// Counts the request as in flight at its upstream until the response has been forwarded.
         inflight: InflightGuard,
+        /// The upstream, or the peer to which the request was forwarded.
+        upstream: Arc<UpstreamState>,
     },
     /// There is no response to forward.
     Failed(ExecutionFailure),
@@ -119,11 +131,15 @@
 }
 
 /// An attempt that has ended, with its response if it may be forwarded.
-struct FinishedAttempt<B> {
-    index: AttemptIndex,
-    outcome: OutcomeKind,
-    response: Option<UpstreamResponse<B>>,
-    inflight: InflightGuard,
+pub(super) struct FinishedAttempt<B> {
+    pub(super) index: AttemptIndex,
+    pub(super) outcome: OutcomeKind,
+    pub(super) response: Option<UpstreamResponse<B>>,
+    pub(super) inflight: InflightGuard,
+    /// Why the peer to which the request was forwarded has refused it, or that no peer took it.
+    pub(super) failure: Option<ExecutionFailure>,
+    /// The upstream, or the peer.
+    pub(super) upstream: Arc<UpstreamState>,
 }
 
 impl RequestExecution {
@@ -145,7 +161,10 @@
             slowdown: None,
             is_saturated: false,
             checks_sent: 0,
+            attempts: 0,
+            is_forwarded: false,
         };
+        let mut refusal: Option<ExecutionFailure> = None;
         let mut last_response: Option<FinishedAttempt<C::Body>> = None;
         let mut slot = pin!(None);
         let mut other_slot = pin!(None);
@@ -164,10 +183,12 @@
                     let prepared = match prepared {
                         Ok(prepared) => prepared,
                         Err(finished) => {
+                            let finished: FinishedAttempt<C::Body> = finished;
                             // The running attempt ended while its hedge was being prepared, so the
                             // hedge is dropped before the end is reported.
                             let refused = ExecutionEvent::StartRefused(StartRefusal::NoUpstream);
                             state.step(refused, step_context(&refused, ctx.freshness));
+                            refusal = finished.failure.or(refusal);
                             event = record_end(finished, trace, &mut last_response);
                             continue;
                         }
@@ -178,7 +199,8 @@
                             history.began = Instant::now();
                             history.slowdown = start.slowdown;
                             history.is_saturated = takes_last_slot(&start.upstream) != Some(false);
-                            history.tried.push(start.key);
+                            history.tried.extend(start.key);
+                            history.attempts += 1;
                             let attempt = Some(self.attempt(start, route, &ctx));
                             if slot.is_none() {
                                 slot.set(attempt)
@@ -187,9 +209,9 @@
                             }
                             event = ExecutionEvent::Started;
                         }
-                        Err(refusal) => {
-                            trace.refused(role, refusal);
-                            event = ExecutionEvent::StartRefused(refusal);
+                        Err(reason) => {
+                            trace.refused(role, reason);
+                            event = ExecutionEvent::StartRefused(reason);
                         }
                     }
                 }
@@ -203,13 +225,18 @@
                             continue;
                         }
                     };
+                    refusal = finished.failure.or(refusal);
                     event = record_end(finished, trace, &mut last_response);
                 }
                 ExecutionAction::Respond(index) => return forward_response(last_response, index),
                 ExecutionAction::Fail(code) => {
+                    if let Some(refusal) = refusal.filter(|_| code == ResultCode::NotRun) {
+                        return ExecutionOutcome::Failed(refusal);
+                    }
                     let pick = self.pick_request(AttemptRole::Retry, route, &history.tried, &ctx);
                     let retry_after = match code {
                         ResultCode::CrashesUpstreams => self.refusal_left(&ctx),
+                        _ if ctx.path.is_cut() => Some(FORWARD_RETRY_AFTER),
                         _ => ctx.picker.retry_after(pick),
                     };
                     return ExecutionOutcome::Failed(ExecutionFailure { code, retry_after });
@@ -251,6 +278,10 @@
         route: &RouteRecord,
         ctx: &ExecutionContext<'_, C, P>,
     ) -> FinishedAttempt<C::Body> {
+        if prepared.key.is_none() {
+            // Boxed, because it is rare and would make every attempt larger.
+            return Box::pin(self.forward(prepared, route, ctx)).await;
+        }
         let header_names = &ctx.settings.headers;
         let mut request = self.build_request(prepared.role, route, ctx);
         if let Some(name) = &header_names.expected_instance
@@ -280,7 +311,11 @@
         let kind = reporter.finish(&outcome);
         self.record_run(kind, &prepared.upstream, ctx).await;
         let response = match outcome {
-            AttemptOutcome::Answered(response) => Some(response),
+            AttemptOutcome::Answered(response) => {
+                let address = prepared.upstream.spec.address;
+                ctx.path.record(address, PathTrial::Exchange, PathResult::Reached);
+                Some(response)
+            }
             AttemptOutcome::NotRun(_) | AttemptOutcome::Unknown(_) => None,
         };
         FinishedAttempt {
@@ -288,6 +323,8 @@
             outcome: kind,
             response,
             inflight: prepared.inflight,
+            failure: None,
+            upstream: prepared.upstream,
         }
     }
 
@@ -337,7 +374,7 @@
     /// Only the first attempt forwards its allowance; retries and hedges forward 0. With allowance
     /// `a`, a failing call at the bottom of `d` nested calls is then attempted at most `1 + a * d`
     /// times, not `(1 + a)^d` times.
-    fn forwarded_allowance(&self, role: AttemptRole, route: &RouteRecord) -> u32 {
+    pub(super) fn forwarded_allowance(&self, role: AttemptRole, route: &RouteRecord) -> u32 {
         if role != AttemptRole::First {
             return 0;
         }
@@ -387,11 +424,9 @@
     index: AttemptIndex,
 ) -> ExecutionOutcome<B> {
     match last_response {
-        Some(FinishedAttempt { index: last, response: Some(response), inflight, .. })
-            if last == index =>
-        {
-            ExecutionOutcome::Answered { response, inflight }
-        }
+        Some(FinishedAttempt {
+            index: last, response: Some(response), inflight, upstream, ..
+        }) if last == index => ExecutionOutcome::Answered { response, inflight, upstream },
         _ => ExecutionOutcome::Failed(ExecutionFailure {
             code: ResultCode::OutcomeUnknown,
             retry_after: None,
--- a/src/request/execution_state.rs
+++ b/src/request/execution_state.rs
@@ -84,6 +84,10 @@
     BudgetSpent,
     /// Upstreams have ended while they ran the request.
     Quarantined,
+    /// This entry has no path to the upstreams, and no peer takes requests.
+    NoPath,
+    /// The request has been forwarded to a peer, which sends any further attempt.
+    Forwarded,
 }
 
 /// Input of the state machine.
--- /dev/null
+++ b/src/request/forward_attempt.rs
@@ -0,0 +1,270 @@
+//! Attempts that are forwarded to a peer while this entry has no path to the upstreams.
+//!
+//! ```text
+//! peer -> refused to take it? --yes--> next peer
+//!           | no
+//!           v
+//!         response of an upstream, or of the peer itself -> outcome of the attempt
+//! ```
+//!
+//! The peer runs the request as one of its own callers': it picks the upstream, keeps to limits and
+//! pauses, and spends its budget on retries and hedges. So this entry sends no further attempt after
+//! a peer has taken the request.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::header::RETRY_AFTER;
+use http::{HeaderMap, HeaderValue};
+use tokio::time::{Instant, timeout_at};
+
+use crate::core::{
+    FORWARD_REFUSED_HEADER, FORWARDED_HEADER, NOT_RUN_HEADER, RESULT_CODE_HEADER, ResultCode,
+    RouteRecord, UPSTREAM_HEADER, UpstreamState,
+};
+use crate::request::attempt::{
+    AttemptOutcome, AttemptRequest, ConnectionPolicy, NotRunProof, UnknownCause, UpstreamClient,
+    UpstreamResponse,
+};
+use crate::request::attempt_reporter::{is_drain_signal, outcome_kind, validate_outcome};
+use crate::request::execution::{
+    ExecutionContext, ExecutionFailure, FinishedAttempt, RequestExecution,
+};
+use crate::request::execution_state::{AttemptIndex, AttemptRole, StartRefusal};
+use crate::request::forward_gate::ForwardRefusal;
+use crate::request::forward_header::{AttemptOrder, ForwardedRequest, SignedParts};
+use crate::request::forward_table::{FORWARD_RETRY_AFTER, ForwardTable};
+use crate::request::upstream_selection::{AttemptHistory, PreparedAttempt};
+
+/// Most peers that are asked to take a request. More than one is asked only if a peer has stopped,
+/// has lost its path too, or has another configuration.
+const MAX_PEERS: usize = 4;
+
+/// Forwards requests to peers.
+#[derive(Clone, Debug)]
+pub struct PeerForwarder<C> {
+    /// Client for connections to peers.
+    pub client: C,
+    /// The peers, and whether this entry has a path to the upstreams.
+    pub table: Arc<ForwardTable>,
+}
+
+/// What a peer's response says.
+enum PeerAnswer<B> {
+    /// The peer has not taken the request, which another peer may take.
+    Refused(ForwardRefusal),
+    /// The response of an upstream to the request.
+    Upstream(UpstreamResponse<B>),
+    /// The peer's own error response.
+    Failure { outcome: AttemptOutcome<B>, failure: Option<ExecutionFailure> },
+}
+
+impl RequestExecution {
+    /// Prepares an attempt that is forwarded; `None` if it is sent to an upstream.
+    ///
+    /// A request that has been forwarded to this entry is not forwarded again.
+    pub(super) fn prepare_forward<C: UpstreamClient, P>(
+        &self,
+        role: AttemptRole,
+        ctx: &ExecutionContext<'_, C, P>,
+        history: &mut AttemptHistory,
+    ) -> Option<Result<PreparedAttempt, StartRefusal>> {
+        if history.is_forwarded {
+            return Some(Err(StartRefusal::Forwarded));
+        }
+        let table = &ctx.forwarder?.table;
+        if !table.path().is_cut() || self.forwarded.is_some() {
+            return None;
+        }
+        if !self.try_spend_budget(role) {
+            return Some(Err(StartRefusal::BudgetSpent));
+        }
+        let Some(peer) = table.pick(&[]) else { return Some(Err(StartRefusal::NoPath)) };
+        history.is_forwarded = true;
+        Some(Ok(PreparedAttempt {
+            index: history.attempts as AttemptIndex,
+            role,
+            key: None,
+            inflight: peer.start_request(),
+            upstream: peer,
+            slowdown: None,
+        }))
+    }
+
+    /// Forwards the request to the prepared peer, or to others if that does not take it.
+    pub(super) async fn forward<C: UpstreamClient, P>(
+        &self,
+        prepared: PreparedAttempt,
+        route: &RouteRecord,
+        ctx: &ExecutionContext<'_, C, P>,
+    ) -> FinishedAttempt<C::Body> {
+        let PreparedAttempt { index, role, upstream, mut inflight, .. } = prepared;
+        let mut peer = upstream;
+        let mut tried: Vec<SocketAddr> = Vec::new();
+        let mut failure = None;
+        let outcome = loop {
+            let Some(forwarder) = ctx.forwarder else {
+                break AttemptOutcome::NotRun(NotRunProof::NoPath);
+            };
+            let Some(request) = self.forwarded_request(role, route, ctx) else {
+                break AttemptOutcome::NotRun(NotRunProof::NoPath);
+            };
+            tried.push(peer.spec.address);
+            let started = Instant::now();
+            let sent = timeout_at(self.deadline, forwarder.client.send(&peer, request)).await;
+            let answered = match sent {
+                Ok(AttemptOutcome::Answered(answered)) => answered,
+                Ok(AttemptOutcome::NotRun(_)) => {
+                    log_passed_over(&peer, "unreachable");
+                    forwarder.table.pass_over(peer.spec.address);
+                    let Some(next) = next_peer(&forwarder.table, &tried) else {
+                        break AttemptOutcome::NotRun(NotRunProof::NoPath);
+                    };
+                    inflight = next.start_request();
+                    peer = next;
+                    continue;
+                }
+                Ok(AttemptOutcome::Unknown(cause)) => break AttemptOutcome::Unknown(cause),
+                Err(_) => break AttemptOutcome::Unknown(UnknownCause::TimedOut),
+            };
+            match read_answer(answered) {
+                PeerAnswer::Refused(refusal) => {
+                    if refusal != ForwardRefusal::OtherGeneration {
+                        log_passed_over(&peer, refusal.as_str());
+                        forwarder.table.pass_over(peer.spec.address);
+                    }
+                    let Some(next) = next_peer(&forwarder.table, &tried) else {
+                        break AttemptOutcome::NotRun(NotRunProof::NoPath);
+                    };
+                    inflight = next.start_request();
+                    peer = next;
+                }
+                PeerAnswer::Upstream(mut answered) => {
+                    self.transfer_budget(role);
+                    self.record_leaving(answered.response.headers_mut(), started, ctx);
+                    let request_id = self.headers.get(&ctx.settings.headers.request_id);
+                    let answered = AttemptOutcome::Answered(answered);
+                    break validate_outcome(answered, request_id, &ctx.settings.headers);
+                }
+                PeerAnswer::Failure { outcome, failure: reason } => {
+                    self.transfer_budget(role);
+                    failure = reason;
+                    break outcome;
+                }
+            }
+        };
+        if matches!(outcome, AttemptOutcome::NotRun(NotRunProof::NoPath)) {
+            let (code, retry_after) = (ResultCode::NotRun, Some(FORWARD_RETRY_AFTER));
+            failure = Some(ExecutionFailure { code, retry_after });
+        }
+        let kind = outcome_kind(&outcome);
+        let response = match outcome {
+            AttemptOutcome::Answered(response) => Some(response),
+            AttemptOutcome::NotRun(_) | AttemptOutcome::Unknown(_) => None,
+        };
+        FinishedAttempt { index, outcome: kind, response, inflight, failure, upstream: peer }
+    }
+
+    /// The request for a peer; `None` before the deployment's key is known.
+    fn forwarded_request<C, P>(
+        &self,
+        role: AttemptRole,
+        route: &RouteRecord,
+        ctx: &ExecutionContext<'_, C, P>,
+    ) -> Option<AttemptRequest> {
+        let keys = ctx.forwarder?.table.keys()?;
+        let mut headers = self.headers.clone();
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        let deadline_header = &ctx.settings.headers.deadline;
+        headers.insert(deadline_header, HeaderValue::from(remaining.as_millis() as u64));
+        headers.remove(FORWARDED_HEADER);
+        let order = match role {
+            AttemptRole::First => AttemptOrder::First,
+            AttemptRole::Retry | AttemptRole::Hedge => AttemptOrder::Repeat,
+        };
+        let forwarded = ForwardedRequest {
+            generation: self.snapshot.generation,
+            retries: self.forwarded_allowance(role, route),
+            order,
+            caller: self.caller.map(|caller| caller.0),
+        };
+        let parts = SignedParts {
+            method: &self.method,
+            uri: &self.uri,
+            headers: &headers,
+            body: &self.body,
+        };
+        let value = keys.current.sign(&forwarded, parts);
+        headers.insert(FORWARDED_HEADER, value);
+        Some(AttemptRequest {
+            method: self.method.clone(),
+            uri: self.uri.clone(),
+            headers,
+            body: self.body.clone(),
+            deadline: self.deadline,
+            connection: ConnectionPolicy::NewOrVerified,
+        })
+    }
+
+    /// Leaves the request to the budget of the peer that has taken it, so that it counts once.
+    fn transfer_budget(&self, role: AttemptRole) {
+        if role != AttemptRole::First {
+            return;
+        }
+        if let Some(share) = &self.repeat_budget_share {
+            share.window.withdraw_request();
+        }
+    }
+
+    /// Records that the upstream which answered the peer is leaving, so that it gets no requests from
+    /// this entry either, and removes the peer's note of it.
+    fn record_leaving<C, P>(
+        &self,
+        headers: &mut HeaderMap,
+        started: Instant,
+        ctx: &ExecutionContext<'_, C, P>,
+    ) {
+        let Some(name) = headers.remove(UPSTREAM_HEADER) else { return };
+        if !is_drain_signal(headers, &ctx.settings.headers) {
+            return;
+        }
+        let key = name.to_str().ok().and_then(|name| self.snapshot.upstream_names.get(name));
+        if let Some(upstream) = key.and_then(|key| self.snapshot.upstreams.get(*key)) {
+            upstream.record_drain_signal(true, started.elapsed());
+        }
+    }
+}
+
+fn next_peer(table: &ForwardTable, tried: &[SocketAddr]) -> Option<Arc<UpstreamState>> {
+    (tried.len() < MAX_PEERS).then(|| table.pick(tried)).flatten()
+}
+
+fn log_passed_over(peer: &UpstreamState, reason: &str) {
+    log::info!(target: "path", "peer does not take requests vm={} reason={reason}", peer.name);
+}
+
+fn read_answer<B>(answered: UpstreamResponse<B>) -> PeerAnswer<B> {
+    let headers = answered.response.headers();
+    if let Some(value) = headers.get(FORWARD_REFUSED_HEADER) {
+        return PeerAnswer::Refused(ForwardRefusal::parse(value));
+    }
+    let Some(code) = headers.get(RESULT_CODE_HEADER) else { return PeerAnswer::Upstream(answered) };
+    let code = code.to_str().ok().and_then(ResultCode::parse);
+    if headers.contains_key(NOT_RUN_HEADER) {
+        let code = code.unwrap_or(ResultCode::NotRun);
+        let failure = ExecutionFailure { code, retry_after: retry_after(headers) };
+        let outcome = AttemptOutcome::NotRun(NotRunProof::PeerRefused);
+        return PeerAnswer::Failure { outcome, failure: Some(failure) };
+    }
+    let cause = match code {
+        Some(ResultCode::DeadlineExceeded) => UnknownCause::TimedOut,
+        Some(ResultCode::AnswerNotWhole) => UnknownCause::AnswerNotWhole,
+        _ => UnknownCause::ConnectionBroken,
+    };
+    PeerAnswer::Failure { outcome: AttemptOutcome::Unknown(cause), failure: None }
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<std::time::Duration> {
+    let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
+    std::time::Duration::try_from_secs_f64(seconds).ok()
+}
--- /dev/null
+++ b/src/request/forward_gate.rs
@@ -0,0 +1,107 @@
+//! Decides whether this entry takes a request that a peer has forwarded.
+
+use http::request::Parts;
+use http::{HeaderValue, StatusCode};
+use http_body::Body;
+
+use bytes::Bytes;
+use http::Response;
+
+use crate::core::{ConfigSnapshot, FORWARD_REFUSED_HEADER, FORWARDED_HEADER};
+use crate::request::crash_watch::CallerAddress;
+use crate::request::forward_header::{ForwardedRequest, SignedParts};
+use crate::request::forward_table::ForwardTable;
+use crate::request::response::{CallerResponse, ResponseBody};
+
+/// Why a forwarded request was not taken. The request has not run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ForwardRefusal {
+    /// This entry has no path to the upstreams either.
+    NoPath,
+    /// The request was admitted under another generation than the active one.
+    OtherGeneration,
+    /// The header is missing or malformed, or the signature is not one of the deployment.
+    Unauthenticated,
+    /// The peer gave a reason that this version does not know.
+    Unknown,
+}
+
+impl ForwardRefusal {
+    /// Reads the reason from a peer's response.
+    pub(super) fn parse(value: &HeaderValue) -> Self {
+        let known = [Self::NoPath, Self::OtherGeneration, Self::Unauthenticated];
+        let named = known.into_iter().find(|reason| reason.as_str().as_bytes() == value.as_bytes());
+        named.unwrap_or(Self::Unknown)
+    }
+
+    /// The reason, as responses and log lines have it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoPath => "no-path",
+            Self::OtherGeneration => "other-generation",
+            Self::Unauthenticated => "unauthenticated",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    /// The response to the peer.
+    pub fn response<B: Body, G>(self) -> CallerResponse<B, G> {
+        let mut response = Response::new(ResponseBody::Local(Some(Bytes::new())));
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        let reason = HeaderValue::from_static(self.as_str());
+        response.headers_mut().insert(FORWARD_REFUSED_HEADER, reason);
+        response
+    }
+}
+
+impl ForwardTable {
+    /// Reads what a peer tells about the request with this head, before its signature is verified.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is not taken, as far as its head shows.
+    pub fn check_head(
+        &self,
+        parts: &Parts,
+        snapshot: Option<&ConfigSnapshot>,
+    ) -> Result<ForwardedRequest, ForwardRefusal> {
+        let value = parts.headers.get(FORWARDED_HEADER);
+        let forwarded = value.and_then(ForwardedRequest::parse);
+        let forwarded = forwarded.ok_or(ForwardRefusal::Unauthenticated)?;
+        if self.path().is_cut() {
+            return Err(ForwardRefusal::NoPath);
+        }
+        if snapshot.is_none_or(|snapshot| snapshot.generation != forwarded.generation) {
+            return Err(ForwardRefusal::OtherGeneration);
+        }
+        Ok(forwarded)
+    }
+
+    /// Verifies the signature of a complete request, and replaces the header by what it told.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ForwardRefusal::Unauthenticated`] if the signature is not one of the deployment.
+    pub fn accept(
+        &self,
+        parts: &mut Parts,
+        body: &Bytes,
+        forwarded: ForwardedRequest,
+    ) -> Result<(), ForwardRefusal> {
+        let value = parts.headers.get(FORWARDED_HEADER).ok_or(ForwardRefusal::Unauthenticated)?;
+        let keys = self.keys().ok_or(ForwardRefusal::Unauthenticated)?;
+        let signed =
+            SignedParts { method: &parts.method, uri: &parts.uri, headers: &parts.headers, body };
+        let is_valid = keys.current.verify(value, signed)
+            || keys.previous.as_ref().is_some_and(|previous| previous.verify(value, signed));
+        if !is_valid {
+            return Err(ForwardRefusal::Unauthenticated);
+        }
+        parts.headers.remove(FORWARDED_HEADER);
+        parts.extensions.insert(forwarded);
+        if let Some(caller) = forwarded.caller {
+            parts.extensions.insert(CallerAddress(caller));
+        }
+        Ok(())
+    }
+}
--- a/src/request/keyed.rs
+++ b/src/request/keyed.rs
@@ -115,7 +115,7 @@
                 drop(permit);
                 self.ledger.finish(grant, claim_outcome).await;
             }
-            ExecutionOutcome::Answered { response: upstream, inflight } => {
+            ExecutionOutcome::Answered { response: upstream, inflight, .. } => {
                 let (mut head, body) = upstream.response.into_parts();
                 sanitize_response_headers(&mut head.headers);
                 let (mut relay, relayed) = ResponseRelay::new(body, MAX_STORED_BODY_BYTES);
--- a/src/request/load_check.rs
+++ b/src/request/load_check.rs
@@ -22,7 +22,7 @@
 use http_body_util::BodyExt;
 use tokio::time::{Instant, timeout};
 
-use crate::balance::{AttemptResult, LoadReport, record_probe_sent};
+use crate::balance::{AttemptResult, LoadReport, PathResult, record_probe_sent};
 use crate::core::{HeaderNames, UpstreamState};
 use crate::limits::LoadCheckLimiter;
 use crate::request::attempt::{
@@ -157,6 +157,16 @@
     Failed(AttemptResult),
 }
 
+impl LoadProbeOutcome {
+    /// Whether the upstream was reached.
+    pub fn path_result(&self) -> PathResult {
+        match self {
+            Self::Reported(_) | Self::NoReport => PathResult::Reached,
+            Self::Failed(_) => PathResult::Unreached,
+        }
+    }
+}
+
 /// Queries an upstream's load at its health path.
 pub async fn probe_load<C: UpstreamClient>(
     client: &C,
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -18,6 +18,10 @@
 mod execution;
 mod execution_settings;
 mod execution_state;
+mod forward_attempt;
+mod forward_gate;
+mod forward_header;
+mod forward_table;
 mod head_validation;
 mod keyed;
 mod load_check;
@@ -44,6 +48,10 @@
     AttemptIndex, AttemptPolicy, AttemptRole, ConfigConfirmation, ExecutionAction, ExecutionEvent,
     ExecutionState, OutcomeKind, StartRefusal, StepContext,
 };
+pub use self::forward_attempt::PeerForwarder;
+pub use self::forward_gate::ForwardRefusal;
+pub use self::forward_header::{AttemptOrder, ForwardKey, ForwardedRequest, SignedParts};
+pub use self::forward_table::{ForwardKeys, ForwardPeers, ForwardTable};
 pub use self::head_validation::{validate_head, validate_host};
 pub use self::load_check::{LoadCheckSettings, LoadChecker, LoadProbeOutcome, probe_load};
 pub use self::response::{
--- a/src/request/response.rs
+++ b/src/request/response.rs
@@ -11,14 +11,20 @@
 use tokio::time::{Instant, Sleep};
 
 use crate::core::{
-    IDEMPOTENCY_KEY_HEADER, NOT_DISPATCHED_HEADER, NOT_RUN_HEADER, RESULT_CODE_HEADER, ResultCode,
-    UPSTREAM_NOT_RUN_HEADER,
+    FORWARD_REFUSED_HEADER, IDEMPOTENCY_KEY_HEADER, NOT_DISPATCHED_HEADER, NOT_RUN_HEADER,
+    RESULT_CODE_HEADER, ResultCode, UPSTREAM_HEADER, UPSTREAM_NOT_RUN_HEADER,
 };
 use crate::request::response_relay::RelayedBody;
 
 /// Headers that only this node may set on responses to its callers.
-pub(super) const RESERVED_RESPONSE_HEADERS: [&str; 4] =
-    [NOT_DISPATCHED_HEADER, NOT_RUN_HEADER, RESULT_CODE_HEADER, UPSTREAM_NOT_RUN_HEADER];
+pub(super) const RESERVED_RESPONSE_HEADERS: [&str; 6] = [
+    FORWARD_REFUSED_HEADER,
+    NOT_DISPATCHED_HEADER,
+    NOT_RUN_HEADER,
+    RESULT_CODE_HEADER,
+    UPSTREAM_HEADER,
+    UPSTREAM_NOT_RUN_HEADER,
+];
 
 /// `Retry-After` of error responses without a better estimate.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
--- a/src/request/upstream_selection.rs
+++ b/src/request/upstream_selection.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use crate::balance::{
-    AttemptReport, PickPurpose, PickRefusal, PickRequest, RequestProfile, UpstreamPicker,
+    AttemptReport, PathTrial, PickPurpose, PickRefusal, PickRequest, RequestProfile, UpstreamPicker,
 };
 use crate::core::{IdempotenceMode, InflightGuard, RouteRecord, UpstreamKey, UpstreamState};
 use crate::request::attempt::UpstreamClient;
@@ -33,7 +33,9 @@
 pub(super) struct PreparedAttempt {
     pub(super) index: AttemptIndex,
     pub(super) role: AttemptRole,
-    pub(super) key: UpstreamKey,
+    /// Key of the upstream; `None` if the attempt is forwarded to a peer.
+    pub(super) key: Option<UpstreamKey>,
+    /// The upstream, or the peer.
     pub(super) upstream: Arc<UpstreamState>,
     pub(super) inflight: InflightGuard,
     /// Slowdown factor of the upstream: expected service time as a multiple of the usual one. Only
@@ -54,6 +56,10 @@
     pub(super) is_saturated: bool,
     /// Load checks sent for the request so far.
     pub(super) checks_sent: u32,
+    /// Attempts so far, forwarded ones included.
+    pub(super) attempts: usize,
+    /// Whether an attempt has been forwarded to a peer.
+    pub(super) is_forwarded: bool,
 }
 
 /// A selected upstream, which already counts the attempt as in flight.
@@ -110,6 +116,9 @@
         if self.refusal_left(ctx).is_some() {
             return Err(StartRefusal::Quarantined);
         }
+        if let Some(prepared) = self.prepare_forward(role, ctx, history) {
+            return prepared;
+        }
         if !self.has_budget(role) {
             return Err(StartRefusal::BudgetSpent);
         }
@@ -119,8 +128,14 @@
         if !self.try_spend_budget(role) {
             return Err(StartRefusal::BudgetSpent);
         }
-        let index = history.tried.len() as AttemptIndex;
-        Ok(PreparedAttempt { index, role, key, upstream: Arc::clone(upstream), inflight, slowdown })
+        Ok(PreparedAttempt {
+            index: history.attempts as AttemptIndex,
+            role,
+            key: Some(key),
+            upstream: Arc::clone(upstream),
+            inflight,
+            slowdown,
+        })
     }
 
     /// Selects an upstream and counts the attempt against its rate limit.
@@ -195,7 +210,9 @@
             history.checks_sent += 1;
             let header_names = &ctx.settings.headers;
             let check_timeout = checker.settings.check_timeout;
-            match probe_load(ctx.client, upstream, header_names, check_timeout).await {
+            let outcome = probe_load(ctx.client, upstream, header_names, check_timeout).await;
+            ctx.path.record(upstream.spec.address, PathTrial::Exchange, outcome.path_result());
+            match outcome {
                 LoadProbeOutcome::NoReport => {
                     return Ok(SelectedUpstream { key, inflight, slowdown: None });
                 }
@@ -289,7 +306,7 @@
     }
 
     /// Spends the budget for an attempt; false if it is exhausted.
-    fn try_spend_budget(&self, role: AttemptRole) -> bool {
+    pub(super) fn try_spend_budget(&self, role: AttemptRole) -> bool {
         match (role, &self.repeat_budget_share) {
             (AttemptRole::First, _) => true,
             (_, Some(share)) => share.window.try_spend(share.entries),
--- a/src/serve/caller_server.rs
+++ b/src/serve/caller_server.rs
@@ -17,7 +17,7 @@
 use crate::ledger::ClaimLedger;
 use crate::request::{CallerAddress, UpstreamClient};
 use crate::serve::accept::accept_connection;
-use crate::serve::proxy_service::ProxyService;
+use crate::serve::proxy_service::{ProxyService, RequestOrigin};
 use crate::serve::write_timeout::WriteTimeoutStream;
 
 /// Timeouts and limits of callers' connections.
@@ -52,6 +52,7 @@
 pub struct CallerServer {
     listener: TcpListener,
     settings: CallerServerSettings,
+    origin: RequestOrigin,
 }
 
 impl CallerServer {
@@ -61,7 +62,15 @@
     ///
     /// Returns the I/O error if the address cannot be bound.
     pub async fn bind(addr: SocketAddr, settings: CallerServerSettings) -> std::io::Result<Self> {
-        Ok(Self { listener: TcpListener::bind(addr).await?, settings })
+        let listener = TcpListener::bind(addr).await?;
+        Ok(Self { listener, settings, origin: RequestOrigin::default() })
+    }
+
+    /// Sets who sends the requests.
+    #[must_use]
+    pub fn with_origin(mut self, origin: RequestOrigin) -> Self {
+        self.origin = origin;
+        self
     }
 
     /// Address that the server listens on, with the actual port.
@@ -103,10 +112,11 @@
         graceful: &GracefulShutdown,
     ) {
         let _ = stream.set_nodelay(true);
+        let origin = self.origin;
         let service = service_fn(move |mut request: Request<Incoming>| {
             request.extensions_mut().insert(caller);
             let proxy = Arc::clone(&proxy);
-            proxy.serve_request(request)
+            proxy.serve_request(request, origin)
         });
         let mut builder = auto::Builder::new(TokioExecutor::new());
         builder
--- a/src/serve/http_client.rs
+++ b/src/serve/http_client.rs
@@ -5,9 +5,11 @@
 //! known to close the connection in order after a complete response and to reset it after a broken
 //! one ([`ResponseFraming::AllowCloseDelimited`]).
 
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -15,7 +17,9 @@
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
+use crate::balance::{PathMonitor, PathResult, PathTrial};
 use crate::core::UpstreamState;
 use crate::request::{
     AttemptOutcome, AttemptRequest, ConnectionPolicy, NotRunProof, UnknownCause, UpstreamClient,
@@ -44,6 +48,36 @@
 pub struct HttpUpstreamClient {
     pool: ConnectionPool,
     framing: ResponseFraming,
+    path: Option<Arc<PathMonitor>>,
+}
+
+/// Shortest time after which a connection that is still being opened when its attempt is cancelled
+/// counts as failed: a few round trips between failure domains.
+const MIN_CONNECT_WAIT: Duration = Duration::from_millis(20);
+
+/// A connection that is being opened, recorded when it is open, has failed, or is abandoned.
+struct ConnectTrial<'a> {
+    path: Option<&'a PathMonitor>,
+    address: SocketAddr,
+    began: Instant,
+}
+
+impl ConnectTrial<'_> {
+    fn finish(mut self, result: PathResult) {
+        if let Some(path) = self.path.take() {
+            path.record(self.address, PathTrial::Connection, result);
+        }
+    }
+}
+
+impl Drop for ConnectTrial<'_> {
+    /// Runs without a monitor after [`Self::finish`].
+    fn drop(&mut self) {
+        let Some(path) = self.path else { return };
+        if self.began.elapsed() >= MIN_CONNECT_WAIT {
+            path.record(self.address, PathTrial::Connection, PathResult::Unreached);
+        }
+    }
 }
 
 /// Result of sending a request on one connection.
@@ -90,7 +124,7 @@
 impl HttpUpstreamClient {
     /// Creates a client over `pool`.
     pub fn new(pool: ConnectionPool) -> Self {
-        Self { pool, framing: ResponseFraming::default() }
+        Self { pool, framing: ResponseFraming::default(), path: None }
     }
 
     /// Sets the message framing that counts as a complete response.
@@ -100,6 +134,13 @@
         self
     }
 
+    /// Records with `path` whether connections can be opened.
+    #[must_use]
+    pub fn with_path_monitor(mut self, path: Arc<PathMonitor>) -> Self {
+        self.path = Some(path);
+        self
+    }
+
     async fn send_on_connection(
         &self,
         held: PooledHttpConnection,
@@ -147,6 +188,7 @@
         let pooled = match connection_policy {
             ConnectionPolicy::AnyPooled => origin.upstream_pool.checkout(),
             ConnectionPolicy::NewOrVerified => origin.upstream_pool.checkout_verified(),
+            ConnectionPolicy::New => None,
         };
         if let Some(held) = pooled {
             match self.send_on_connection(held, &origin, request).await {
@@ -154,12 +196,18 @@
                 SendResult::Unsent(unsent) => request = unsent,
             }
         }
+        let trial =
+            ConnectTrial { path: self.path.as_deref(), address: addr, began: Instant::now() };
         let held = match self.pool.connect(&origin.upstream_pool, addr, max_connections).await {
-            Ok(held) => held,
+            Ok(held) => {
+                trial.finish(PathResult::Reached);
+                held
+            }
             Err(ConnectError::ShareInUse) => {
                 return AttemptOutcome::NotRun(NotRunProof::ShareInUse);
             }
             Err(ConnectError::Failed(_)) => {
+                trial.finish(PathResult::Unreached);
                 return AttemptOutcome::NotRun(NotRunProof::ConnectFailed);
             }
         };
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -21,7 +21,7 @@
 pub use self::latency_metrics::LatencyMetrics;
 pub use self::limit_metrics::LimitMetrics;
 pub(crate) use self::plain_response::{metrics_response, plain_response};
-pub use self::proxy_service::{LeavingFlag, ProxyService, ProxySettings};
+pub use self::proxy_service::{LeavingFlag, ProxyService, ProxySettings, RequestOrigin};
 pub use self::upstream_pool::{
     ConnectionPermit, Poolable, PooledConnection, UpstreamPool, UpstreamPoolSettings,
 };
--- a/src/serve/proxy_service.rs
+++ b/src/serve/proxy_service.rs
@@ -19,8 +19,8 @@
 use crate::ledger::ClaimLedger;
 use crate::membership::AddressResolver;
 use crate::request::{
-    AdmittedRequest, DataPlane, PlaneResponse, ResponseBody, UpstreamClient, error_response,
-    unclaimed_error_response, validate_host,
+    AdmittedRequest, DataPlane, ForwardRefusal, PlaneResponse, ResponseBody, UpstreamClient,
+    error_response, unclaimed_error_response, validate_host,
 };
 use crate::serve::latency_metrics::LatencyMetrics;
 use crate::serve::request_body::{BodyLimits, BodyMemoryBudget, BufferedBody, read_body};
@@ -67,6 +67,16 @@
     }
 }
 
+/// Who sends the requests of a listener.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RequestOrigin {
+    /// Callers.
+    #[default]
+    Callers,
+    /// Peers without a path to the upstreams, which forward their callers' requests.
+    Peers,
+}
+
 /// Serves callers' requests.
 #[derive(Debug)]
 pub struct ProxyService<C, P, L> {
@@ -113,9 +123,10 @@
     pub(super) async fn serve_request(
         self: Arc<Self>,
         request: Request<Incoming>,
+        origin: RequestOrigin,
     ) -> Result<PlaneResponse<C>, Infallible> {
         let version = request.version();
-        let mut response = Self::route_request(&self, request).await;
+        let mut response = Self::route_request(&self, request, origin).await;
         if version == Version::HTTP_10 {
             response = self.buffer_unsized_response(response).await;
         }
@@ -126,11 +137,22 @@
         Ok(response)
     }
 
-    async fn route_request(self: &Arc<Self>, request: Request<Incoming>) -> PlaneResponse<C> {
-        if request.uri().path() == ADDRESSES_PATH {
+    async fn route_request(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+        origin: RequestOrigin,
+    ) -> PlaneResponse<C> {
+        if origin == RequestOrigin::Callers && request.uri().path() == ADDRESSES_PATH {
             return self.addresses_response(request.uri());
         }
-        let (parts, body) = request.into_parts();
+        let (mut parts, body) = request.into_parts();
+        let forwarded = match origin {
+            RequestOrigin::Callers => None,
+            RequestOrigin::Peers => match self.plane.check_forwarded(&parts) {
+                Ok(forwarded) => Some(forwarded),
+                Err(refusal) => return refusal.response(),
+            },
+        };
         if let Err(code) = validate_host(&parts) {
             let mut response = unclaimed_error_response(&parts.headers, code);
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -153,6 +175,15 @@
                 return response;
             }
         };
+        if let Some(forwarded) = forwarded {
+            if admitted.snapshot.generation != forwarded.generation {
+                return ForwardRefusal::OtherGeneration.response();
+            }
+            let accepted = self.plane.accept_forwarded(&mut parts, &body.bytes, forwarded);
+            if let Err(refusal) = accepted {
+                return refusal.response();
+            }
+        }
         if admitted.class.mode == IdempotenceMode::Idempotent {
             return self.run(admitted, parts, body).await;
         }
--- a/tests/testsuite/addresses.rs
+++ b/tests/testsuite/addresses.rs
@@ -21,6 +21,7 @@
         caller_address: address,
         peer_address: address,
         state: EntryState::Ready,
+        has_path: true,
     }
 }
 
--- a/tests/testsuite/enrolment.rs
+++ b/tests/testsuite/enrolment.rs
@@ -121,6 +121,8 @@
             is_enrolled: self.entry.state.is_enrolled(),
             confirmation: self.entry.state.confirmation(),
             alive: Vec::new(),
+            has_no_path: false,
+            no_path: Vec::new(),
             loads: Vec::new(),
             change: None,
             limits: Vec::new(),
--- a/tests/testsuite/fleet_peers.rs
+++ b/tests/testsuite/fleet_peers.rs
@@ -32,6 +32,8 @@
         is_enrolled: true,
         confirmation: None,
         alive: Vec::new(),
+        has_no_path: false,
+        no_path: Vec::new(),
         loads: Vec::new(),
         change: None,
         limits: Vec::new(),
@@ -44,6 +46,7 @@
         failure_domain: FailureDomain::new("fd-a"),
         caller_address: address(1),
         peer_address: address(2),
+        has_path: true,
         state: EntryState::Ready,
     })
 }
--- a/tests/testsuite/scenario_runner/scripted_upstream.rs
+++ b/tests/testsuite/scenario_runner/scripted_upstream.rs
@@ -145,6 +145,7 @@
         let connection = match request.connection {
             ConnectionPolicy::AnyPooled => "pooled",
             ConnectionPolicy::NewOrVerified => "proven",
+            ConnectionPolicy::New => "new",
         };
         let left_ms = header_text(&request.headers, DEADLINE_HEADER);
         let (node, name) = (&self.node, &upstream.name);
--- a/tests/testsuite/support/fleet.rs
+++ b/tests/testsuite/support/fleet.rs
@@ -116,6 +116,7 @@
             caller_address: SocketAddr::from((host, 2)),
             peer_address: SocketAddr::from((host, 3)),
             state: EntryState::Starting,
+            has_path: true,
         };
         let state = Arc::new(FleetState::new(
             DeploymentView::new(TestCodec),
--- a/tests/testsuite/support/ledger_cluster.rs
+++ b/tests/testsuite/support/ledger_cluster.rs
@@ -244,6 +244,7 @@
             caller_address: SocketAddr::from(([127, 0, 0, 1], 1)),
             peer_address: SocketAddr::from(([127, 0, 0, 1], 2)),
             state: EntryState::Ready,
+            has_path: true,
         });
     }
     MembershipView { entries }
