tests: pauses that upstreams ask for and that are lost, failing

Callers that leave before the 503 of an upstream arrives: 200 of 245 requests reach it within the pause that it asked for, where 2 are allowed. A registration that leaves and returns brings the upstream back without its pause. A request goes out after a pause that began during its load check.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -34,6 +34,7 @@
 mod path_forwarding;
 mod path_membership;
 mod path_monitor;
+mod pauses;
 mod peer_calls;
 mod probe_budget;
 mod processes;
