serve: read a response that arrives just after its attempt was cancelled

Cause: the response that asks for the pause met an attempt that had been cancelled, since another one had answered or its caller had left. Its connection was closed with the response unread. Class of fault: what an upstream says reaches nobody because the request that it answers is over.

--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -162,7 +162,8 @@
     let path = Arc::new(PathMonitor::default());
     let client = HttpUpstreamClient::new(pool.clone())
         .with_framing(ResponseFraming::AllowCloseDelimited)
-        .with_path_monitor(Arc::clone(&path));
+        .with_path_monitor(Arc::clone(&path))
+        .with_late_notices(headers.clone());
     let forward_table =
         Arc::new(ForwardTable::new(Arc::clone(&path), SeededRandom::from_entropy()));
     let forwarder =
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -59,3 +59,4 @@
     error_response, error_response_retry_after, is_not_run, unclaimed_error_response,
 };
 pub use self::response_relay::RelayedBody;
+pub(crate) use self::upstream_notices::record_late_response;
--- a/src/request/upstream_notices.rs
+++ b/src/request/upstream_notices.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use http::{HeaderMap, HeaderName, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 use crate::core::{HeaderNames, LimitStatement, UpstreamState};
 use crate::request::attempt::AttemptOutcome;
+use crate::request::attempt_reporter::is_drain_signal;
 
 /// Longest pause that an upstream gets; a longer one would be a mistake.
 const MAX_PAUSE: Duration = Duration::from_secs(600);
@@ -110,6 +111,25 @@
     }
 }
 
+/// Records what an upstream says of itself in a response that arrived after its attempt was cancelled,
+/// `latency` after the request was sent. A response to another request says nothing.
+pub(crate) fn record_late_response(
+    upstream: &UpstreamState,
+    (status, headers): (StatusCode, &HeaderMap),
+    request_id: &HeaderValue,
+    header_names: &HeaderNames,
+    latency: Duration,
+) {
+    let echoed = headers.get(&header_names.request_id);
+    if header_names.echoes_request_id && echoed != Some(request_id) {
+        return;
+    }
+    UpstreamNotices::read(status, headers, header_names).record(upstream, latency);
+    if is_drain_signal(headers, header_names) {
+        upstream.record_drain_signal(true, latency);
+    }
+}
+
 /// Counts an invalid notice, and logs the count when it is a power of two, so that an upstream cannot
 /// flood the log.
 fn log_invalid(upstream: &UpstreamState) {
--- a/src/serve/http_client.rs
+++ b/src/serve/http_client.rs
@@ -20,7 +20,7 @@
 use tokio::time::Instant;
 
 use crate::balance::{PathMonitor, PathResult, PathTrial};
-use crate::core::UpstreamState;
+use crate::core::{HeaderNames, UpstreamState};
 use crate::request::{
     AttemptOutcome, AttemptRequest, ConnectionPolicy, NotRunProof, UnknownCause, UpstreamClient,
     UpstreamResponse,
@@ -28,6 +28,7 @@
 use crate::serve::connection_pool::{
     ConnectError, ConnectionPool, HttpUpstreamPool, PooledHttpConnection,
 };
+use crate::serve::pending_response::{LateResponseReader, PendingResponse};
 
 /// The only transfer coding that delimits the body.
 const CHUNKED: &[u8] = b"chunked";
@@ -49,6 +50,8 @@
     pool: ConnectionPool,
     framing: ResponseFraming,
     path: Option<Arc<PathMonitor>>,
+    /// Headers by which upstreams speak of themselves; none to read no responses of cancelled attempts.
+    late_notices: Option<Arc<HeaderNames>>,
 }
 
 /// Shortest time after which a connection that is still being opened when its attempt is cancelled
@@ -89,7 +92,7 @@
 
 /// Pool that a connection was checked out of and is released to.
 #[derive(Clone, Debug)]
-struct ConnectionOrigin {
+pub(super) struct ConnectionOrigin {
     pool: ConnectionPool,
     upstream_pool: Arc<HttpUpstreamPool>,
     max_connections: u32,
@@ -99,19 +102,10 @@
     fn release(&self, connection: PooledHttpConnection) {
         self.upstream_pool.release(connection, self.pool.share(self.max_connections));
     }
-}
-
-/// Holds a connection until the head of its response arrives.
-struct PendingConnection<'a> {
-    held: Option<PooledHttpConnection>,
-    origin: &'a ConnectionOrigin,
-}
 
-impl Drop for PendingConnection<'_> {
-    /// Runs if the attempt is cancelled before the first byte of the response.
-    fn drop(&mut self) {
-        let Some(held) = self.held.take() else { return };
-        let closed = self.origin.upstream_pool.abandon(held);
+    /// Closes a connection whose attempt was cancelled before the first byte of the response.
+    pub(super) fn abandon(&self, connection: PooledHttpConnection) {
+        let closed = self.upstream_pool.abandon(connection);
         if closed > 0 {
             log::info!(
                 target: "connection",
@@ -124,7 +118,7 @@
 impl HttpUpstreamClient {
     /// Creates a client over `pool`.
     pub fn new(pool: ConnectionPool) -> Self {
-        Self { pool, framing: ResponseFraming::default(), path: None }
+        Self { pool, framing: ResponseFraming::default(), path: None, late_notices: None }
     }
 
     /// Sets the message framing that counts as a complete response.
@@ -141,21 +135,29 @@
         self
     }
 
+    /// Records what upstreams say of themselves in responses that arrive just after their attempts
+    /// were cancelled, by these headers.
+    #[must_use]
+    pub fn with_late_notices(mut self, header_names: HeaderNames) -> Self {
+        self.late_notices = Some(Arc::new(header_names));
+        self
+    }
+
     async fn send_on_connection(
         &self,
-        held: PooledHttpConnection,
+        mut held: PooledHttpConnection,
         origin: &ConnectionOrigin,
         request: Request<Full<Bytes>>,
+        reader: Option<LateResponseReader>,
     ) -> SendResult {
         let method = request.method().clone();
-        let mut pending = PendingConnection { held: Some(held), origin };
-        let Some(held) = &mut pending.held else { return SendResult::Unsent(request) };
         if held.connection.sender.ready().await.is_err() {
             return SendResult::Unsent(request);
         }
-        let sent = held.connection.sender.try_send_request(request).await;
+        let response = held.connection.sender.try_send_request(request);
+        let pending = PendingResponse::new(response, held, origin.clone(), reader);
         // Either the response has begun or the connection has closed, so it is not unresponsive.
-        let held = pending.held.take();
+        let (sent, held) = pending.wait().await;
         match sent {
             Ok(response) => {
                 SendResult::Done(wrap_response(&method, response, held, origin, self.framing))
@@ -166,6 +168,24 @@
             },
         }
     }
+
+    /// Reader of a late response to a request; none for load checks, which have no identity.
+    fn late_reader(
+        &self,
+        upstream: &Arc<UpstreamState>,
+        request: &Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Option<LateResponseReader> {
+        let header_names = self.late_notices.as_ref()?;
+        let request_id = request.headers().get(&header_names.request_id)?;
+        Some(LateResponseReader {
+            upstream: Arc::clone(upstream),
+            header_names: Arc::clone(header_names),
+            request_id: request_id.clone(),
+            deadline,
+            sent_at: Instant::now(),
+        })
+    }
 }
 
 impl UpstreamClient for HttpUpstreamClient {
@@ -183,7 +203,7 @@
             upstream_pool: self.pool.upstream_pool(addr),
             max_connections,
         };
-        let connection_policy = request.connection;
+        let (connection_policy, deadline) = (request.connection, request.deadline);
         let mut request = http_request(request);
         let pooled = match connection_policy {
             ConnectionPolicy::AnyPooled => origin.upstream_pool.checkout(),
@@ -191,7 +211,8 @@
             ConnectionPolicy::New => None,
         };
         if let Some(held) = pooled {
-            match self.send_on_connection(held, &origin, request).await {
+            let reader = self.late_reader(upstream, &request, deadline);
+            match self.send_on_connection(held, &origin, request, reader).await {
                 SendResult::Done(outcome) => return outcome,
                 SendResult::Unsent(unsent) => request = unsent,
             }
@@ -211,7 +232,8 @@
                 return AttemptOutcome::NotRun(NotRunProof::ConnectFailed);
             }
         };
-        match self.send_on_connection(held, &origin, request).await {
+        let reader = self.late_reader(upstream, &request, deadline);
+        match self.send_on_connection(held, &origin, request, reader).await {
             SendResult::Done(outcome) => outcome,
             SendResult::Unsent(_) => AttemptOutcome::NotRun(NotRunProof::NothingSent),
         }
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -7,6 +7,7 @@
 mod http_client;
 mod latency_metrics;
 mod limit_metrics;
+mod pending_response;
 mod plain_response;
 mod proxy_service;
 mod request_body;
--- a/tests/testsuite/pauses.rs
+++ b/tests/testsuite/pauses.rs
@@ -13,20 +13,24 @@
     ConfigSnapshot, FailureDomain, HeaderNames, LoadReportFormat, SharedSnapshot, UpstreamKey,
     UpstreamSpec, UpstreamState,
 };
-use heatherfall::membership::ConfigFreshness;
+use heatherfall::membership::{ConfigFreshness, SharedMembership};
 use heatherfall::request::{
-    AttemptOutcome, AttemptRequest, DataPlane, ExecutionSettings, LoadCheckSettings,
-    UpstreamClient, UpstreamResponse,
+    AttemptOutcome, AttemptRequest, ConnectionPolicy, DataPlane, ExecutionSettings,
+    LoadCheckSettings, UpstreamClient, UpstreamResponse,
 };
+use heatherfall::serve::{ConnectionPool, HttpUpstreamClient, PoolSettings};
 use heatherfall::util::SeededRandom;
-use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
+use http::header::RETRY_AFTER;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use serde_json::json;
-use tokio::time::{Instant, advance, sleep};
+use tokio::time::{Instant, advance, sleep, timeout};
 
-use crate::support::{single_node_ledger, three_upstream_snapshot};
+use crate::support::{RawResponse, RawUpstream, single_node_ledger, three_upstream_snapshot};
 
 const PAUSE: Duration = Duration::from_secs(3);
+/// Time within which a late response is read.
+const LATE_TIME: Duration = Duration::from_millis(500);
 const LOAD_HEADER: HeaderName = HeaderName::from_static("x-load");
 
 fn declared(name: &str, started_ms: Option<u64>) -> DeclaredUpstream {
@@ -190,3 +194,54 @@
     assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(client.requests.load(Ordering::Relaxed), 0, "requests within a pause");
 }
+
+/// Sends a request, cancels it once it has arrived, lets the upstream respond, and returns whether
+/// the upstream is paused soon afterwards.
+async fn is_paused_by_late(response: &str) -> bool {
+    let raw = RawUpstream::start(vec![RawResponse::Held(response.as_bytes().to_vec())]).await;
+    let mut declared = declared("u", None);
+    declared.spec.address = raw.addr;
+    let upstream = Arc::new(UpstreamState::new("u", declared.spec, Default::default()));
+    let pool = ConnectionPool::new(PoolSettings::default(), SharedMembership::default());
+    let client = HttpUpstreamClient::new(pool).with_late_notices(HeaderNames {
+        pause: Some(RETRY_AFTER),
+        echoes_request_id: true,
+        ..Default::default()
+    });
+    let request = AttemptRequest {
+        method: Method::GET,
+        uri: Uri::from_static("/"),
+        headers: HeaderMap::from_iter([("x-request-id".parse().unwrap(), "a".parse().unwrap())]),
+        body: Bytes::new(),
+        deadline: Instant::now() + PAUSE,
+        connection: ConnectionPolicy::AnyPooled,
+    };
+    let sending = tokio::spawn({
+        let upstream = Arc::clone(&upstream);
+        async move { client.send(&upstream, request).await }
+    });
+    raw.request_arrived().await;
+    sending.abort();
+    let _ = sending.await;
+    raw.release_response();
+    let paused = timeout(LATE_TIME, async {
+        while upstream.stats().pause_left(Instant::now()).is_zero() {
+            sleep(Duration::from_millis(1)).await;
+        }
+    });
+    paused.await.is_ok()
+}
+
+/// Guards against a pause that nobody reads, because the attempt that got the response had been
+/// abandoned: another one had answered, or the caller had left.
+#[tokio::test]
+async fn a_pause_that_crosses_the_end_of_its_attempt_is_kept() {
+    let refusal = |id: &str| {
+        format!(
+            "HTTP/1.1 503 Service Unavailable\r\nx-request-id: {id}\r\nretry-after: 3\r\n\
+             content-length: 0\r\n\r\n"
+        )
+    };
+    assert!(is_paused_by_late(&refusal("a")).await, "the pause was not recorded");
+    assert!(!is_paused_by_late(&refusal("b")).await, "a response to another request counted");
+}
