config: keep what is known of an upstream whose registration returns

Cause: the state of an upstream was dropped with its registration. One that does not reach the store for three heartbeats is removed and returns, as the same process at the same address, without its pause, its drain signal and its rate limit. Class of fault: state that is kept by the life of something else.

Change: the states of removed upstreams are kept for a minute, and taken up by a registration of the same name, address and start.

--- a/src/config/compile.rs
+++ b/src/config/compile.rs
@@ -5,16 +5,19 @@
 //! Rules and routes are in a total order: higher `priority` first, then object name.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use heatherfall_platform_api::ObjectEnvelope;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
+use tokio::time::Instant;
 
 use crate::config::object_set::ObjectSet;
 use crate::core::{
-    BudgetSpec, ConfigSnapshot, GenerationNumber, IdempotenceRule, IdempotenceSpec, LabelSelector,
-    LabelSet, ObjectKind, RequestLabelSpec, RequestRule, ResultCode, RouteRecord, RouteSpec,
-    TenantId, UpstreamArena, UpstreamKey, UpstreamSpec, UpstreamState, WeightedPart,
+    BudgetSpec, ConfigSnapshot, DepartedUpstream, GenerationNumber, IdempotenceRule,
+    IdempotenceSpec, LabelSelector, LabelSet, ObjectKind, RequestLabelSpec, RequestRule,
+    ResultCode, RouteRecord, RouteSpec, TenantId, UpstreamArena, UpstreamKey, UpstreamSpec,
+    UpstreamState, WeightedPart,
 };
 use crate::util::{FastMap, FastSet};
 
@@ -52,7 +55,7 @@
 ) -> CompileOutcome {
     let mut faults = Vec::new();
     let declared = declared_upstreams(objects, &mut faults);
-    let upstreams = merge_upstreams(declared, previous);
+    let MergedUpstreams { upstreams, departed_upstreams } = merge_upstreams(declared, previous);
     let routes = read_specs(objects, ObjectKind::Route, &mut faults);
     let mut snapshot = ConfigSnapshot {
         generation,
@@ -60,6 +63,7 @@
         routes: compile_routes(routes, &upstreams),
         idempotence_rules: compile_idempotence(objects, &mut faults),
         budget: compile_budget(objects, &mut faults),
+        departed_upstreams,
         ..ConfigSnapshot::default()
     };
     set_upstreams(&mut snapshot, upstreams);
@@ -86,13 +90,13 @@
     declared: Vec<DeclaredUpstream>,
     previous: Option<&ConfigSnapshot>,
 ) -> ConfigSnapshot {
-    let upstreams = merge_upstreams(declared, previous);
+    let MergedUpstreams { upstreams, departed_upstreams } = merge_upstreams(declared, previous);
     let mut specs = Vec::with_capacity(rules.routes.len());
     for route in &rules.routes {
         specs.push((route.name.clone(), route.spec.clone()));
     }
     let routes = compile_routes(specs, &upstreams);
-    let mut snapshot = ConfigSnapshot { routes, ..rules.clone() };
+    let mut snapshot = ConfigSnapshot { routes, departed_upstreams, ..rules.clone() };
     set_upstreams(&mut snapshot, upstreams);
     snapshot
 }
@@ -170,11 +174,25 @@
     declared
 }
 
+/// Time for which the state of removed upstreams is kept. One that does not reach the platform's store
+/// for some seconds is removed and returns.
+const DEPARTED_STATE_TTL: Duration = Duration::from_secs(60);
+
+/// The upstreams of a configuration, and those that it no longer has.
+struct MergedUpstreams {
+    upstreams: UpstreamArena,
+    departed_upstreams: Vec<DepartedUpstream>,
+}
+
 fn merge_upstreams(
     declared: Vec<DeclaredUpstream>,
     previous: Option<&ConfigSnapshot>,
-) -> UpstreamArena {
+) -> MergedUpstreams {
+    let now = Instant::now();
     let mut arena = previous.map(|snapshot| snapshot.upstreams.clone()).unwrap_or_default();
+    let mut departed =
+        previous.map(|snapshot| snapshot.departed_upstreams.clone()).unwrap_or_default();
+    departed.retain(|departed| now - departed.removed_at < DEPARTED_STATE_TTL);
     let mut known: FastMap<String, UpstreamKey> = FastMap::default();
     for (key, upstream) in &arena {
         known.insert(upstream.name.clone(), key);
@@ -182,37 +200,53 @@
     let mut kept: FastSet<UpstreamKey> = FastSet::default();
     for upstream in declared {
         let key = known.get(&upstream.name).copied();
-        kept.insert(merge_upstream(&mut arena, key, upstream));
+        kept.insert(merge_upstream(&mut arena, key, upstream, &mut departed));
     }
     arena.retain(|key, upstream| {
         let is_kept = kept.contains(&key);
         upstream.set_retired(!is_kept || upstream.spec.draining);
+        if !is_kept {
+            departed.push(DepartedUpstream { upstream: Arc::clone(upstream), removed_at: now });
+        }
         is_kept
     });
-    arena
+    MergedUpstreams { upstreams: arena, departed_upstreams: departed }
 }
 
 /// Inserts or updates one upstream. One that keeps its address and its process keeps its key and
-/// counters; otherwise it is a different server and starts afresh.
+/// counters, and one that returns to its address with the same process keeps its counters; otherwise
+/// it is a different server and starts afresh.
 fn merge_upstream(
     arena: &mut UpstreamArena,
     known_key: Option<UpstreamKey>,
     upstream: DeclaredUpstream,
+    departed: &mut Vec<DepartedUpstream>,
 ) -> UpstreamKey {
     let DeclaredUpstream { name, labels, spec } = upstream;
-    let Some((key, state)) = known_key.and_then(|key| Some((key, arena.get_mut(key)?))) else {
+    if let Some((key, state)) = known_key.and_then(|key| Some((key, arena.get_mut(key)?)))
+        && is_same_process(&state.spec, &spec)
+    {
+        if state.spec != spec || state.labels != labels {
+            *state = Arc::new(state.with_spec(spec, labels));
+        }
+        return key;
+    }
+    let returned = departed.iter().position(|departed| {
+        departed.upstream.name == name && is_same_process(&departed.upstream.spec, &spec)
+    });
+    let Some(returned) = returned else {
         return arena.insert(Arc::new(UpstreamState::new(&name, spec, labels)));
     };
-    let is_restarted = state.spec.started_ms.is_some()
+    let DepartedUpstream { upstream, .. } = departed.swap_remove(returned);
+    arena.insert(Arc::new(upstream.with_spec(spec, labels)))
+}
+
+/// Whether both are specs of one process at one address. Starts that are not stated may be the same.
+fn is_same_process(known: &UpstreamSpec, spec: &UpstreamSpec) -> bool {
+    let is_restarted = known.started_ms.is_some()
         && spec.started_ms.is_some()
-        && state.spec.started_ms != spec.started_ms;
-    if state.spec.address != spec.address || is_restarted {
-        return arena.insert(Arc::new(UpstreamState::new(&name, spec, labels)));
-    }
-    if state.spec != spec || state.labels != labels {
-        *state = Arc::new(state.with_spec(spec, labels));
-    }
-    key
+        && known.started_ms != spec.started_ms;
+    known.address == spec.address && !is_restarted
 }
 
 fn compile_request_rules(objects: &ObjectSet, faults: &mut Vec<SpecError>) -> Vec<RequestRule> {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -35,8 +35,8 @@
 pub use self::result_code::ResultCode;
 pub use self::selector::{LabelSelector, SelectorError};
 pub use self::snapshot::{
-    ConfigSnapshot, IdempotenceRule, PartIndex, ReplacedRules, RequestRule, RouteKey, RouteRecord,
-    SharedSnapshot, WeightedPart,
+    ConfigSnapshot, DepartedUpstream, IdempotenceRule, PartIndex, ReplacedRules, RequestRule,
+    RouteKey, RouteRecord, SharedSnapshot, WeightedPart,
 };
 pub use self::upstream::{InflightGuard, UpstreamArena, UpstreamKey, UpstreamState};
 pub use self::upstream_stats::{AtomicF32, AtomicTimestamp, UpstreamStats};
--- a/src/core/snapshot.rs
+++ b/src/core/snapshot.rs
@@ -6,12 +6,13 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwapOption;
+use tokio::time::Instant;
 
 use crate::core::identity::{GenerationNumber, TenantId};
 use crate::core::label::LabelSet;
 use crate::core::object::{BudgetSpec, IdempotenceMode, RequestMatcher, RouteSpec};
 use crate::core::selector::LabelSelector;
-use crate::core::upstream::{UpstreamArena, UpstreamKey};
+use crate::core::upstream::{UpstreamArena, UpstreamKey, UpstreamState};
 use crate::util::FastMap;
 
 /// Pointer to the current snapshot; empty until the first configuration has arrived.
@@ -30,6 +31,8 @@
     pub upstreams: UpstreamArena,
     /// Keys of the upstreams by object name.
     pub upstream_names: FastMap<String, UpstreamKey>,
+    /// Upstreams that were removed a short time ago, and may return.
+    pub departed_upstreams: Vec<DepartedUpstream>,
     /// Request rules in order of precedence.
     pub request_rules: Vec<RequestRule>,
     /// Routes in order of precedence; [`RouteKey`] is the index.
@@ -43,6 +46,15 @@
     pub budget: BudgetSpec,
 }
 
+/// An upstream that has been removed. If it returns, it is still known what it asked for.
+#[derive(Clone, Debug)]
+pub struct DepartedUpstream {
+    /// Its last state.
+    pub upstream: Arc<UpstreamState>,
+    /// When it was removed.
+    pub removed_at: Instant,
+}
+
 /// Idempotence rules of a replaced generation, and what they depend on.
 #[derive(Clone, Debug, Default)]
 pub struct ReplacedRules {
