request: no attempt to an upstream that has asked for a pause since it was picked

Cause: an upstream is picked, then asked for its load, up to four in turn. What it says meanwhile to another request, a pause or that it is leaving, was not looked at again before the request went out. Class of fault: a decision that is older than what it depends on.

Change: the picked upstream must still accept attempts when the request goes out; otherwise another one is picked, up to four times.

--- a/src/request/upstream_selection.rs
+++ b/src/request/upstream_selection.rs
@@ -153,8 +153,13 @@
                 return Err(StartRefusal::NoUpstream);
             }
             let upstream = self.snapshot.upstreams.get(selected.key);
-            // During the load check, other requests may have used up this entry's share of a limit.
-            if upstream.is_some_and(|upstream| upstream.rate_limit().try_take(Instant::now())) {
+            // During the load check, the upstream may have asked for a pause or begun to drain, and
+            // other requests may have used up this entry's share of a limit.
+            let now = Instant::now();
+            let accepts = upstream.is_some_and(|upstream| {
+                upstream.accepts_attempts(now) && upstream.rate_limit().try_take(now)
+            });
+            if accepts {
                 return Ok(selected);
             }
         }
