fleet: restore a lost path by half of the upstreams that are asked

Cause: a single response restored the path.

Change: while the path is cut, half of the upstreams that a check asks must respond; one response still keeps a path that is not.

Evidence: a new test failed before: an entry that reaches one upstream of eight restored its path within a second.

--- a/src/balance/path_monitor.rs
+++ b/src/balance/path_monitor.rs
@@ -6,7 +6,7 @@
 //! ```text
 //! some upstreams unreached, none reached since -> suspicion -> check of several others
 //!     one responds -> open: the fault is with the upstreams
-//!     none does    -> cut, until a later check reaches one
+//!     none does    -> cut, until a later check reaches half of those that it asks
 //! ```
 //!
 //! Connections are counted apart, because those that are open may live on while no new one can be
@@ -45,11 +45,11 @@
 /// What a check of several upstreams has shown.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PathVerdict {
-    /// One of them responded.
+    /// Enough of them responded.
     Open,
-    /// No connection to any of them could be opened.
+    /// Those that did not respond accepted no connection.
     NoConnection,
-    /// None of them responded, though some connections were opened.
+    /// Too few of them responded, though some others accepted connections.
     NoResponse,
 }
 
--- a/src/fleet/path_check.rs
+++ b/src/fleet/path_check.rs
@@ -1,7 +1,8 @@
 //! Checks whether this entry has a path to the upstreams once that is in doubt, and while it has none.
 //!
-//! A check asks a few upstreams at their health paths, on new connections, and ends with the first
-//! response. While there is a path and no doubt of it, nothing is sent.
+//! A check asks a few upstreams at their health paths, on new connections. One response is enough to
+//! keep the path, and half of them are needed to restore it, so that an entry that reaches a few
+//! upstreams does not go back and forth. While there is a path and no doubt of it, nothing is sent.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -112,10 +113,17 @@
         if checks.is_empty() {
             return None;
         }
+        let needed = if self.monitor.is_cut() { checks.len().div_ceil(2) } else { 1 };
+        let mut responses = 0;
         let mut verdict = PathVerdict::NoConnection;
         while let Some(outcome) = checks.next().await {
             match outcome {
-                CheckOutcome::Responded => return Some(PathVerdict::Open),
+                CheckOutcome::Responded => {
+                    responses += 1;
+                    if responses >= needed {
+                        return Some(PathVerdict::Open);
+                    }
+                }
                 CheckOutcome::NoConnection => {}
                 CheckOutcome::NoResponse => verdict = PathVerdict::NoResponse,
             }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -31,6 +31,7 @@
 mod load_picker;
 mod log_writer;
 mod membership;
+mod path_check;
 mod path_forwarding;
 mod path_membership;
 mod path_monitor;
