--- a/src/fleet/entry_settings.rs
+++ b/src/fleet/entry_settings.rs
@@ -54,7 +54,7 @@
     pub directory: SocketAddr,
     /// For metrics.
     pub control: SocketAddr,
-    /// For datagrams of other entries (UDP).
+    /// For datagrams of other entries (UDP), and requests that they forward (TCP).
     pub peers: SocketAddr,
 }
 
--- a/src/fleet/fleet_metrics.rs
+++ b/src/fleet/fleet_metrics.rs
@@ -48,6 +48,8 @@
     pub limited_upstreams: usize,
     /// Requests that are refused because they crash upstreams.
     pub refused_requests: usize,
+    /// Whether this entry has a path to the upstreams.
+    pub has_path: bool,
     /// Store revision up to which upstream changes are known.
     pub view_revision: Revision,
     /// Position that the store last reported to this entry.
@@ -63,6 +65,7 @@
     upstreams: IntGauge,
     limited_upstreams: IntGauge,
     refused_requests: IntGauge,
+    has_path: IntGauge,
     view_revision: IntGauge,
     store_revision: IntGauge,
     store_era: IntGauge,
@@ -100,6 +103,10 @@
                 "heatherfall_refused_requests",
                 "Requests that are refused because upstreams ended while they ran them.",
             )?,
+            has_path: IntGauge::new(
+                "heatherfall_has_path",
+                "1 if this entry has a path to the upstreams, 0 if it forwards requests to peers.",
+            )?,
             view_revision: IntGauge::new(
                 "heatherfall_view_revision",
                 "Store revision up to which upstream changes are known.",
@@ -117,6 +124,7 @@
         registry.register(Box::new(metrics.generation.clone()))?;
         registry.register(Box::new(metrics.limited_upstreams.clone()))?;
         registry.register(Box::new(metrics.refused_requests.clone()))?;
+        registry.register(Box::new(metrics.has_path.clone()))?;
         registry.register(Box::new(metrics.view_age.clone()))?;
         registry.register(Box::new(metrics.entries.clone()))?;
         registry.register(Box::new(metrics.upstreams.clone()))?;
@@ -135,6 +143,7 @@
         self.upstreams.set(i64::try_from(status.upstreams).unwrap_or(i64::MAX));
         self.limited_upstreams.set(i64::try_from(status.limited_upstreams).unwrap_or(i64::MAX));
         self.refused_requests.set(i64::try_from(status.refused_requests).unwrap_or(i64::MAX));
+        self.has_path.set(i64::from(status.has_path));
         self.view_revision.set(gauge_value(status.view_revision));
         self.store_revision.set(gauge_value(status.store_position.revision));
         self.store_era.set(gauge_value(status.store_position.era.0));
--- a/src/fleet/state/status.rs
+++ b/src/fleet/state/status.rs
@@ -47,6 +47,7 @@
             upstreams: snapshot.map_or(0, |snapshot| snapshot.upstreams.len()),
             limited_upstreams: snapshot.map_or(0, |snapshot| limited_upstreams(snapshot)),
             refused_requests: self.quarantine.refused_requests(Instant::now()),
+            has_path: self.table().own().has_path,
             view_revision: self.view().revision(),
             store_position: *lock(&self.store_position),
         });
--- a/tests/testsuite/path_forwarding.rs
+++ b/tests/testsuite/path_forwarding.rs
@@ -11,6 +11,7 @@
 use heatherfall::core::{
     BudgetSpec, EntryPeer, FORWARDED_HEADER, GenerationNumber, SharedSnapshot, UpstreamState,
 };
+use heatherfall::limits::{RouteLimitSettings, WindowAllowance};
 use heatherfall::membership::ConfigFreshness;
 use heatherfall::request::{
     AttemptOrder, AttemptOutcome, AttemptRequest, DataPlane, ExecutionSettings, ForwardKey,
@@ -31,6 +32,10 @@
 /// Time for which a request may wait in these tests.
 const DEADLINE: Duration = Duration::from_millis(100);
 
+/// One repeat for each request.
+const ALLOWANCE: WindowAllowance =
+    WindowAllowance { ratio: 1.0, extra: 0.0, window: Duration::from_secs(10) };
+
 /// What becomes of a request at the upstreams.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 enum UpstreamBehaviour {
@@ -233,6 +238,11 @@
                 freshness,
                 ExecutionSettings::default(),
             );
+            let plane = plane.with_limits(RouteLimitSettings {
+                repeats: Some(ALLOWANCE),
+                is_gate_disabled: true,
+                ..Default::default()
+            });
             let forwarder = PeerForwarder { client, table: Arc::new(table) };
             planes.push(Arc::new(plane.with_forwarder(forwarder)));
             snapshots.push(shared);
@@ -396,6 +406,25 @@
     }
 }
 
+/// Guards against a request that earns two entries a repeat, and against a lost path that uses up the
+/// budget.
+#[tokio::test(start_paused = true)]
+async fn a_forwarded_request_counts_in_the_budget_of_the_peer_alone() {
+    let fleet = Fleet::with_cut_entry(1);
+    for _ in 0..10 {
+        fleet.send("/read").await;
+    }
+    let can_spend = |plane: &PeerPlane, times: u32| {
+        let limits = plane.limits();
+        let route = limits.routes().into_iter().next().expect("a route");
+        let window = route.limits.window_budget(None).expect("a budget");
+        (0..times).all(|_| window.try_spend(1))
+    };
+    assert!(!can_spend(&fleet.entry, 1), "the entry has no request of its own");
+    assert!(can_spend(&fleet.peers[0], 8), "the peer has ten");
+    assert!(!can_spend(&fleet.peers[0], 1), "four fifths of the allowance are used");
+}
+
 /// Guards against an entry that takes its own loss of the path for upstreams that have ended, and has
 /// a request refused everywhere.
 #[tokio::test(start_paused = true)]
