balance: missing responses cut a path only with the second check in a row

What was seen: with two test suites at a time on a busy machine, all entries took their paths for cut at the same moment, verdict NoResponse, refused each other's requests and then all of their callers': 80 of 192 and 102 of 156 first tries served at entries that were not cut off.

Cause: a process, or a whole deployment, that stands still for a quarter of a second misses the responses of one check. Class of fault: a signal that is believed although everybody gives it.

Change: a check without responses is repeated at once before it counts; one whose connections were refused counts as before.

Evidence: a new test.

--- a/src/balance/path_monitor.rs
+++ b/src/balance/path_monitor.rs
@@ -99,6 +99,8 @@
 struct PathState {
     connections: FailedTrials,
     exchanges: FailedTrials,
+    /// Checks in a row that have got no response.
+    silent_checks: u32,
     /// First failure of those above; of the cut while there is one.
     first_failure_at: Option<Instant>,
     last_exchange_at: Option<Instant>,
@@ -108,6 +110,8 @@
 #[derive(Debug, Default)]
 pub struct PathMonitor {
     is_cut: AtomicBool,
+    /// Whether the last check opened connections.
+    accepts_connections: AtomicBool,
     /// Whether there are failures; spares the lock for every success.
     has_failures: AtomicBool,
     state: Mutex<PathState>,
@@ -120,6 +124,12 @@
         self.is_cut.load(Ordering::Relaxed)
     }
 
+    /// Whether upstreams accepted connections when they were last checked, though they did not respond.
+    /// They may be slow, so a request that no peer takes is worth sending from here.
+    pub fn accepts_connections(&self) -> bool {
+        self.accepts_connections.load(Ordering::Relaxed)
+    }
+
     /// Records what became of a trial at an upstream.
     pub fn record(&self, address: SocketAddr, trial: PathTrial, result: PathResult) {
         if result == PathResult::Reached && !self.has_failures.load(Ordering::Relaxed) {
@@ -152,7 +162,8 @@
     /// Applies the verdict of a check that began at `began`.
     ///
     /// Upstreams that were reached on open connections meanwhile outweigh missing responses, but not
-    /// that no connection can be opened.
+    /// that no connection can be opened. Missing responses make a cut only with the second check in a
+    /// row: a process that stands still for a moment misses them too.
     pub fn conclude(&self, verdict: PathVerdict, began: Instant) -> PathChange {
         let mut state = self.lock();
         let is_reached_since = state.last_exchange_at.is_some_and(|at| at >= began);
@@ -161,6 +172,16 @@
             PathVerdict::NoConnection => false,
             PathVerdict::NoResponse => is_reached_since,
         };
+        let accepts_connections = verdict != PathVerdict::NoConnection;
+        self.accepts_connections.store(accepts_connections, Ordering::Relaxed);
+        state.silent_checks = match verdict {
+            PathVerdict::NoResponse if !is_open => state.silent_checks + 1,
+            _ => 0,
+        };
+        if state.silent_checks == 1 && !self.is_cut() {
+            self.suspicion.notify_one();
+            return PathChange::Unchanged;
+        }
         let was_cut = self.is_cut.swap(!is_open, Ordering::Relaxed);
         let since = state.first_failure_at.unwrap_or(began);
         if is_open {
--- a/tests/testsuite/path_monitor.rs
+++ b/tests/testsuite/path_monitor.rs
@@ -86,3 +86,22 @@
     assert_eq!(monitor.conclude(PathVerdict::NoResponse, began), PathChange::Unchanged);
     assert!(!monitor.is_cut());
 }
+
+/// Guards against a pause of all upstreams, or of this process, that is taken for a lost path.
+#[tokio::test(start_paused = true)]
+async fn missing_responses_make_a_cut_only_twice_in_a_row_and_refused_connections_at_once() {
+    let monitor = PathMonitor::default();
+    monitor.conclude(PathVerdict::NoResponse, Instant::now());
+    assert!(!monitor.is_cut());
+    assert!(is_suspected(&monitor).await, "the check is repeated");
+    monitor.conclude(PathVerdict::Open, Instant::now());
+    monitor.conclude(PathVerdict::NoResponse, Instant::now());
+    assert!(!monitor.is_cut(), "not in a row");
+    monitor.conclude(PathVerdict::NoResponse, Instant::now());
+    assert!(monitor.is_cut() && monitor.accepts_connections());
+    monitor.conclude(PathVerdict::NoConnection, Instant::now());
+    assert!(monitor.is_cut() && !monitor.accepts_connections());
+    let refused = PathMonitor::default();
+    refused.conclude(PathVerdict::NoConnection, Instant::now());
+    assert!(refused.is_cut());
+}
