request: forward what reached no upstream, and send here what no peer takes

Cause: what is known of one path, late or wrongly, decided alone. Only proof that an upstream got the request ends the search for another way.

Change: a peer that reached no upstream says that it has not taken the request. A request of which no attempt has reached one is forwarded before it is refused, if a peer's load report of the last 0.3 s shows one that it tried as alive. If no peer takes a request, it is sent from here as long as upstreams accept connections; with refused connections it is refused at once, as before.

--- a/src/fleet/path_check.rs
+++ b/src/fleet/path_check.rs
@@ -77,11 +77,9 @@
     async fn check(&mut self) {
         let Some(snapshot) = self.state.snapshot.load_full() else { return };
         let began = Instant::now();
+        self.state.refresh_forwarding();
         let Some(verdict) = self.check_upstreams(&snapshot).await else { return };
         let change = self.monitor.conclude(verdict, began);
-        if self.monitor.is_cut() {
-            self.state.refresh_forwarding();
-        }
         match change {
             PathChange::Unchanged => {}
             PathChange::Cut { since } => {
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -83,6 +83,20 @@
     UnmarkedRefusal,
 }
 
+impl NotRunProof {
+    /// Whether the attempt may have reached an upstream, which has refused it.
+    pub(super) fn is_of_upstream(self) -> bool {
+        match self {
+            Self::ConnectFailed | Self::NothingSent | Self::NoPath => false,
+            Self::ShareInUse
+            | Self::UpstreamMark { .. }
+            | Self::StreamRefused
+            | Self::WrongInstance
+            | Self::PeerRefused => true,
+        }
+    }
+}
+
 /// Outcome of an attempt.
 #[derive(Debug)]
 pub enum AttemptOutcome<B> {
--- a/src/request/attempt_trace.rs
+++ b/src/request/attempt_trace.rs
@@ -37,9 +37,21 @@
     /// Upstreams that were not selected after a load check, with their reported slowdown in
     /// percent.
     passed_over: Vec<(Arc<UpstreamState>, f32)>,
+    /// Whether an attempt may have reached an upstream.
+    has_reached_upstream: bool,
 }
 
 impl AttemptTrace {
+    /// Whether an attempt may have reached an upstream: a connection was opened to send it, or it is
+    /// still in flight.
+    pub(super) fn has_reached_upstream(&self) -> bool {
+        self.has_reached_upstream || self.attempts.iter().any(|attempt| attempt.outcome.is_none())
+    }
+
+    pub(super) fn record_reached_upstream(&mut self) {
+        self.has_reached_upstream = true;
+    }
+
     /// Whether there was at most one attempt and none was refused.
     pub fn is_single_attempt(&self) -> bool {
         self.refused.is_none() && self.attempts.len() <= 1
--- a/src/request/data_plane.rs
+++ b/src/request/data_plane.rs
@@ -291,6 +291,8 @@
         let mut log_entry = AccessLogEntry { core: &self.core, execution: &execution, trace: None };
         let outcome =
             execution.run(self.core.context(), log_entry.trace.get_or_insert_default()).await;
+        let has_reached_upstream =
+            log_entry.trace.as_ref().is_some_and(AttemptTrace::has_reached_upstream);
         log_entry.write(&outcome);
         drop(log_entry);
         match outcome {
@@ -308,6 +310,11 @@
                 }
                 response
             }
+            ExecutionOutcome::Failed(ExecutionFailure { code: ResultCode::NotRun, .. })
+                if forwarded.is_some() && !has_reached_upstream =>
+            {
+                ForwardRefusal::NoPath.response()
+            }
             ExecutionOutcome::Failed(ExecutionFailure { code, retry_after }) => {
                 let mut response = unclaimed_error_response(&execution.headers, code);
                 if let Some(after) = retry_after {
--- a/src/request/execution.rs
+++ b/src/request/execution.rs
@@ -133,9 +133,14 @@
 /// An attempt that has ended, with its response if it may be forwarded.
 pub(super) struct FinishedAttempt<B> {
     pub(super) index: AttemptIndex,
+    pub(super) role: AttemptRole,
     pub(super) outcome: OutcomeKind,
     pub(super) response: Option<UpstreamResponse<B>>,
     pub(super) inflight: InflightGuard,
+    /// Whether the attempt may have reached an upstream.
+    pub(super) has_reached_upstream: bool,
+    /// Whether the attempt was to be forwarded, and no peer has taken it.
+    pub(super) is_untaken: bool,
     /// Why the peer to which the request was forwarded has refused it, or that no peer took it.
     pub(super) failure: Option<ExecutionFailure>,
     /// The upstream, or the peer.
@@ -230,6 +235,17 @@
                 }
                 ExecutionAction::Respond(index) => return forward_response(last_response, index),
                 ExecutionAction::Fail(code) => {
+                    let unsent = (code == ResultCode::NotRun).then_some(&*trace);
+                    let last_resort = unsent
+                        .and_then(|trace| self.prepare_last_resort(&ctx, &mut history, trace));
+                    if let Some(start) = last_resort {
+                        trace.started(start.role, &start.upstream);
+                        history.attempts += 1;
+                        let finished = self.attempt(start, route, &ctx).await;
+                        refusal = finished.failure.or(refusal);
+                        event = record_end(finished, trace, &mut last_response);
+                        continue;
+                    }
                     if let Some(refusal) = refusal.filter(|_| code == ResultCode::NotRun) {
                         return ExecutionOutcome::Failed(refusal);
                     }
@@ -278,10 +294,23 @@
         route: &RouteRecord,
         ctx: &ExecutionContext<'_, C, P>,
     ) -> FinishedAttempt<C::Body> {
-        if prepared.key.is_none() {
-            // Boxed, because it is rare and would make every attempt larger.
-            return Box::pin(self.forward(prepared, route, ctx)).await;
+        if prepared.key.is_some() {
+            return self.attempt_upstream(prepared, route, ctx).await;
+        }
+        // Boxed, because they are rare and would make every attempt larger.
+        let finished = Box::pin(self.forward(prepared, route, ctx)).await;
+        match self.prepare_untaken(&finished, route, ctx) {
+            Some(prepared) => Box::pin(self.attempt_upstream(prepared, route, ctx)).await,
+            None => finished,
         }
+    }
+
+    async fn attempt_upstream<C: UpstreamClient, P: UpstreamPicker>(
+        &self,
+        prepared: PreparedAttempt,
+        route: &RouteRecord,
+        ctx: &ExecutionContext<'_, C, P>,
+    ) -> FinishedAttempt<C::Body> {
         let header_names = &ctx.settings.headers;
         let mut request = self.build_request(prepared.role, route, ctx);
         if let Some(name) = &header_names.expected_instance
@@ -308,6 +337,10 @@
             }
             Err(_) => AttemptOutcome::Unknown(UnknownCause::TimedOut),
         };
+        let has_reached_upstream = match &outcome {
+            AttemptOutcome::NotRun(proof) => proof.is_of_upstream(),
+            AttemptOutcome::Answered(_) | AttemptOutcome::Unknown(_) => true,
+        };
         let kind = reporter.finish(&outcome);
         self.record_run(kind, &prepared.upstream, ctx).await;
         let response = match outcome {
@@ -320,9 +353,12 @@
         };
         FinishedAttempt {
             index: prepared.index,
+            role: prepared.role,
             outcome: kind,
             response,
             inflight: prepared.inflight,
+            has_reached_upstream,
+            is_untaken: false,
             failure: None,
             upstream: prepared.upstream,
         }
@@ -412,6 +448,9 @@
     last_response: &mut Option<FinishedAttempt<B>>,
 ) -> ExecutionEvent {
     trace.ended(finished.index, finished.outcome);
+    if finished.has_reached_upstream {
+        trace.record_reached_upstream();
+    }
     let event = ExecutionEvent::Ended { attempt: finished.index, outcome: finished.outcome };
     if finished.response.is_some() {
         *last_response = Some(finished);
--- a/src/request/forward_attempt.rs
+++ b/src/request/forward_attempt.rs
@@ -13,11 +13,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::header::RETRY_AFTER;
 use http::{HeaderMap, HeaderValue};
 use tokio::time::{Instant, timeout_at};
 
+use crate::balance::UpstreamPicker;
 use crate::core::{
     FORWARD_REFUSED_HEADER, FORWARDED_HEADER, NOT_RUN_HEADER, RESULT_CODE_HEADER, ResultCode,
     RouteRecord, UPSTREAM_HEADER, UpstreamState,
@@ -27,6 +29,7 @@
     UpstreamResponse,
 };
 use crate::request::attempt_reporter::{is_drain_signal, outcome_kind, validate_outcome};
+use crate::request::attempt_trace::AttemptTrace;
 use crate::request::execution::{
     ExecutionContext, ExecutionFailure, FinishedAttempt, RequestExecution,
 };
@@ -40,6 +43,10 @@
 /// has lost its path too, or has another configuration.
 const MAX_PEERS: usize = 4;
 
+/// Age up to which a load report shows that others reach an upstream that cannot be reached from here:
+/// a few intervals of load probes.
+const RECENT_REPORT_AGE: Duration = Duration::from_millis(300);
+
 /// Forwards requests to peers.
 #[derive(Clone, Debug)]
 pub struct PeerForwarder<C> {
@@ -76,19 +83,63 @@
         if !table.path().is_cut() || self.forwarded.is_some() {
             return None;
         }
+        let Some(peer) = table.pick(&[]) else {
+            return (!table.path().accepts_connections()).then_some(Err(StartRefusal::NoPath));
+        };
         if !self.try_spend_budget(role) {
             return Some(Err(StartRefusal::BudgetSpent));
         }
-        let Some(peer) = table.pick(&[]) else { return Some(Err(StartRefusal::NoPath)) };
         history.is_forwarded = true;
-        Some(Ok(PreparedAttempt {
-            index: history.attempts as AttemptIndex,
+        Some(Ok(forward_to(peer, role, history)))
+    }
+
+    /// Prepares an attempt at a peer for a request that has reached no upstream, though a peer has
+    /// reached one that it tried a moment ago; `None` if that is not so.
+    pub(super) fn prepare_last_resort<C, P>(
+        &self,
+        ctx: &ExecutionContext<'_, C, P>,
+        history: &mut AttemptHistory,
+        trace: &AttemptTrace,
+    ) -> Option<PreparedAttempt> {
+        let table = &ctx.forwarder?.table;
+        if history.is_forwarded || self.forwarded.is_some() || trace.has_reached_upstream() {
+            return None;
+        }
+        let now = Instant::now();
+        let is_reached_by_peers = history.tried.iter().any(|key| {
+            let upstream = self.snapshot.upstreams.get(*key);
+            let age = upstream.and_then(|upstream| upstream.stats().report_age(now));
+            age.is_some_and(|age| age <= RECENT_REPORT_AGE)
+        });
+        let peer = table.pick(&[]).filter(|_| is_reached_by_peers)?;
+        history.is_forwarded = true;
+        // No upstream has got the request, so this is no repeat.
+        Some(forward_to(peer, AttemptRole::First, history))
+    }
+
+    /// Prepares an attempt at an upstream in place of one that no peer has taken, if upstreams still
+    /// accept connections of this entry: if all entries miss responses, the upstreams are slow.
+    pub(super) fn prepare_untaken<C: UpstreamClient, P: UpstreamPicker>(
+        &self,
+        finished: &FinishedAttempt<C::Body>,
+        route: &RouteRecord,
+        ctx: &ExecutionContext<'_, C, P>,
+    ) -> Option<PreparedAttempt> {
+        if !finished.is_untaken || !ctx.path.accepts_connections() {
+            return None;
+        }
+        let role = finished.role;
+        let key = ctx.picker.pick(self.pick_request(role, route, &[], ctx)).ok()?;
+        let upstream = self.snapshot.upstreams.get(key)?;
+        let is_allowed = upstream.rate_limit().try_take(Instant::now());
+        is_allowed.then(|| PreparedAttempt {
+            index: finished.index,
             role,
-            key: None,
-            inflight: peer.start_request(),
-            upstream: peer,
+            key: Some(key),
+            inflight: upstream.start_request(),
+            upstream: Arc::clone(upstream),
             slowdown: None,
-        }))
+        })
     }
 
     /// Forwards the request to the prepared peer, or to others if that does not take it.
@@ -153,7 +204,8 @@
                 }
             }
         };
-        if matches!(outcome, AttemptOutcome::NotRun(NotRunProof::NoPath)) {
+        let is_untaken = matches!(outcome, AttemptOutcome::NotRun(NotRunProof::NoPath));
+        if is_untaken {
             let (code, retry_after) = (ResultCode::NotRun, Some(FORWARD_RETRY_AFTER));
             failure = Some(ExecutionFailure { code, retry_after });
         }
@@ -162,7 +214,18 @@
             AttemptOutcome::Answered(response) => Some(response),
             AttemptOutcome::NotRun(_) | AttemptOutcome::Unknown(_) => None,
         };
-        FinishedAttempt { index, outcome: kind, response, inflight, failure, upstream: peer }
+        let has_reached_upstream = true;
+        FinishedAttempt {
+            index,
+            role,
+            outcome: kind,
+            response,
+            inflight,
+            has_reached_upstream,
+            is_untaken,
+            failure,
+            upstream: peer,
+        }
     }
 
     /// The request for a peer; `None` before the deployment's key is known.
@@ -235,6 +298,21 @@
     }
 }
 
+fn forward_to(
+    peer: Arc<UpstreamState>,
+    role: AttemptRole,
+    history: &AttemptHistory,
+) -> PreparedAttempt {
+    PreparedAttempt {
+        index: history.attempts as AttemptIndex,
+        role,
+        key: None,
+        inflight: peer.start_request(),
+        upstream: peer,
+        slowdown: None,
+    }
+}
+
 fn next_peer(table: &ForwardTable, tried: &[SocketAddr]) -> Option<Arc<UpstreamState>> {
     (tried.len() < MAX_PEERS).then(|| table.pick(tried)).flatten()
 }
@@ -264,7 +342,7 @@
     PeerAnswer::Failure { outcome: AttemptOutcome::Unknown(cause), failure: None }
 }
 
-fn retry_after(headers: &HeaderMap) -> Option<std::time::Duration> {
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
     let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
-    std::time::Duration::try_from_secs_f64(seconds).ok()
+    Duration::try_from_secs_f64(seconds).ok()
 }
--- a/tests/testsuite/path_forwarding.rs
+++ b/tests/testsuite/path_forwarding.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use heatherfall::balance::{PathMonitor, PathVerdict, TwoChoicesPicker};
+use heatherfall::balance::{
+    LoadReport, PathMonitor, PathVerdict, TwoChoicesPicker, record_shared_report,
+};
 use heatherfall::core::{
     BudgetSpec, EntryPeer, FORWARDED_HEADER, GenerationNumber, SharedSnapshot, UpstreamState,
 };
@@ -66,6 +68,8 @@
 struct World {
     behaviour: Mutex<UpstreamBehaviour>,
     link: Mutex<PeerLink>,
+    /// Peers from which no connection to an upstream can be opened, or [`ENTRY_ITSELF`].
+    unreached: Mutex<Vec<usize>>,
     /// Whether health checks of other upstreams than the one that ran a request succeed.
     are_others_well: AtomicBool,
     peers: OnceLock<Vec<(SocketAddr, Arc<dyn PeerListener>)>>,
@@ -88,8 +92,16 @@
     }
 }
 
+/// Number of the entry in the place of a peer's.
+const ENTRY_ITSELF: usize = usize::MAX;
+
+/// The client of one entry.
 #[derive(Clone)]
-struct WorldClient(Arc<World>);
+struct WorldClient {
+    world: Arc<World>,
+    /// Number of the peer, or [`ENTRY_ITSELF`].
+    owner: usize,
+}
 
 impl UpstreamClient for WorldClient {
     type Body = Full<Bytes>;
@@ -99,7 +111,7 @@
         upstream: &Arc<UpstreamState>,
         request: AttemptRequest,
     ) -> AttemptOutcome<Full<Bytes>> {
-        let world = &self.0;
+        let world = &self.world;
         let address = upstream.spec.address;
         let peer = world.peers.get().and_then(|peers| {
             peers.iter().find(|(known, _)| *known == address).map(|(_, plane)| plane)
@@ -119,6 +131,9 @@
                 false => AttemptOutcome::NotRun(NotRunProof::ConnectFailed),
             };
         }
+        if world.unreached.lock().unwrap().contains(&self.owner) {
+            return AttemptOutcome::NotRun(NotRunProof::ConnectFailed);
+        }
         let behaviour = *world.behaviour.lock().unwrap();
         if behaviour == UpstreamBehaviour::BreakAndRefuse {
             return AttemptOutcome::Unknown(UnknownCause::ConnectionBroken);
@@ -228,7 +243,8 @@
             table.set_peers(known, Vec::new());
             let freshness = Arc::new(ConfigFreshness::default());
             freshness.confirm(Duration::ZERO);
-            let client = WorldClient(Arc::clone(&world));
+            let owner = usize::try_from(seed).unwrap().checked_sub(1).unwrap_or(ENTRY_ITSELF);
+            let client = WorldClient { world: Arc::clone(&world), owner };
             let picker = TwoChoicesPicker::new(SeededRandom::new(seed));
             let plane = DataPlane::new(
                 Arc::clone(&shared),
@@ -484,3 +500,61 @@
         prop_assert!(!key.verify(&value, parts));
     }
 }
+
+/// Guards against a peer that takes requests and cannot reach the upstreams either, as long as it has
+/// not noticed.
+#[tokio::test(start_paused = true)]
+async fn a_peer_that_reaches_no_upstream_leaves_the_request_to_another() {
+    for path in ["/read", "/write"] {
+        let fleet = Fleet::with_cut_entry(3);
+        fleet.world.unreached.lock().unwrap().push(0);
+        for _ in 0..6 {
+            let response = fleet.send(path).await;
+            assert_eq!(response.status(), StatusCode::OK, "{path}");
+        }
+        assert_eq!(fleet.runs(), 6, "{path}");
+        assert!(fleet.forwards() <= 7, "the peer is asked again at once");
+    }
+}
+
+/// Guards against requests that fail in the time until a lost path is noticed, though the others reach
+/// the upstreams: their load reports say so.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_reached_no_upstream_is_forwarded_if_peers_reach_what_it_tried() {
+    for (report_age_ms, is_served) in [(50, true), (2000, false)] {
+        for path in ["/read", "/write"] {
+            let fleet = Fleet::new(2);
+            fleet.world.unreached.lock().unwrap().push(ENTRY_ITSELF);
+            for upstream in fleet.snapshots[0].load_full().unwrap().upstreams.values() {
+                let report = LoadReport { inflight: 0, work_percent: Some(100) };
+                record_shared_report(upstream, report, Duration::ZERO, &Default::default());
+            }
+            tokio::time::advance(Duration::from_millis(report_age_ms)).await;
+            let response = fleet.send(path).await;
+            assert_eq!(response.status() == StatusCode::OK, is_served, "{path} {report_age_ms}");
+            assert_eq!(is_not_run(&response), !is_served);
+            assert_eq!(fleet.forwards(), usize::from(is_served));
+        }
+    }
+}
+
+/// Guards against a deployment that refuses everything, because its upstreams respond so slowly that
+/// all entries take their paths for cut: connections are accepted, so the requests are sent.
+#[tokio::test(start_paused = true)]
+async fn if_no_peer_has_a_path_either_and_connections_are_accepted_requests_are_sent_here() {
+    for path in ["/read", "/write"] {
+        let fleet = Fleet::new(6);
+        for plane in fleet.peers.iter().chain([&fleet.entry]) {
+            for _ in 0..2 {
+                plane.path().conclude(PathVerdict::NoResponse, Instant::now());
+            }
+            assert!(plane.path().is_cut());
+        }
+        for count in 1..=4 {
+            let response = fleet.send(path).await;
+            assert_eq!(response.status(), StatusCode::OK, "{path}");
+            assert_eq!(fleet.runs(), count);
+        }
+        assert!(fleet.forwards() <= 6, "peers without a path are asked again at once");
+    }
+}
