--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -1,5 +1,6 @@
 //! What the services of one entry share.
 
+mod forwarding;
 mod status;
 
 use std::net::SocketAddr;
@@ -11,18 +12,18 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::core::{EntryPeer, SharedSnapshot};
+use crate::core::SharedSnapshot;
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::fleet_metrics::FleetMetrics;
 use crate::fleet::peer_message::{
     LearnedLimit, MeasuredLoad, MessageKey, MessageKeys, PeerMessage, ViewConfirmation,
 };
-use crate::fleet::peer_table::{ForwardCandidates, MessageScope, PeerTable};
+use crate::fleet::peer_table::{MessageScope, PeerTable};
 use crate::fleet::read_schedule::ReadSchedule;
 use crate::fleet::view::{DeploymentView, ViewChange};
 use crate::fleet::view_gap::{GapKind, ViewGap, is_behind};
 use crate::limits::{LimitTable, QuarantineTable};
-use crate::membership::{ConfigFreshness, EntryRecord, EntryState, SharedMembership};
+use crate::membership::{ConfigFreshness, EntryState, SharedMembership};
 use crate::platform::StorePosition;
 use crate::request::ForwardTable;
 
@@ -382,22 +383,6 @@
         self.request_message();
     }
 
-    /// Sets whether this entry has a path to the upstreams, and sends it to the others at once if that
-    /// has changed.
-    pub(super) fn set_path(&self, has_path: bool) {
-        if self.table().set_own_path(has_path) {
-            self.refresh_membership();
-            self.request_message();
-        }
-    }
-
-    /// Updates the peers that requests are forwarded to.
-    pub(super) fn refresh_forwarding(&self) {
-        let Some(forwarding) = &self.forwarding else { return };
-        let ForwardCandidates { local, remote } = self.table().forward_candidates(Instant::now());
-        forwarding.set_peers(entry_peers(&local), entry_peers(&remote));
-    }
-
     /// Wakes the peer service to send a message to all entries of the domain at once.
     pub(super) fn request_message(&self) {
         lock(&self.outbox).is_urgent = true;
@@ -467,18 +452,6 @@
     }
 }
 
-fn entry_peers(records: &[EntryRecord]) -> Vec<EntryPeer> {
-    let mut peers = Vec::with_capacity(records.len());
-    for record in records {
-        peers.push(EntryPeer {
-            name: record.vm.to_string(),
-            address: record.peer_address,
-            failure_domain: record.failure_domain.to_string(),
-        });
-    }
-    peers
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/request/data_plane.rs
+++ b/src/request/data_plane.rs
@@ -37,7 +37,6 @@
 use crate::request::forward_attempt::PeerForwarder;
 use crate::request::forward_gate::ForwardRefusal;
 use crate::request::forward_header::{AttemptOrder, ForwardedRequest};
-use crate::request::forward_table::ForwardTable;
 use crate::request::head_validation::validate_head;
 use crate::request::keyed::{claim_intent, claim_key};
 use crate::request::load_check::LoadChecker;
@@ -95,7 +94,7 @@
     load_checker: Option<LoadChecker>,
     quarantine: Arc<QuarantineTable>,
     path: Arc<PathMonitor>,
-    forwarder: Option<PeerForwarder<C>>,
+    pub(super) forwarder: Option<PeerForwarder<C>>,
     pub(super) ledger: L,
 }
 
@@ -117,9 +116,9 @@
 /// Admits requests and runs them.
 #[derive(Debug)]
 pub struct DataPlane<C, P, L> {
-    snapshot: SharedSnapshot,
+    pub(super) snapshot: SharedSnapshot,
     limits: Arc<LimitTable>,
-    core: Arc<DataPlaneCore<C, P, L>>,
+    pub(super) core: Arc<DataPlaneCore<C, P, L>>,
     keyed_tasks: TaskTracker,
 }
 
@@ -174,35 +173,6 @@
         Arc::clone(&self.core.path)
     }
 
-    /// What a peer tells about a request that it forwards to this entry.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the request is not taken, as far as its head shows.
-    pub fn check_forwarded(&self, parts: &Parts) -> Result<ForwardedRequest, ForwardRefusal> {
-        let table = self.forward_table()?;
-        table.check_head(parts, self.snapshot.load().as_deref())
-    }
-
-    /// Verifies a complete request that a peer has forwarded.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the request is not taken.
-    pub fn accept_forwarded(
-        &self,
-        parts: &mut Parts,
-        body: &Bytes,
-        forwarded: ForwardedRequest,
-    ) -> Result<(), ForwardRefusal> {
-        self.forward_table()?.accept(parts, body, forwarded)
-    }
-
-    fn forward_table(&self) -> Result<&ForwardTable, ForwardRefusal> {
-        let forwarder = self.core.forwarder.as_ref().ok_or(ForwardRefusal::NoPath)?;
-        Ok(&forwarder.table)
-    }
-
     /// Tasks of keyed requests. Each ends when the outcome of its request has been recorded and the
     /// rest of its response relayed.
     pub fn keyed_tasks(&self) -> TaskTracker {
--- a/src/request/forward_attempt.rs
+++ b/src/request/forward_attempt.rs
@@ -63,7 +63,14 @@
     /// The response of an upstream to the request.
     Upstream(UpstreamResponse<B>),
     /// The peer's own error response.
-    Failure { outcome: AttemptOutcome<B>, failure: Option<ExecutionFailure> },
+    Failure(TakenRequest<B>),
+}
+
+/// What became of a request that a peer has taken.
+struct TakenRequest<B> {
+    outcome: AttemptOutcome<B>,
+    /// What the caller is told if the peer has refused the request.
+    failure: Option<ExecutionFailure>,
 }
 
 impl RequestExecution {
@@ -152,82 +159,85 @@
         let PreparedAttempt { index, role, upstream, mut inflight, .. } = prepared;
         let mut peer = upstream;
         let mut tried: Vec<SocketAddr> = Vec::new();
-        let mut failure = None;
-        let outcome = loop {
-            let Some(forwarder) = ctx.forwarder else {
-                break AttemptOutcome::NotRun(NotRunProof::NoPath);
-            };
-            let Some(request) = self.forwarded_request(role, route, ctx) else {
-                break AttemptOutcome::NotRun(NotRunProof::NoPath);
-            };
+        let taken = loop {
             tried.push(peer.spec.address);
-            let started = Instant::now();
-            let sent = timeout_at(self.deadline, forwarder.client.send(&peer, request)).await;
-            let answered = match sent {
-                Ok(AttemptOutcome::Answered(answered)) => answered,
-                Ok(AttemptOutcome::NotRun(_)) => {
-                    log_passed_over(&peer, "unreachable");
-                    forwarder.table.pass_over(peer.spec.address);
-                    let Some(next) = next_peer(&forwarder.table, &tried) else {
-                        break AttemptOutcome::NotRun(NotRunProof::NoPath);
-                    };
-                    inflight = next.start_request();
-                    peer = next;
-                    continue;
-                }
-                Ok(AttemptOutcome::Unknown(cause)) => break AttemptOutcome::Unknown(cause),
-                Err(_) => break AttemptOutcome::Unknown(UnknownCause::TimedOut),
+            let Some(taken) = self.offer(&peer, role, route, ctx).await else {
+                let Some(next) = next_peer(ctx, &tried) else { break None };
+                inflight = next.start_request();
+                peer = next;
+                continue;
             };
-            match read_answer(answered) {
-                PeerAnswer::Refused(refusal) => {
-                    if refusal != ForwardRefusal::OtherGeneration {
-                        log_passed_over(&peer, refusal.as_str());
-                        forwarder.table.pass_over(peer.spec.address);
-                    }
-                    let Some(next) = next_peer(&forwarder.table, &tried) else {
-                        break AttemptOutcome::NotRun(NotRunProof::NoPath);
-                    };
-                    inflight = next.start_request();
-                    peer = next;
-                }
-                PeerAnswer::Upstream(mut answered) => {
-                    self.transfer_budget(role);
-                    self.record_leaving(answered.response.headers_mut(), started, ctx);
-                    let request_id = self.headers.get(&ctx.settings.headers.request_id);
-                    let answered = AttemptOutcome::Answered(answered);
-                    break validate_outcome(answered, request_id, &ctx.settings.headers);
-                }
-                PeerAnswer::Failure { outcome, failure: reason } => {
-                    self.transfer_budget(role);
-                    failure = reason;
-                    break outcome;
-                }
-            }
+            break Some(taken);
         };
-        let is_untaken = matches!(outcome, AttemptOutcome::NotRun(NotRunProof::NoPath));
-        if is_untaken {
-            let (code, retry_after) = (ResultCode::NotRun, Some(FORWARD_RETRY_AFTER));
-            failure = Some(ExecutionFailure { code, retry_after });
-        }
+        let is_untaken = taken.is_none();
+        let TakenRequest { outcome, failure } = taken.unwrap_or_else(|| TakenRequest {
+            outcome: AttemptOutcome::NotRun(NotRunProof::NoPath),
+            failure: Some(ExecutionFailure {
+                code: ResultCode::NotRun,
+                retry_after: Some(FORWARD_RETRY_AFTER),
+            }),
+        });
         let kind = outcome_kind(&outcome);
         let response = match outcome {
             AttemptOutcome::Answered(response) => Some(response),
             AttemptOutcome::NotRun(_) | AttemptOutcome::Unknown(_) => None,
         };
-        let has_reached_upstream = true;
         FinishedAttempt {
             index,
             role,
             outcome: kind,
             response,
             inflight,
-            has_reached_upstream,
+            has_reached_upstream: !is_untaken,
             is_untaken,
             failure,
             upstream: peer,
         }
     }
 
+    /// Sends the request to a peer; `None` if the peer has not taken it, so that another one may.
+    async fn offer<C: UpstreamClient, P>(
+        &self,
+        peer: &Arc<UpstreamState>,
+        role: AttemptRole,
+        route: &RouteRecord,
+        ctx: &ExecutionContext<'_, C, P>,
+    ) -> Option<TakenRequest<C::Body>> {
+        let forwarder = ctx.forwarder?;
+        let request = self.forwarded_request(role, route, ctx)?;
+        let started = Instant::now();
+        let sent = timeout_at(self.deadline, forwarder.client.send(peer, request)).await;
+        let outcome = sent.unwrap_or(AttemptOutcome::Unknown(UnknownCause::TimedOut));
+        let answered = match outcome {
+            AttemptOutcome::Answered(answered) => answered,
+            AttemptOutcome::NotRun(_) => {
+                pass_over(&forwarder.table, peer, "unreachable");
+                return None;
+            }
+            AttemptOutcome::Unknown(_) => return Some(TakenRequest { outcome, failure: None }),
+        };
+        match read_answer(answered) {
+            PeerAnswer::Refused(ForwardRefusal::OtherGeneration) => None,
+            PeerAnswer::Refused(refusal) => {
+                pass_over(&forwarder.table, peer, refusal.as_str());
+                None
+            }
+            PeerAnswer::Upstream(mut answered) => {
+                self.transfer_budget(role);
+                self.record_leaving(answered.response.headers_mut(), started, ctx);
+                let header_names = &ctx.settings.headers;
+                let request_id = self.headers.get(&header_names.request_id);
+                let answered = AttemptOutcome::Answered(answered);
+                let outcome = validate_outcome(answered, request_id, header_names);
+                Some(TakenRequest { outcome, failure: None })
+            }
+            PeerAnswer::Failure(taken) => {
+                self.transfer_budget(role);
+                Some(taken)
+            }
+        }
+    }
+
     /// The request for a peer; `None` before the deployment's key is known.
     fn forwarded_request<C, P>(
         &self,
@@ -313,12 +323,19 @@
     }
 }
 
-fn next_peer(table: &ForwardTable, tried: &[SocketAddr]) -> Option<Arc<UpstreamState>> {
-    (tried.len() < MAX_PEERS).then(|| table.pick(tried)).flatten()
+fn next_peer<C, P>(
+    ctx: &ExecutionContext<'_, C, P>,
+    tried: &[SocketAddr],
+) -> Option<Arc<UpstreamState>> {
+    if tried.len() >= MAX_PEERS {
+        return None;
+    }
+    ctx.forwarder?.table.pick(tried)
 }
 
-fn log_passed_over(peer: &UpstreamState, reason: &str) {
+fn pass_over(table: &ForwardTable, peer: &UpstreamState, reason: &str) {
     log::info!(target: "path", "peer does not take requests vm={} reason={reason}", peer.name);
+    table.pass_over(peer.spec.address);
 }
 
 fn read_answer<B>(answered: UpstreamResponse<B>) -> PeerAnswer<B> {
@@ -332,14 +349,14 @@
         let code = code.unwrap_or(ResultCode::NotRun);
         let failure = ExecutionFailure { code, retry_after: retry_after(headers) };
         let outcome = AttemptOutcome::NotRun(NotRunProof::PeerRefused);
-        return PeerAnswer::Failure { outcome, failure: Some(failure) };
+        return PeerAnswer::Failure(TakenRequest { outcome, failure: Some(failure) });
     }
     let cause = match code {
         Some(ResultCode::DeadlineExceeded) => UnknownCause::TimedOut,
         Some(ResultCode::AnswerNotWhole) => UnknownCause::AnswerNotWhole,
         _ => UnknownCause::ConnectionBroken,
     };
-    PeerAnswer::Failure { outcome: AttemptOutcome::Unknown(cause), failure: None }
+    PeerAnswer::Failure(TakenRequest { outcome: AttemptOutcome::Unknown(cause), failure: None })
 }
 
 fn retry_after(headers: &HeaderMap) -> Option<Duration> {
--- a/src/request/forward_gate.rs
+++ b/src/request/forward_gate.rs
@@ -1,14 +1,13 @@
 //! Decides whether this entry takes a request that a peer has forwarded.
 
+use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderValue, StatusCode};
+use http::{HeaderValue, Response, StatusCode};
 use http_body::Body;
 
-use bytes::Bytes;
-use http::Response;
-
 use crate::core::{ConfigSnapshot, FORWARD_REFUSED_HEADER, FORWARDED_HEADER};
 use crate::request::crash_watch::CallerAddress;
+use crate::request::data_plane::DataPlane;
 use crate::request::forward_header::{ForwardedRequest, SignedParts};
 use crate::request::forward_table::ForwardTable;
 use crate::request::response::{CallerResponse, ResponseBody};
@@ -105,3 +104,34 @@
         Ok(())
     }
 }
+
+impl<C, P, L> DataPlane<C, P, L> {
+    /// What a peer tells about a request that it forwards to this entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is not taken, as far as its head shows.
+    pub fn check_forwarded(&self, parts: &Parts) -> Result<ForwardedRequest, ForwardRefusal> {
+        let table = self.forward_table()?;
+        table.check_head(parts, self.snapshot.load().as_deref())
+    }
+
+    /// Verifies a complete request that a peer has forwarded.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is not taken.
+    pub fn accept_forwarded(
+        &self,
+        parts: &mut Parts,
+        body: &Bytes,
+        forwarded: ForwardedRequest,
+    ) -> Result<(), ForwardRefusal> {
+        self.forward_table()?.accept(parts, body, forwarded)
+    }
+
+    fn forward_table(&self) -> Result<&ForwardTable, ForwardRefusal> {
+        let forwarder = self.core.forwarder.as_ref().ok_or(ForwardRefusal::NoPath)?;
+        Ok(&forwarder.table)
+    }
+}
