tests: no second hop, and ejections that end with a lost path

A peer that loses its path after it has taken a request, or finds that it reaches no upstream, must not forward it.

--- a/tests/testsuite/path_check.rs
+++ b/tests/testsuite/path_check.rs
@@ -17,7 +17,7 @@
 use http::Response;
 use http_body_util::Full;
 use serde_json::json;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
 use crate::support::fleet::TestEntry;
@@ -27,6 +27,8 @@
 const UPSTREAMS: u16 = 8;
 /// Time by which a lost path is noticed, or one that is back.
 const NOTICE_TIME: Duration = Duration::from_secs(1);
+/// Length of an ejection, longer than a test.
+const EJECTION_TIME: Duration = Duration::from_secs(20);
 
 /// Upstreams of which some are within reach.
 #[derive(Clone, Debug, Default)]
@@ -163,3 +165,28 @@
         fixture.stop.cancel();
     }
 }
+
+/// Guards against upstreams that stay ejected since the entry could not reach them, and against a path
+/// that is back and excuses what upstreams did before.
+#[tokio::test(start_paused = true)]
+async fn ejections_of_a_lost_path_end_with_it_and_earlier_ones_stay() {
+    let fixture = PathFixture::start(3);
+    let snapshot = fixture.entry.state.snapshot.load_full().expect("a snapshot");
+    let upstreams: Vec<_> = snapshot.upstreams.values().collect();
+    let eject = |upstream: &UpstreamState| {
+        let stats = upstream.stats();
+        let now = stats.nanos_at(Instant::now());
+        stats.last_failure_at.set(now);
+        stats.ejected_until.set(now + EJECTION_TIME.as_nanos() as u64);
+    };
+    eject(upstreams[0]);
+    sleep(NOTICE_TIME).await;
+    fixture.suspect().await;
+    eject(upstreams[1]);
+    fixture.set_reachable(1..=UPSTREAMS);
+    sleep(NOTICE_TIME).await;
+    assert!(!fixture.monitor.is_cut());
+    let ejected = |index: usize| upstreams[index].stats().is_ejected(Instant::now());
+    assert_eq!((ejected(0), ejected(1)), (true, false));
+    fixture.stop.cancel();
+}
--- a/tests/testsuite/path_forwarding.rs
+++ b/tests/testsuite/path_forwarding.rs
@@ -70,6 +70,8 @@
     link: Mutex<PeerLink>,
     /// Peers from which no connection to an upstream can be opened, or [`ENTRY_ITSELF`].
     unreached: Mutex<Vec<usize>>,
+    /// Whether peers lose their paths just after they have taken a request.
+    cuts_after_accept: AtomicBool,
     /// Whether health checks of other upstreams than the one that ran a request succeed.
     are_others_well: AtomicBool,
     peers: OnceLock<Vec<(SocketAddr, Arc<dyn PeerListener>)>>,
@@ -81,14 +83,14 @@
 
 /// A peer's listener for forwarded requests.
 trait PeerListener: Send + Sync {
-    fn serve(self: Arc<Self>, request: AttemptRequest) -> ServedRequest;
+    fn serve(self: Arc<Self>, request: AttemptRequest, cuts: bool) -> ServedRequest;
 }
 
 type ServedRequest = Pin<Box<dyn Future<Output = AttemptOutcome<Full<Bytes>>> + Send>>;
 
 impl PeerListener for PeerPlane {
-    fn serve(self: Arc<Self>, request: AttemptRequest) -> ServedRequest {
-        Box::pin(async move { serve_forwarded(&self, request).await })
+    fn serve(self: Arc<Self>, request: AttemptRequest, cuts: bool) -> ServedRequest {
+        Box::pin(async move { serve_forwarded(&self, request, cuts).await })
     }
 }
 
@@ -123,7 +125,8 @@
                 PeerLink::Refused => return AttemptOutcome::NotRun(NotRunProof::ConnectFailed),
                 PeerLink::Broken => return AttemptOutcome::Unknown(UnknownCause::ConnectionBroken),
             }
-            return Arc::clone(plane).serve(request).await;
+            let cuts = world.cuts_after_accept.load(Ordering::Relaxed);
+            return Arc::clone(plane).serve(request, cuts).await;
         }
         if request.uri.path() == "/health" {
             return match world.are_others_well.load(Ordering::Relaxed) && upstream.name != "u0" {
@@ -171,6 +174,7 @@
 async fn serve_forwarded(
     plane: &Arc<PeerPlane>,
     request: AttemptRequest,
+    cuts: bool,
 ) -> AttemptOutcome<Full<Bytes>> {
     let mut parts = Request::new(()).into_parts().0;
     parts.method = request.method;
@@ -181,6 +185,9 @@
         Ok(forwarded) => match plane.accept_forwarded(&mut parts, &request.body, forwarded) {
             Err(refusal) => refusal.response(),
             Ok(()) => {
+                if cuts {
+                    cut(plane);
+                }
                 let admitted = plane.admit(&parts).expect("a route selects the request");
                 plane.run(admitted, parts, request.body).await
             }
@@ -558,3 +565,30 @@
         assert!(fleet.forwards() <= 6, "peers without a path are asked again at once");
     }
 }
+
+/// Guards against a second hop: a peer that loses its path, or finds that it has none, after it has
+/// taken a request.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_was_forwarded_is_never_forwarded_again() {
+    for path in ["/read", "/write"] {
+        let fleet = Fleet::with_cut_entry(3);
+        fleet.world.cuts_after_accept.store(true, Ordering::Relaxed);
+        let response = fleet.send(path).await;
+        assert_eq!(response.status(), StatusCode::OK, "{path}");
+        assert_eq!((fleet.forwards(), fleet.runs()), (1, 1), "{path}");
+
+        let fleet = Fleet::with_cut_entry(2);
+        fleet.world.unreached.lock().unwrap().extend([0, 1]);
+        for upstream in fleet.snapshots[1..].iter().flat_map(upstreams) {
+            let report = LoadReport { inflight: 0, work_percent: Some(100) };
+            record_shared_report(&upstream, report, Duration::ZERO, &Default::default());
+        }
+        let response = fleet.send(path).await;
+        assert!(is_not_run(&response));
+        assert_eq!((fleet.forwards(), fleet.runs()), (2, 0), "{path}: each peer once");
+    }
+}
+
+fn upstreams(snapshot: &SharedSnapshot) -> Vec<Arc<UpstreamState>> {
+    snapshot.load_full().unwrap().upstreams.values().cloned().collect()
+}
