--- a/src/balance/path_monitor.rs
+++ b/src/balance/path_monitor.rs
@@ -19,9 +19,10 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Upstreams that must have been unreached, with none reached since, for a suspicion.
+/// Number of different upstreams that must fail, with no success in between, to start a check.
 const SUSPECT_UPSTREAMS: usize = 2;
-/// Failures that raise a suspicion even if they all concern one upstream; there may be no other.
+/// Number of failures in a row that start a check even if all concern one upstream; it may be the only
+/// one.
 const SUSPECT_FAILURES: u32 = 4;
 
 /// What was tried.
--- a/src/fleet/path_check.rs
+++ b/src/fleet/path_check.rs
@@ -24,14 +24,14 @@
 
 /// Upstreams that a check asks. With a quarter of them down, one check in 250 finds only those.
 const CHECKED_UPSTREAMS: usize = 4;
-/// Longest wait for a response; longer than the connect timeout of the client, so that a connection
-/// that cannot be opened is told from a response that is missing.
+/// Timeout of a check. Longer than the client's connect timeout, so that a failure to connect is reported
+/// as such and not as a missing response.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest wait for a response of an upstream that may queue a health check like a request.
 const QUEUED_CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 /// Connect timeout of the client; several round trips between failure domains.
 pub(super) const CHECK_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// Time between two checks while there is no path, and shortest time between two in doubt of it.
+/// Pause after each check. While there is no path, checks are repeated at this interval.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Checks the path to the upstreams.
@@ -175,7 +175,7 @@
     }
 }
 
-/// Forgets what failed for want of a path, which says nothing about the upstreams.
+/// Clears failures recorded since the path was lost; they say nothing about the upstreams.
 fn forget_failures(snapshot: &ConfigSnapshot, since: Instant) {
     for upstream in snapshot.upstreams.values() {
         upstream.stats().forget_failures_since(since);
--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -292,7 +292,7 @@
         no_path
     }
 
-    /// Marks entries as alive that the leader reports so, and which of them have no path.
+    /// Applies a report of the leader: which entries are alive, and which of those have no path.
     fn apply_alive_digests(&mut self, alive: &[u32], no_path: &[u32], now: Instant) {
         if alive.is_empty() {
             return;
--- a/src/limits/window_budget.rs
+++ b/src/limits/window_budget.rs
@@ -69,7 +69,7 @@
         }
     }
 
-    /// Takes back one recorded request, which another entry counts.
+    /// Removes one recorded request, because the entry that it was forwarded to counts it.
     pub fn withdraw_request(&self) {
         let mut state = self.lock();
         if let Some(step) = state.steps.iter_mut().rev().find(|step| step.requests > 0) {
--- a/src/request/forward_attempt.rs
+++ b/src/request/forward_attempt.rs
@@ -39,7 +39,7 @@
 use crate::request::forward_table::{FORWARD_RETRY_AFTER, ForwardTable};
 use crate::request::upstream_selection::{AttemptHistory, PreparedAttempt};
 
-/// Most peers that are asked to take a request. More than one is asked only if a peer has stopped,
+/// Maximum number of peers that a request is offered to. More than one is asked only if a peer has stopped,
 /// has lost its path too, or has another configuration.
 const MAX_PEERS: usize = 4;
 
@@ -74,7 +74,7 @@
 }
 
 impl RequestExecution {
-    /// Prepares an attempt that is forwarded; `None` if it is sent to an upstream.
+    /// Prepares a forwarded attempt; `None` if the attempt goes to an upstream instead.
     ///
     /// A request that has been forwarded to this entry is not forwarded again.
     pub(super) fn prepare_forward<C: UpstreamClient, P>(
--- a/src/request/forward_gate.rs
+++ b/src/request/forward_gate.rs
@@ -54,11 +54,12 @@
 }
 
 impl ForwardTable {
-    /// Reads what a peer tells about the request with this head, before its signature is verified.
+    /// Parses the forwarding header and checks what the head alone shows. The signature also covers the
+    /// body and is verified later, by [`Self::accept`].
     ///
     /// # Errors
     ///
-    /// Returns why the request is not taken, as far as its head shows.
+    /// Returns the reason if the head alone is enough to refuse the request.
     pub fn check_head(
         &self,
         parts: &Parts,
@@ -80,7 +81,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ForwardRefusal::Unauthenticated`] if the signature is not one of the deployment.
+    /// Returns [`ForwardRefusal::Unauthenticated`] if no key of the deployment verifies the signature.
     pub fn accept(
         &self,
         parts: &mut Parts,
@@ -106,11 +107,11 @@
 }
 
 impl<C, P, L> DataPlane<C, P, L> {
-    /// What a peer tells about a request that it forwards to this entry.
+    /// Parses the forwarding header of a peer's request and checks whether this entry can take it.
     ///
     /// # Errors
     ///
-    /// Returns why the request is not taken, as far as its head shows.
+    /// Returns the reason if the head alone is enough to refuse the request.
     pub fn check_forwarded(&self, parts: &Parts) -> Result<ForwardedRequest, ForwardRefusal> {
         let table = self.forward_table()?;
         table.check_head(parts, self.snapshot.load().as_deref())
--- a/src/request/forward_header.rs
+++ b/src/request/forward_header.rs
@@ -27,7 +27,7 @@
 pub enum AttemptOrder {
     /// It has not; what the peer sends first is no repeat.
     First,
-    /// It may have, so the sender has spent its budget for a repeat.
+    /// It may have, so the sender has counted it as a retry or hedge in its own budget.
     Repeat,
 }
 
--- a/tests/testsuite/path_forwarding.rs
+++ b/tests/testsuite/path_forwarding.rs
@@ -63,7 +63,7 @@
     Broken,
 }
 
-/// Upstreams and peers that all clients of a test reach.
+/// State of a test, shared by the clients of all its entries.
 #[derive(Default)]
 struct World {
     behaviour: Mutex<UpstreamBehaviour>,
@@ -310,7 +310,7 @@
     }
 }
 
-/// Takes the path to the upstreams from an entry.
+/// Makes an entry treat its path to the upstreams as cut.
 fn cut(plane: &PeerPlane) {
     plane.path().conclude(PathVerdict::NoConnection, Instant::now());
 }
--- a/tests/testsuite/path_membership.rs
+++ b/tests/testsuite/path_membership.rs
@@ -130,7 +130,8 @@
     assert!(other.membership(now).entries.iter().all(|entry| entry.has_path));
 }
 
-/// Guards against messages that grow on calm days, and against entries of the former version.
+/// Guards against fields that are sent although they say nothing, and against a message of the former
+/// version, which has no such fields, that is rejected.
 #[test]
 fn messages_say_nothing_of_paths_while_all_are_open() {
     let text = serde_json::to_string(&message(1, 1, false)).unwrap();
