config: tenants, warm-up rates and evacuations, interfaces of the parts

Deployments with tenants, cold upstreams and evacuations are not served: API keys are passed on, evacuations are ignored, and rates for cold upstreams are not decoded.

Decodes them, authenticates each request against the active configuration (401 without a valid key, which is not forwarded), replaces the tenant header, lets a tenant's priority precede the route's, restricts upstreams to the regions of route and tenant, and reads the evacuated failure domains with the configuration.

--- a/src/balance/pick.rs
+++ b/src/balance/pick.rs
@@ -10,7 +10,9 @@
 use tokio::time::Instant;
 
 use crate::balance::report::{AttemptReport, LoadReport};
-use crate::core::{ConfigSnapshot, PartIndex, RouteRecord, UpstreamKey, UpstreamState};
+use crate::core::{
+    ConfigSnapshot, PartIndex, RouteRecord, TenantRecord, UpstreamKey, UpstreamState,
+};
 use crate::util::SeededRandom;
 
 /// Kind of attempt that an upstream is picked for.
@@ -76,6 +78,10 @@
     pub purpose: PickPurpose,
     /// Expected cost of the request.
     pub profile: RequestProfile,
+    /// Shedding rank of the request; higher ranks are shed first.
+    pub rank: u32,
+    /// Tenant of the request, whose upstreams may be restricted; `None` without one.
+    pub tenant: Option<&'a TenantRecord>,
     /// Upstreams with a load report up to this age come first, if one of them has room; none to
     /// disregard the age.
     pub preferred_report_age: Option<Duration>,
@@ -95,22 +101,32 @@
             part: None,
             purpose: PickPurpose::default(),
             profile: RequestProfile::default(),
+            rank: route.spec.rank,
+            tenant: None,
             preferred_report_age: None,
         }
     }
 
+    /// Whether the request may be sent to `upstream` now, also by the regions of its tenant.
+    pub fn allows(&self, upstream: &UpstreamState, now: Instant) -> bool {
+        upstream.accepts_attempts(now)
+            && self.tenant.is_none_or(|tenant| tenant.allows_domain(&upstream.failure_domain))
+    }
+
     /// Upstreams to which the request may be sent, draining ones included.
     pub fn upstreams(&self) -> &'a [UpstreamKey] {
         self.route.upstreams_of(self.part)
     }
 
     /// Time until the first of these upstreams accepts an attempt, at its rate limit or after a pause;
-    /// `None` if all are draining.
+    /// `None` if all are draining or evacuated.
     pub fn opens_in(&self, now: Instant) -> Option<Duration> {
         let mut earliest: Option<Duration> = None;
         for key in self.upstreams() {
             let Some(upstream) = self.snapshot.upstreams.get(*key) else { continue };
-            if upstream.is_draining() {
+            let is_foreign =
+                self.tenant.is_some_and(|tenant| !tenant.allows_domain(&upstream.failure_domain));
+            if upstream.is_draining() || upstream.is_evacuated() || is_foreign {
                 continue;
             }
             let wait = upstream.opens_in(now);
@@ -201,7 +217,7 @@
     let mut candidates = Vec::with_capacity(request.upstreams().len());
     for key in request.upstreams() {
         let Some(upstream) = request.snapshot.upstreams.get(*key) else { continue };
-        if !upstream.accepts_attempts(now) || excluded.contains(key) {
+        if !request.allows(upstream, now) || excluded.contains(key) {
             continue;
         }
         candidates.push(*key);
--- a/src/balance/utility_picker.rs
+++ b/src/balance/utility_picker.rs
@@ -168,7 +168,7 @@
         let mut best: Option<UpstreamEstimate> = None;
         for key in request.upstreams() {
             let Some(upstream) = request.snapshot.upstreams.get(*key) else { continue };
-            if !upstream.accepts_attempts(now) || excluded.contains(key) {
+            if !request.allows(upstream, now) || excluded.contains(key) {
                 continue;
             }
             if upstream.stats().report_age(now).unwrap_or(Duration::MAX) > max_age {
@@ -204,7 +204,7 @@
             self.response_utility(expected_secs, profile) * self.success_rate(upstream, now);
         utility += self.open_connection_utility(upstream, now) - transfer_cost;
         let slots = productive_slots(upstream, profile);
-        let rank = request.route.spec.rank;
+        let rank = request.rank;
         let meets_goal = expected_secs < profile.goal_left.as_secs_f32();
         let max_load = if meets_goal || rank == 0 {
             slots + self.max_waiting_per_slot(rank) * slots
--- a/src/core/entry_peer.rs
+++ b/src/core/entry_peer.rs
@@ -28,6 +28,7 @@
             max_connections: u32::MAX,
             draining: false,
             health_path: None,
+            warm_up_per_second: None,
             warm_up: Duration::ZERO,
             started_ms: None,
         };
--- a/src/core/header.rs
+++ b/src/core/header.rs
@@ -79,6 +79,12 @@
     pub response_signature: Option<HeaderName>,
     /// Whether upstreams repeat the identity of the request on its response.
     pub echoes_request_id: bool,
+    /// API key of a tenant on callers' requests, if the deployment has tenants. It is not forwarded.
+    pub api_key: Option<HeaderName>,
+    /// Name of the tenant on requests to upstreams, if the deployment has tenants.
+    pub tenant: Option<HeaderName>,
+    /// Time in milliseconds for which an upstream is still warming up, on responses to load probes.
+    pub warm_up: Option<HeaderName>,
     /// Statuses that callers take as a guarantee that the request did not run.
     pub caller_not_run_statuses: &'static [StatusCode],
 }
@@ -99,6 +105,9 @@
             instance: None,
             response_signature: None,
             echoes_request_id: false,
+            api_key: None,
+            tenant: None,
+            warm_up: None,
             caller_not_run_statuses: &[],
         }
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -13,6 +13,7 @@
 mod result_code;
 mod selector;
 mod snapshot;
+mod tenant;
 mod upstream;
 mod upstream_stats;
 
@@ -38,5 +39,6 @@
     ConfigSnapshot, DepartedUpstream, IdempotenceRule, PartIndex, ReplacedRules, RequestRule,
     RouteKey, RouteRecord, SharedSnapshot, WeightedPart,
 };
+pub use self::tenant::{KeyDigest, TenantQuota, TenantRecord, TenantTable};
 pub use self::upstream::{InflightGuard, UpstreamArena, UpstreamKey, UpstreamState};
 pub use self::upstream_stats::{AtomicF32, AtomicTimestamp, UpstreamStats};
--- a/src/core/object.rs
+++ b/src/core/object.rs
@@ -51,7 +51,7 @@
 }
 
 /// Spec of an `Upstream` object.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct UpstreamSpec {
     /// Address, `ip:port`.
@@ -73,6 +73,10 @@
     /// Time after its start for which its service times are longer.
     #[serde(default, with = "duration_text")]
     pub warm_up: Duration,
+    /// Requests per second that it bears during that time, from all entries together; `None` for no
+    /// limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub warm_up_per_second: Option<f64>,
     /// Start of its process in milliseconds since the Unix epoch, if known. What is known of an
     /// upstream does not outlive its process.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -214,6 +218,9 @@
     /// Parts of the traffic split; empty for a route that is not split.
     #[serde(default)]
     pub parts: Vec<RoutePart>,
+    /// Whether requests need no API key where the configuration has tenants.
+    #[serde(default)]
+    pub public: bool,
 }
 
 fn default_deadline() -> Duration {
--- a/src/core/result_code.rs
+++ b/src/core/result_code.rs
@@ -73,6 +73,10 @@
     LedgerFull = 1025, "The at-most-once ledger is full.";
     /// The request ran earlier, and its response is not in the ledger.
     AlreadyRan = 1026, "The request ran earlier and its answer was not kept.";
+    /// The API key of the request is missing, repeated or unknown.
+    Unauthenticated = 1030, "The API key is missing, repeated or unknown.";
+    /// The tenant has used up its quota; the request did not run.
+    QuotaExceeded = 1031, "The tenant's quota is used up.";
     /// An object's spec does not fit its kind.
     SpecMalformed = 2001, "The object's spec does not fit its kind.";
     /// Two objects contradict each other.
--- a/src/core/snapshot.rs
+++ b/src/core/snapshot.rs
@@ -12,6 +12,7 @@
 use crate::core::label::LabelSet;
 use crate::core::object::{BudgetSpec, IdempotenceMode, RequestMatcher, RouteSpec};
 use crate::core::selector::LabelSelector;
+use crate::core::tenant::TenantTable;
 use crate::core::upstream::{UpstreamArena, UpstreamKey, UpstreamState};
 use crate::util::FastMap;
 
@@ -44,6 +45,8 @@
     pub replaced_rules: Vec<Arc<ReplacedRules>>,
     /// Deployment-wide budgets.
     pub budget: BudgetSpec,
+    /// Tenants and their API keys; `None` if requests carry no key.
+    pub tenants: Option<Arc<TenantTable>>,
 }
 
 /// An upstream that has been removed. If it returns, it is still known what it asked for.
--- a/src/core/upstream.rs
+++ b/src/core/upstream.rs
@@ -29,6 +29,8 @@
     /// Whether the newest configuration excludes the upstream from new requests. Requests in
     /// progress may still hold an older configuration that includes it.
     is_retired: AtomicBool,
+    /// Whether the operator has evacuated the failure domain of the upstream.
+    is_evacuated: AtomicBool,
     /// Drain signal on responses to this node.
     own_signal: DrainSignal,
     /// Drain signal reported by peers.
@@ -90,6 +92,17 @@
         self.shared.is_retired.store(is_retired, Ordering::Relaxed);
     }
 
+    /// Sets whether the failure domain of the upstream is evacuated. This also applies to requests that
+    /// were admitted before.
+    pub fn set_evacuated(&self, is_evacuated: bool) {
+        self.shared.is_evacuated.store(is_evacuated, Ordering::Relaxed);
+    }
+
+    /// Whether the failure domain of the upstream is evacuated. Load probes are still sent to it.
+    pub fn is_evacuated(&self) -> bool {
+        self.shared.is_evacuated.load(Ordering::Relaxed)
+    }
+
     /// Whether the upstream gets no new attempts: because of its spec, the newest configuration,
     /// its own drain signal, or a drain signal that a peer has seen.
     pub fn is_draining(&self) -> bool {
@@ -100,10 +113,11 @@
             || self.shared.peer_signal.is_active()
     }
 
-    /// Whether an attempt may be sent now: the upstream is not draining, has not asked for a pause, and
-    /// this entry's share of its rate limit is not used up.
+    /// Whether an attempt may be sent now: the upstream is neither draining nor evacuated, has not asked
+    /// for a pause, and this entry's share of its rate limit is not used up.
     pub fn accepts_attempts(&self, now: Instant) -> bool {
         !self.is_draining()
+            && !self.is_evacuated()
             && self.stats().pause_left(now).is_zero()
             && self.rate_limit().may_send(now)
     }
--- a/src/fleet/codec.rs
+++ b/src/fleet/codec.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 
-use crate::core::{GenerationNumber, IdempotenceMode};
+use crate::core::{GenerationNumber, IdempotenceMode, KeyDigest, TenantQuota};
 use crate::platform::ObjectEnvelope;
 
 /// A route as the platform's configuration declares it.
@@ -31,6 +31,10 @@
     pub max_attempts: u32,
     /// Services among which its requests are split by weight.
     pub backends: Vec<DeclaredBackend>,
+    /// Whether its requests need no API key.
+    pub is_public: bool,
+    /// Regions whose upstreams may run its requests; empty for all.
+    pub allowed_regions: Vec<String>,
 }
 
 /// A service that a route sends requests to.
@@ -43,7 +47,7 @@
 }
 
 /// A service as the platform's configuration declares it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct DeclaredService {
     /// Unique name.
     pub name: String,
@@ -51,10 +55,28 @@
     pub health_path: String,
     /// Maximum number of connections that each of its upstreams accepts from all entries together.
     pub max_connections: u32,
+    /// Requests per second that an upstream which is warming up bears from all entries together;
+    /// `None` for no limit.
+    pub warm_up_per_second: Option<f64>,
+}
+
+/// A tenant as the platform's configuration declares it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DeclaredTenant {
+    /// Unique name.
+    pub name: String,
+    /// Digests of its API keys; none if all keys have been withdrawn.
+    pub keys: Vec<KeyDigest>,
+    /// Shedding rank of its requests, which replaces that of the route.
+    pub rank: Option<u32>,
+    /// `None` if the tenant is not limited.
+    pub quota: Option<TenantQuota>,
+    /// Regions whose upstreams may run its requests; empty for all.
+    pub allowed_regions: Vec<String>,
 }
 
 /// The configuration object of the platform.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct DeclaredConfig {
     /// Generation; a higher one is newer.
     pub generation: GenerationNumber,
@@ -62,6 +84,8 @@
     pub routes: Vec<DeclaredRoute>,
     /// All services.
     pub services: Vec<DeclaredService>,
+    /// Tenants; `None` if requests carry no API key.
+    pub tenants: Option<Vec<DeclaredTenant>>,
 }
 
 /// Order of the statements that an upstream makes about itself. It does not depend on the store, so it
@@ -132,6 +156,8 @@
     pub config_name: &'static str,
     /// Kind of the upstreams' registrations.
     pub upstream_kind: &'static str,
+    /// Kind of the objects by which operators evacuate failure domains, one named after each.
+    pub evacuation_kind: &'static str,
     /// Path of the platform's readiness check.
     pub ready_path: &'static str,
     /// Path at which callers query entry addresses.
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -66,9 +66,11 @@
 const MAX_CALLER_HEAD_BYTES: usize = 20 << 10;
 /// Largest request body, 64 MiB; the platform limits what callers send.
 const MAX_BODY_BYTES: usize = 64 << 20;
-/// Limit on buffered request bodies in total, 96 MiB; well below the memory of the smallest VM,
-/// 160 MB.
+/// Limit on buffered request bodies in total, 96 MiB.
 const MAX_TOTAL_BODY_BYTES: usize = 96 << 20;
+/// Share of a VM's memory that buffered request bodies may use. The rest holds the process, socket
+/// buffers and responses in transfer.
+const BODY_MEMORY_SHARE: f64 = 0.4;
 /// Network time of a request between caller and entry: a round trip and a new connection. The
 /// deployments' delays to callers make it 6 ms to 64 ms (`docs/MEASUREMENTS.md`).
 const CALLER_NETWORK_TIME: Duration = Duration::from_millis(25);
@@ -194,8 +196,12 @@
     let plane = plane.with_forwarder(forwarder);
     LimitMetrics::register(&registry, plane.limits()).into_diagnostic()?;
 
+    let mut view = DeploymentView::new(codec.clone()).with_regions(settings.regions.clone());
+    if settings.evacuation.is_some() {
+        view = view.with_evacuations();
+    }
     let state = FleetState::new(
-        DeploymentView::new(codec.clone()),
+        view,
         PeerTable::new(own_record(&settings)),
         snapshot,
         Arc::clone(&membership),
@@ -257,7 +263,7 @@
         AssignmentSettings::default(),
     ));
     let metrics = LatencyMetrics::new(&registry).into_diagnostic()?;
-    let proxy = Arc::new(ProxyService::new(plane, addresses, metrics, proxy_settings()));
+    let proxy = Arc::new(ProxyService::new(plane, addresses, metrics, proxy_settings(&settings)));
     let leaving_flag = proxy.leaving_flag();
     let forwarded = sockets.forwarded.run(Arc::clone(&proxy), stops.callers.clone());
     let callers = sockets.callers.run(proxy, stops.callers.clone());
@@ -359,10 +365,12 @@
     }
 }
 
-fn proxy_settings() -> ProxySettings {
+fn proxy_settings(settings: &EntrySettings) -> ProxySettings {
+    let memory_bytes = settings.memory_mb.map_or(u64::MAX, |megabytes| megabytes << 20);
+    let total_bytes = (memory_bytes as f64 * BODY_MEMORY_SHARE) as usize;
     ProxySettings {
         max_body_bytes: MAX_BODY_BYTES,
-        max_total_body_bytes: MAX_TOTAL_BODY_BYTES,
+        max_total_body_bytes: MAX_TOTAL_BODY_BYTES.min(total_bytes),
         ..ProxySettings::default()
     }
 }
--- a/src/fleet/entry_settings.rs
+++ b/src/fleet/entry_settings.rs
@@ -1,5 +1,6 @@
 //! Settings of an entry on a platform whose store holds the whole configuration.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -40,6 +41,82 @@
     /// Level and format of the logs.
     #[serde(default)]
     pub log: LogSettings,
+    /// Region of each failure domain; empty if the deployment names none.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
+    /// Evacuation of failure domains; without it the store is not asked for evacuations.
+    #[serde(default)]
+    pub evacuation: Option<EvacuationSettings>,
+    /// Tolerance of the request rate of upstreams that are warming up; without it, the rates that
+    /// services name are not enforced.
+    #[serde(default)]
+    pub warm_up: Option<WarmUpTolerance>,
+    /// Tolerance of the tenants' quotas; without it, quotas are not enforced.
+    #[serde(default)]
+    pub quota: Option<QuotaTolerance>,
+    /// Limits of hedging; without it, hedges are bounded by the budget for repeats alone.
+    #[serde(default)]
+    pub hedging: Option<HedgeLimits>,
+    /// Pipelined requests.
+    #[serde(default)]
+    pub pipelining: PipelineSettings,
+    /// Memory of the VM in megabytes, if known; bounds the request bodies that are held.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
+}
+
+/// Evacuation of failure domains.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EvacuationSettings {
+    /// Time from the store's acknowledgement of an evacuation until upstreams of the failure domain
+    /// get no new requests.
+    #[serde(with = "duration_text")]
+    pub bound: Duration,
+}
+
+/// Tolerance of the request rate of upstreams that are warming up. In any second, all entries
+/// together may send such an upstream `rate * overage + slack` requests.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WarmUpTolerance {
+    /// Multiple of the rate that the service names, at least 1.
+    pub overage: f64,
+    /// Further requests, 0 or more.
+    pub slack: f64,
+}
+
+/// Tolerance of the tenants' quotas. In any window, all entries together may run
+/// `(rate * window + burst) * (1 + overage) + slack` requests of a tenant.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct QuotaTolerance {
+    /// Length of the sliding window.
+    #[serde(with = "duration_text")]
+    pub window: Duration,
+    /// Share beyond the quota, 0 or more.
+    pub overage: f64,
+    /// Further requests, 0 or more.
+    pub slack: f64,
+}
+
+/// Limits of hedging.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct HedgeLimits {
+    /// Hedges as a share of the requests of a route, between 0 and 1.
+    pub max_share: f64,
+    /// Hedges as a share of the requests to a service, between 0 and 1.
+    pub max_service_share: f64,
+}
+
+/// Pipelined requests: idempotent ones may start before the response to the first is complete.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PipelineSettings {
+    /// Requests of a connection that may run ahead of the one that is being answered; 0 to run one
+    /// after the other.
+    pub max_ahead: u32,
 }
 
 /// Addresses to listen on.
@@ -179,6 +256,32 @@
         if self.shutdown.grace < MIN_GRACE {
             return Err(field_error("grace", "is too short", "a duration of at least 4s"));
         }
+        self.validate_optional()
+    }
+}
+
+impl EntrySettings {
+    /// Checks the settings of the optional features.
+    fn validate_optional(&self) -> Result<(), FieldError> {
+        if self.evacuation.as_ref().is_some_and(|evacuation| evacuation.bound < MIN_CHANGE_BOUND) {
+            return Err(field_error("bound", "is too short", "a duration of at least 500ms"));
+        }
+        if let Some(WarmUpTolerance { overage, slack }) = self.warm_up
+            && !(overage >= 1.0 && slack >= 0.0)
+        {
+            return Err(field_error("overage", "is out of range", "an overage of at least 1"));
+        }
+        if let Some(QuotaTolerance { window, overage, slack }) = self.quota
+            && !(window >= MIN_CHANGE_BOUND && overage >= 0.0 && slack >= 0.0)
+        {
+            let help = "a window of at least 500ms, and an overage and a slack of 0 or more";
+            return Err(field_error("quota", "is out of range", help));
+        }
+        if let Some(HedgeLimits { max_share, max_service_share }) = self.hedging
+            && !((0.0..=1.0).contains(&max_share) && (0.0..=1.0).contains(&max_service_share))
+        {
+            return Err(field_error("max_share", "is out of range", "a number between 0 and 1"));
+        }
         Ok(())
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 //! - [`view`]: the last known configuration and upstreams, with revisions.
 //! - [`entry_settings`], [`live_settings`]: settings, and those that can be reloaded.
 //! - [`fleet_metrics`]: metrics of the view, its age and the store calls.
+//! - [`evacuation`]: failure domains that operators have evacuated.
 //! - [`read_schedule`]: when an entry reads the store.
 //! - [`store_follower`]: follows the store; `enrolment` makes an entry known to the others, by the
 //!   [`roster`] of its failure domain.
@@ -42,6 +43,7 @@
 mod enrolment;
 pub mod entry_node;
 pub mod entry_settings;
+pub mod evacuation;
 pub mod fleet_metrics;
 pub mod limit_shares;
 pub mod live_settings;
--- a/src/fleet/objects.rs
+++ b/src/fleet/objects.rs
@@ -28,6 +28,8 @@
 const REPEAT_NEVER: &str = "never";
 /// Upstream label: name of the service.
 const SERVICE_LABEL: &str = "service";
+/// Upstream label: region, of upstreams whose failure domain has a known one.
+const REGION_LABEL: &str = "region";
 /// Connection limit of an upstream whose service the configuration does not declare.
 const DEFAULT_MAX_CONNECTIONS: u32 = 32;
 
@@ -44,10 +46,12 @@
     objects.replace_kind(ObjectKind::Idempotence.as_str(), idempotence_objects(revision));
 }
 
-/// Declares a registered upstream; `service` is the declaration of its service, if there is one.
+/// Declares a registered upstream; `service` is the declaration of its service, if there is one, and
+/// `region` that of its failure domain, if it is known.
 pub fn declared_upstream(
     upstream: &RegisteredUpstream,
     service: Option<&DeclaredService>,
+    region: Option<&str>,
 ) -> DeclaredUpstream {
     let spec = UpstreamSpec {
         address: upstream.address,
@@ -57,9 +61,13 @@
         draining: upstream.is_draining,
         health_path: service.map(|found| found.health_path.clone()),
         warm_up: upstream.warm_up,
+        warm_up_per_second: service.and_then(|found| found.warm_up_per_second),
         started_ms: upstream.order.started_ms,
     };
-    let labels = BTreeMap::from([(SERVICE_LABEL.to_owned(), upstream.service.clone())]);
+    let mut labels = BTreeMap::from([(SERVICE_LABEL.to_owned(), upstream.service.clone())]);
+    if let Some(region) = region {
+        labels.insert(REGION_LABEL.to_owned(), region.to_owned());
+    }
     DeclaredUpstream { name: upstream.instance.clone(), labels: LabelSet::new(labels), spec }
 }
 
@@ -79,22 +87,27 @@
 
 fn route_object(route: &DeclaredRoute, revision: Revision) -> ObjectEnvelope {
     let services: Vec<&str> = route.backends.iter().map(|part| part.service.as_str()).collect();
+    let mut home_selector = String::new();
+    if !route.allowed_regions.is_empty() {
+        home_selector = format!(",{REGION_LABEL} in ({})", route.allowed_regions.join(","));
+    }
     let mut parts = Vec::new();
     if route.backends.len() > 1 {
         for backend in &route.backends {
-            let selector = format!("{SERVICE_LABEL}={}", backend.service);
+            let selector = format!("{SERVICE_LABEL}={}{home_selector}", backend.service);
             parts.push(json!({ "upstreams": selector, "weight": backend.weight }));
         }
     }
     let timeout = DurationText(route.timeout);
     let spec = json!({
         "requests": format!("{ROUTE_LABEL}={}", route.name),
-        "upstreams": format!("{SERVICE_LABEL} in ({})", services.join(",")),
+        "upstreams": format!("{SERVICE_LABEL} in ({}){home_selector}", services.join(",")),
         "deadline": timeout,
         "goal": DurationText(route.goal),
         "rank": route.rank,
         "retry": { "max_attempts": route.max_attempts, "attempt_timeout": timeout },
         "parts": parts,
+        "public": route.is_public,
     });
     envelope(ObjectKind::Route, &route.name, spec, revision)
 }
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -336,7 +336,7 @@
         let Some(gap) = *lock(&self.gap) else { return };
         let mut view = self.view();
         let own = view.watermark();
-        if gap.watermark.era == own.era && gap.watermark.config_revision == own.config_revision {
+        if gap.watermark.era == own.era && own.has_same_config(&gap.watermark) {
             view.confirm_config(gap.watermark.config_known);
         }
     }
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -21,7 +21,7 @@
 use crate::fleet::view::StoreOutage;
 use crate::fleet::view_gap::GapKind;
 use crate::kernel::{ServiceName, ServiceTask};
-use crate::platform::{PlatformStore, StoreError, StorePosition, WatchRequest};
+use crate::platform::{PlatformStore, StoreEra, StoreError, StorePosition, WatchRequest};
 use crate::util::SeededRandom;
 
 /// Minimum time between the starts of two watches, so that a burst of changes costs one call.
@@ -244,6 +244,11 @@
             Err(StoreError::NotFound) => {}
             Err(error) => return Err(error),
         }
+        if self.state.view().tracks_evacuations() {
+            let list = self.store.list_relaxed(names.evacuation_kind, "");
+            let list = self.state.call_store(StoreCall::Relaxed, list).await?;
+            drop(self.state.view().apply_evacuations(list, Instant::now()));
+        }
         log::info!(target: "store", "first list read revision={}", change.revision);
         self.state.activate_view();
         Ok(())
@@ -308,10 +313,26 @@
             Err(StoreError::NotFound) => {}
             Err(error) => return Err(error),
         }
+        if self.state.view().tracks_evacuations() {
+            self.read_evacuations(era).await?;
+        }
         self.state.view().confirm_config(revision);
         Ok(())
     }
 
+    async fn read_evacuations(&mut self, era: StoreEra) -> Result<(), StoreError> {
+        let list = self.store.list(self.names().evacuation_kind, "");
+        let list = self.state.call_store(StoreCall::List, list).await?;
+        if list.era != era {
+            return Err(StoreError::Unavailable(
+                "the store was restored between two reads".to_owned(),
+            ));
+        }
+        let change = self.state.view().apply_evacuations(list, Instant::now());
+        self.state.publish(change);
+        Ok(())
+    }
+
     fn names(&self) -> crate::fleet::codec::PlatformNames {
         self.state.view().names()
     }
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -16,6 +16,7 @@
 
 use crate::core::{ConfigSnapshot, GenerationNumber};
 use crate::fleet::codec::{DeclaredConfig, DeploymentCodec, PlatformNames, RegisteredUpstream};
+use crate::fleet::evacuation::{EvacuatedDomains, EvacuationRecord};
 use crate::fleet::view::upstream_record::{DepartedUpstreams, UpstreamRecord, is_same_lifetime};
 use crate::fleet::view_change::entry_digest;
 pub use crate::fleet::view_change::{ViewChange, ViewWatermark};
@@ -47,6 +48,9 @@
     /// The compiled configuration without upstreams. Cleared when the configuration changes.
     base_snapshot: Option<ConfigSnapshot>,
     digest: u64,
+    /// Region of each failure domain, as far as the settings name it.
+    regions: BTreeMap<String, String>,
+    evacuations: EvacuationRecord,
 }
 
 /// A period in which the store could not be reached.
@@ -80,9 +84,44 @@
             outage: None,
             base_snapshot: None,
             digest: 0,
+            regions: BTreeMap::new(),
+            evacuations: EvacuationRecord::default(),
         }
     }
 
+    /// Sets the region of each failure domain.
+    #[must_use]
+    pub fn with_regions(self, regions: BTreeMap<String, String>) -> Self {
+        Self { regions, ..self }
+    }
+
+    /// Tracks the evacuations of failure domains.
+    #[must_use]
+    pub fn with_evacuations(mut self) -> Self {
+        self.evacuations.track();
+        self
+    }
+
+    /// Whether evacuations are tracked.
+    pub fn tracks_evacuations(&self) -> bool {
+        self.evacuations.is_tracked()
+    }
+
+    /// The evacuated failure domains.
+    pub fn evacuated_domains(&self) -> &EvacuatedDomains {
+        self.evacuations.domains()
+    }
+
+    /// Applies a complete list of the evacuations, one object for each failure domain.
+    pub fn apply_evacuations(&mut self, list: ObjectList, now: Instant) -> ViewChange {
+        let mut change = self.change_from_here();
+        let domains = list.items.into_iter().map(|object| object.name).collect();
+        if self.evacuations.apply_list(domains, now) {
+            change.evacuations = Some(self.evacuations.domains().clone());
+        }
+        change
+    }
+
     /// Object kinds and paths of the platform.
     pub fn names(&self) -> PlatformNames {
         self.codec.names()
@@ -112,6 +151,7 @@
             config_known: self.config_known,
             generation: self.generation().map_or(0, |generation| generation.0),
             digest: self.digest,
+            evacuations: self.evacuations.digest(),
         }
     }
 
@@ -271,6 +311,11 @@
                 own.held.push(name);
             }
         }
+        if let Some(domains) = change.evacuations
+            && self.evacuations.apply_peer(domains)
+        {
+            own.evacuations = Some(self.evacuations.domains().clone());
+        }
         self.position.revision = change.revision;
         self.finish(own)
     }
@@ -291,12 +336,16 @@
         if !change.deletes.is_empty() {
             self.refresh_digest();
         }
+        if self.evacuations.expire(now) {
+            change.evacuations = Some(self.evacuations.domains().clone());
+        }
         change
     }
 
-    /// Earliest time at which [`Self::expire`] removes an upstream.
+    /// Earliest time at which [`Self::expire`] changes the view.
     pub fn next_expiry(&self) -> Option<Instant> {
-        self.held.values().min().copied()
+        let held = self.held.values().min().copied();
+        held.into_iter().chain(self.evacuations.next_expiry()).min()
     }
 
     fn refresh_digest(&mut self) {
--- a/src/fleet/view/compilation.rs
+++ b/src/fleet/view/compilation.rs
@@ -1,8 +1,11 @@
 //! Compiles the view to the configuration that the data plane uses, and logs its changes.
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
 use crate::config::{ObjectSet, SpecError, compile, with_upstreams};
-use crate::core::ConfigSnapshot;
-use crate::fleet::codec::{DeclaredService, DeploymentCodec};
+use crate::core::{ConfigSnapshot, FailureDomain, TenantId, TenantRecord, TenantTable};
+use crate::fleet::codec::{DeclaredService, DeclaredTenant, DeploymentCodec};
 use crate::fleet::objects::{declared_upstream, set_config_objects};
 use crate::fleet::view::{ActiveConfig, DeploymentView};
 use crate::fleet::view_change::{NameList, ViewChange};
@@ -21,7 +24,9 @@
             set_config_objects(&mut objects, config, object.version);
             let outcome = compile(&objects, config.generation, None);
             log_errors(&outcome.errors);
-            self.base_snapshot = Some(outcome.snapshot);
+            let tenants = config.tenants.as_deref();
+            let tenants = tenants.map(|tenants| Arc::new(tenant_table(tenants, &self.regions)));
+            self.base_snapshot = Some(ConfigSnapshot { tenants, ..outcome.snapshot });
         }
         let base_snapshot = self.base_snapshot.as_ref()?;
         let mut services: FastMap<&str, &DeclaredService> = FastMap::default();
@@ -32,9 +37,14 @@
         for entry in self.upstreams.values() {
             let Some(upstream) = &entry.upstream else { continue };
             let service = services.get(upstream.service.as_str()).copied();
-            declared.push(declared_upstream(upstream, service));
+            let region = self.regions.get(&upstream.failure_domain).map(String::as_str);
+            declared.push(declared_upstream(upstream, service, region));
+        }
+        let snapshot = with_upstreams(base_snapshot, declared, previous);
+        for upstream in snapshot.upstreams.values() {
+            upstream.set_evacuated(self.evacuations.contains(&upstream.spec.failure_domain));
         }
-        Some(with_upstreams(base_snapshot, declared, previous))
+        Some(snapshot)
     }
 
     /// Logs a change of the upstreams; `source` is `store` or `peer`.
@@ -68,6 +78,30 @@
     }
 }
 
+/// The tenants by name and key. One whose regions have no failure domain is allowed in none.
+fn tenant_table(tenants: &[DeclaredTenant], regions: &BTreeMap<String, String>) -> TenantTable {
+    let mut table = TenantTable::default();
+    for tenant in tenants {
+        let allowed_domains = (!tenant.allowed_regions.is_empty()).then(|| {
+            let mut domains = BTreeSet::new();
+            for (domain, region) in regions {
+                if tenant.allowed_regions.contains(region) {
+                    domains.insert(FailureDomain::new(domain));
+                }
+            }
+            domains
+        });
+        let record = TenantRecord {
+            name: TenantId::new(&tenant.name),
+            rank: tenant.rank,
+            quota: tenant.quota,
+            allowed_domains,
+        };
+        table.insert(record, &tenant.keys);
+    }
+    table
+}
+
 fn log_errors(errors: &[SpecError]) {
     for error in errors.iter().take(MAX_LOGGED_ERRORS) {
         log::warn!(
--- a/src/fleet/view/history.rs
+++ b/src/fleet/view/history.rs
@@ -26,6 +26,7 @@
         self.position = list.position();
         self.config_position = StorePosition { era: list.era, revision: 0 };
         self.config_known = 0;
+        self.evacuations.hold_missing(now + REREGISTRATION_GRACE);
         let mut change = self.change_from_here();
         let mut known = std::mem::take(&mut self.upstreams);
         for object in list.items {
--- a/src/fleet/view_change.rs
+++ b/src/fleet/view_change.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::evacuation::EvacuatedDomains;
 use crate::platform::{ObjectEnvelope, Revision, StoreEra, StorePosition};
 use crate::util::fnv1a;
 
@@ -26,6 +27,9 @@
     /// Era that the revisions belong to.
     #[serde(default)]
     pub era: StoreEra,
+    /// The evacuated failure domains, if they changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<EvacuatedDomains>,
 }
 
 impl ViewChange {
@@ -36,7 +40,7 @@
 
     /// Whether at most the revision changed.
     pub fn is_empty(&self) -> bool {
-        !self.has_upstreams() && self.config.is_none()
+        !self.has_upstreams() && self.config.is_none() && self.evacuations.is_none()
     }
 
     /// Whether upstreams were put, deleted or held.
@@ -64,6 +68,10 @@
     /// 0 before the first one.
     #[serde(default)]
     pub generation: u64,
+    /// Digest of the evacuated failure domains; `None` if the sender does not track them. They are
+    /// known up to the same revision as the configuration.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<u64>,
 }
 
 impl ViewWatermark {
@@ -75,16 +83,24 @@
     /// Whether both views were read from the same upstreams and the same configuration.
     pub fn matches(&self, other: &ViewWatermark) -> bool {
         self.position() == other.position()
-            && self.config_revision == other.config_revision
+            && self.has_same_config(other)
             && self.digest == other.digest
     }
 
+    /// Whether `other` was read from the same configuration and the same evacuations, as far as this
+    /// view tracks those.
+    pub fn has_same_config(&self, other: &ViewWatermark) -> bool {
+        let has_same_evacuations =
+            self.evacuations.is_none() || self.evacuations == other.evacuations;
+        self.config_revision == other.config_revision && has_same_evacuations
+    }
+
     /// Whether `newer` was read from the same upstreams and the same configuration at a later
     /// revision of the same era, so that only other objects have changed since.
     pub fn is_unchanged_in(&self, newer: &ViewWatermark) -> bool {
         self.era == newer.era
             && self.revision < newer.revision
-            && self.config_revision == newer.config_revision
+            && self.has_same_config(newer)
             && self.digest == newer.digest
     }
 
--- a/src/request/classify.rs
+++ b/src/request/classify.rs
@@ -10,7 +10,7 @@
 
 use crate::core::{
     ConfigSnapshot, IdempotenceMode, IdempotenceRule, LabelSet, RequestMatcher, RequestRule,
-    RouteKey, TenantId,
+    RouteKey, TenantId, TenantRecord,
 };
 
 /// Class of requests to which no rule assigns one.
@@ -42,6 +42,10 @@
     pub route: Option<RouteKey>,
     /// Whether the request may run more than once.
     pub mode: IdempotenceMode,
+    /// Tenant whose API key the request carries, once it has been authenticated.
+    pub authenticated: Option<Arc<TenantRecord>>,
+    /// Shedding rank: requests of higher ranks are shed first.
+    pub rank: u32,
 }
 
 /// Classifies a request under one configuration.
@@ -57,11 +61,14 @@
     }
     let labels = collect_labels(&snapshot.request_rules, head);
     let route = snapshot.routes.iter().position(|route| route.spec.requests.matches(&labels));
+    let rank = route.map_or(0, |index| snapshot.routes[index].spec.rank);
     RequestClass {
         tenant: tenant.unwrap_or_else(|| TenantId::new(DEFAULT_TENANT)),
         class: class.unwrap_or_else(|| Arc::from(DEFAULT_CLASS)),
         route: route.map(|index| RouteKey(index as u32)),
         mode: resolve_idempotence(snapshot, &labels, head),
+        authenticated: None,
+        rank,
         labels,
     }
 }
--- a/src/request/data_plane.rs
+++ b/src/request/data_plane.rs
@@ -28,6 +28,7 @@
 use crate::membership::ConfigFreshness;
 use crate::request::attempt::UpstreamClient;
 use crate::request::attempt_trace::AttemptTrace;
+use crate::request::authentication::{TenantSource, authenticate, set_tenant_headers};
 use crate::request::classify::{RequestClass, RequestHead, classify};
 use crate::request::crash_watch::CallerAddress;
 use crate::request::execution::{
@@ -195,17 +196,40 @@
     ///
     /// Returns the result code of the error response; the request did not run.
     pub fn admit(&self, parts: &Parts) -> Result<AdmittedRequest, ResultCode> {
+        self.admit_from(parts, TenantSource::ApiKey)
+    }
+
+    /// Admits a request that a peer forwards by its head. Its signature must be verified before it is
+    /// run.
+    ///
+    /// # Errors
+    ///
+    /// Returns the result code of the error response; the request did not run.
+    pub fn admit_forwarded(&self, parts: &Parts) -> Result<AdmittedRequest, ResultCode> {
+        self.admit_from(parts, TenantSource::Peer)
+    }
+
+    fn admit_from(
+        &self,
+        parts: &Parts,
+        tenant_source: TenantSource,
+    ) -> Result<AdmittedRequest, ResultCode> {
         let started = Instant::now();
         let snapshot = self.snapshot.load_full().ok_or(ResultCode::NotReady)?;
         validate_head(parts)?;
         let head = RequestHead { method: &parts.method, uri: &parts.uri, headers: &parts.headers };
-        let class = classify(&snapshot, head);
+        let mut class = classify(&snapshot, head);
         let key = class.route.ok_or(ResultCode::NoRoute)?;
         let route = snapshot.route(key).ok_or(ResultCode::NoRoute)?;
+        let header_names = &self.core.settings.headers;
+        class.authenticated =
+            authenticate(&snapshot, &route.spec, &parts.headers, header_names, tenant_source)?;
+        let tenant_rank = class.authenticated.as_ref().and_then(|tenant| tenant.rank);
+        class.rank = tenant_rank.unwrap_or(class.rank);
         let limits = self.limits.get(&snapshot, key).ok_or(ResultCode::NoRoute)?;
         let configured = route.spec.deadline;
-        let name = &self.core.settings.headers.deadline;
-        let requested = header_u64(&parts.headers, name).map(Duration::from_millis);
+        let requested =
+            header_u64(&parts.headers, &header_names.deadline).map(Duration::from_millis);
         let deadline = started + requested.unwrap_or(configured).min(configured);
         let criticality = route.spec.criticality;
         Ok(AdmittedRequest { snapshot, class, limits, criticality, started, deadline })
@@ -237,11 +261,14 @@
         let key = key.map(|key| key.map(str::to_owned));
         let uri = origin_form(&parts.uri);
         let caller = parts.extensions.get::<CallerAddress>().copied();
+        let mut headers = forwarded_headers(parts.headers, &parts.uri, &header_names.request_id);
+        let tenant = admitted.class.authenticated.as_deref();
+        set_tenant_headers(&mut headers, header_names, &admitted.snapshot, tenant);
         let execution = RequestExecution {
             snapshot: admitted.snapshot,
             class: admitted.class,
             limits: admitted.limits,
-            headers: forwarded_headers(parts.headers, &parts.uri, &header_names.request_id),
+            headers,
             uri,
             method: parts.method,
             body,
@@ -388,11 +415,13 @@
         let id = execution.headers.get(&self.core.settings.headers.request_id);
         // Quoted, so that a caller cannot inject fields into the log line.
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let tenant = execution.class.authenticated.as_ref();
+        let tenant = tenant.map_or_else(String::new, |tenant| format!(" tenant={}", tenant.name));
         let age = self.core.freshness.age().unwrap_or(Duration::MAX);
         log::log!(
             target: "request",
             level,
-            "id={id:?} class={} generation={} config_age_ms={} outcome={outcome} ms={} left_ms={} attempts={trace}",
+            "id={id:?} class={}{tenant} generation={} config_age_ms={} outcome={outcome} ms={} left_ms={} attempts={trace}",
             execution.class.class,
             execution.snapshot.generation,
             age.as_millis(),
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -12,6 +12,7 @@
 mod attempt;
 mod attempt_reporter;
 mod attempt_trace;
+mod authentication;
 mod classify;
 mod crash_watch;
 mod data_plane;
--- a/src/request/response.rs
+++ b/src/request/response.rs
@@ -155,13 +155,17 @@
     FractionalSeconds,
 }
 
-/// Sets `Retry-After` on a 503 response; leaves other responses unchanged.
+/// Statuses of refusals after which the caller may return.
+const RETRYABLE_STATUSES: [StatusCode; 2] =
+    [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS];
+
+/// Sets `Retry-After` on a 429 or 503 response; leaves other responses unchanged.
 pub(super) fn set_retry_after<B: Body, G>(
     response: &mut CallerResponse<B, G>,
     after: Duration,
     form: RetryAfterFormat,
 ) {
-    if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+    if !RETRYABLE_STATUSES.contains(&response.status()) {
         return;
     }
     let text = match form {
@@ -179,8 +183,8 @@
     error_response_retry_after(code, RETRY_AFTER)
 }
 
-/// Builds an error response with this `Retry-After`, at least 1 s. Only 503 responses and HF-1020
-/// carry the header.
+/// Builds an error response with this `Retry-After`, at least 1 s. Only 429 and 503 responses and
+/// HF-1020 carry the header.
 pub fn error_response_retry_after<B: Body, G>(
     code: ResultCode,
     retry_after: Duration,
@@ -196,7 +200,8 @@
     if is_not_run(code) {
         headers.insert(NOT_RUN_HEADER, HeaderValue::from_static("true"));
     }
-    if response.status() == StatusCode::SERVICE_UNAVAILABLE || code == ResultCode::KeyInProgress {
+    let is_retryable = RETRYABLE_STATUSES.contains(&response.status());
+    if is_retryable || code == ResultCode::KeyInProgress {
         let secs = retry_after.as_secs().max(1);
         response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(secs));
     }
@@ -247,6 +252,8 @@
             | ResultCode::KeyMalformed
             | ResultCode::LedgerUnavailable
             | ResultCode::LedgerFull
+            | ResultCode::Unauthenticated
+            | ResultCode::QuotaExceeded
     )
 }
 
@@ -261,6 +268,8 @@
         ResultCode::KeyExpired => StatusCode::GONE,
         ResultCode::OutcomeUnknown | ResultCode::AnswerNotWhole => StatusCode::BAD_GATEWAY,
         ResultCode::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
+        ResultCode::Unauthenticated => StatusCode::UNAUTHORIZED,
+        ResultCode::QuotaExceeded => StatusCode::TOO_MANY_REQUESTS,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/src/request/upstream_selection.rs
+++ b/src/request/upstream_selection.rs
@@ -298,6 +298,8 @@
             part: self.part,
             purpose,
             profile,
+            rank: self.class.rank,
+            tenant: self.class.authenticated.as_deref(),
             preferred_report_age: None,
         }
     }
--- a/src/serve/proxy_service.rs
+++ b/src/serve/proxy_service.rs
@@ -158,7 +158,11 @@
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             return response;
         }
-        let admitted = match self.plane.admit(&parts) {
+        let admitted = match origin {
+            RequestOrigin::Callers => self.plane.admit(&parts),
+            RequestOrigin::Peers => self.plane.admit_forwarded(&parts),
+        };
+        let admitted = match admitted {
             Ok(admitted) => admitted,
             Err(code) => return unclaimed_error_response(&parts.headers, code),
         };
--- a/tests/testsuite/support/fleet.rs
+++ b/tests/testsuite/support/fleet.rs
@@ -23,6 +23,7 @@
 pub(crate) const CONFIG_KIND: &str = "settings";
 pub(crate) const CONFIG_NAME: &str = "present";
 pub(crate) const UPSTREAM_KIND: &str = "backends";
+pub(crate) const EVACUATION_KIND: &str = "evacuations";
 
 /// Codec of a deployment whose configuration object is `{ "generation": N }` and whose upstream
 /// objects are `{ "service": S, "draining": B, "started": T, "sequence": N }`; all other fields have
@@ -36,6 +37,7 @@
             config_kind: CONFIG_KIND,
             config_name: CONFIG_NAME,
             upstream_kind: UPSTREAM_KIND,
+            evacuation_kind: EVACUATION_KIND,
             ready_path: "/ready",
             directory_path: "/addresses",
         }
@@ -54,16 +56,20 @@
             rank: 0,
             max_attempts: 2,
             backends: vec![DeclaredBackend { service: "reads".to_owned(), weight: 1 }],
+            is_public: false,
+            allowed_regions: Vec::new(),
         };
         let service = DeclaredService {
             name: "reads".to_owned(),
             health_path: "/health".to_owned(),
             max_connections: 100,
+            warm_up_per_second: None,
         };
         Ok(DeclaredConfig {
             generation: GenerationNumber(generation),
             routes: vec![route],
             services: vec![service],
+            tenants: None,
         })
     }
 
