fleet: send large configurations in parts, and spread reads that close gaps

A large configuration is compressed and sent in parts, through one relay for each group of entries. Entries of large domains spread the reads that close a gap over 0.4 s, over 1.2 s while they start, and leave the confirmation of a configuration that they have to the leader. Evacuations are not listed if the configuration accounts for all other writes.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -25,6 +25,7 @@
 //! - [`read_schedule`]: when an entry reads the store.
 //! - [`store_follower`]: follows the store; `enrolment` makes an entry known to the others, by the
 //!   [`roster`] of its failure domain.
+//! - [`config_parts`]: sends a configuration that is too large for one datagram.
 //! - [`peer_message`], [`peer_table`], [`peer_service`]: messages between entries, and liveness.
 //! - [`state`]: state that the services of an entry share.
 //! - [`limit_shares`]: divides the rate limits of upstreams; `rate_limits` shares news of them.
@@ -36,6 +37,7 @@
 //! - [`entry_node`]: wires one entry.
 
 pub mod codec;
+pub mod config_parts;
 pub mod control_api;
 mod crash_exchange;
 pub mod crash_update;
--- a/src/fleet/peer_message.rs
+++ b/src/fleet/peer_message.rs
@@ -11,14 +11,15 @@
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 
+use crate::fleet::config_parts::ConfigPart;
 use crate::fleet::view::{ViewChange, ViewWatermark};
 use crate::membership::EntryState;
 use crate::request::{ForwardKey, ForwardKeys};
 
 /// Length of the truncated HMAC; RFC 2104, section 5, allows half of the hash's output.
 const MAC_BYTES: usize = 16;
-/// Largest datagram that is sent. A larger change is left out, and each entry reads it from the
-/// store.
+/// Largest datagram that is sent. A larger configuration is sent in parts; any other larger change
+/// is left out, and each entry reads it from the store.
 pub const MAX_DATAGRAM_BYTES: usize = 32 << 10;
 
 /// State, loads and changes that one entry sends to others.
@@ -59,6 +60,9 @@
     /// Rate limits that the sender has just learned from upstreams.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LearnedLimit>,
+    /// Part of a configuration that is too large for one message.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub config_part: Option<ConfigPart>,
 }
 
 fn enrolled_by_default() -> bool {
--- a/src/fleet/peer_service.rs
+++ b/src/fleet/peer_service.rs
@@ -10,6 +10,7 @@
 
 use crate::core::{ConfigSnapshot, UpstreamKey};
 use crate::fleet::codec::DeploymentCodec;
+use crate::fleet::config_parts::{ConfigPart, relay_groups, split_config};
 use crate::fleet::crash_exchange::CrashExchange;
 use crate::fleet::crash_update::decode_crash_update;
 use crate::fleet::load_probe::LoadRecorder;
@@ -113,7 +114,11 @@
             sender.crash_exchange.receive(&self.state, &records?, from);
             return Ok(());
         }
-        let message = PeerMessage::parse(payload)?;
+        let mut message = PeerMessage::parse(payload)?;
+        if let Some(part) = message.config_part.take() {
+            // Parts may overtake each other, so the order of the messages does not matter.
+            sender.receive_config_part(&self.socket, &self.state, part).await;
+        }
         if !self.state.apply_message(&message, from) {
             return Ok(());
         }
@@ -197,6 +202,7 @@
     loads: Vec<MeasuredLoad>,
     change: Option<ViewChange>,
     limits: Vec<LearnedLimit>,
+    config_part: Option<ConfigPart>,
 }
 
 impl MessageContent {
@@ -267,7 +273,14 @@
         for change in changes {
             self.send(socket, state, key, scope, MessageContent::of_change(change)).await;
         }
-        self.send(socket, state, key, scope, MessageContent { loads, change: last, limits }).await;
+        self.send(
+            socket,
+            state,
+            key,
+            scope,
+            MessageContent { loads, change: last, limits, config_part: None },
+        )
+        .await;
     }
 
     /// Sends changed loads of the local upstreams to the other failure domains, if this entry is
@@ -315,9 +328,19 @@
         scope: MessageScope,
         content: MessageContent,
     ) {
-        self.sequence += 1;
-        let now = Instant::now();
         let recipients = state.recipients(scope);
+        self.send_to(socket, state, key, &recipients, content).await;
+    }
+
+    async fn send_to<D: DeploymentCodec>(
+        &mut self,
+        socket: &UdpSocket,
+        state: &FleetState<D>,
+        key: &MessageKey,
+        recipients: &[SocketAddr],
+        content: MessageContent,
+    ) {
+        let now = Instant::now();
         let (own, alive, no_path) = {
             let table = state.table();
             (table.own().clone(), table.alive_digests(now), table.no_path_digests(now))
@@ -325,6 +348,7 @@
         if recipients.is_empty() {
             return;
         }
+        self.sequence += 1;
         let mut message = PeerMessage {
             vm: own.vm.to_string(),
             incarnation: self.incarnation,
@@ -340,23 +364,65 @@
             loads: content.loads,
             change: content.change,
             limits: content.limits,
+            config_part: content.config_part,
         };
         let mut encoded = key.encode(&message);
         if encoded == Err(MessageError::TooLarge) {
+            let change = message.change.take();
+            let config = change.and_then(|change| change.config);
+            let parts = config.as_ref().and_then(split_config);
             log::info!(
                 target: "peer",
-                "change too large for a datagram, peers will read it from the store",
+                "change too large for a datagram parts={}",
+                parts.as_ref().map_or(0, Vec::len),
             );
-            message.change = None;
+            for part in parts.unwrap_or_default() {
+                // Boxed, because sending a part is sending a message again.
+                Box::pin(self.send_part_to_groups(socket, state, key, recipients, part)).await;
+            }
             encoded = key.encode(&message);
         }
         match encoded {
-            Ok(datagram) => send_all(socket, &datagram, &recipients).await,
+            Ok(datagram) => send_all(socket, &datagram, recipients).await,
             Err(error) => log::error!(target: "peer", "cannot send a message reason={error}"),
         }
     }
 }
 
+impl PeerSender {
+    /// Sends a part of a configuration to one entry of each group, which sends it to the others.
+    async fn send_part_to_groups<D: DeploymentCodec>(
+        &mut self,
+        socket: &UdpSocket,
+        state: &FleetState<D>,
+        key: &MessageKey,
+        recipients: &[SocketAddr],
+        part: ConfigPart,
+    ) {
+        for group in relay_groups(recipients) {
+            let part = ConfigPart { relay_to: group.members, ..part.clone() };
+            let content = MessageContent { config_part: Some(part), ..MessageContent::default() };
+            self.send_to(socket, state, key, &[group.relay], content).await;
+        }
+    }
+
+    /// Adds a part of a configuration, and sends it on to those that the sender names.
+    async fn receive_config_part<D: DeploymentCodec>(
+        &mut self,
+        socket: &UdpSocket,
+        state: &FleetState<D>,
+        mut part: ConfigPart,
+    ) {
+        let recipients = std::mem::take(&mut part.relay_to);
+        if let Some(keys) = state.message_keys().filter(|_| !recipients.is_empty()) {
+            let content =
+                MessageContent { config_part: Some(part.clone()), ..MessageContent::default() };
+            self.send_to(socket, state, keys.current(), &recipients, content).await;
+        }
+        state.apply_config_part(part);
+    }
+}
+
 /// Sends a datagram to each address. Send errors are ignored, like losses on the way.
 pub(super) async fn send_all(socket: &UdpSocket, datagram: &[u8], addresses: &[SocketAddr]) {
     for address in addresses {
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -14,6 +14,7 @@
 
 use crate::core::SharedSnapshot;
 use crate::fleet::codec::DeploymentCodec;
+use crate::fleet::config_parts::{ConfigPart, PartAssembly};
 use crate::fleet::fleet_metrics::FleetMetrics;
 use crate::fleet::peer_message::{
     LearnedLimit, MeasuredLoad, MessageKey, MessageKeys, PeerMessage, ViewConfirmation,
@@ -21,7 +22,7 @@
 use crate::fleet::peer_table::{MessageScope, PeerTable};
 use crate::fleet::read_schedule::ReadSchedule;
 use crate::fleet::view::{DeploymentView, ViewChange};
-use crate::fleet::view_gap::{GapKind, ViewGap, is_behind};
+use crate::fleet::view_gap::{GapConfig, GapKind, ViewGap, is_behind};
 use crate::limits::{LimitTable, QuarantineTable};
 use crate::membership::{ConfigFreshness, EntryState, SharedMembership};
 use crate::platform::StorePosition;
@@ -74,6 +75,8 @@
     steady_since: Mutex<Option<Instant>>,
     /// The longest such period that a peer has reported recently.
     peer_steadiness: Mutex<Option<PeerSteadiness>>,
+    /// Parts of a configuration that have been received.
+    config_parts: Mutex<PartAssembly>,
     /// Position that the store last reported to this entry.
     store_position: Mutex<StorePosition>,
     /// When a configuration that the store has lost was last sent to the other entries.
@@ -122,6 +125,7 @@
             outbox: Mutex::default(),
             steady_since: Mutex::default(),
             peer_steadiness: Mutex::default(),
+            config_parts: Mutex::default(),
             store_position: Mutex::default(),
             config_shared_at: Mutex::default(),
             metrics: None,
@@ -244,6 +248,28 @@
         }
     }
 
+    /// Adds a part of a configuration from a peer, and activates the configuration once it is complete.
+    pub fn apply_config_part(&self, part: ConfigPart) {
+        let assembled = lock(&self.config_parts).add(part, Instant::now());
+        let Some(object) = assembled else { return };
+        let change = self.view().apply_peer_config(object);
+        if change.is_empty() {
+            return;
+        }
+        self.activate_view();
+        // The configuration may have been all that was missing.
+        let gap = *lock(&self.gap);
+        if let Some(gap) = gap {
+            self.view().fast_forward(&gap.watermark);
+        }
+        self.store_wakeup.notify_one();
+    }
+
+    /// Whether parts of a configuration may still arrive.
+    pub(super) fn awaits_config_parts(&self) -> bool {
+        lock(&self.config_parts).is_pending(Instant::now())
+    }
+
     /// Sends the others the active configuration if the store has lost it. An entry that started
     /// since then has only read the older one that the store has now.
     fn share_kept_config(&self) {
@@ -331,14 +357,16 @@
     }
 
     /// Takes over up to which revision the peer that revealed a gap knows the configuration, if that
-    /// is the configuration of this view.
-    pub(super) fn confirm_config_by_gap(&self) {
-        let Some(gap) = *lock(&self.gap) else { return };
+    /// is the configuration of this view. Returns how the two compare.
+    pub(super) fn confirm_config_by_gap(&self) -> GapConfig {
+        let Some(gap) = *lock(&self.gap) else { return GapConfig::Other };
         let mut view = self.view();
         let own = view.watermark();
-        if gap.watermark.era == own.era && own.has_same_config(&gap.watermark) {
-            view.confirm_config(gap.watermark.config_known);
+        if gap.watermark.era != own.era || !own.has_same_config(&gap.watermark) {
+            return GapConfig::Other;
         }
+        view.confirm_config(gap.watermark.config_known);
+        if gap.watermark.is_config_current() { GapConfig::Same } else { GapConfig::Other }
     }
 
     pub(super) fn clear_gap(&self) {
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -15,13 +15,14 @@
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::enrolment::{EntryEnrolment, new_key};
 use crate::fleet::fleet_metrics::StoreCall;
+use crate::fleet::load_update::name_digest;
 use crate::fleet::peer_table::EntryRegistration;
 use crate::fleet::roster::DomainRoster;
 use crate::fleet::state::{CALL_TIMEOUT, FleetState};
 use crate::fleet::view::StoreOutage;
-use crate::fleet::view_gap::GapKind;
+use crate::fleet::view_gap::{GapConfig, GapKind};
 use crate::kernel::{ServiceName, ServiceTask};
-use crate::platform::{PlatformStore, StoreEra, StoreError, StorePosition, WatchRequest};
+use crate::platform::{PlatformStore, Revision, StoreEra, StoreError, StorePosition, WatchRequest};
 use crate::util::SeededRandom;
 
 /// Minimum time between the starts of two watches, so that a burst of changes costs one call.
@@ -31,6 +32,17 @@
 /// Time that an entry waits for a missed change to arrive before it reads the store: the leader
 /// sends to the entries of its domain one after the other, over slow links.
 const CATCH_UP_DELAY: Duration = Duration::from_millis(200);
+/// Time over which the entries of a failure domain spread such reads, by their names. A message to
+/// all of a large domain takes some tenths of a second over a slow link, and most of them still get
+/// the change while they wait.
+const CATCH_UP_SPREAD: Duration = Duration::from_millis(400);
+/// The same for an entry that has just started. The first list is stale by up to seconds, and the
+/// entries that start together write to the store, so an earlier read would have to be repeated.
+const START_CATCH_UP_SPREAD: Duration = Duration::from_millis(1200);
+/// Time from the start of an entry for which [`START_CATCH_UP_SPREAD`] applies.
+const START_TIME: Duration = Duration::from_secs(2);
+/// Time between two looks whether missing parts of a configuration have arrived.
+const PART_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Wait of a watch that only confirms the view.
 const CONFIRMATION_WATCH_WAIT: Duration = Duration::from_millis(1);
 /// Backoff after the first failed call; doubles up to [`MAX_BACKOFF`].
@@ -51,6 +63,24 @@
     Sleep(Instant),
 }
 
+/// Writes of other kinds than upstreams, as the revision of a watch shows them.
+#[derive(Clone, Copy, Debug)]
+struct OtherWrites {
+    /// Revision at which the watch began.
+    since: Revision,
+    /// Revision that the watch returned.
+    until: Revision,
+    count: u64,
+}
+
+impl OtherWrites {
+    /// Whether the last write of the configuration, at `revision`, is the only one among them.
+    fn are_only_config(&self, revision: Revision) -> bool {
+        let is_within = self.since < revision && revision <= self.until;
+        self.count == u64::from(is_within)
+    }
+}
+
 /// Enrols the entry and follows the store.
 #[derive(Debug)]
 pub struct StoreService<S, D> {
@@ -159,7 +189,7 @@
             // The missing change may still be in flight, and entries that keep disagreeing must not
             // overload the store.
             let last = self.last_watch_at.max(self.last_list_at);
-            let mut delay = CATCH_UP_DELAY;
+            let mut delay = CATCH_UP_DELAY + self.catch_up_spread(noticed_at);
             if kind == GapKind::NewerEra {
                 // All entries list then, and no message can spare them the call.
                 delay += self.state.rank_delay(now);
@@ -167,6 +197,9 @@
             let next = last.map_or(now, |at| at + MIN_CATCH_UP_INTERVAL).max(noticed_at + delay);
             return match kind {
                 _ if next > now => StoreAction::Sleep(next),
+                _ if self.state.awaits_config_parts() => {
+                    StoreAction::Sleep(now + PART_CHECK_INTERVAL)
+                }
                 // A watch takes one call; a list may take several pages.
                 GapKind::NewerRevision => StoreAction::Watch(CONFIRMATION_WATCH_WAIT),
                 GapKind::DigestMismatch | GapKind::NewerEra => StoreAction::List,
@@ -218,7 +251,7 @@
             let change = self.state.view().replace_upstreams(list, Instant::now());
             self.state.publish(change);
         }
-        self.read_config().await?;
+        self.read_config(None).await?;
         self.state.clear_gap();
         self.state.confirm(started.elapsed());
         if is_restored {
@@ -281,19 +314,33 @@
         if went_back(known, batch.position()) {
             return self.list().await;
         }
+        // The store's revision counts all writes, and upstreams account for one each.
+        let until = batch.revision;
+        let count = until.saturating_sub(since).saturating_sub(batch.events.len() as u64);
         let change = self.state.view().apply_batch(batch, since, returned);
         self.state.publish(change);
-        self.state.confirm_config_by_gap();
+        let gap_config = self.state.confirm_config_by_gap();
+        let is_leader = self.state.table().rank(returned) == 0;
+        if gap_config == GapConfig::Same && !is_leader {
+            // The leader's next message confirms the configuration too, or else the confirmation
+            // becomes too old and this entry reads it.
+            return Ok(());
+        }
         if !self.state.view().watermark().is_config_current() {
-            self.read_config().await?;
+            self.read_config(Some(OtherWrites { since, until, count })).await?;
         }
         self.state.confirm(returned.elapsed());
         self.state.request_message();
         Ok(())
     }
 
-    async fn read_config(&mut self) -> Result<(), StoreError> {
+    /// Reads the configuration, and the evacuations unless the configuration accounts for all `writes`
+    /// since they were last read.
+    async fn read_config(&mut self, writes: Option<OtherWrites>) -> Result<(), StoreError> {
         let names = self.names();
+        let is_known_before =
+            writes.is_some_and(|writes| self.state.view().watermark().config_known >= writes.since);
+        let mut is_explained = false;
         let StorePosition { era, revision } = self.state.view().position();
         match self
             .state
@@ -306,6 +353,8 @@
                 ));
             }
             Ok(object) => {
+                is_explained = is_known_before
+                    && writes.is_some_and(|writes| writes.are_only_config(object.version));
                 let change = self.state.view().apply_config(object);
                 self.state.publish(change);
             }
@@ -313,7 +362,7 @@
             Err(StoreError::NotFound) => {}
             Err(error) => return Err(error),
         }
-        if self.state.view().tracks_evacuations() {
+        if self.state.view().tracks_evacuations() && !is_explained {
             self.read_evacuations(era).await?;
         }
         self.state.view().confirm_config(revision);
@@ -333,6 +382,18 @@
         Ok(())
     }
 
+    /// Part of the spread that this entry waits before it closes a gap noticed at this time.
+    fn catch_up_spread(&self, noticed_at: Instant) -> Duration {
+        let table = self.state.table();
+        if table.is_full_mesh() {
+            return Duration::ZERO;
+        }
+        let position = f64::from(name_digest(table.own().vm.as_str())) / f64::from(u32::MAX);
+        let is_starting = noticed_at < self.created_at + START_TIME;
+        let spread = if is_starting { START_CATCH_UP_SPREAD } else { CATCH_UP_SPREAD };
+        spread.mul_f64(position)
+    }
+
     fn names(&self) -> crate::fleet::codec::PlatformNames {
         self.state.view().names()
     }
