fleet: evacuations and configuration parts, tests; fewer calls in an outage

Entries beyond the first four of a large domain now wait up to 2 s between two failed calls; the first four find out about the recovery and tell the others.

Tests of evacuations: half of the bound, twice in a row, requests that hold an older configuration, start, outage, peers of a former version. Tests of parts: size, an entry that the store refuses, lost and malformed parts.

--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -45,10 +45,25 @@
 const PART_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Wait of a watch that only confirms the view.
 const CONFIRMATION_WATCH_WAIT: Duration = Duration::from_millis(1);
-/// Backoff after the first failed call; doubles up to [`MAX_BACKOFF`].
+/// Backoff after the first failed call; doubles with each further one.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
-/// Longest backoff after a failed call.
+/// Longest backoff after a failed call of an entry that finds out whether the store has recovered.
 pub(super) const MAX_BACKOFF: Duration = Duration::from_millis(800);
+/// Number of entries of a large failure domain that do so, by rank.
+const PROBING_RANKS: u32 = 4;
+/// Their backoff.
+const PROBING_BACKOFF: BackoffBounds = BackoffBounds { min: MIN_BACKOFF, max: MAX_BACKOFF };
+/// Backoff of the other entries, in case those cannot reach the store or cannot be heard. The bounds
+/// for changes apply from 3 s after the end of an outage.
+const WAITING_BACKOFF: BackoffBounds =
+    BackoffBounds { min: MAX_BACKOFF, max: Duration::from_secs(2) };
+
+/// Bounds of the time from a failed call to the next.
+#[derive(Clone, Copy, Debug)]
+struct BackoffBounds {
+    min: Duration,
+    max: Duration,
+}
 
 /// Next action of the follower.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -149,9 +164,11 @@
     async fn run(&mut self, random: &mut SeededRandom) {
         loop {
             if self.step().await.is_err() {
+                let bounds = self.backoff_bounds();
+                let backoff = self.backoff.clamp(bounds.min, bounds.max);
                 // Jitter: entries that failed together must not retry together.
-                sleep(self.backoff.mul_f64(0.5 + random.unit())).await;
-                self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+                sleep(backoff.mul_f64(0.5 + random.unit())).await;
+                self.backoff = backoff * 2;
             }
         }
     }
@@ -382,6 +399,14 @@
         Ok(())
     }
 
+    /// Bounds of the backoff of this entry. In a large domain the first few entries find out whether
+    /// the store has recovered and tell the others, which then need no call.
+    fn backoff_bounds(&self) -> BackoffBounds {
+        let table = self.state.table();
+        let is_probing = table.is_full_mesh() || table.rank(Instant::now()) < PROBING_RANKS;
+        if is_probing { PROBING_BACKOFF } else { WAITING_BACKOFF }
+    }
+
     /// Part of the spread that this entry waits before it closes a gap noticed at this time.
     fn catch_up_spread(&self, noticed_at: Instant) -> Duration {
         let table = self.state.table();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,11 +5,13 @@
 mod addresses;
 mod client;
 mod compile;
+mod config_parts;
 mod connections;
 mod control_plane;
 mod drain_signal;
 mod end_to_end;
 mod enrolment;
+mod evacuations;
 mod execution_state;
 mod experiment;
 mod fleet_faults;
--- a/tests/testsuite/support/fleet.rs
+++ b/tests/testsuite/support/fleet.rs
@@ -114,8 +114,23 @@
         Self::at(vm, [127, 0, 0, 1], store)
     }
 
+    /// An entry that tracks evacuations.
+    pub(crate) fn with_evacuations(vm: &str, store: &StandinPlatform) -> Self {
+        let view = DeploymentView::new(TestCodec).with_evacuations();
+        Self::with_view(view, vm, [127, 0, 0, 1], store)
+    }
+
     /// An entry on the host with this IP address.
     pub(crate) fn at(vm: &str, host: [u8; 4], store: &StandinPlatform) -> Self {
+        Self::with_view(DeploymentView::new(TestCodec), vm, host, store)
+    }
+
+    fn with_view(
+        view: DeploymentView<TestCodec>,
+        vm: &str,
+        host: [u8; 4],
+        store: &StandinPlatform,
+    ) -> Self {
         let own = EntryRecord {
             vm: VmId::new(vm),
             failure_domain: FailureDomain::new("fd-a"),
@@ -125,7 +140,7 @@
             has_path: true,
         };
         let state = Arc::new(FleetState::new(
-            DeploymentView::new(TestCodec),
+            view,
             PeerTable::new(own),
             SharedSnapshot::default(),
             SharedMembership::default(),
