--- a/src/fleet/fleet_metrics.rs
+++ b/src/fleet/fleet_metrics.rs
@@ -50,6 +50,8 @@
     pub refused_requests: usize,
     /// Whether this entry has a path to the upstreams.
     pub has_path: bool,
+    /// Failure domains that operators have evacuated.
+    pub evacuated_domains: usize,
     /// Store revision up to which upstream changes are known.
     pub view_revision: Revision,
     /// Position that the store last reported to this entry.
@@ -66,6 +68,7 @@
     limited_upstreams: IntGauge,
     refused_requests: IntGauge,
     has_path: IntGauge,
+    evacuated_domains: IntGauge,
     view_revision: IntGauge,
     store_revision: IntGauge,
     store_era: IntGauge,
@@ -107,6 +110,10 @@
                 "heatherfall_has_path",
                 "1 if this entry has a path to the upstreams, 0 if it forwards requests to peers.",
             )?,
+            evacuated_domains: IntGauge::new(
+                "heatherfall_evacuated_domains",
+                "Failure domains that operators have evacuated.",
+            )?,
             view_revision: IntGauge::new(
                 "heatherfall_view_revision",
                 "Store revision up to which upstream changes are known.",
@@ -125,6 +132,7 @@
         registry.register(Box::new(metrics.limited_upstreams.clone()))?;
         registry.register(Box::new(metrics.refused_requests.clone()))?;
         registry.register(Box::new(metrics.has_path.clone()))?;
+        registry.register(Box::new(metrics.evacuated_domains.clone()))?;
         registry.register(Box::new(metrics.view_age.clone()))?;
         registry.register(Box::new(metrics.entries.clone()))?;
         registry.register(Box::new(metrics.upstreams.clone()))?;
@@ -144,6 +152,7 @@
         self.limited_upstreams.set(i64::try_from(status.limited_upstreams).unwrap_or(i64::MAX));
         self.refused_requests.set(i64::try_from(status.refused_requests).unwrap_or(i64::MAX));
         self.has_path.set(i64::from(status.has_path));
+        self.evacuated_domains.set(i64::try_from(status.evacuated_domains).unwrap_or(i64::MAX));
         self.view_revision.set(gauge_value(status.view_revision));
         self.store_revision.set(gauge_value(status.store_position.revision));
         self.store_era.set(gauge_value(status.store_position.era.0));
--- a/src/fleet/state/status.rs
+++ b/src/fleet/state/status.rs
@@ -48,6 +48,7 @@
             limited_upstreams: snapshot.map_or(0, |snapshot| limited_upstreams(snapshot)),
             refused_requests: self.quarantine.refused_requests(Instant::now()),
             has_path: self.table().own().has_path,
+            evacuated_domains: self.view().evacuated_domains().0.len(),
             view_revision: self.view().revision(),
             store_position: *lock(&self.store_position),
         });
