core: warm-up of an upstream with a share of its rate

Cause: a cold upstream bears a low rate, and entries sent it the usual one. Change: WarmUpLimit keeps the end of the warm-up (the longest of registration, health checks and peers) and the token bucket of this entry's share; accepts_attempts and opens_in ask it. LimitBucket gets closed shares, which try nothing, and an initial number of tokens. Without a share nothing is recorded: one atomic read.

--- a/src/core/limit_bucket.rs
+++ b/src/core/limit_bucket.rs
@@ -1,4 +1,5 @@
-//! Token bucket of the share that one entry has of an upstream's rate limit.
+//! Token bucket of the share that one entry has of a limit: the rate limit that an upstream names, or
+//! the rate that it bears while it warms up.
 
 use std::time::Duration;
 
@@ -29,6 +30,11 @@
     pub fn none(position: u32) -> Self {
         Self { per_second: 0.0, burst: 0.0, trial_delay: FIRST_TRIAL_DELAY * (position + 1) }
     }
+
+    /// Share of an entry that sends nothing, and tries nothing either.
+    pub fn closed() -> Self {
+        Self { per_second: 0.0, burst: 0.0, trial_delay: Duration::MAX }
+    }
 }
 
 /// What a request is sent by.
@@ -56,6 +62,17 @@
         Self { share: LimitShare::none(0), tokens: 0.0, refilled_at: now }
     }
 
+    /// A bucket that holds up to `tokens`, as far as the burst of `share` allows.
+    pub(super) fn with_tokens(share: LimitShare, tokens: f64, now: Instant) -> Self {
+        Self { share, tokens: tokens.min(share.burst), refilled_at: now }
+    }
+
+    /// Takes what is there beyond `tokens`.
+    pub(super) fn cap_tokens(&mut self, tokens: f64, now: Instant) {
+        self.refill(now);
+        self.tokens = self.tokens.min(tokens);
+    }
+
     /// Takes all that may still be sent; the share stays.
     pub(super) fn empty(&mut self, now: Instant) {
         self.tokens = 0.0;
@@ -100,8 +117,11 @@
         self.refilled_at = now;
     }
 
-    /// When an entry without a share may try a request; `None` for one with a share.
+    /// When an entry without a share may try a request; `None` for one with a share, or a closed one.
     fn trial_at(&self, news_at: Instant) -> Option<Instant> {
-        (self.share.per_second <= 0.0).then(|| news_at + self.share.trial_delay)
+        if self.share.per_second > 0.0 {
+            return None;
+        }
+        news_at.checked_add(self.share.trial_delay)
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! Domain types: labels, selectors, objects, keys, result codes and the configuration snapshot.
 //!
-//! Nothing here does I/O; only drain signals, rate limits and statistics read the clock.
+//! Nothing here does I/O; only drain signals, rate limits, warm-ups and statistics read the
+//! clock.
 
 mod drain_signal;
 mod entry_peer;
@@ -16,6 +17,7 @@
 mod tenant;
 mod upstream;
 mod upstream_stats;
+mod warm_up;
 
 pub use self::drain_signal::{DRAIN_SIGNAL_TTL, DrainObservation, DrainSignal, FLAP_HOLD_DOWN};
 pub use self::entry_peer::EntryPeer;
@@ -42,3 +44,6 @@
 pub use self::tenant::{KeyDigest, TenantQuota, TenantRecord, TenantTable};
 pub use self::upstream::{InflightGuard, UpstreamArena, UpstreamKey, UpstreamState};
 pub use self::upstream_stats::{AtomicF32, AtomicTimestamp, UpstreamStats};
+pub use self::warm_up::{
+    WarmUpChange, WarmUpLimit, WarmUpNews, WarmUpShare, WarmUpSource, WarmUpStatement,
+};
--- a/src/core/upstream.rs
+++ b/src/core/upstream.rs
@@ -13,6 +13,7 @@
 use crate::core::object::UpstreamSpec;
 use crate::core::rate_limit::NamedRateLimit;
 use crate::core::upstream_stats::UpstreamStats;
+use crate::core::warm_up::WarmUpLimit;
 
 slotmap::new_key_type! {
     /// Key of an upstream in the arena; unchanged while its name and address do not change.
@@ -36,6 +37,7 @@
     /// Drain signal reported by peers.
     peer_signal: DrainSignal,
     rate_limit: NamedRateLimit,
+    warm_up: WarmUpLimit,
     stats: UpstreamStats,
 }
 
@@ -86,6 +88,11 @@
         &self.shared.rate_limit
     }
 
+    /// Warm-up, and this entry's share of the rate that the upstream bears meanwhile.
+    pub fn warm_up(&self) -> &WarmUpLimit {
+        &self.shared.warm_up
+    }
+
     /// Sets whether the newest configuration excludes the upstream from new attempts. This also
     /// applies to requests that were admitted under an older configuration.
     pub fn set_retired(&self, is_retired: bool) {
@@ -114,17 +121,25 @@
     }
 
     /// Whether an attempt may be sent now: the upstream is neither draining nor evacuated, has not asked
-    /// for a pause, and this entry's share of its rate limit is not used up.
+    /// for a pause, and this entry's share of its rate limit, or of its rate while it is cold, is not
+    /// used up.
     pub fn accepts_attempts(&self, now: Instant) -> bool {
         !self.is_draining()
             && !self.is_evacuated()
             && self.stats().pause_left(now).is_zero()
             && self.rate_limit().may_send(now)
+            && self.warm_up().may_send(now)
+    }
+
+    /// Counts an attempt against this entry's shares; false if one of them is used up.
+    pub fn try_take_shares(&self, now: Instant) -> bool {
+        self.warm_up().try_take(now) && self.rate_limit().try_take(now)
     }
 
     /// Time until an attempt may be sent, if the upstream does not drain.
     pub fn opens_in(&self, now: Instant) -> Duration {
-        self.stats().pause_left(now).max(self.rate_limit().opens_in(now))
+        let limited = self.rate_limit().opens_in(now).max(self.warm_up().opens_in(now));
+        self.stats().pause_left(now).max(limited)
     }
 
     /// Sends the upstream nothing for this time from now on. Returns whether a pause begins; a
