request: take warm-up tokens and read the warm-up header

Cause: an upstream states the time left in its responses to health checks and load checks. Change: upstream_notices reads it; the token is taken where that of the named rate limit is; the picker expects cold upstreams to be slower.

--- a/src/balance/utility_picker.rs
+++ b/src/balance/utility_picker.rs
@@ -312,7 +312,8 @@
         if load > slots - 0.5 {
             factor *= profile.saturation_factor;
         }
-        if upstream.stats().age_at(now, 0) < upstream.spec.warm_up {
+        let is_starting = upstream.stats().age_at(now, 0) < upstream.spec.warm_up;
+        if is_starting || upstream.warm_up().is_cold(now) {
             factor *= settings.warm_up_slowdown;
         }
         let queued = (load - slots).max(0.0) / slots;
--- a/src/request/upstream_notices.rs
+++ b/src/request/upstream_notices.rs
@@ -1,10 +1,11 @@
-//! What an upstream says about itself in a response: a rate limit, or that it wants a pause.
+//! What an upstream says about itself in a response: a rate limit, that it wants a pause, or how long
+//! it still warms up.
 
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
-use crate::core::{HeaderNames, LimitStatement, UpstreamState};
+use crate::core::{HeaderNames, LimitStatement, UpstreamState, WarmUpStatement};
 use crate::request::attempt::AttemptOutcome;
 use crate::request::attempt_reporter::is_drain_signal;
 
@@ -50,6 +51,8 @@
     /// `None` if the deployment has no header for limits.
     limit: Option<LimitStatement>,
     pause: PauseStatement,
+    /// `None` if the deployment has no header for warm-ups.
+    warm_up: Option<WarmUpStatement>,
 }
 
 impl UpstreamNotices {
@@ -73,7 +76,9 @@
         let pause = header_names.pause.as_ref();
         let pause = pause.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
         let pause = pause.map(|name| PauseStatement::from_headers(headers, name));
-        Self { limit, pause: pause.unwrap_or(PauseStatement::None) }
+        let warm_up = header_names.warm_up.as_ref();
+        let warm_up = warm_up.map(|name| WarmUpStatement::from_headers(headers, name));
+        Self { limit, pause: pause.unwrap_or(PauseStatement::None), warm_up }
     }
 
     /// Records the notices of a response, `latency` after its request was sent.
@@ -89,6 +94,9 @@
         if let Some(limit) = self.limit {
             upstream.rate_limit().record_probe(limit, latency);
         }
+        if let Some(statement) = self.warm_up {
+            upstream.warm_up().record_probe(statement, latency);
+        }
         self.record_common(upstream);
     }
 
@@ -103,8 +111,9 @@
                 pause.as_millis(),
             );
         }
-        let is_invalid =
-            self.limit == Some(LimitStatement::Invalid) || self.pause == PauseStatement::Invalid;
+        let is_invalid = self.limit == Some(LimitStatement::Invalid)
+            || self.pause == PauseStatement::Invalid
+            || self.warm_up == Some(WarmUpStatement::Invalid);
         if is_invalid {
             log_invalid(upstream);
         }
@@ -137,7 +146,7 @@
     if count.is_power_of_two() {
         log::warn!(
             target: "upstream",
-            "ignored an invalid rate limit or pause instance={} count={count}",
+            "ignored an invalid rate limit, pause or warm-up instance={} count={count}",
             upstream.name,
         );
     }
--- a/src/request/upstream_selection.rs
+++ b/src/request/upstream_selection.rs
@@ -138,7 +138,8 @@
         })
     }
 
-    /// Selects an upstream and counts the attempt against its rate limit.
+    /// Selects an upstream and counts the attempt against its rate limit, and its rate while it is
+    /// cold.
     async fn select_within_limits<C: UpstreamClient, P: UpstreamPicker>(
         &self,
         role: AttemptRole,
@@ -157,7 +158,7 @@
             // other requests may have used up this entry's share of a limit.
             let now = Instant::now();
             let accepts = upstream.is_some_and(|upstream| {
-                upstream.accepts_attempts(now) && upstream.rate_limit().try_take(now)
+                upstream.accepts_attempts(now) && upstream.try_take_shares(now)
             });
             if accepts {
                 return Ok(selected);
