fleet: divide the rate of cold upstreams among registered entries

Cause: the bound holds for all entries together, also for those that reach nobody. The peer table remembers registrations, so that a restart of an entry does not change the holders. Metrics: heatherfall_cold_upstreams, heatherfall_cold_allowed_per_second, heatherfall_cold_requests_total.

--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -112,6 +112,7 @@
     /// the platform restarts a VM when they change.
     pub fn reload(&self, settings: &EntrySettings) {
         let outcome = self.settings.replace(settings);
+        self.state.set_warm_up(settings.warm_up);
         log::info!(target: "node", "settings reloaded vm={} outcome={outcome:?}", settings.vm);
     }
 
@@ -211,6 +212,7 @@
     let state = state
         .with_quarantine(plane.quarantine())
         .with_forwarding(forward_table)
+        .with_warm_up(settings.warm_up)
         .with_read_schedule(ReadSchedule::new(&settings.changes))
         .with_metrics(FleetMetrics::new(&registry).into_diagnostic()?);
     let state = Arc::new(state);
--- a/src/fleet/fleet_metrics.rs
+++ b/src/fleet/fleet_metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use prometheus::{Gauge, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{Gauge, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 use crate::platform::{Revision, StoreError, StorePosition};
 
@@ -33,6 +33,17 @@
     }
 }
 
+/// Cold upstreams whose rate is enforced.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ColdUpstreamStatus {
+    /// Their number.
+    pub upstreams: usize,
+    /// Requests per second that this entry may send them, all together.
+    pub allowed_per_second: f64,
+    /// Requests that this entry has sent them since the last update.
+    pub sent: u64,
+}
+
 /// Values of the gauges.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FleetStatus {
@@ -46,6 +57,8 @@
     pub upstreams: usize,
     /// Number of upstreams that name a rate limit.
     pub limited_upstreams: usize,
+    /// Cold upstreams.
+    pub cold: ColdUpstreamStatus,
     /// Requests that are refused because they crash upstreams.
     pub refused_requests: usize,
     /// Whether this entry has a path to the upstreams.
@@ -64,6 +77,9 @@
     entries: IntGauge,
     upstreams: IntGauge,
     limited_upstreams: IntGauge,
+    cold_upstreams: IntGauge,
+    cold_allowed: Gauge,
+    cold_requests: IntCounter,
     refused_requests: IntGauge,
     has_path: IntGauge,
     view_revision: IntGauge,
@@ -99,6 +115,18 @@
                 "heatherfall_limited_upstreams",
                 "Upstreams that name a rate limit.",
             )?,
+            cold_upstreams: IntGauge::new(
+                "heatherfall_cold_upstreams",
+                "Upstreams that are warming up and whose rate is enforced.",
+            )?,
+            cold_allowed: Gauge::new(
+                "heatherfall_cold_allowed_per_second",
+                "Requests per second that this entry may send to all cold upstreams together.",
+            )?,
+            cold_requests: IntCounter::new(
+                "heatherfall_cold_requests_total",
+                "Requests that this entry has sent to cold upstreams.",
+            )?,
             refused_requests: IntGauge::new(
                 "heatherfall_refused_requests",
                 "Requests that are refused because upstreams ended while they ran them.",
@@ -123,6 +151,9 @@
         };
         registry.register(Box::new(metrics.generation.clone()))?;
         registry.register(Box::new(metrics.limited_upstreams.clone()))?;
+        registry.register(Box::new(metrics.cold_upstreams.clone()))?;
+        registry.register(Box::new(metrics.cold_allowed.clone()))?;
+        registry.register(Box::new(metrics.cold_requests.clone()))?;
         registry.register(Box::new(metrics.refused_requests.clone()))?;
         registry.register(Box::new(metrics.has_path.clone()))?;
         registry.register(Box::new(metrics.view_age.clone()))?;
@@ -142,6 +173,9 @@
         self.entries.set(i64::from(status.known_entries));
         self.upstreams.set(i64::try_from(status.upstreams).unwrap_or(i64::MAX));
         self.limited_upstreams.set(i64::try_from(status.limited_upstreams).unwrap_or(i64::MAX));
+        self.cold_upstreams.set(i64::try_from(status.cold.upstreams).unwrap_or(i64::MAX));
+        self.cold_allowed.set(status.cold.allowed_per_second);
+        self.cold_requests.inc_by(status.cold.sent);
         self.refused_requests.set(i64::try_from(status.refused_requests).unwrap_or(i64::MAX));
         self.has_path.set(i64::from(status.has_path));
         self.view_revision.set(gauge_value(status.view_revision));
--- a/src/fleet/load_probe.rs
+++ b/src/fleet/load_probe.rs
@@ -183,9 +183,14 @@
             return;
         }
         self.probes_sent.inc();
+        let was_cold = upstream.warm_up().is_cold(Instant::now());
         let outcome = probe_load(&self.client, upstream, &self.settings.headers, PROBE_TIMEOUT);
         let outcome = outcome.await;
         self.path.record(upstream.spec.address, PathTrial::Exchange, outcome.path_result());
+        if !was_cold && upstream.warm_up().is_cold(Instant::now()) {
+            // The others still send at the usual rate until they know it.
+            self.state.peer_wakeup.notify_one();
+        }
         let LoadProbeOutcome::Reported(report) = outcome else { return };
         let measured = Instant::now();
         record_shared_report(upstream, report, Duration::ZERO, &self.recorder.settings);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -28,6 +28,7 @@
 //! - [`peer_message`], [`peer_table`], [`peer_service`]: messages between entries, and liveness.
 //! - [`state`]: state that the services of an entry share.
 //! - [`limit_shares`]: divides the rate limits of upstreams; `rate_limits` shares news of them.
+//! - [`warm_up_shares`]: divides the rate that cold upstreams bear; `warm_ups` shares news of them.
 //! - [`crash_update`]: which requests crash upstreams, shared by `crash_exchange`.
 //! - [`load_probe`]: probes the load of the local upstreams; [`load_update`]: sends it to other
 //!   failure domains.
@@ -62,3 +63,5 @@
 pub mod view;
 mod view_change;
 mod view_gap;
+pub mod warm_up_shares;
+mod warm_ups;
--- a/src/fleet/peer_message.rs
+++ b/src/fleet/peer_message.rs
@@ -59,6 +59,9 @@
     /// Rate limits that the sender has just learned from upstreams.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LearnedLimit>,
+    /// Upstreams that are cold by health checks that the sender has just sent.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub cold: Vec<ColdUpstream>,
 }
 
 fn enrolled_by_default() -> bool {
@@ -117,6 +120,15 @@
     pub age_ms: u64,
 }
 
+/// An upstream that is warming up, as a health check of another entry has shown.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ColdUpstream {
+    /// Name of the upstream.
+    pub instance: String,
+    /// Time that the warm-up still lasts, in milliseconds.
+    pub left_ms: u64,
+}
+
 /// Why a datagram was rejected, or a message cannot be sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum MessageError {
--- a/src/fleet/peer_service.rs
+++ b/src/fleet/peer_service.rs
@@ -17,7 +17,7 @@
     CompactLoad, LoadChangeFilter, decode_load_update, encode_load_update, name_digest,
 };
 use crate::fleet::peer_message::{
-    LearnedLimit, MeasuredLoad, MessageError, MessageKey, PeerMessage,
+    ColdUpstream, LearnedLimit, MeasuredLoad, MessageError, MessageKey, PeerMessage,
 };
 use crate::fleet::peer_table::MessageScope;
 use crate::fleet::state::{FleetState, Outbox};
@@ -119,6 +119,7 @@
         }
         self.state.apply_peer_state(message.change, message.confirmation);
         self.state.apply_peer_limits(&message.limits);
+        self.state.apply_peer_warm_ups(&message.cold);
         let snapshot = self.state.snapshot.load_full();
         let Some(snapshot) = snapshot else { return Ok(()) };
         self.recorder.record(&snapshot, &message.loads);
@@ -197,6 +198,7 @@
     loads: Vec<MeasuredLoad>,
     change: Option<ViewChange>,
     limits: Vec<LearnedLimit>,
+    cold: Vec<ColdUpstream>,
 }
 
 impl MessageContent {
@@ -237,6 +239,7 @@
         let now = Instant::now();
         self.crash_exchange.send_due(socket, state, key).await;
         state.update_rate_limits(now);
+        state.update_warm_ups(now);
         let outbox = state.take_outbox();
         let mut loads = Vec::with_capacity(outbox.loads.len());
         for (measured, load) in outbox.loads {
@@ -260,14 +263,15 @@
             return;
         }
         self.last_sent_at = Some(now);
-        let Outbox { mut changes, limits, is_urgent, .. } = outbox;
+        let Outbox { mut changes, limits, cold, is_urgent, .. } = outbox;
         let is_broadcast = is_urgent || !changes.is_empty();
         let scope = if is_broadcast { MessageScope::All } else { MessageScope::LeaderCandidates };
         let last = changes.pop();
         for change in changes {
             self.send(socket, state, key, scope, MessageContent::of_change(change)).await;
         }
-        self.send(socket, state, key, scope, MessageContent { loads, change: last, limits }).await;
+        let content = MessageContent { loads, change: last, limits, cold };
+        self.send(socket, state, key, scope, content).await;
     }
 
     /// Sends changed loads of the local upstreams to the other failure domains, if this entry is
@@ -340,6 +344,7 @@
             loads: content.loads,
             change: content.change,
             limits: content.limits,
+            cold: content.cold,
         };
         let mut encoded = key.encode(&message);
         if encoded == Err(MessageError::TooLarge) {
--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -16,6 +16,7 @@
 use crate::fleet::load_update::name_digest;
 use crate::fleet::peer_message::PeerMessage;
 use crate::fleet::roster::DomainRoster;
+use crate::fleet::warm_up_shares::WarmUpMembers;
 use crate::membership::{EntryRecord, EntryState, MembershipView, rendezvous_score};
 use crate::util::FastSet;
 
@@ -76,6 +77,9 @@
     sequence: u64,
     last_heard_at: Option<Instant>,
     is_enrolled: bool,
+    /// Whether the store, or the entry itself, has ever said that it is registered. A restart does not
+    /// change that.
+    is_registered: bool,
     /// [`name_digest`] of its VM.
     digest: u32,
 }
@@ -116,6 +120,8 @@
     peers: BTreeMap<VmId, PeerEntry>,
     /// Number of peers in the local failure domain, dead ones included.
     local_peer_count: usize,
+    /// Number of changes of which entries are registered in which failure domain.
+    registered_revision: u64,
     /// Latest first.
     active_gateways: Vec<ActiveGateway>,
 }
@@ -123,7 +129,13 @@
 impl PeerTable {
     /// Creates a table that contains only this entry.
     pub fn new(own: EntryRecord) -> Self {
-        Self { own, peers: BTreeMap::new(), local_peer_count: 0, active_gateways: Vec::new() }
+        Self {
+            own,
+            peers: BTreeMap::new(),
+            local_peer_count: 0,
+            registered_revision: 0,
+            active_gateways: Vec::new(),
+        }
     }
 
     /// This entry.
@@ -156,8 +168,15 @@
             has_path: true,
         };
         match self.peers.get_mut(&vm) {
-            Some(known) if known.last_heard_at.is_none() => known.record = record,
-            Some(_) => {}
+            Some(known) => {
+                let is_moved = known.record.failure_domain != record.failure_domain;
+                if known.last_heard_at.is_none() {
+                    self.registered_revision += u64::from(is_moved);
+                    known.record = record;
+                }
+                self.registered_revision += u64::from(!known.is_registered);
+                known.is_registered = true;
+            }
             None => {
                 let entry = PeerEntry {
                     record,
@@ -165,6 +184,7 @@
                     sequence: 0,
                     last_heard_at: None,
                     is_enrolled: true,
+                    is_registered: true,
                     digest: name_digest(vm.as_str()),
                 };
                 self.insert(vm, entry);
@@ -175,6 +195,7 @@
     fn insert(&mut self, vm: VmId, entry: PeerEntry) {
         self.local_peer_count +=
             usize::from(entry.record.failure_domain == self.own.failure_domain);
+        self.registered_revision += u64::from(entry.is_registered);
         self.peers.insert(vm, entry);
     }
 
@@ -194,12 +215,13 @@
             state: message.state,
             has_path: !message.has_no_path,
         };
-        let entry = PeerEntry {
+        let mut entry = PeerEntry {
             record,
             incarnation: message.incarnation,
             sequence: message.sequence,
             last_heard_at: Some(now),
             is_enrolled: message.is_enrolled,
+            is_registered: message.is_enrolled,
             digest: name_digest(vm.as_str()),
         };
         let Some(known) = self.peers.get_mut(&vm) else {
@@ -221,6 +243,9 @@
                 entry.record.has_path,
             );
         }
+        entry.is_registered |= known.is_registered;
+        let is_moved = known.record.failure_domain != entry.record.failure_domain;
+        self.registered_revision += u64::from(is_moved || !known.is_registered);
         *known = entry;
         true
     }
@@ -403,6 +428,27 @@
         }
     }
 
+    /// Number of changes of which entries are registered in which failure domain.
+    pub fn registered_revision(&self) -> u64 {
+        self.registered_revision
+    }
+
+    /// The registered entries of all failure domains, dead ones included, and this entry if
+    /// `is_registered`, by failure domain.
+    pub fn registered_members(&self, is_registered: bool) -> WarmUpMembers {
+        let mut domains: BTreeMap<FailureDomain, Vec<VmId>> = BTreeMap::new();
+        if is_registered {
+            domains.insert(self.own.failure_domain.clone(), vec![self.own.vm.clone()]);
+        }
+        for (vm, peer) in &self.peers {
+            if peer.is_registered {
+                let domain = domains.entry(peer.record.failure_domain.clone()).or_default();
+                domain.push(vm.clone());
+            }
+        }
+        WarmUpMembers { own: self.own.vm.clone(), domains }
+    }
+
     /// The membership by name: live entries of the local failure domain, and all known entries of
     /// the others, whose liveness is not tracked here.
     pub fn membership(&self, now: Instant) -> MembershipView {
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -16,12 +16,14 @@
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::fleet_metrics::FleetMetrics;
 use crate::fleet::peer_message::{
-    LearnedLimit, MeasuredLoad, MessageKey, MessageKeys, PeerMessage, ViewConfirmation,
+    ColdUpstream, LearnedLimit, MeasuredLoad, MessageKey, MessageKeys, PeerMessage,
+    ViewConfirmation,
 };
 use crate::fleet::peer_table::{MessageScope, PeerTable};
 use crate::fleet::read_schedule::ReadSchedule;
 use crate::fleet::view::{DeploymentView, ViewChange};
 use crate::fleet::view_gap::{GapKind, ViewGap, is_behind};
+use crate::fleet::warm_ups::WarmUpPlan;
 use crate::limits::{LimitTable, QuarantineTable};
 use crate::membership::{ConfigFreshness, EntryState, SharedMembership};
 use crate::platform::StorePosition;
@@ -52,6 +54,7 @@
     pub(super) loads: Vec<(Instant, MeasuredLoad)>,
     pub(super) changes: Vec<ViewChange>,
     pub(super) limits: Vec<LearnedLimit>,
+    pub(super) cold: Vec<ColdUpstream>,
     /// Whether a message is sent at once, not when the next one is due.
     pub(super) is_urgent: bool,
 }
@@ -99,6 +102,8 @@
     /// Time of the last confirmation that the view matches the store.
     pub freshness: Arc<ConfigFreshness>,
     limits: Arc<LimitTable>,
+    /// Shares of cold upstreams.
+    warm_up_plan: Mutex<WarmUpPlan>,
     /// Requests that are refused because they crash upstreams, shared with the data plane.
     pub(super) quarantine: Arc<QuarantineTable>,
     /// Peers that requests are forwarded to, shared with the data plane.
@@ -136,6 +141,7 @@
             membership,
             freshness,
             limits,
+            warm_up_plan: Mutex::default(),
             quarantine: Arc::default(),
             forwarding: None,
         }
@@ -180,6 +186,8 @@
         let compiled = self.view().compile(previous.as_deref());
         let Some(snapshot) = compiled else { return };
         let is_first = previous.is_none();
+        // Before a request can see an upstream, so that a cold one gets none beyond the shares.
+        self.set_warm_up_shares(&snapshot, Instant::now());
         log::debug!(
             target: "config",
             "activated generation={} upstreams={}",
@@ -361,6 +369,17 @@
         outbox.is_urgent = true;
     }
 
+    /// Queues warm-ups for the other entries, to be sent at once.
+    pub(super) fn queue_warm_ups(&self, cold: Vec<ColdUpstream>) {
+        let mut outbox = lock(&self.outbox);
+        outbox.cold.extend(cold);
+        outbox.is_urgent = true;
+    }
+
+    pub(super) fn warm_up_plan(&self) -> MutexGuard<'_, WarmUpPlan> {
+        lock(&self.warm_up_plan)
+    }
+
     pub(super) fn take_outbox(&self) -> Outbox {
         std::mem::take(&mut lock(&self.outbox))
     }
@@ -413,6 +432,12 @@
         *lock(&self.acting_from)
     }
 
+    /// Whether this entry is registered and acts for its failure domain. One that does not enrol is.
+    pub(super) fn is_registered(&self, now: Instant) -> bool {
+        let Some(from) = self.acting_from() else { return true };
+        self.is_listed.load(Ordering::Relaxed) && from <= now
+    }
+
     /// Whether this entry may be considered the leader of its failure domain.
     pub fn is_enrolled(&self) -> bool {
         self.is_listed.load(Ordering::Relaxed) || self.enrolment_deadline(Instant::now()).is_none()
--- a/src/fleet/state/status.rs
+++ b/src/fleet/state/status.rs
@@ -8,6 +8,7 @@
 use crate::fleet::fleet_metrics::{FleetStatus, StoreCall};
 use crate::fleet::rate_limits::limited_upstreams;
 use crate::fleet::state::{CALL_TIMEOUT, FleetState, lock};
+use crate::fleet::warm_ups::cold_upstreams;
 use crate::platform::{StoreError, StorePosition};
 
 impl<D: DeploymentCodec> FleetState<D> {
@@ -46,6 +47,7 @@
             known_entries: self.known_entries(),
             upstreams: snapshot.map_or(0, |snapshot| snapshot.upstreams.len()),
             limited_upstreams: snapshot.map_or(0, |snapshot| limited_upstreams(snapshot)),
+            cold: snapshot.map_or_else(Default::default, |snapshot| cold_upstreams(snapshot)),
             refused_requests: self.quarantine.refused_requests(Instant::now()),
             has_path: self.table().own().has_path,
             view_revision: self.view().revision(),
--- a/tests/testsuite/enrolment.rs
+++ b/tests/testsuite/enrolment.rs
@@ -126,6 +126,7 @@
             loads: Vec::new(),
             change: None,
             limits: Vec::new(),
+            cold: Vec::new(),
         }
     }
 }
--- a/tests/testsuite/fleet_peers.rs
+++ b/tests/testsuite/fleet_peers.rs
@@ -37,6 +37,7 @@
         loads: Vec::new(),
         change: None,
         limits: Vec::new(),
+        cold: Vec::new(),
     }
 }
 
--- a/tests/testsuite/path_membership.rs
+++ b/tests/testsuite/path_membership.rs
@@ -42,6 +42,7 @@
         loads: Vec::new(),
         change: None,
         limits: Vec::new(),
+        cold: Vec::new(),
     }
 }
 
