balance: prefer connections no longer to an upstream that was cold

Cause: the bonus for an open connection (0.006) exceeds the jitter (0.005), and during a warm-up almost no entry opens one; afterwards a new upstream gets 0.04 to 0.11 of an even share of 0.25 for at least 12 s (4 upstreams, 20 and 45 entries, loads of 0.4 and 0.7). Change: an upstream has the bonus for 1 s after a warm-up that was enforced.

--- a/src/balance/utility_picker.rs
+++ b/src/balance/utility_picker.rs
@@ -77,6 +77,10 @@
     /// Time since the last exchange for which a connection is likely open; shorter than the idle
     /// timeout of connections.
     pub open_connection_time: Duration,
+    /// Time after a warm-up for which the upstream gets the same bonus. Most entries have sent it
+    /// nothing meanwhile, and would pass it over for those to which they have connections. With
+    /// 3 s, it got two to three times its even share at a load of 0.1.
+    pub reconnect_time: Duration,
     /// Largest random addition to a utility; spreads entries over equally good upstreams.
     pub jitter: f32,
     /// Weights of samples, and outlier ejection.
@@ -102,6 +106,7 @@
             recheck_tolerance: 0.1,
             open_connection_bonus: 0.006,
             open_connection_time: Duration::from_secs(7),
+            reconnect_time: Duration::from_secs(1),
             jitter: 0.005,
             observe: ObserveSettings::default(),
         }
@@ -215,12 +220,14 @@
         UpstreamEstimate { key, expected_secs, utility, has_room }
     }
 
-    /// Bonus if a connection to `upstream` is likely open.
+    /// Bonus if a connection to `upstream` is likely open, or if it has just been cold.
     fn open_connection_utility(&self, upstream: &UpstreamState, now: Instant) -> f32 {
         let stats = upstream.stats();
         let age = stats.last_exchange_at.get().map(|exchanged| stats.age_at(now, exchanged));
         let is_open = age.is_some_and(|age| age < self.settings.open_connection_time);
-        if is_open { self.settings.open_connection_bonus } else { 0.0 }
+        let warm_age = upstream.warm_up().time_since_end(now);
+        let was_cold = warm_age.is_some_and(|age| age < self.settings.reconnect_time);
+        if is_open || was_cold { self.settings.open_connection_bonus } else { 0.0 }
     }
 
     /// Requests of a route of this rank that may wait per slot.
--- a/tests/testsuite/utility_picker.rs
+++ b/tests/testsuite/utility_picker.rs
@@ -10,11 +10,11 @@
 };
 use heatherfall::core::{
     ConfigSnapshot, FailureDomain, InflightGuard, LabelSet, LimitShare, LimitStatement, RateLimit,
-    RouteRecord, UpstreamKey, UpstreamSpec, UpstreamState,
+    RouteRecord, UpstreamKey, UpstreamSpec, UpstreamState, WarmUpShare,
 };
 use heatherfall::util::SeededRandom;
 use serde_json::json;
-use tokio::time::advance;
+use tokio::time::{Instant, advance};
 
 const LOCAL_DOMAIN: &str = "fd-a";
 const SLOTS: u32 = 4;
@@ -391,3 +391,125 @@
     advance(Duration::from_millis(101)).await;
     assert_eq!(fixture.pick(), Ok(fixture.key(0)));
 }
+
+/// Entries of one failure domain that send to the same four upstreams, of which the first is cold.
+struct ColdFleet {
+    entries: Vec<PickerFixture>,
+    random: SeededRandom,
+    running: Vec<(Instant, usize, usize, InflightGuard)>,
+}
+
+impl ColdFleet {
+    const UPSTREAMS: usize = 4;
+    const COLD_TIME: Duration = Duration::from_secs(3);
+    const STEP: Duration = Duration::from_millis(5);
+    const REPORT_STEPS: u32 = 20;
+
+    /// `entries` entries, of which the first four hold shares of the cold upstream.
+    fn new(entries: usize) -> Self {
+        let entries = (0..entries).map(|seed| {
+            let mut fixture = PickerFixture::new(&[LOCAL_DOMAIN; Self::UPSTREAMS], 1);
+            fixture.picker = UtilityPicker::new(
+                FailureDomain::new(LOCAL_DOMAIN),
+                UtilityPickerSettings::default(),
+                SeededRandom::new(seed as u64),
+            );
+            fixture
+        });
+        Self { entries: entries.collect(), random: SeededRandom::new(7), running: Vec::new() }
+    }
+
+    fn begin_warm_up(&self) {
+        for (index, entry) in self.entries.iter().enumerate() {
+            let limit = if index < 4 { LimitShare::new(0.7, 1.0) } else { LimitShare::closed() };
+            let share = WarmUpShare { total_per_second: 2.8, limit, initial_tokens: 0.25 };
+            entry.upstream(0).warm_up().set_share(share, 0);
+            entry.upstream(0).warm_up().record_registration(Self::COLD_TIME);
+        }
+    }
+
+    /// Sends requests for a second, at `load` of the upstreams' capacity; returns the share of the
+    /// first upstream.
+    async fn run_second(&mut self, load: f64) -> f64 {
+        let capacity = f64::from(SLOTS) * Self::UPSTREAMS as f64 / SERVICE_TIME.as_secs_f64();
+        let per_step = load * capacity * Self::STEP.as_secs_f64();
+        let steps = Duration::from_secs(1).as_nanos() / Self::STEP.as_nanos();
+        let (mut first, mut all) = (0, 0);
+        let mut due = 0.0;
+        for step in 0..steps as u32 {
+            due += 2.0 * per_step * f64::from(self.random.unit());
+            while due >= 1.0 {
+                due -= 1.0;
+                let number = self.random.below(self.entries.len());
+                let entry = &self.entries[number];
+                let Ok(key) = entry.pick() else { continue };
+                if !entry.snapshot.upstreams[key].try_take_shares(Instant::now()) {
+                    continue;
+                }
+                let index = (0..Self::UPSTREAMS).position(|index| entry.key(index) == key).unwrap();
+                first += u32::from(index == 0);
+                all += 1;
+                let guard = entry.upstream(index).start_request();
+                self.running.push((Instant::now() + SERVICE_TIME, number, index, guard));
+            }
+            advance(Self::STEP).await;
+            self.finish_requests();
+            if step % Self::REPORT_STEPS == 0 {
+                self.share_reports();
+            }
+        }
+        f64::from(first) / f64::from(all)
+    }
+
+    fn finish_requests(&mut self) {
+        let now = Instant::now();
+        let (finished, running) =
+            std::mem::take(&mut self.running).into_iter().partition(|(end, ..)| *end <= now);
+        self.running = running;
+        let finished: Vec<(Instant, usize, usize, InflightGuard)> = finished;
+        for (_, number, index, guard) in finished {
+            let report = AttemptReport {
+                latency: SERVICE_TIME,
+                result: AttemptResult::Answered,
+                load: Some(LoadReport { inflight: self.inflight(index), work_percent: Some(100) }),
+                is_draining: false,
+            };
+            let entry = &self.entries[number];
+            entry.picker.record_attempt(entry.upstream(index), report);
+            drop(guard);
+        }
+    }
+
+    fn inflight(&self, index: usize) -> u32 {
+        self.running.iter().filter(|(_, _, running, _)| *running == index).count() as u32
+    }
+
+    fn share_reports(&self) {
+        for index in 0..Self::UPSTREAMS {
+            let inflight = self.inflight(index);
+            for entry in &self.entries {
+                entry.report(index, inflight, 100);
+            }
+        }
+    }
+}
+
+/// Guards against an upstream that is passed over after a warm-up, because no entry has a connection
+/// to it: it got 0.04 to 0.11 of 0.25 in the 12 s afterwards.
+#[tokio::test(start_paused = true)]
+async fn an_upstream_gets_its_even_share_within_two_seconds_after_it_was_cold() {
+    let even = 1.0 / ColdFleet::UPSTREAMS as f64;
+    for (entries, load) in [(4, 0.4), (20, 0.4), (20, 0.7), (45, 0.4), (45, 0.7)] {
+        let mut fleet = ColdFleet::new(entries);
+        fleet.begin_warm_up();
+        for _ in 0..5 {
+            fleet.run_second(load).await;
+        }
+        let mut share = 0.0;
+        for _ in 0..4 {
+            share += fleet.run_second(load).await / 4.0;
+        }
+        let range = 0.8 * even..1.5 * even;
+        assert!(range.contains(&share), "{share:.3} with {entries} entries at a load of {load}");
+    }
+}
