tests: cold upstreams: model of the shares, warm-up ends, a domain under load

Cause: the bound holds over all entries, so it needs all of them in one test. Change: module cold_upstreams; TestCodec decodes a rate and a warm-up; FleetState::take_warm_ups can be called without sockets.

--- a/src/fleet/warm_ups.rs
+++ b/src/fleet/warm_ups.rs
@@ -87,15 +87,23 @@
         }
     }
 
-    /// Updates the shares, logs which upstreams have become cold or warm, and queues what health
-    /// checks of this entry have shown for the others.
+    /// Updates the shares, and queues what health checks of this entry have shown for the others.
     pub(super) fn update_warm_ups(&self, now: Instant) {
+        let cold = self.take_warm_ups(now);
+        if !cold.is_empty() {
+            self.queue_warm_ups(cold);
+        }
+    }
+
+    /// Updates the shares, logs which upstreams have become cold or warm, and returns what health
+    /// checks of this entry have shown and the others have not been told yet.
+    pub fn take_warm_ups(&self, now: Instant) -> Vec<ColdUpstream> {
+        let mut cold = Vec::new();
         if self.warm_up_plan().tolerance.is_none() {
-            return;
+            return cold;
         }
-        let Some(snapshot) = self.snapshot.load_full() else { return };
+        let Some(snapshot) = self.snapshot.load_full() else { return cold };
         self.set_warm_up_shares(&snapshot, now);
-        let mut cold = Vec::new();
         for upstream in snapshot.upstreams.values() {
             let news = upstream.warm_up().take_news(now);
             if let Some(change) = news.change {
@@ -106,9 +114,7 @@
                 cold.push(ColdUpstream { instance: upstream.name.clone(), left_ms });
             }
         }
-        if !cold.is_empty() {
-            self.queue_warm_ups(cold);
-        }
+        cold
     }
 
     /// Records warm-ups that another entry has seen; those of unknown upstreams are ignored.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod addresses;
 mod client;
+mod cold_upstreams;
 mod compile;
 mod connections;
 mod control_plane;
--- a/tests/testsuite/support/fleet.rs
+++ b/tests/testsuite/support/fleet.rs
@@ -25,8 +25,9 @@
 pub(crate) const UPSTREAM_KIND: &str = "backends";
 pub(crate) const EVACUATION_KIND: &str = "evacuations";
 
-/// Codec of a deployment whose configuration object is `{ "generation": N }` and whose upstream
-/// objects are `{ "service": S, "draining": B, "started": T, "sequence": N }`; all other fields have
+/// Codec of a deployment whose configuration object is `{ "generation": N, "warm_up_rate": R }` and
+/// whose upstream objects are `{ "service": S, "draining": B, "started": T, "sequence": N,
+/// "warm_up_ms": N }`; all other fields have
 /// fixed values.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct TestCodec;
@@ -63,7 +64,7 @@
             name: "reads".to_owned(),
             health_path: "/health".to_owned(),
             max_connections: 100,
-            warm_up_per_second: None,
+            warm_up_per_second: object.spec["warm_up_rate"].as_f64(),
         };
         Ok(DeclaredConfig {
             generation: GenerationNumber(generation),
@@ -82,7 +83,7 @@
             failure_domain: "fd-a".to_owned(),
             slots: 4,
             is_draining: object.spec["draining"].as_bool().unwrap_or_default(),
-            warm_up: Duration::ZERO,
+            warm_up: Duration::from_millis(object.spec["warm_up_ms"].as_u64().unwrap_or_default()),
             order: StatementOrder {
                 started_ms: object.spec["started"].as_u64(),
                 sequence: object.spec["sequence"].as_u64(),
--- a/tests/testsuite/utility_picker.rs
+++ b/tests/testsuite/utility_picker.rs
@@ -437,7 +437,7 @@
         let (mut first, mut all) = (0, 0);
         let mut due = 0.0;
         for step in 0..steps as u32 {
-            due += 2.0 * per_step * f64::from(self.random.unit());
+            due += 2.0 * per_step * self.random.unit();
             while due >= 1.0 {
                 due -= 1.0;
                 let number = self.random.below(self.entries.len());
