--- a/src/balance/utility_picker.rs
+++ b/src/balance/utility_picker.rs
@@ -79,7 +79,7 @@
     pub open_connection_time: Duration,
     /// Time after a warm-up for which the upstream gets the same bonus. Most entries have sent it
     /// nothing meanwhile, and would pass it over for those to which they have connections. With
-    /// 3 s, it got two to three times its even share at a load of 0.1.
+    /// 2 s, it got up to 1.5 times its even share.
     pub reconnect_time: Duration,
     /// Largest random addition to a utility; spreads entries over equally good upstreams.
     pub jitter: f32,
