--- a/src/fleet/peer_service.rs
+++ b/src/fleet/peer_service.rs
@@ -24,10 +24,15 @@
 use crate::fleet::state::{FleetState, Outbox};
 use crate::fleet::view::ViewChange;
 use crate::kernel::{ServiceName, ServiceTask};
+use crate::platform::ObjectEnvelope;
 use crate::util::{FastMap, SeededRandom};
 
 /// Time between two checks whether a message is due.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// Largest message with a configuration that is sent to each entry of a large domain. A larger one is
+/// sent in parts, which are compressed and relayed: copies for all entries would take some tenths of
+/// a second over a slow link.
+const MAX_INLINE_CONFIG_BYTES: usize = 6 << 10;
 /// Size of the receive buffer: the largest UDP datagram.
 const MAX_UDP_BYTES: usize = 64 << 10;
 
@@ -338,9 +343,10 @@
         content: MessageContent,
     ) {
         let now = Instant::now();
-        let (own, alive, no_path) = {
+        let (own, alive, no_path, is_full_mesh) = {
             let table = state.table();
-            (table.own().clone(), table.alive_digests(now), table.no_path_digests(now))
+            let no_path = table.no_path_digests(now);
+            (table.own().clone(), table.alive_digests(now), no_path, table.is_full_mesh())
         };
         if recipients.is_empty() {
             return;
@@ -365,19 +371,22 @@
             cold: content.cold,
         };
         let mut encoded = key.encode(&message);
+        let is_in_parts = match &encoded {
+            Ok(datagram) => datagram.len() > MAX_INLINE_CONFIG_BYTES && !is_full_mesh,
+            Err(error) => *error == MessageError::TooLarge,
+        };
+        let config = message.change.as_mut().filter(|_| is_in_parts);
+        if let Some(config) = config.and_then(|change| change.config.take()) {
+            // Boxed, because sending a part is sending a message again.
+            Box::pin(self.send_config_parts(socket, state, key, recipients, &config)).await;
+            encoded = key.encode(&message);
+        }
         if encoded == Err(MessageError::TooLarge) {
-            let change = message.change.take();
-            let config = change.and_then(|change| change.config);
-            let parts = config.as_ref().and_then(split_config);
             log::info!(
                 target: "peer",
-                "change too large for a datagram parts={}",
-                parts.as_ref().map_or(0, Vec::len),
+                "change too large for a datagram, peers will read it from the store",
             );
-            for part in parts.unwrap_or_default() {
-                // Boxed, because sending a part is sending a message again.
-                Box::pin(self.send_part_to_groups(socket, state, key, recipients, part)).await;
-            }
+            message.change = None;
             encoded = key.encode(&message);
         }
         match encoded {
@@ -388,19 +397,28 @@
 }
 
 impl PeerSender {
-    /// Sends a part of a configuration to one entry of each group, which sends it to the others.
-    async fn send_part_to_groups<D: DeploymentCodec>(
+    /// Sends a configuration in parts to one entry of each group, which sends them to the others.
+    async fn send_config_parts<D: DeploymentCodec>(
         &mut self,
         socket: &UdpSocket,
         state: &FleetState<D>,
         key: &MessageKey,
         recipients: &[SocketAddr],
-        part: ConfigPart,
+        config: &ObjectEnvelope,
     ) {
-        for group in relay_groups(recipients) {
-            let part = ConfigPart { relay_to: group.members, ..part.clone() };
-            let content = MessageContent { config_part: Some(part), ..MessageContent::default() };
-            self.send_to(socket, state, key, &[group.relay], content).await;
+        let Some(parts) = split_config(config) else {
+            log::warn!(target: "peer", "configuration too large for parts, peers read the store");
+            return;
+        };
+        let groups = relay_groups(recipients);
+        log::debug!(target: "peer", "sending a configuration parts={}", parts.len());
+        for part in parts {
+            for group in &groups {
+                let part = ConfigPart { relay_to: group.members.clone(), ..part.clone() };
+                let content =
+                    MessageContent { config_part: Some(part), ..MessageContent::default() };
+                self.send_to(socket, state, key, &[group.relay], content).await;
+            }
         }
     }
 
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -35,7 +35,7 @@
 /// Time over which the entries of a failure domain spread such reads, by their names. A message to
 /// all of a large domain takes some tenths of a second over a slow link, and most of them still get
 /// the change while they wait.
-const CATCH_UP_SPREAD: Duration = Duration::from_millis(400);
+const CATCH_UP_SPREAD: Duration = Duration::from_millis(250);
 /// The same for an entry that has just started. The first list is stale by up to seconds, and the
 /// entries that start together write to the store, so an earlier read would have to be repeated.
 const START_CATCH_UP_SPREAD: Duration = Duration::from_millis(1200);
