serve: start pipelined requests ahead of their turn

Cause: hyper serves the requests of an HTTP/1.1 connection one after the other. Change: serve::pipeline reads ahead on callers' connections, recognises the heads of further requests with httparse, and starts idempotent ones without a body up to pipelining.max_ahead; hyper's call takes over the running request. With max_ahead 0 (default) and for peers the stream is not inserted.

--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -302,6 +302,8 @@
         let forwarded = CallerServer::bind(listen.peers, server_settings.clone()).await;
         let forwarded = forwarded.into_diagnostic().wrap_err_with(|| failed("peers"))?;
         let forwarded = forwarded.with_origin(RequestOrigin::Peers);
+        let server_settings =
+            CallerServerSettings { max_ahead: settings.pipelining.max_ahead, ..server_settings };
         let callers = CallerServer::bind(listen.callers, server_settings);
         let callers = callers.await.into_diagnostic().wrap_err_with(|| failed("callers"))?;
         let mut control = Vec::new();
--- a/src/serve/caller_server.rs
+++ b/src/serve/caller_server.rs
@@ -1,10 +1,11 @@
 //! HTTP server for callers: HTTP/1.1 and HTTP/2 on one port, with graceful shutdown.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use http::Request;
+use http_body::Body;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -17,6 +18,10 @@
 use crate::ledger::ClaimLedger;
 use crate::request::{CallerAddress, UpstreamClient};
 use crate::serve::accept::accept_connection;
+use crate::serve::early_response::EarlyStarter;
+use crate::serve::pipeline::{
+    AheadQueue, PipelinedConnection, QueueLimits, ReadAhead, SharedQueue, lock,
+};
 use crate::serve::proxy_service::{ProxyService, RequestOrigin};
 use crate::serve::write_timeout::WriteTimeoutStream;
 
@@ -33,6 +38,9 @@
     pub ping_interval: Duration,
     /// An HTTP/2 connection is closed if a ping is not acknowledged within this time.
     pub ping_timeout: Duration,
+    /// Pipelined requests of an HTTP/1.1 connection that may run ahead of the one being answered; 0 to
+    /// run one after the other. Ignored for requests of peers.
+    pub max_ahead: u32,
 }
 
 impl Default for CallerServerSettings {
@@ -43,6 +51,7 @@
             write_timeout: Duration::from_secs(20),
             ping_interval: Duration::from_secs(15),
             ping_timeout: Duration::from_secs(10),
+            max_ahead: 0,
         }
     }
 }
@@ -94,7 +103,8 @@
             tokio::select! {
                 () = stop.cancelled() => break,
                 (stream, caller) = accept_connection(&self.listener) => {
-                    self.serve(stream, CallerAddress(caller.ip()), Arc::clone(&proxy), &graceful);
+                    let caller = CallerAddress(caller.ip());
+                    self.serve(stream, caller, Arc::clone(&proxy), &graceful, &stop);
                 }
             }
         }
@@ -110,14 +120,60 @@
         caller: CallerAddress,
         proxy: Arc<ProxyService<C, P, L>>,
         graceful: &GracefulShutdown,
+        stop: &CancellationToken,
     ) {
         let _ = stream.set_nodelay(true);
+        if self.settings.max_ahead > 0 && self.origin == RequestOrigin::Callers {
+            let starter = EarlyStarter { proxy, caller: caller.0, stop: stop.clone() };
+            self.serve_pipelined(stream, starter, graceful);
+            return;
+        }
         let origin = self.origin;
         let service = service_fn(move |mut request: Request<Incoming>| {
             request.extensions_mut().insert(caller);
             let proxy = Arc::clone(&proxy);
-            proxy.serve_request(request, origin)
+            proxy.serve_request(request, origin, None)
+        });
+        let stream = WriteTimeoutStream::new(stream, self.settings.write_timeout);
+        let builder = self.connection_builder();
+        let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            // An error means that the caller's connection broke, or that this node closed it to
+            // signal a truncated response.
+            let _ = watched.await;
+        });
+    }
+
+    /// Serves a connection whose pipelined requests are started ahead of their turn.
+    fn serve_pipelined<C: UpstreamClient, P: UpstreamPicker, L: ClaimLedger>(
+        &self,
+        stream: TcpStream,
+        starter: EarlyStarter<C, P, L>,
+        graceful: &GracefulShutdown,
+    ) {
+        let max_head_bytes = self.settings.max_head_bytes;
+        let max_ahead = self.settings.max_ahead as usize;
+        let queue = AheadQueue::new(QueueLimits { max_ahead, max_head_bytes });
+        let queue: SharedQueue<_> = Arc::new(Mutex::new(queue));
+        let (read_ahead, stream) = ReadAhead::new(stream, max_head_bytes, Arc::clone(&queue));
+        let (proxy, caller) = (Arc::clone(&starter.proxy), starter.caller);
+        let service = service_fn(move |request: Request<Incoming>| {
+            // Taken over in the call itself, which the server makes in the order of the heads.
+            let (parts, body) = request.into_parts();
+            let early = lock(&queue).take_over(&parts, !body.is_end_stream());
+            let mut request = Request::from_parts(parts, body);
+            request.extensions_mut().insert(CallerAddress(caller));
+            Arc::clone(&proxy).serve_request(request, RequestOrigin::Callers, early)
         });
+        let stream = WriteTimeoutStream::new(stream, self.settings.write_timeout);
+        let builder = self.connection_builder();
+        let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+        let watched = graceful.watch(connection);
+        tokio::spawn(PipelinedConnection::new(watched, read_ahead, starter));
+    }
+
+    fn connection_builder(&self) -> auto::Builder<TokioExecutor> {
         let mut builder = auto::Builder::new(TokioExecutor::new());
         builder
             .http1()
@@ -130,13 +186,6 @@
             .max_header_list_size(self.settings.max_head_bytes as u32)
             .keep_alive_interval(self.settings.ping_interval)
             .keep_alive_timeout(self.settings.ping_timeout);
-        let stream = WriteTimeoutStream::new(stream, self.settings.write_timeout);
-        let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
-        let watched = graceful.watch(connection);
-        tokio::spawn(async move {
-            // An error means that the caller's connection broke, or that this node closed it to
-            // signal a truncated response.
-            let _ = watched.await;
-        });
+        builder
     }
 }
--- a/src/serve/latency_metrics.rs
+++ b/src/serve/latency_metrics.rs
@@ -4,6 +4,8 @@
 
 use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry};
 
+use crate::serve::pipeline::PipelineMetrics;
+
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS_SECS: &[f64] = &[
     0.0005, 0.001, 0.002, 0.004, 0.006, 0.008, 0.012, 0.016, 0.024, 0.032, 0.064, 0.128, 0.25, 0.5,
@@ -15,6 +17,7 @@
 pub struct LatencyMetrics {
     latency: HistogramVec,
     results: IntCounterVec,
+    pipeline: PipelineMetrics,
 }
 
 impl LatencyMetrics {
@@ -34,7 +37,12 @@
         let results = IntCounterVec::new(options, &["tenant", "class", "result"])?;
         registry.register(Box::new(latency.clone()))?;
         registry.register(Box::new(results.clone()))?;
-        Ok(Self { latency, results })
+        Ok(Self { latency, results, pipeline: PipelineMetrics::new(registry)? })
+    }
+
+    /// Counters of requests that were started ahead of their turn.
+    pub fn pipeline(&self) -> &PipelineMetrics {
+        &self.pipeline
     }
 
     /// Records one response; `result` is `ok` or a result code such as `HF-1003`.
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -4,10 +4,12 @@
 mod admin;
 mod caller_server;
 mod connection_pool;
+mod early_response;
 mod http_client;
 mod latency_metrics;
 mod limit_metrics;
 mod pending_response;
+mod pipeline;
 mod plain_response;
 mod proxy_service;
 mod request_body;
@@ -21,6 +23,9 @@
 pub use self::http_client::{HttpUpstreamClient, ResponseFraming, UpstreamBody};
 pub use self::latency_metrics::LatencyMetrics;
 pub use self::limit_metrics::LimitMetrics;
+pub use self::pipeline::{
+    AheadQueue, HeadScanner, PipelineMetrics, QueueLimits, RequestStarter, ScanStep, ScannedHead,
+};
 pub(crate) use self::plain_response::{metrics_response, plain_response};
 pub use self::proxy_service::{LeavingFlag, ProxyService, ProxySettings, RequestOrigin};
 pub use self::upstream_pool::{
--- a/src/serve/proxy_service.rs
+++ b/src/serve/proxy_service.rs
@@ -5,14 +5,14 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_TYPE};
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, Uri, Version};
 use http_body::Body;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Empty, Limited};
 use tokio::time::Instant;
-use tokio_util::task::TaskTracker;
+use tokio_util::task::{AbortOnDropHandle, TaskTracker};
 
 use crate::balance::UpstreamPicker;
 use crate::core::{IdempotenceMode, RESULT_CODE_HEADER, ResultCode, TenantId};
@@ -22,6 +22,7 @@
     AdmittedRequest, DataPlane, ForwardRefusal, PlaneResponse, ResponseBody, UpstreamClient,
     error_response, unclaimed_error_response, validate_host,
 };
+use crate::serve::early_response::EarlyResponse;
 use crate::serve::latency_metrics::LatencyMetrics;
 use crate::serve::request_body::{BodyLimits, BodyMemoryBudget, BufferedBody, read_body};
 
@@ -115,18 +116,29 @@
         self.at_most_once_tasks.wait().await;
     }
 
+    /// Whether the node is leaving.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.leaving_flag.is_leaving()
+    }
+
     /// Flag to set when the node is leaving.
     pub fn leaving_flag(&self) -> LeavingFlag {
         self.leaving_flag.clone()
     }
 
-    pub(super) async fn serve_request(
+    /// Serves a request that the server has called for. `early` is the same request if it was
+    /// started ahead of its turn.
+    pub(super) async fn serve_request<B: Body<Data = Bytes> + Unpin>(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<B>,
         origin: RequestOrigin,
+        early: Option<EarlyResponse<C>>,
     ) -> Result<PlaneResponse<C>, Infallible> {
         let version = request.version();
-        let mut response = Self::route_request(&self, request, origin).await;
+        let mut response = match early {
+            Some(early) => early.take_over().await,
+            None => Self::route_request(&self, request, origin, None).await,
+        };
         if version == Version::HTTP_10 {
             response = self.buffer_unsized_response(response).await;
         }
@@ -137,10 +149,34 @@
         Ok(response)
     }
 
-    async fn route_request(
+    /// Starts a caller's request without a body ahead of its turn; none if it must not run more than
+    /// once, or would be refused now.
+    pub(super) fn start_early(self: &Arc<Self>, parts: Parts) -> Option<EarlyResponse<C>> {
+        let admitted = self.admit_idempotent(&parts)?;
+        let request = Request::from_parts(parts, Empty::<Bytes>::new());
+        let service = Arc::clone(self);
+        let task = tokio::spawn(async move {
+            let origin = RequestOrigin::Callers;
+            service.route_request(request, origin, Some(admitted)).await
+        });
+        Some(EarlyResponse::new(AbortOnDropHandle::new(task), self.metrics.pipeline().clone()))
+    }
+
+    /// Admits a caller's request if it may run more than once.
+    pub(super) fn admit_idempotent(&self, parts: &Parts) -> Option<AdmittedRequest> {
+        if parts.uri.path() == ADDRESSES_PATH || validate_host(parts).is_err() {
+            return None;
+        }
+        let admitted = self.plane.admit(parts).ok()?;
+        (admitted.class.mode == IdempotenceMode::Idempotent).then_some(admitted)
+    }
+
+    /// Runs a request; `admitted` is set if it was admitted to be started ahead of its turn.
+    async fn route_request<B: Body<Data = Bytes> + Unpin>(
         self: &Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<B>,
         origin: RequestOrigin,
+        admitted: Option<AdmittedRequest>,
     ) -> PlaneResponse<C> {
         if origin == RequestOrigin::Callers && request.uri().path() == ADDRESSES_PATH {
             return self.addresses_response(request.uri());
@@ -158,9 +194,10 @@
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             return response;
         }
-        let admitted = match origin {
-            RequestOrigin::Callers => self.plane.admit(&parts),
-            RequestOrigin::Peers => self.plane.admit_forwarded(&parts),
+        let admitted = match (admitted, origin) {
+            (Some(admitted), _) => Ok(admitted),
+            (None, RequestOrigin::Callers) => self.plane.admit(&parts),
+            (None, RequestOrigin::Peers) => self.plane.admit_forwarded(&parts),
         };
         let admitted = match admitted {
             Ok(admitted) => admitted,
