tests: pipelined requests, decisions and over loopback sockets

Change: pipeline_decisions (scanner against a model, queue) and pipelining (loopback); the raw HTTP fixture takes several upstreams, because an entry without peers opens three connections to one.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -37,6 +37,8 @@
 mod path_monitor;
 mod pauses;
 mod peer_calls;
+mod pipeline_decisions;
+mod pipelining;
 mod probe_budget;
 mod processes;
 mod quarantine;
--- /dev/null
+++ b/tests/testsuite/pipelining.rs
@@ -0,0 +1,345 @@
+//! Pipelined requests over loopback sockets.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use heatherfall::serve::CallerServerSettings;
+use http_body_util::{BodyExt, Empty};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::support::EntryFixture;
+
+/// Time of a request in these tests.
+const REQUEST_TIME: Duration = Duration::from_millis(200);
+/// Target: each of four requests of [`REQUEST_TIME`] that are sent at once is answered within it.
+const ANSWER_BOUND: Duration = Duration::from_millis(600);
+/// Target: early requests are cancelled within this time after their caller left.
+const CANCEL_BOUND: Duration = Duration::from_millis(500);
+/// Longest wait for what must happen some time.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Upstreams of an entry. A fixture without peers opens at most three connections to each, so there
+/// are enough for all requests of a test at once.
+const UPSTREAMS: usize = 8;
+
+/// Upstreams that answer `/PATH/MS` after MS milliseconds with the target and the body of the
+/// request. `/PATH/cut` is answered by half a response, `/PATH/bad` by a malformed one.
+#[derive(Clone, Debug, Default)]
+struct TimedUpstream {
+    addrs: Vec<SocketAddr>,
+    /// `start TARGET`, `end TARGET` and `abort TARGET`, in order.
+    events: Arc<Mutex<Vec<String>>>,
+}
+
+impl TimedUpstream {
+    async fn start() -> Self {
+        let mut upstream = Self::default();
+        for _ in 0..UPSTREAMS {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            upstream.addrs.push(listener.local_addr().unwrap());
+            let served = upstream.clone();
+            tokio::spawn(async move {
+                loop {
+                    let (stream, _) = listener.accept().await.unwrap();
+                    let upstream = served.clone();
+                    tokio::spawn(async move { upstream.serve(stream).await });
+                }
+            });
+        }
+        upstream
+    }
+
+    async fn serve(&self, mut stream: TcpStream) -> Option<()> {
+        loop {
+            let (head, body) = read_message(&mut stream).await?;
+            let target = head.split(' ').nth(1)?.to_owned();
+            self.record("start", &target);
+            let millis = target.rsplit('/').next()?;
+            let text = format!("{target} {body}");
+            let ok = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{text}", text.len());
+            let response = match millis {
+                "cut" => ok[..ok.len() - 3].to_owned(),
+                "bad" => "nonsense\r\n\r\n".to_owned(),
+                _ => ok,
+            };
+            let time = Duration::from_millis(millis.parse().unwrap_or(0));
+            let mut byte = [0];
+            tokio::select! {
+                () = sleep(time) => {}
+                _ = stream.read(&mut byte) => {
+                    self.record("abort", &target);
+                    return None;
+                }
+            }
+            self.record("end", &target);
+            stream.write_all(response.as_bytes()).await.ok()?;
+            if matches!(millis, "cut" | "bad") {
+                return None;
+            }
+        }
+    }
+
+    fn record(&self, event: &str, target: &str) {
+        self.events.lock().unwrap().push(format!("{event} {target}"));
+    }
+
+    fn count(&self, event: &str) -> usize {
+        let events = self.events.lock().unwrap();
+        events.iter().filter(|recorded| recorded.starts_with(event)).count()
+    }
+
+    fn position(&self, event: &str) -> usize {
+        let events = self.events.lock().unwrap();
+        events.iter().position(|recorded| recorded == event).unwrap()
+    }
+
+    async fn wait_for(&self, event: &str, count: usize) {
+        while self.count(event) < count {
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+/// Reads a message with a complete head and a body of `content-length`; none at the end.
+async fn read_message(stream: &mut TcpStream) -> Option<(String, String)> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8(head).unwrap();
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    let mut body = vec![0; length.map_or(0, |length| length.parse().unwrap())];
+    stream.read_exact(&mut body).await.ok()?;
+    Some((head, String::from_utf8(body).unwrap()))
+}
+
+async fn start(max_ahead: u32) -> (TimedUpstream, EntryFixture) {
+    let upstream = TimedUpstream::start().await;
+    let settings =
+        CallerServerSettings { max_ahead, max_head_bytes: 8 << 10, ..Default::default() };
+    let entry = EntryFixture::serving(&upstream.addrs, settings).await;
+    (upstream, entry)
+}
+
+fn get(target: &str) -> String {
+    format!("GET {target} HTTP/1.1\r\nHost: t\r\n\r\n")
+}
+
+async fn send(entry: &EntryFixture, requests: &[String]) -> TcpStream {
+    let mut stream = TcpStream::connect(entry.addr).await.unwrap();
+    stream.write_all(requests.concat().as_bytes()).await.unwrap();
+    stream
+}
+
+/// Asserts that the next responses are those to these targets.
+async fn expect_responses(stream: &mut TcpStream, targets: &[&str]) {
+    for target in targets {
+        let (head, body) = timeout(PATIENCE, read_message(stream)).await.unwrap().unwrap();
+        assert!(head.starts_with("HTTP/1.1 200 "), "{target}: {head}");
+        assert_eq!(body.split(' ').next(), Some(*target));
+    }
+}
+
+/// Value of `heatherfall_pipelined_total` for an event.
+fn counted(entry: &EntryFixture, event: &str) -> f64 {
+    for family in entry.registry.gather() {
+        for metric in family.get_metric() {
+            let labels = metric.get_label();
+            if family.name() == "heatherfall_pipelined_total" && labels[0].value() == event {
+                return metric.get_counter().get_value();
+            }
+        }
+    }
+    panic!("no counter for {event}");
+}
+
+#[tokio::test]
+async fn four_requests_at_once_are_answered_in_order_in_about_the_time_of_one() {
+    let (_upstream, entry) = start(8).await;
+    let targets = ["/read/a/200", "/read/b/200", "/read/c/200", "/read/d/200"];
+    let sent_at = Instant::now();
+    let mut stream = send(&entry, &targets.map(get)).await;
+    for target in targets {
+        expect_responses(&mut stream, &[target]).await;
+        let elapsed = sent_at.elapsed();
+        println!("{target} after {elapsed:?}");
+        assert!(elapsed >= REQUEST_TIME && elapsed < ANSWER_BOUND, "{target} after {elapsed:?}");
+    }
+    let counts = ["started", "taken_over", "dropped"].map(|event| counted(&entry, event));
+    assert_eq!(counts, [3.0, 3.0, 0.0]);
+    // A request after the others is not ahead of any.
+    stream.write_all(get("/read/e/0").as_bytes()).await.unwrap();
+    expect_responses(&mut stream, &["/read/e/0"]).await;
+    assert_eq!(counted(&entry, "started"), 3.0);
+}
+
+#[tokio::test]
+async fn order_is_kept_when_later_requests_finish_first() {
+    let (upstream, entry) = start(2).await;
+    let targets =
+        ["/read/a/300", "/read/b/100", "/read/c/0", "/read/d/50", "/read/e/0", "/read/f/10"];
+    let mut stream = send(&entry, &targets.map(get)).await;
+    expect_responses(&mut stream, &targets).await;
+    assert!(upstream.position("end /read/c/0") < upstream.position("end /read/a/300"));
+    // No more than two run ahead of the first.
+    assert!(upstream.position("start /read/d/50") > upstream.position("end /read/a/300"));
+}
+
+#[tokio::test]
+async fn without_the_setting_requests_run_one_after_the_other() {
+    let (upstream, entry) = start(0).await;
+    let targets = ["/read/a/50", "/read/b/0"];
+    let mut stream = send(&entry, &targets.map(get)).await;
+    expect_responses(&mut stream, &targets).await;
+    assert!(upstream.position("end /read/a/50") < upstream.position("start /read/b/0"));
+}
+
+/// Requests of `count` heads of about 1 KB, each of which takes long.
+fn long_requests(count: usize) -> Vec<String> {
+    let padding = "x".repeat(1000);
+    let request = |index| {
+        format!("GET /read/{index}/5000 HTTP/1.1\r\nHost: t\r\nX-Padding: {padding}\r\n\r\n")
+    };
+    (0..count).map(request).collect()
+}
+
+// Guards against upstreams that work for callers that have left. With 40 requests, the buffer is full
+// and the end of the connection is behind unread bytes.
+#[tokio::test]
+async fn early_requests_are_cancelled_when_the_caller_closes_or_resets_the_connection() {
+    for (count, is_reset) in [(4, false), (4, true), (40, false), (40, true)] {
+        let (upstream, entry) = start(3).await;
+        let stream = send(&entry, &long_requests(count)).await;
+        timeout(PATIENCE, upstream.wait_for("start", 4)).await.unwrap();
+        if is_reset {
+            stream.set_zero_linger().unwrap();
+        }
+        let left_at = Instant::now();
+        drop(stream);
+        let cancelled = timeout(CANCEL_BOUND, upstream.wait_for("abort", 3)).await;
+        println!("{count} requests, reset {is_reset}: cancelled after {:?}", left_at.elapsed());
+        assert!(cancelled.is_ok(), "{count} {is_reset}: {:?}", upstream.events.lock().unwrap());
+        assert_eq!(counted(&entry, "dropped"), 3.0);
+        assert_eq!(upstream.count("start"), 4, "nothing starts for a caller that has left");
+    }
+}
+
+#[tokio::test]
+async fn a_half_closed_connection_gets_the_responses_that_it_gets_without_reading_ahead() {
+    let mut received = Vec::new();
+    for max_ahead in [0, 8] {
+        let (_upstream, entry) = start(max_ahead).await;
+        let targets = ["/read/a/50", "/read/b/50", "/read/c/50"];
+        let mut stream = send(&entry, &targets.map(get)).await;
+        stream.shutdown().await.unwrap();
+        let mut bodies = Vec::new();
+        while let Some((_, body)) = timeout(PATIENCE, read_message(&mut stream)).await.unwrap() {
+            bodies.push(body);
+        }
+        received.push(bodies);
+    }
+    println!("half-closed: {received:?}");
+    assert_eq!(received[0], received[1]);
+}
+
+#[tokio::test]
+async fn nothing_starts_behind_a_body_and_reading_ahead_resumes_after_it() {
+    let (upstream, entry) = start(8).await;
+    let body = format!("{}{}", get("/read/evil/0"), "x".repeat(20_000));
+    let post = format!(
+        "POST /read/body/100 HTTP/1.1\r\nHost: t\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let requests = [get("/read/a/100"), post, get("/read/b/100"), get("/read/c/100")];
+    let mut stream = send(&entry, &requests).await;
+    expect_responses(&mut stream, &["/read/a/100"]).await;
+    let (_, echoed) = timeout(PATIENCE, read_message(&mut stream)).await.unwrap().unwrap();
+    assert!(echoed == format!("/read/body/100 {body}"), "the body must arrive unchanged");
+    expect_responses(&mut stream, &["/read/b/100", "/read/c/100"]).await;
+    let starts = ["/read/body/100", "/read/b/100", "/read/c/100"]
+        .map(|target| upstream.position(&format!("start {target}")));
+    assert!(starts[0] > upstream.position("end /read/a/100"));
+    assert!(starts[1] > upstream.position("end /read/body/100"));
+    assert!(starts[2] < upstream.position("end /read/b/100"));
+    assert_eq!(upstream.count("start"), 4);
+}
+
+#[tokio::test]
+async fn an_at_most_once_request_never_starts_ahead_of_its_turn() {
+    let (upstream, entry) = start(8).await;
+    let targets = ["/read/a/100", "/write/b/50", "/read/c/0"];
+    let mut stream = send(&entry, &targets.map(get)).await;
+    expect_responses(&mut stream, &targets).await;
+    let mut expected = Vec::new();
+    for target in targets {
+        expected.extend([format!("start {target}"), format!("end {target}")]);
+    }
+    assert_eq!(*upstream.events.lock().unwrap(), expected);
+    // A caller that leaves cancels nothing that may run only once.
+    let stream = send(&entry, &["/read/d/100", "/write/e/50"].map(get)).await;
+    timeout(PATIENCE, upstream.wait_for("start /read/d", 1)).await.unwrap();
+    drop(stream);
+    sleep(REQUEST_TIME).await;
+    assert_eq!(upstream.count("abort /write"), 0);
+}
+
+#[tokio::test]
+async fn a_planned_stop_answers_the_first_request_and_cancels_those_behind_it() {
+    let (upstream, entry) = start(8).await;
+    let targets = ["/read/a/200", "/read/b/5000", "/read/c/5000"];
+    let mut stream = send(&entry, &targets.map(get)).await;
+    timeout(PATIENCE, upstream.wait_for("start", 3)).await.unwrap();
+    entry.leaving_flag.set_leaving();
+    stream.write_all(get("/read/d/0").as_bytes()).await.unwrap();
+    let stopped = tokio::spawn(entry.stop());
+    let (head, body) = timeout(PATIENCE, read_message(&mut stream)).await.unwrap().unwrap();
+    assert!(body.starts_with("/read/a/200") && head.contains("connection: close"), "{head}");
+    assert_eq!(timeout(PATIENCE, read_message(&mut stream)).await.unwrap(), None);
+    timeout(CANCEL_BOUND, upstream.wait_for("abort", 2)).await.unwrap();
+    timeout(PATIENCE, stopped).await.unwrap().unwrap();
+    assert_eq!(upstream.count("start"), 3);
+}
+
+// Guards against a response that goes to the next request after a cut or malformed one.
+#[tokio::test]
+async fn a_cut_or_malformed_upstream_response_reaches_no_other_request() {
+    for fault in ["/read/b/cut", "/read/b/bad"] {
+        let (_upstream, entry) = start(8).await;
+        let targets = ["/read/a/100", fault, "/read/c/0", "/read/d/0"];
+        let mut stream = send(&entry, &targets.map(get)).await;
+        expect_responses(&mut stream, &["/read/a/100"]).await;
+        let mut rest = Vec::new();
+        let _ = timeout(Duration::from_secs(2), stream.read_to_end(&mut rest)).await;
+        let rest = String::from_utf8(rest).unwrap();
+        println!("{fault}: {rest:?}");
+        if fault.ends_with("cut") {
+            // The caller sees a short body and the end of the connection.
+            assert!(!rest.contains("/read/c") && !rest.contains("/read/b/cut "), "{rest}");
+            continue;
+        }
+        let (malformed, others) = rest.split_once("HTTP/1.1 200 ").unwrap();
+        assert!(malformed.starts_with("HTTP/1.1 502 "), "{rest}");
+        let (first, second) = others.split_once("HTTP/1.1 200 ").unwrap();
+        assert!(first.contains("/read/c/0") && second.contains("/read/d/0"), "{rest}");
+    }
+}
+
+#[tokio::test]
+async fn an_http2_connection_passes_through() {
+    let (_upstream, entry) = start(8).await;
+    let stream = TokioIo::new(TcpStream::connect(entry.addr).await.unwrap());
+    let handshake = hyper::client::conn::http2::handshake(TokioExecutor::new(), stream);
+    let (mut client, connection) = handshake.await.unwrap();
+    tokio::spawn(connection);
+    for target in ["/read/a/0", "/read/b/0"] {
+        let request = http::Request::get(format!("http://t{target}"));
+        let response = client.send_request(request.body(Empty::<bytes::Bytes>::new()).unwrap());
+        let body = response.await.unwrap().into_body().collect().await.unwrap().to_bytes();
+        assert_eq!(body, format!("{target} "));
+    }
+    assert_eq!(counted(&entry, "started"), 0.0);
+}
--- a/tests/testsuite/support/raw_http.rs
+++ b/tests/testsuite/support/raw_http.rs
@@ -12,7 +12,7 @@
 use heatherfall::request::{DataPlane, ExecutionSettings};
 use heatherfall::serve::{
     CallerServer, CallerServerSettings, ConnectionPool, HttpUpstreamClient, LatencyMetrics,
-    PoolSettings, ProxyService, ProxySettings,
+    LeavingFlag, PoolSettings, ProxyService, ProxySettings,
 };
 use heatherfall::util::SeededRandom;
 use prometheus::Registry;
@@ -152,6 +152,8 @@
 /// An entry that serves one upstream on loopback; `/read` is idempotent.
 pub(crate) struct EntryFixture {
     pub(crate) addr: SocketAddr,
+    pub(crate) leaving_flag: LeavingFlag,
+    pub(crate) registry: Registry,
     stop: CancellationToken,
     server: tokio::task::JoinHandle<()>,
 }
@@ -165,11 +167,16 @@
         upstream: &RawUpstream,
         settings: CallerServerSettings,
     ) -> Self {
+        Self::serving(&[upstream.addr], settings).await
+    }
+
+    /// An entry in front of the upstreams at these addresses.
+    pub(crate) async fn serving(upstreams: &[SocketAddr], settings: CallerServerSettings) -> Self {
         let freshness = Arc::new(ConfigFreshness::default());
         freshness.confirm(Duration::ZERO);
         let route = json!({ "deadline": "10s" });
         let data_plane = DataPlane::new(
-            snapshot_for(&[upstream.addr], route, BudgetSpec::default()),
+            snapshot_for(upstreams, route, BudgetSpec::default()),
             HttpUpstreamClient::new(ConnectionPool::new(
                 PoolSettings::default(),
                 SharedMembership::default(),
@@ -179,6 +186,7 @@
             freshness,
             ExecutionSettings::default(),
         );
+        let registry = Registry::new();
         let proxy = ProxyService::new(
             data_plane,
             Arc::new(AddressResolver::new(
@@ -186,14 +194,15 @@
                 SharedSnapshot::default(),
                 AssignmentSettings::default(),
             )),
-            LatencyMetrics::new(&Registry::new()).unwrap(),
+            LatencyMetrics::new(&registry).unwrap(),
             ProxySettings { max_body_bytes: 1 << 16, ..ProxySettings::default() },
         );
         let server = CallerServer::bind(([127, 0, 0, 1], 0).into(), settings).await.unwrap();
         let addr = server.local_addr().unwrap();
         let stop = CancellationToken::new();
+        let leaving_flag = proxy.leaving_flag();
         let server = tokio::spawn(server.run(Arc::new(proxy), stop.clone()));
-        Self { addr, stop, server }
+        Self { addr, leaving_flag, registry, stop, server }
     }
 
     /// Stops the entry and waits for its requests in flight.
