serve: poll hyper once for bytes that it does not want

Cause: a server that has stopped reading while it writes a response was polled again and again for the same bytes; a reload of pipelining.max_ahead was reported as in force though it applies at the next start. Change: one poll for each release of bytes; the reload keeps the active value and says PartlyAtStart.

--- a/src/fleet/live_settings.rs
+++ b/src/fleet/live_settings.rs
@@ -24,8 +24,8 @@
     Unchanged,
     /// All changes are active.
     InForce,
-    /// The VM's identity, addresses or change bounds differ, which takes effect at the next start;
-    /// all other changes are active.
+    /// The VM's identity, addresses, change bounds or pipelining differ, which takes effect at the next
+    /// start; all other changes are active.
     PartlyAtStart,
 }
 
@@ -47,13 +47,14 @@
         if *current == *settings {
             return ReloadOutcome::Unchanged;
         }
-        // Sockets, identity and the read schedule are fixed at the start.
+        // Sockets with what they serve, identity and the read schedule are fixed at the start.
         let updated = EntrySettings {
             vm: current.vm.clone(),
             failure_domain: current.failure_domain.clone(),
             listen: current.listen.clone(),
             store: current.store,
             changes: current.changes.clone(),
+            pipelining: current.pipelining,
             ..settings.clone()
         };
         let outcome = if updated == *settings {
--- a/src/serve/pipeline/read_ahead.rs
+++ b/src/serve/pipeline/read_ahead.rs
@@ -93,6 +93,11 @@
             result?;
             self.scan();
         }
+        if self.has_news() {
+            // The server is polled now. It is not polled again for the same bytes if it doesn't want
+            // them, as when it has stopped reading but is still writing a response.
+            self.is_server_waiting = false;
+        }
         Ok(())
     }
 
@@ -104,8 +109,8 @@
 
     /// Whether the server or the socket must be polled again.
     pub(in crate::serve) fn needs_poll(&self) -> bool {
-        let has_news = self.released > 0 || self.is_eof;
-        (self.is_server_waiting && has_news) || (self.wants_bytes() && !self.is_socket_pending)
+        (self.is_server_waiting && self.has_news())
+            || (self.wants_bytes() && !self.is_socket_pending)
     }
 
     /// Whether requests run ahead and the buffer is full, so that reading cannot notice the end of the
@@ -121,6 +126,11 @@
         }
     }
 
+    /// Whether a read of the server would not wait.
+    fn has_news(&self) -> bool {
+        self.released > 0 || self.is_eof
+    }
+
     fn is_full(&self) -> bool {
         self.buffer.len() >= self.max_head_bytes
     }
