limits: bound hedges to a share of requests by route and service

Cause: hedges were bounded only by the shared budget for repeats, which retries need too, and operators could not set a limit of their own. Change: with `hedging` set, a hedge also needs a permit of its route and of its service (limits::hedge_limit). Requests earn fractions of permits, which carry over between windows, so that the share holds with few requests per entry and for any number of entries. A limited hedge is sent only to a free slot and while slots are left in the service. Outcomes are counted by route; the limits reload with SIGHUP. Without the setting the decisions are those of before.

--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -1,6 +1,7 @@
 //! Chooses the upstream of an attempt.
 
 mod candidate_pool;
+mod hedge_gain;
 mod load_picker;
 mod observe;
 mod path_monitor;
@@ -10,6 +11,7 @@
 mod report;
 mod utility_picker;
 
+pub use self::hedge_gain::LimitedHedgeSettings;
 pub use self::load_picker::{LoadPicker, LoadPickerSettings};
 pub use self::observe::{ObserveSettings, record_shared_report};
 pub use self::path_monitor::{PathChange, PathMonitor, PathResult, PathTrial, PathVerdict};
--- a/src/balance/pick.rs
+++ b/src/balance/pick.rs
@@ -85,6 +85,9 @@
     /// Upstreams with a load report up to this age come first, if one of them has room; none to
     /// disregard the age.
     pub preferred_report_age: Option<Duration>,
+    /// Whether operators limit hedges: a hedge then needs less gain, and is not sent while the
+    /// upstreams are full.
+    pub is_hedge_limited: bool,
 }
 
 impl<'a> PickRequest<'a> {
@@ -104,6 +107,7 @@
             rank: route.spec.rank,
             tenant: None,
             preferred_report_age: None,
+            is_hedge_limited: false,
         }
     }
 
--- a/src/balance/utility_picker.rs
+++ b/src/balance/utility_picker.rs
@@ -16,15 +16,13 @@
 
 use tokio::time::Instant;
 
+use crate::balance::hedge_gain::LimitedHedgeSettings;
 use crate::balance::observe::{self, ObserveSettings};
 use crate::balance::pick::{PickPurpose, PickRefusal, PickRequest, RequestProfile, UpstreamPicker};
 use crate::balance::report::{AttemptReport, LoadReport};
 use crate::core::{FailureDomain, UpstreamKey, UpstreamState};
 use crate::util::{SeededRandom, SharedRandom};
 
-/// Fraction of the usual service time assumed to remain for an attempt that has nearly reached or
-/// just passed that time.
-const MIN_REMAINING_FRACTION: f32 = 0.25;
 /// Highest estimated load at which an upstream counts as idle but for the new request. Above 1,
 /// because load from old reports decays without quite disappearing.
 const IDLE_LOAD: f32 = 1.2;
@@ -65,6 +63,8 @@
     pub warm_up_slowdown: f32,
     /// Least utility that a hedge must add, as a fraction of what the request can still be worth.
     pub min_hedge_gain: f32,
+    /// When hedges are sent instead, under an operators' limit.
+    pub limited_hedge: LimitedHedgeSettings,
     /// Multiple of the usual service time after which nothing known explains the delay of an
     /// attempt: its response or its connection may be lost.
     pub overdue_factor: f32,
@@ -98,6 +98,7 @@
             late_slot_share: 0.4,
             warm_up_slowdown: 2.0,
             min_hedge_gain: 0.3,
+            limited_hedge: LimitedHedgeSettings::default(),
             overdue_factor: 1.6,
             recheck_tolerance: 0.1,
             open_connection_bonus: 0.006,
@@ -112,17 +113,17 @@
 #[derive(Debug)]
 pub struct UtilityPicker {
     failure_domain: FailureDomain,
-    settings: UtilityPickerSettings,
+    pub(super) settings: UtilityPickerSettings,
     random: SharedRandom,
 }
 
 /// Expected result of sending one more request to an upstream.
 #[derive(Clone, Copy, Debug)]
-struct UpstreamEstimate {
-    key: UpstreamKey,
-    expected_secs: f32,
+pub(super) struct UpstreamEstimate {
+    pub(super) key: UpstreamKey,
+    pub(super) expected_secs: f32,
     /// Expected utility for the caller; the cost of transferred bytes is already taken off.
-    utility: f32,
+    pub(super) utility: f32,
     /// Whether the upstream may take one more request of this rank.
     has_room: bool,
 }
@@ -231,7 +232,7 @@
 
     /// Utility of a response that is expected after this time: at most 1, and below 0 if it is
     /// expected long after the goal.
-    fn response_utility(&self, expected_secs: f32, profile: RequestProfile) -> f32 {
+    pub(super) fn response_utility(&self, expected_secs: f32, profile: RequestProfile) -> f32 {
         let settings = &self.settings;
         let goal_secs = profile.goal_left.as_secs_f32();
         let deadline_secs = profile.deadline_left.as_secs_f32();
@@ -250,53 +251,6 @@
         goal_probability + late - settings.wait_cost * wait_share
     }
 
-    /// Whether a hedge to `best` beside the running attempt adds enough utility.
-    fn is_hedge_worth(
-        &self,
-        best: &UpstreamEstimate,
-        request: PickRequest<'_>,
-        now: Instant,
-    ) -> bool {
-        let meets_goal = best.expected_secs < request.profile.goal_left.as_secs_f32();
-        let max_utility = if meets_goal { 1.0 } else { self.settings.late_utility };
-        let gain = best.utility - self.wait_utility(request, now);
-        gain >= self.settings.min_hedge_gain * max_utility
-    }
-
-    /// Expected utility of waiting for the running attempt alone.
-    fn wait_utility(&self, request: PickRequest<'_>, now: Instant) -> f32 {
-        let running = request.tried.last().and_then(|key| request.snapshot.upstreams.get(*key));
-        let Some(upstream) = running else { return 0.0 };
-        let remaining_secs = self.remaining_secs(upstream, request.profile, now);
-        self.response_utility(remaining_secs, request.profile)
-    }
-
-    /// Expected time until the running attempt at `upstream` ends.
-    fn remaining_secs(
-        &self,
-        upstream: &UpstreamState,
-        profile: RequestProfile,
-        now: Instant,
-    ) -> f32 {
-        let mut service_secs = profile.service_time.as_secs_f32();
-        if profile.is_attempt_saturated {
-            service_secs *= profile.saturation_factor;
-        }
-        let elapsed_secs = profile.attempt_elapsed.as_secs_f32();
-        let min_remaining_secs =
-            (service_secs - elapsed_secs).max(MIN_REMAINING_FRACTION * service_secs);
-        let slowdown_secs = match profile.attempt_slowdown {
-            Some(factor) => service_secs * (factor - 1.0).max(0.0),
-            None => self.slowdown_secs(upstream, service_secs, now),
-        };
-        let overdue_secs = self.settings.overdue_factor * service_secs + slowdown_secs;
-        if elapsed_secs <= overdue_secs {
-            return (service_secs + slowdown_secs - elapsed_secs).max(min_remaining_secs);
-        }
-        // Nothing known explains the delay; the longer it lasts, the less likely a response is.
-        elapsed_secs * elapsed_secs / overdue_secs
-    }
-
     /// Expected time until one more request is answered, without the network.
     fn expected_secs(
         &self,
@@ -322,7 +276,12 @@
 
     /// Time that a slowdown of the upstream's machine adds to service that begins now, weighted by
     /// the age of the report of it.
-    fn slowdown_secs(&self, upstream: &UpstreamState, service_secs: f32, now: Instant) -> f32 {
+    pub(super) fn slowdown_secs(
+        &self,
+        upstream: &UpstreamState,
+        service_secs: f32,
+        now: Instant,
+    ) -> f32 {
         let stats = upstream.stats();
         let Some(factor) = stats.slowdown_factor().filter(|factor| *factor > 1.0) else {
             return 0.0;
@@ -352,8 +311,7 @@
         let now = Instant::now();
         let best = self.best(request, request.tried, now);
         if request.purpose == PickPurpose::Hedge {
-            let best = best.filter(|best| self.is_hedge_worth(best, request, now));
-            return best.map(|best| best.key).ok_or(PickRefusal::NoUpstream);
+            return self.pick_hedge(best, request, now);
         }
         let best = best.or_else(|| self.best(request, &[], now));
         let Some(best) = best else {
@@ -375,6 +333,13 @@
         let Some(upstream) = request.snapshot.upstreams.get(chosen) else { return false };
         let now = Instant::now();
         let chosen = self.estimate(chosen, upstream, request, now);
+        let is_limited_hedge = request.purpose == PickPurpose::Hedge && request.is_hedge_limited;
+        if is_limited_hedge
+            && (!self.is_hedge_worth(&chosen, request, now)
+                || self.is_too_full(&chosen, request, now))
+        {
+            return false;
+        }
         let Some(best) = self.best(request, request.tried, now) else { return true };
         chosen.has_room >= best.has_room
             && chosen.utility + self.settings.recheck_tolerance >= best.utility
@@ -409,7 +374,7 @@
 
 /// Estimated requests in flight at the upstream from all entries. The peers' in-flight count of the
 /// last report decays to its average with the service time, in which those requests finish.
-fn estimated_load(upstream: &UpstreamState, service_secs: f32, now: Instant) -> f32 {
+pub(super) fn estimated_load(upstream: &UpstreamState, service_secs: f32, now: Instant) -> f32 {
     let stats = upstream.stats();
     let own = upstream.inflight() as f32;
     let Some(age) = stats.report_age(now) else { return own };
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -21,7 +21,7 @@
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::control_api::ControlApi;
 use crate::fleet::directory::EntryDirectory;
-use crate::fleet::entry_settings::EntrySettings;
+use crate::fleet::entry_settings::{EntrySettings, HedgeLimits};
 use crate::fleet::fleet_metrics::FleetMetrics;
 use crate::fleet::live_settings::LiveSettings;
 use crate::fleet::load_probe::{LoadProbeService, LoadProbeSettings, LoadRecorder};
@@ -189,6 +189,7 @@
     )
     .with_limits(RouteLimitSettings {
         repeats: Some(settings.repeats.allowance()),
+        hedging: settings.hedging.map(HedgeLimits::allowance),
         is_gate_disabled: true,
         part_seed: SeededRandom::from_entropy().bits(),
     });
--- a/src/fleet/entry_settings.rs
+++ b/src/fleet/entry_settings.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::read_schedule::ChangeBounds;
-use crate::limits::WindowAllowance;
+use crate::limits::{HedgeAllowance, WindowAllowance};
 use crate::ops::node_settings::LogSettings;
 use crate::util::duration_text;
 use crate::util::settings_file::{FieldError, ValidatedSettings};
@@ -110,6 +110,14 @@
     pub max_service_share: f64,
 }
 
+impl HedgeLimits {
+    /// The shares as a limit of the table of limits.
+    pub fn allowance(self) -> HedgeAllowance {
+        let Self { max_share, max_service_share } = self;
+        HedgeAllowance { max_share, max_service_share }
+    }
+}
+
 /// Pipelined requests: idempotent ones may start before the response to the first is complete.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
--- a/src/fleet/live_settings.rs
+++ b/src/fleet/live_settings.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::ArcSwap;
 
-use crate::fleet::entry_settings::EntrySettings;
+use crate::fleet::entry_settings::{EntrySettings, HedgeLimits};
 use crate::limits::LimitTable;
 
 /// The active settings; clones share them.
@@ -41,7 +41,7 @@
     }
 
     /// Activates reloaded settings, apart from those that are fixed at the start, and sets the
-    /// repeat allowance and the log level.
+    /// repeat allowance, the limit on hedges and the log level.
     pub fn replace(&self, settings: &EntrySettings) -> ReloadOutcome {
         let current = self.load();
         if *current == *settings {
@@ -62,6 +62,9 @@
             ReloadOutcome::PartlyAtStart
         };
         self.limits.set_repeat_allowance(updated.repeats.allowance());
+        if updated.hedging != current.hedging {
+            self.limits.set_hedge_allowance(updated.hedging.map(HedgeLimits::allowance));
+        }
         log::set_max_level(updated.log.level);
         self.current.store(Arc::new(updated));
         outcome
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -4,7 +4,8 @@
 //! tenants, under an [`AdaptiveLimit`]. [`RetryBudget`] and [`HedgeBudget`] bound further attempts.
 //! All of these are kept per route name (gates per group of routes), so that a configuration change
 //! does not refill a budget. [`WindowBudget`] replaces the two budgets where a platform sets an
-//! allowance for the whole deployment, [`LoadCheckLimiter`] bounds the load checks sent to
+//! allowance for the whole deployment, [`HedgeLimit`] is the operators' limit on hedges, on top of
+//! the budgets, [`LoadCheckLimiter`] bounds the load checks sent to
 //! upstreams, [`RouteCostEstimator`] estimates the cost of a route's requests, [`PartSequence`]
 //! divides the requests of a split route, and [`QuarantineTable`] names the requests that are refused
 //! because they crash upstreams.
@@ -14,6 +15,9 @@
 mod connection_share;
 mod fair_queue;
 mod hedge_budget;
+mod hedge_counts;
+mod hedge_limit;
+mod hedge_table;
 mod latency_window;
 mod load_check_limiter;
 mod part_sequence;
@@ -30,6 +34,8 @@
 pub use self::connection_share::{EntryCountWindow, connection_share};
 pub use self::fair_queue::{FairQueue, QueueFlow};
 pub use self::hedge_budget::HedgeBudget;
+pub use self::hedge_counts::{HEDGE_EVENTS, HedgeCounts, HedgeEvent};
+pub use self::hedge_limit::{HEDGE_WINDOW, HedgeAllowance, HedgeLimit, HedgeLimitPair};
 pub use self::latency_window::LatencyWindow;
 pub use self::load_check_limiter::LoadCheckLimiter;
 pub use self::part_sequence::PartSequence;
--- a/src/limits/route_limits.rs
+++ b/src/limits/route_limits.rs
@@ -8,6 +8,9 @@
 use crate::core::{ConfigSnapshot, PartIndex, RouteKey, RouteRecord};
 use crate::limits::admission_gate::{AdmissionGate, GateSettings};
 use crate::limits::hedge_budget::HedgeBudget;
+use crate::limits::hedge_counts::HedgeCounts;
+use crate::limits::hedge_limit::{HedgeAllowance, HedgeLimitPair};
+use crate::limits::hedge_table::HedgeTable;
 use crate::limits::latency_window::LatencyWindow;
 use crate::limits::part_sequence::PartSequence;
 use crate::limits::retry_budget::RetryBudget;
@@ -22,6 +25,8 @@
     /// Allowance for repeats of the whole deployment, instead of the retry and hedge budgets of
     /// each route.
     pub repeats: Option<WindowAllowance>,
+    /// Operators' limit on hedges, beside the budgets; none for no further limit.
+    pub hedging: Option<HedgeAllowance>,
     /// Whether requests bypass the admission gate; the picker then decides which to refuse.
     pub is_gate_disabled: bool,
     /// Seed of the positions at which split routes begin to assign requests to their parts; each
@@ -47,6 +52,10 @@
     /// Budgets for repeats: one for each part of the route in order, or a single one if the route
     /// is not split; shared by routes with the same upstream selector. None without an allowance.
     window_budgets: ArcSwapOption<Vec<Arc<WindowBudget>>>,
+    /// Operators' limits on hedges, in the order of the window budgets. None if there is no limit.
+    hedge_limits: ArcSwapOption<Vec<HedgeLimitPair>>,
+    /// Hedges by outcome.
+    pub hedge_counts: HedgeCounts,
 }
 
 impl RouteLimits {
@@ -60,6 +69,8 @@
             cost_estimator: RouteCostEstimator::default(),
             part_sequence,
             window_budgets: ArcSwapOption::empty(),
+            hedge_limits: ArcSwapOption::empty(),
+            hedge_counts: HedgeCounts::default(),
         }
     }
 
@@ -69,6 +80,18 @@
         let index = part.map_or(0, |part| part.0 as usize);
         window_budgets.as_ref()?.get(index).cloned()
     }
+
+    /// Whether operators limit the hedges of the route.
+    pub fn is_hedging_limited(&self) -> bool {
+        self.hedge_limits.load().is_some()
+    }
+
+    /// Operators' limits on the hedges of a part; none if there is no such limit.
+    pub fn hedge_limits(&self, part: Option<PartIndex>) -> Option<HedgeLimitPair> {
+        let limits = self.hedge_limits.load();
+        let index = part.map_or(0, |part| part.0 as usize);
+        limits.as_ref()?.get(index).cloned()
+    }
 }
 
 /// Limits of all routes by name.
@@ -107,6 +130,9 @@
     window_budgets: FastMap<String, Arc<WindowBudget>>,
     /// Allowance for repeats that replaced the one in the settings.
     allowance: Option<WindowAllowance>,
+    hedges: HedgeTable,
+    /// Operators' limit on hedges in force.
+    hedging: Option<HedgeAllowance>,
 }
 
 /// Limits in the order of one snapshot's routes.
@@ -120,11 +146,12 @@
     /// Creates an empty table.
     pub fn new(settings: RouteLimitSettings) -> Self {
         let part_random = Mutex::new(SeededRandom::new(settings.part_seed));
+        let retained = RetainedLimits { hedging: settings.hedging, ..RetainedLimits::default() };
         Self {
             settings,
             entries: AtomicU32::default(),
             current: ArcSwapOption::default(),
-            retained: Mutex::default(),
+            retained: Mutex::new(retained),
             part_random,
         }
     }
@@ -146,6 +173,15 @@
         }
     }
 
+    /// Replaces the operators' limit on hedges; it is in force when the call returns, also for
+    /// requests that are running.
+    pub fn set_hedge_allowance(&self, allowance: Option<HedgeAllowance>) {
+        self.retained.lock().unwrap_or_else(PoisonError::into_inner).hedging = allowance;
+        if let Some(current) = self.current.load_full() {
+            self.rebuild(&current.snapshot);
+        }
+    }
+
     /// Sets the number of entries that share the allowance for repeats.
     pub fn set_entries(&self, entries: u32) {
         self.entries.store(entries, Ordering::Relaxed);
@@ -186,8 +222,11 @@
 
     fn rebuild(&self, snapshot: &Arc<ConfigSnapshot>) -> Arc<SnapshotLimits> {
         let mut retained = self.retained.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut next =
-            RetainedLimits { allowance: retained.allowance, ..RetainedLimits::default() };
+        let mut next = RetainedLimits {
+            allowance: retained.allowance,
+            hedging: retained.hedging,
+            ..RetainedLimits::default()
+        };
         let allowance = self.settings.repeats.map(|repeats| retained.allowance.unwrap_or(repeats));
         let mut routes = Vec::with_capacity(snapshot.routes.len());
         for (route, group) in snapshot.routes.iter().zip(route_groups(snapshot)) {
@@ -201,9 +240,14 @@
                 Some(limits) if Arc::ptr_eq(&limits.gate, gate) => limits,
                 _ => Arc::new(RouteLimits::new(Arc::clone(gate), self.new_part_sequence())),
             };
+            let selectors = service_selectors(route);
+            let hedge_limits = retained.hedging.map(|allowance| {
+                Arc::new(next.hedges.limits_of(route, &selectors, allowance, &retained.hedges))
+            });
+            limits.hedge_limits.store(hedge_limits);
             if let Some(allowance) = allowance {
                 let budgets = window_budgets_of(
-                    route,
+                    selectors,
                     allowance,
                     &retained.window_budgets,
                     &mut next.window_budgets,
@@ -220,13 +264,9 @@
     }
 }
 
-/// Budgets for the repeats of a route's parts; those in `retained` are reused.
-fn window_budgets_of(
-    route: &RouteRecord,
-    allowance: WindowAllowance,
-    retained: &FastMap<String, Arc<WindowBudget>>,
-    next: &mut FastMap<String, Arc<WindowBudget>>,
-) -> Vec<Arc<WindowBudget>> {
+/// Texts of the upstream selectors of a route's parts, or of the route if it is not split. Routes
+/// with the same selector send to the same service.
+fn service_selectors(route: &RouteRecord) -> Vec<String> {
     let mut selectors = Vec::with_capacity(route.spec.parts.len().max(1));
     for part in &route.spec.parts {
         selectors.push(part.upstreams.to_string());
@@ -234,6 +274,16 @@
     if selectors.is_empty() {
         selectors.push(route.spec.upstreams.to_string());
     }
+    selectors
+}
+
+/// Budgets for the repeats of the services with these selectors; those in `retained` are reused.
+fn window_budgets_of(
+    selectors: Vec<String>,
+    allowance: WindowAllowance,
+    retained: &FastMap<String, Arc<WindowBudget>>,
+    next: &mut FastMap<String, Arc<WindowBudget>>,
+) -> Vec<Arc<WindowBudget>> {
     let mut budgets = Vec::with_capacity(selectors.len());
     for selector in selectors {
         let known = retained.get(&selector).cloned();
--- a/src/request/attempt_trace.rs
+++ b/src/request/attempt_trace.rs
@@ -88,9 +88,12 @@
     }
 
     pub(super) fn refused(&mut self, role: AttemptRole, refusal: StartRefusal) {
-        // A hedge that found no better upstream is routine; only a spent budget is logged.
+        // A hedge that found no better upstream is routine; only a limit or a spent budget is logged.
         if role != AttemptRole::Hedge
-            || matches!(refusal, StartRefusal::BudgetSpent | StartRefusal::Quarantined)
+            || matches!(
+                refusal,
+                StartRefusal::BudgetSpent | StartRefusal::HedgeLimit | StartRefusal::Quarantined
+            )
         {
             self.refused = Some((role, refusal));
         }
--- a/src/request/data_plane.rs
+++ b/src/request/data_plane.rs
@@ -353,9 +353,13 @@
         let budget = &admitted.snapshot.budget;
         admitted.limits.retries.record_request(budget.retry_ratio);
         admitted.limits.hedges.record_request(budget.hedge_ratio);
-        let window = admitted.limits.window_budget(part)?;
         // A repeat has been counted where it came from.
-        if forwarded.is_none_or(|forwarded| forwarded.order == AttemptOrder::First) {
+        let is_first = forwarded.is_none_or(|forwarded| forwarded.order == AttemptOrder::First);
+        if is_first && let Some(hedge_limits) = admitted.limits.hedge_limits(part) {
+            hedge_limits.record_request();
+        }
+        let window = admitted.limits.window_budget(part)?;
+        if is_first {
             window.record_request();
         }
         Some(RepeatBudgetShare { window, entries: self.limits.entries() })
--- a/src/request/execution.rs
+++ b/src/request/execution.rs
@@ -38,6 +38,7 @@
 use crate::request::forward_attempt::PeerForwarder;
 use crate::request::forward_header::ForwardedRequest;
 use crate::request::forward_table::FORWARD_RETRY_AFTER;
+use crate::request::hedge_tally::HedgeTally;
 use crate::request::load_check::LoadChecker;
 use crate::request::upstream_notices::UpstreamNotices;
 use crate::request::upstream_selection::{AttemptHistory, PreparedAttempt};
@@ -169,6 +170,7 @@
             attempts: 0,
             is_forwarded: false,
         };
+        let mut tally = HedgeTally::new(&self.limits.hedge_counts);
         let mut refusal: Option<ExecutionFailure> = None;
         let mut last_response: Option<FinishedAttempt<C::Body>> = None;
         let mut slot = pin!(None);
@@ -201,6 +203,7 @@
                     match prepared {
                         Ok(start) => {
                             trace.started(start.role, &start.upstream);
+                            tally.started(start.role, start.index);
                             history.began = Instant::now();
                             history.slowdown = start.slowdown;
                             history.is_saturated = takes_last_slot(&start.upstream) != Some(false);
@@ -216,11 +219,15 @@
                         }
                         Err(reason) => {
                             trace.refused(role, reason);
+                            tally.refused(role, reason);
                             event = ExecutionEvent::StartRefused(reason);
                         }
                     }
                 }
                 ExecutionAction::Wait { until } => {
+                    if state.is_hedge_unconfirmed() {
+                        tally.unconfirmed();
+                    }
                     let finished = tokio::select! {
                         biased;
                         finished = wait_slot(slot.as_mut()) => finished,
@@ -233,7 +240,10 @@
                     refusal = finished.failure.or(refusal);
                     event = record_end(finished, trace, &mut last_response);
                 }
-                ExecutionAction::Respond(index) => return forward_response(last_response, index),
+                ExecutionAction::Respond(index) => {
+                    tally.answered(index);
+                    return forward_response(last_response, index);
+                }
                 ExecutionAction::Fail(code) => {
                     let unsent = (code == ResultCode::NotRun).then_some(&*trace);
                     let last_resort = unsent
--- a/src/request/execution_state.rs
+++ b/src/request/execution_state.rs
@@ -82,6 +82,8 @@
     Crowded,
     /// The retry or hedge budget is exhausted.
     BudgetSpent,
+    /// The operators' limit on hedges is reached.
+    HedgeLimit,
     /// Upstreams have ended while they ran the request.
     Quarantined,
     /// This entry has no path to the upstreams, and no peer takes requests.
@@ -144,6 +146,8 @@
     started_attempts: u32,
     in_flight: u32,
     hedge_due: Option<Instant>,
+    /// Whether the last hedge that was due needed a confirmed configuration.
+    is_hedge_unconfirmed: bool,
     server_error_attempt: Option<AttemptIndex>,
     unknown_code: Option<ResultCode>,
 }
@@ -157,6 +161,7 @@
             started_attempts: 0,
             in_flight: 0,
             hedge_due: None,
+            is_hedge_unconfirmed: false,
             server_error_attempt: None,
             unknown_code: None,
         }
@@ -175,6 +180,12 @@
         }
     }
 
+    /// Whether the last hedge that was due was not started because the configuration is not
+    /// confirmed.
+    pub fn is_hedge_unconfirmed(&self) -> bool {
+        self.is_hedge_unconfirmed
+    }
+
     fn begin(&mut self, ctx: StepContext) -> ExecutionAction {
         if !self.has_time(ctx) {
             return ExecutionAction::Fail(ResultCode::NotRun);
@@ -253,7 +264,9 @@
         self.hedge_due = None;
         let has_no_hedge = self.in_flight == 1;
         let is_confirmed = ctx.confirmation == ConfigConfirmation::Confirmed;
-        if has_no_hedge && is_confirmed && self.is_idempotent() && self.allows_another(ctx) {
+        let may_hedge = has_no_hedge && self.is_idempotent() && self.allows_another(ctx);
+        self.is_hedge_unconfirmed = may_hedge && !is_confirmed;
+        if may_hedge && is_confirmed {
             return self.start(AttemptRole::Hedge);
         }
         self.hedge_due = self.policy.hedge_interval.map(|interval| ctx.now + interval);
--- a/src/request/forward_attempt.rs
+++ b/src/request/forward_attempt.rs
@@ -93,8 +93,8 @@
         let Some(peer) = table.pick(&[]) else {
             return (!table.path().accepts_connections()).then_some(Err(StartRefusal::NoPath));
         };
-        if !self.try_spend_budget(role) {
-            return Some(Err(StartRefusal::BudgetSpent));
+        if let Err(refusal) = self.try_spend_budget(role) {
+            return Some(Err(refusal));
         }
         history.is_forwarded = true;
         Some(Ok(forward_to(peer, role, history)))
@@ -287,6 +287,9 @@
         if let Some(share) = &self.repeat_budget_share {
             share.window.withdraw_request();
         }
+        if let Some(hedge_limits) = self.limits.hedge_limits(self.part) {
+            hedge_limits.withdraw_request();
+        }
     }
 
     /// Records that the upstream which answered the peer is leaving, so that it gets no requests from
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -24,6 +24,7 @@
 mod forward_header;
 mod forward_table;
 mod head_validation;
+mod hedge_tally;
 mod keyed;
 mod load_check;
 mod response;
--- a/src/request/upstream_selection.rs
+++ b/src/request/upstream_selection.rs
@@ -19,6 +19,7 @@
     AttemptReport, PathTrial, PickPurpose, PickRefusal, PickRequest, RequestProfile, UpstreamPicker,
 };
 use crate::core::{IdempotenceMode, InflightGuard, RouteRecord, UpstreamKey, UpstreamState};
+use crate::limits::HedgeLimitPair;
 use crate::request::attempt::UpstreamClient;
 use crate::request::attempt_trace::AttemptTrace;
 use crate::request::execution::{ExecutionContext, RequestExecution};
@@ -122,12 +123,13 @@
         if !self.has_budget(role) {
             return Err(StartRefusal::BudgetSpent);
         }
+        if let Some(refusal) = self.limit_refusal(role, route, ctx, history) {
+            return Err(refusal);
+        }
         let selected = self.select_within_limits(role, route, ctx, history, trace).await?;
         let SelectedUpstream { key, inflight, slowdown } = selected;
         let upstream = self.snapshot.upstreams.get(key).ok_or(StartRefusal::NoUpstream)?;
-        if !self.try_spend_budget(role) {
-            return Err(StartRefusal::BudgetSpent);
-        }
+        self.try_spend_budget(role)?;
         Ok(PreparedAttempt {
             index: history.attempts as AttemptIndex,
             role,
@@ -179,10 +181,7 @@
         let mut excluded = history.tried.clone();
         let mut quota = self.check_quota(role, ctx, history);
         loop {
-            let mut pick = self.pick_request(role, route, &excluded, ctx);
-            pick.profile.attempt_elapsed = history.began.elapsed();
-            pick.profile.attempt_slowdown = history.slowdown;
-            pick.profile.is_attempt_saturated = history.is_saturated;
+            let mut pick = self.pick_request(role, route, &excluded, ctx).after(history);
             if quota.selection == 0 {
                 pick.preferred_report_age =
                     ctx.load_checker.map(|checker| checker.settings.preferred_report_age);
@@ -301,9 +300,37 @@
             rank: self.class.rank,
             tenant: self.class.authenticated.as_deref(),
             preferred_report_age: None,
+            is_hedge_limited: self.limits.is_hedging_limited(),
         }
     }
 
+    /// Why the operators' limit does not allow a hedge; a hedge without a gain is not refused for
+    /// the limit.
+    fn limit_refusal<C, P: UpstreamPicker>(
+        &self,
+        role: AttemptRole,
+        route: &RouteRecord,
+        ctx: &ExecutionContext<'_, C, P>,
+        history: &AttemptHistory,
+    ) -> Option<StartRefusal> {
+        let limits = self.hedge_limits(role)?;
+        if limits.can_spend() {
+            return None;
+        }
+        let pick = self.pick_request(role, route, &history.tried, ctx).after(history);
+        Some(match ctx.picker.pick(pick) {
+            Ok(_) => StartRefusal::HedgeLimit,
+            Err(PickRefusal::NoUpstream) => StartRefusal::NoUpstream,
+            Err(PickRefusal::Crowded) => StartRefusal::Crowded,
+        })
+    }
+
+    /// Operators' limits that an attempt counts against.
+    fn hedge_limits(&self, role: AttemptRole) -> Option<HedgeLimitPair> {
+        let is_hedge = role == AttemptRole::Hedge;
+        is_hedge.then(|| self.limits.hedge_limits(self.part)).flatten()
+    }
+
     /// Whether the budget allows the attempt, as far as that is known before it is spent.
     fn has_budget(&self, role: AttemptRole) -> bool {
         match (role, &self.repeat_budget_share) {
@@ -312,13 +339,34 @@
         }
     }
 
-    /// Spends the budget for an attempt; false if it is exhausted.
-    pub(super) fn try_spend_budget(&self, role: AttemptRole) -> bool {
-        match (role, &self.repeat_budget_share) {
+    /// Spends the budget for an attempt, and the operators' limit for a hedge.
+    pub(super) fn try_spend_budget(&self, role: AttemptRole) -> Result<(), StartRefusal> {
+        let hedge_limits = self.hedge_limits(role);
+        if hedge_limits.as_ref().is_some_and(|limits| !limits.try_spend()) {
+            return Err(StartRefusal::HedgeLimit);
+        }
+        let is_spent = match (role, &self.repeat_budget_share) {
             (AttemptRole::First, _) => true,
             (_, Some(share)) => share.window.try_spend(share.entries),
             (AttemptRole::Retry, None) => self.limits.retries.try_spend(),
             (AttemptRole::Hedge, None) => self.limits.hedges.try_spend(),
+        };
+        if is_spent {
+            return Ok(());
+        }
+        if let Some(limits) = hedge_limits {
+            limits.refund();
         }
+        Err(StartRefusal::BudgetSpent)
+    }
+}
+
+impl PickRequest<'_> {
+    /// The same request with what is known about its last attempt.
+    fn after(mut self, history: &AttemptHistory) -> Self {
+        self.profile.attempt_elapsed = history.began.elapsed();
+        self.profile.attempt_slowdown = history.slowdown;
+        self.profile.is_attempt_saturated = history.is_saturated;
+        self
     }
 }
--- a/src/serve/limit_metrics.rs
+++ b/src/serve/limit_metrics.rs
@@ -6,7 +6,7 @@
 use prometheus::proto::MetricFamily;
 use prometheus::{GaugeVec, Opts, Registry};
 
-use crate::limits::LimitTable;
+use crate::limits::{HEDGE_EVENTS, LimitTable};
 
 /// Collector of the limits of all routes of one node.
 #[derive(Debug)]
@@ -18,6 +18,7 @@
     retry_tokens: GaugeVec,
     retries: GaugeVec,
     hedges: GaugeVec,
+    hedge_outcomes: GaugeVec,
     part_requests: GaugeVec,
 }
 
@@ -30,6 +31,7 @@
     pub fn register(registry: &Registry, limits: Arc<LimitTable>) -> prometheus::Result<()> {
         let gauge = |name, help| GaugeVec::new(Opts::new(name, help), &["route"]);
         let attempts = |name, help| GaugeVec::new(Opts::new(name, help), &["route", "budget"]);
+        let outcomes = |name, help| GaugeVec::new(Opts::new(name, help), &["route", "outcome"]);
         let parts = |name, help| GaugeVec::new(Opts::new(name, help), &["route", "part"]);
         let metrics = Self {
             limits,
@@ -39,6 +41,10 @@
             retry_tokens: gauge("heatherfall_retry_tokens", "Retries that the budget allows now.")?,
             retries: attempts("heatherfall_retries", "Retries, by decision of the budget.")?,
             hedges: attempts("heatherfall_hedges", "Hedges, by decision of the budget.")?,
+            hedge_outcomes: outcomes(
+                "heatherfall_hedge_outcomes",
+                "Hedges started, won and lost, and requests without a hedge, by reason.",
+            )?,
             part_requests: parts(
                 "heatherfall_part_requests",
                 "Requests of split routes, by part.",
@@ -47,7 +53,7 @@
         registry.register(Box::new(metrics))
     }
 
-    fn gauges(&self) -> [&GaugeVec; 7] {
+    fn gauges(&self) -> [&GaugeVec; 8] {
         [
             &self.limit,
             &self.in_flight,
@@ -55,6 +61,7 @@
             &self.retry_tokens,
             &self.retries,
             &self.hedges,
+            &self.hedge_outcomes,
             &self.part_requests,
         ]
     }
@@ -81,6 +88,10 @@
                 let part = part.to_string();
                 self.part_requests.with_label_values(&[name[0], &part]).set(count as f64);
             }
+            for event in HEDGE_EVENTS {
+                let count = limits.hedge_counts.get(event) as f64;
+                self.hedge_outcomes.with_label_values(&[name[0], event.as_str()]).set(count);
+            }
             let budgets =
                 [(&self.retries, limits.retries.usage()), (&self.hedges, limits.hedges.usage())];
             for (vec, usage) in budgets {
