experiment: simulate hedging with the daemon's data plane

Cause: the comparison of policies has no hedges, so rules for hedges could not be compared without a deployment. Change: ops::experiment::hedging runs data planes and pickers of the entries against simulated upstreams whose machines become slow at random, on the paused clock; heatherfall-load hedging prints a row for each rule.

--- a/src/bin/heatherfall-load/main.rs
+++ b/src/bin/heatherfall-load/main.rs
@@ -2,6 +2,7 @@
 
 mod compare;
 mod experiment;
+mod hedging;
 mod ledger;
 mod path;
 mod run;
@@ -27,6 +28,8 @@
     Compare(compare::CompareArgs),
     /// Compare load balancing policies by simulation, without sockets.
     Experiment(experiment::ExperimentArgs),
+    /// Compare rules for hedges by simulation, without sockets.
+    Hedging(hedging::HedgingArgs),
     /// Measure the latency that an entry adds to a call, in one process with stand-ins.
     Path(path::PathArgs),
     /// Measure the at-most-once ledger over the platform stand-in, without sockets.
@@ -40,6 +43,7 @@
         LoadCommand::Run(args) => run::execute(args),
         LoadCommand::Compare(args) => compare::execute(&args),
         LoadCommand::Experiment(args) => experiment::execute(&args),
+        LoadCommand::Hedging(args) => hedging::execute(&args),
         LoadCommand::Path(args) => path::execute(&args),
         LoadCommand::Ledger(args) => ledger::execute(&args),
         LoadCommand::Slopes(args) => slopes::execute(&args),
--- a/src/ops/experiment/mod.rs
+++ b/src/ops/experiment/mod.rs
@@ -3,9 +3,11 @@
 //! Each simulated entry has a picker of its own, called through the daemon's
 //! [`UpstreamPicker`](crate::balance::UpstreamPicker) trait: it picks for each attempt, and records
 //! the result, with the load report of the response, after the network delay of the response.
-//! Hedges are not simulated; a shed, a refused connection or an error leads to another attempt, as
+//! Hedges are simulated by [`hedging`] alone; a shed, a refused connection or an error leads to another attempt, as
 //! for idempotent requests.
 
+pub mod hedging;
+
 mod arrivals;
 mod baseline;
 mod entry;
