limits: let unused permits for hedges expire after a third of the window

Cause: with permits that live as long as the window, 135 entries that had been quiet sent 1,072 hedges for 21,341 requests in one window, above the share of 0.05 (1,067): each entry rounds its share up by one permit. Change: the window is 60 s, a permit lives 20 s, and requests earn three quarters of the share, so that a window and the lifetime before it hold no more permits than the share of the window.

--- a/src/limits/hedge_limit.rs
+++ b/src/limits/hedge_limit.rs
@@ -1,16 +1,18 @@
 //! Operators' limit on hedges, as a share of the requests of a route or a service.
 //!
 //! ```text
-//! request -> credit += share; a full credit becomes a permit, valid for one window
-//! hedge   -> allowed while the window holds more permits than hedges
+//! request -> credit += share; a full credit becomes a permit, which expires unless it is used
+//! hedge   -> takes the oldest permit
 //! ```
 //!
 //! An entry sees only a few requests per second, so its share of one window is often less than one
 //! hedge. The credit carries such fractions over from window to window, and a new entry starts
 //! without credit, so that an entry never sends more hedges than the share of the requests that it
 //! has seen. A permit that is not used expires, so that entries with little need for hedges don't
-//! save up permits that all of them would spend at the same moment. The limit is thus the same for
-//! any number of entries and needs no messages between them.
+//! save up permits that all of them would spend at the same moment. Hedges within a window use
+//! permits that were earned within the window and one lifetime before it; for the sum over many
+//! entries to stay within the share, the credit is reduced accordingly. The limit is thus the same
+//! for any number of entries and needs no messages between them.
 
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -18,15 +20,15 @@
 
 use tokio::time::Instant;
 
-/// Length of the sliding window, after which an unused permit expires. A route with a share of 0.05
-/// and one request per second on this entry gains a permit every 20 s; with a shorter window, it
-/// would lose most of its permits before a slow request needs one.
-pub const HEDGE_WINDOW: Duration = Duration::from_secs(30);
-/// Counting steps into which the window is divided.
-const STEPS_PER_WINDOW: u32 = 20;
-/// Share of the allowance that is used. The rest covers the step that is just leaving the window, and
-/// entries that happen to earn their permits in the same window.
-const USED_SHARE: f64 = 0.9;
+/// Length of the sliding window in which the hedges of all entries stay within the share of requests.
+pub const HEDGE_WINDOW: Duration = Duration::from_secs(60);
+/// Time after which an unused permit expires. With a shorter time, routes with few requests per
+/// entry lose more of their permits; with a longer one, more hedges may follow a quiet time at once.
+pub const PERMIT_LIFETIME: Duration = Duration::from_secs(20);
+/// Counting steps into which the lifetime of a permit is divided.
+const STEPS_PER_LIFETIME: u32 = 20;
+/// Permits earned per request, as a fraction of the share: a window over a window and a lifetime.
+const USED_SHARE: f64 = 0.75;
 
 /// Hedges that operators allow.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -40,8 +42,8 @@
 #[derive(Clone, Copy, Debug)]
 struct LimitStep {
     started: Instant,
+    /// Unused permits that were earned in the step.
     permits: u32,
-    hedges: u32,
 }
 
 /// Bounds the hedges of this entry to a share of requests.
@@ -55,7 +57,7 @@
     share: f64,
     /// Fraction of the next permit that requests have earned so far.
     credit: f64,
-    /// Steps of the current window, oldest first; the last one is still counting.
+    /// Steps whose permits have not expired, oldest first; the last one is still counting.
     steps: VecDeque<LimitStep>,
 }
 
@@ -67,7 +69,7 @@
     }
 
     /// Replaces the share. A lower share takes effect at once: it withdraws the permits that
-    /// requests earned under the higher one. Hedges that were already sent still count.
+    /// requests earned under the higher one.
     pub fn set_share(&self, share: f64) {
         let mut state = self.lock();
         if share < state.share {
@@ -87,9 +89,7 @@
             return;
         }
         state.credit -= 1.0;
-        if let Some(step) = state.current_step() {
-            step.permits += 1;
-        }
+        state.add_permit();
     }
 
     /// Removes the credit of one recorded request, because the entry that it was forwarded to
@@ -99,29 +99,29 @@
         state.credit -= USED_SHARE * state.share;
     }
 
-    /// Counts one hedge if it is allowed.
+    /// Takes a permit for one hedge; false if there is none.
     pub fn try_spend(&self) -> bool {
         let mut state = self.lock();
-        if !state.allows_another() {
-            return false;
-        }
-        if let Some(step) = state.current_step() {
-            step.hedges += 1;
-        }
+        state.remove_expired(Instant::now());
+        let Some(step) = state.steps.iter_mut().find(|step| step.permits > 0) else { return false };
+        step.permits -= 1;
         true
     }
 
-    /// Takes back a counted hedge that was not sent.
+    /// Puts back the permit of a hedge that was not sent.
     pub fn refund(&self) {
         let mut state = self.lock();
-        if let Some(step) = state.steps.iter_mut().rev().find(|step| step.hedges > 0) {
-            step.hedges -= 1;
+        match state.steps.front_mut() {
+            Some(step) => step.permits += 1,
+            None => state.add_permit(),
         }
     }
 
     /// Whether [`Self::try_spend`] would succeed now.
     pub fn can_spend(&self) -> bool {
-        self.lock().allows_another()
+        let mut state = self.lock();
+        state.remove_expired(Instant::now());
+        state.steps.iter().any(|step| step.permits > 0)
     }
 
     fn lock(&self) -> MutexGuard<'_, LimitState> {
@@ -130,29 +130,20 @@
 }
 
 impl LimitState {
-    /// Whether the window holds a permit that no hedge has used. A hedge that was allowed by an
-    /// expired permit still counts until it leaves the window itself.
-    fn allows_another(&mut self) -> bool {
-        self.remove_expired(Instant::now());
-        let permits: u32 = self.steps.iter().map(|step| step.permits).sum();
-        let hedges: u32 = self.steps.iter().map(|step| step.hedges).sum();
-        hedges < permits
-    }
-
     fn remove_expired(&mut self, now: Instant) {
-        while self.steps.front().is_some_and(|step| now - step.started >= HEDGE_WINDOW) {
+        while self.steps.front().is_some_and(|step| now - step.started >= PERMIT_LIFETIME) {
             self.steps.pop_front();
         }
     }
 
-    fn current_step(&mut self) -> Option<&mut LimitStep> {
+    fn add_permit(&mut self) {
         let now = Instant::now();
         self.remove_expired(now);
-        let length = HEDGE_WINDOW / STEPS_PER_WINDOW;
-        if self.steps.back().is_none_or(|step| now - step.started >= length) {
-            self.steps.push_back(LimitStep { started: now, permits: 0, hedges: 0 });
+        let length = PERMIT_LIFETIME / STEPS_PER_LIFETIME;
+        match self.steps.back_mut().filter(|step| now - step.started < length) {
+            Some(step) => step.permits += 1,
+            None => self.steps.push_back(LimitStep { started: now, permits: 1 }),
         }
-        self.steps.back_mut()
     }
 }
 
@@ -183,7 +174,7 @@
         self.route.can_spend() && self.service.can_spend()
     }
 
-    /// Counts one hedge if both limits allow it.
+    /// Takes a permit of each limit for one hedge; false if one of them has none.
     pub fn try_spend(&self) -> bool {
         if !self.route.try_spend() {
             return false;
@@ -195,7 +186,7 @@
         true
     }
 
-    /// Takes back a counted hedge that was not sent.
+    /// Puts back the permits of a hedge that was not sent.
     pub fn refund(&self) {
         self.route.refund();
         self.service.refund();
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -35,7 +35,9 @@
 pub use self::fair_queue::{FairQueue, QueueFlow};
 pub use self::hedge_budget::HedgeBudget;
 pub use self::hedge_counts::{HEDGE_EVENTS, HedgeCounts, HedgeEvent};
-pub use self::hedge_limit::{HEDGE_WINDOW, HedgeAllowance, HedgeLimit, HedgeLimitPair};
+pub use self::hedge_limit::{
+    HEDGE_WINDOW, HedgeAllowance, HedgeLimit, HedgeLimitPair, PERMIT_LIFETIME,
+};
 pub use self::latency_window::LatencyWindow;
 pub use self::load_check_limiter::LoadCheckLimiter;
 pub use self::part_sequence::PartSequence;
--- a/tests/testsuite/hedge_limit.rs
+++ b/tests/testsuite/hedge_limit.rs
@@ -6,7 +6,7 @@
 
 use heatherfall::core::{BudgetSpec, RouteKey};
 use heatherfall::limits::{
-    HEDGE_WINDOW, HedgeAllowance, HedgeLimit, LimitTable, RouteLimitSettings,
+    HEDGE_WINDOW, HedgeAllowance, HedgeLimit, LimitTable, PERMIT_LIFETIME, RouteLimitSettings,
 };
 use heatherfall::util::SeededRandom;
 use serde_json::json;
@@ -96,7 +96,7 @@
         limit.record_request();
     }
     assert!(limit.can_spend());
-    advance(HEDGE_WINDOW).await;
+    advance(PERMIT_LIFETIME).await;
     assert!(!limit.can_spend(), "the permits have expired");
     for _ in 0..10 {
         limit.record_request();
