request: log the hedges of a route by outcome, at most once a minute each

Cause: the log line of a request names no route, so the log did not show which route reaches its limit. Change: with a limit set, part hedge writes a line for each route and outcome but no_gain, at most one in 60 s, with the counts so far.

--- a/src/request/execution.rs
+++ b/src/request/execution.rs
@@ -170,7 +170,7 @@
             attempts: 0,
             is_forwarded: false,
         };
-        let mut tally = HedgeTally::new(&self.limits.hedge_counts);
+        let mut tally = HedgeTally::new(route, &self.limits);
         let mut refusal: Option<ExecutionFailure> = None;
         let mut last_response: Option<FinishedAttempt<C::Body>> = None;
         let mut slot = pin!(None);
--- a/src/request/hedge_tally.rs
+++ b/src/request/hedge_tally.rs
@@ -1,12 +1,16 @@
 //! Counts what became of the hedge of one request.
 
-use crate::limits::{HedgeCounts, HedgeEvent};
+use crate::core::RouteRecord;
+use crate::limits::{HedgeCounts, HedgeEvent, RouteLimits};
 use crate::request::execution_state::{AttemptIndex, AttemptRole, StartRefusal};
 
 /// Counts the hedge of one request when the request ends, also when its caller disconnects.
 #[derive(Debug)]
 pub(super) struct HedgeTally<'a> {
     counts: &'a HedgeCounts,
+    route: &'a str,
+    /// Whether operators limit the hedges of the route.
+    is_limited: bool,
     /// The hedge that was sent.
     hedge: Option<AttemptIndex>,
     /// Whether the hedge has answered the caller.
@@ -16,8 +20,15 @@
 }
 
 impl<'a> HedgeTally<'a> {
-    pub(super) fn new(counts: &'a HedgeCounts) -> Self {
-        Self { counts, hedge: None, is_won: false, refusal: None }
+    pub(super) fn new(route: &'a RouteRecord, limits: &'a RouteLimits) -> Self {
+        Self {
+            counts: &limits.hedge_counts,
+            route: &route.name,
+            is_limited: limits.is_hedging_limited(),
+            hedge: None,
+            is_won: false,
+            refusal: None,
+        }
     }
 
     /// Records that an attempt was sent.
@@ -64,8 +75,21 @@
             Some(_) => Some(HedgeEvent::Lost),
             None => self.refusal,
         };
-        if let Some(event) = event {
-            self.counts.record(event);
+        let Some(event) = event else { return };
+        self.counts.record(event);
+        // A hedge that promises no gain is routine.
+        if !self.is_limited || event == HedgeEvent::NoGain || !self.counts.take_log_turn(event) {
+            return;
         }
+        let (started, won) = (HedgeEvent::Started, HedgeEvent::Won);
+        log::info!(
+            target: "hedge",
+            "route={} outcome={} count={} started={} won={}",
+            self.route,
+            event.as_str(),
+            self.counts.get(event),
+            self.counts.get(started),
+            self.counts.get(won),
+        );
     }
 }
