--- a/src/limits/route_limits.rs
+++ b/src/limits/route_limits.rs
@@ -89,8 +89,11 @@
     /// Operators' limits on the hedges of a part; none if there is no such limit.
     pub fn hedge_limits(&self, part: Option<PartIndex>) -> Option<HedgeLimitPair> {
         let limits = self.hedge_limits.load();
+        let limits = limits.as_ref()?;
         let index = part.map_or(0, |part| part.0 as usize);
-        limits.as_ref()?.get(index).cloned()
+        // A request that was admitted under an earlier configuration may belong to a part that no
+        // longer exists; its hedges stay limited.
+        limits.get(index).or(limits.last()).cloned()
     }
 }
 
--- a/tests/testsuite/utility_picker.rs
+++ b/tests/testsuite/utility_picker.rs
@@ -391,3 +391,28 @@
     advance(Duration::from_millis(101)).await;
     assert_eq!(fixture.pick(), Ok(fixture.key(0)));
 }
+
+/// Guards against hedges that reach upstreams which take no requests, or that queue behind others.
+#[tokio::test(start_paused = true)]
+async fn a_limited_hedge_goes_only_to_a_free_slot_of_an_upstream_that_accepts_attempts() {
+    let mut fixture = PickerFixture::new(&[LOCAL_DOMAIN; 3], 0);
+    for index in 0..3 {
+        fixture.report(index, 0, 100);
+    }
+    fixture.profile.attempt_slowdown = Some(7.0);
+    let tried = [fixture.key(0)];
+    let pick = |fixture: &PickerFixture| {
+        let request = PickRequest::new(&fixture.snapshot, &fixture.snapshot.routes[0], &tried);
+        let (purpose, profile) = (PickPurpose::Hedge, fixture.profile);
+        let is_hedge_limited = true;
+        fixture.picker.pick(PickRequest { purpose, profile, is_hedge_limited, ..request })
+    };
+    fixture.upstream(1).set_evacuated(true);
+    assert_eq!(pick(&fixture), Ok(fixture.key(2)));
+    fixture.upstream(2).record_drain_signal(true, Duration::ZERO);
+    assert_eq!(pick(&fixture), Err(PickRefusal::NoUpstream), "evacuated and draining");
+    fixture.upstream(1).set_evacuated(false);
+    assert_eq!(pick(&fixture), Ok(fixture.key(1)));
+    let _busy = fixture.start_requests(1, SLOTS);
+    assert_eq!(pick(&fixture), Err(PickRefusal::Crowded), "the hedge would queue");
+}
