experiment: seeds of hedging trials one by one

Change: heatherfall-load hedging takes the first seed, and leaves out the triggers that the daemon does not have.

--- a/src/bin/heatherfall-load/hedging.rs
+++ b/src/bin/heatherfall-load/hedging.rs
@@ -13,7 +13,10 @@
 /// Arguments of `hedging`.
 #[derive(Args, Debug)]
 pub(crate) struct HedgingArgs {
-    /// Number of seeds, from 1; the results of all seeds are added.
+    /// First seed.
+    #[arg(long, default_value_t = 1)]
+    first_seed: u64,
+    /// Number of seeds; the results of all seeds are added.
     #[arg(long, default_value_t = 3)]
     seeds: u64,
     /// Arrival rate as a share of the capacity.
@@ -34,6 +37,9 @@
     /// Overdue factors to compare.
     #[arg(long, value_delimiter = ',', default_value = "1.6,2.0,2.4")]
     overdue: Vec<f32>,
+    /// Leave out the triggers that the daemon doesn't have.
+    #[arg(long)]
+    gains_only: bool,
     /// Share of the slots in use from which on no limited hedge is sent.
     #[arg(long, default_value_t = 0.75)]
     max_occupancy: f32,
@@ -84,6 +90,9 @@
     }
     let trigger = HedgeTrigger::Slowdown(2.0);
     rules.push(("load report".to_owned(), HedgeTrialSettings { trigger, ..limited }));
+    if args.gains_only {
+        rules.truncate(2 + args.gains.len() * args.overdue.len());
+    }
     println!(
         "| rule | hedges % | won % | extra busy % | p50 | p99 | p99.9 | in goal % | refused % | \
          limit | shared | no gain | full |\n|{}",
@@ -91,7 +100,7 @@
     );
     let mut base_busy = None;
     for (name, settings) in rules {
-        let stats = run_seeds(&settings, args.seeds)?;
+        let stats = run_seeds(&settings, args.first_seed, args.seeds)?;
         let busy = stats.busy.as_secs_f64();
         let base_busy = *base_busy.get_or_insert(busy);
         println!("| {name} {}", row(&stats, 100.0 * (busy / base_busy - 1.0)));
@@ -99,9 +108,13 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn run_seeds(settings: &HedgeTrialSettings, seeds: u64) -> miette::Result<HedgeTrialStats> {
-    let mut total = run_trial(&HedgeTrialSettings { seed: 1, ..settings.clone() })?;
-    for seed in 2..=seeds {
+fn run_seeds(
+    settings: &HedgeTrialSettings,
+    first_seed: u64,
+    seeds: u64,
+) -> miette::Result<HedgeTrialStats> {
+    let mut total = run_trial(&HedgeTrialSettings { seed: first_seed, ..settings.clone() })?;
+    for seed in first_seed + 1..first_seed + seeds {
         total.add(&run_trial(&HedgeTrialSettings { seed, ..settings.clone() })?);
     }
     Ok(total)
