fleet: stand in for a domain only after the rosters were read again

Cause: an entry that has not read the roster of a domain yet would take its entries' place, so that two groups of holders send to its cold upstreams while a deployment starts.

--- a/src/fleet/enrolment.rs
+++ b/src/fleet/enrolment.rs
@@ -92,6 +92,7 @@
             if final_list_at.is_some_and(|at| at <= Instant::now()) {
                 final_list_at = None;
                 self.repeat_until_done(EnrolmentStep::FinalList).await;
+                self.state.set_rosters_read();
             }
             if let Err(error) = self.add_live_entries().await {
                 log::warn!(target: "peer", "cannot write the roster, retrying reason={error}");
--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -434,8 +434,9 @@
     }
 
     /// The registered entries of all failure domains, dead ones included, and this entry if
-    /// `is_registered`, by failure domain.
-    pub fn registered_members(&self, is_registered: bool) -> WarmUpMembers {
+    /// `is_registered`, by failure domain. `may_stand_in` says whether this entry knows those of other
+    /// failure domains well enough to take the place of a domain without entries.
+    pub fn registered_members(&self, is_registered: bool, may_stand_in: bool) -> WarmUpMembers {
         let mut domains: BTreeMap<FailureDomain, Vec<VmId>> = BTreeMap::new();
         if is_registered {
             domains.insert(self.own.failure_domain.clone(), vec![self.own.vm.clone()]);
@@ -446,7 +447,7 @@
                 domain.push(vm.clone());
             }
         }
-        WarmUpMembers { own: self.own.vm.clone(), domains }
+        WarmUpMembers { own: self.own.vm.clone(), domains, may_stand_in }
     }
 
     /// The membership by name: live entries of the local failure domain, and all known entries of
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -87,6 +87,8 @@
     acting_from: Mutex<Option<Instant>>,
     /// Whether the enrolment has ended.
     is_listed: AtomicBool,
+    /// Whether the rosters were read once more, some seconds after the enrolment.
+    has_read_rosters: AtomicBool,
     /// Wakes the peer service when the outbox has something to send.
     pub(super) peer_wakeup: Notify,
     /// Wakes the store service when there may be something to read.
@@ -133,6 +135,7 @@
             read_schedule: ReadSchedule::default(),
             acting_from: Mutex::default(),
             is_listed: AtomicBool::default(),
+            has_read_rosters: AtomicBool::default(),
             peer_wakeup: Notify::new(),
             store_wakeup: Notify::new(),
             restore_notice: Notify::new(),
@@ -438,6 +441,16 @@
         self.is_listed.load(Ordering::Relaxed) && from <= now
     }
 
+    pub(super) fn set_rosters_read(&self) {
+        self.has_read_rosters.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether this entry knows also those that started at the same time in other failure domains.
+    /// One that does not enrol knows all it will.
+    pub(super) fn has_read_rosters(&self) -> bool {
+        self.has_read_rosters.load(Ordering::Relaxed) || self.acting_from().is_none()
+    }
+
     /// Whether this entry may be considered the leader of its failure domain.
     pub fn is_enrolled(&self) -> bool {
         self.is_listed.load(Ordering::Relaxed) || self.enrolment_deadline(Instant::now()).is_none()
--- a/src/fleet/warm_up_shares.rs
+++ b/src/fleet/warm_up_shares.rs
@@ -23,6 +23,8 @@
     pub own: VmId,
     /// Registered entries by failure domain, dead ones included.
     pub domains: BTreeMap<FailureDomain, Vec<VmId>>,
+    /// Whether the entries of all domains are the members for a domain without any.
+    pub may_stand_in: bool,
 }
 
 impl WarmUpMembers {
@@ -55,9 +57,13 @@
     }
 
     /// Number of members that precede this entry, and number of all members; `None` if this entry is
-    /// not one. A domain without registered entries has the entries of all domains as members.
+    /// not one. A domain without registered entries has the entries of all domains as members, if they
+    /// may stand in for it.
     fn rank(&self, upstream: &str, domain: &FailureDomain) -> Option<(usize, usize)> {
         let local = self.domains.get(domain).filter(|entries| !entries.is_empty());
+        if local.is_none() && !self.may_stand_in {
+            return None;
+        }
         let own = rendezvous_score(upstream, self.own.as_str(), 1.0);
         let (mut rank, mut entries, mut is_member) = (0, 0, false);
         for (member_domain, members) in &self.domains {
--- a/src/fleet/warm_ups.rs
+++ b/src/fleet/warm_ups.rs
@@ -18,8 +18,9 @@
     /// Tolerance of the settings; `None` if rates are not enforced.
     tolerance: Option<WarmUpTolerance>,
     members: Option<WarmUpMembers>,
-    /// Registered entries by the table when `members` were read, and whether this entry was one.
-    source: Option<(u64, bool)>,
+    /// Revision of the registered entries when `members` were read, whether this entry was one, and
+    /// whether it had read all rosters.
+    source: Option<(u64, bool, bool)>,
     /// Number of changes of tolerance and members.
     revision: u64,
 }
@@ -59,12 +60,12 @@
     pub(super) fn set_warm_up_shares(&self, snapshot: &ConfigSnapshot, now: Instant) {
         let mut plan = self.warm_up_plan();
         let Some(tolerance) = plan.tolerance else { return };
-        let is_registered = self.is_registered(now);
+        let (is_registered, may_stand_in) = (self.is_registered(now), self.has_read_rosters());
         {
             let table = self.table();
-            let source = Some((table.registered_revision(), is_registered));
+            let source = Some((table.registered_revision(), is_registered, may_stand_in));
             if plan.source != source {
-                plan.members = Some(table.registered_members(is_registered));
+                plan.members = Some(table.registered_members(is_registered, may_stand_in));
                 plan.source = source;
                 plan.revision += 1;
             }
--- a/tests/testsuite/cold_upstreams.rs
+++ b/tests/testsuite/cold_upstreams.rs
@@ -118,6 +118,7 @@
     unknown: Vec<usize>,
     warm_up: WarmUpLimit,
     registered_from: Instant,
+    has_rosters: bool,
 }
 
 fn vm(index: usize) -> String {
@@ -145,13 +146,15 @@
             register(&mut table, index);
         }
         let unknown = unknown.into_iter().collect();
-        Self { table, unknown, warm_up: WarmUpLimit::default(), registered_from: Instant::now() }
+        let (warm_up, registered_from) = (WarmUpLimit::default(), Instant::now());
+        Self { table, unknown, warm_up, registered_from, has_rosters: true }
     }
 
     /// Sends all that is allowed; each attempt is preceded by a load check that shows the warm-up.
     fn send(&self, tolerance: WarmUpTolerance, rate: f64, sent: &mut Vec<Instant>) {
         let now = Instant::now();
-        let members = self.table.registered_members(now >= self.registered_from);
+        // The last entry knows no entry of the domain, because it has not read all rosters yet.
+        let members = self.table.registered_members(now >= self.registered_from, self.has_rosters);
         let share = members.share("u", &FailureDomain::new("fd-a"), rate, tolerance);
         self.warm_up.set_share(share, 0);
         self.warm_up.record_probe(WarmUpStatement::Left(WARM_UP), Duration::ZERO);
@@ -178,7 +181,7 @@
         let unknown = (0..missing).map(|_| random.below(entries)).collect();
         let mut entry = ModelEntry::new(own, domain, known, unknown);
         if own == entries + 4 {
-            entry.registered_from += SECOND * 60;
+            entry.has_rosters = false;
         }
         fleet.push(entry);
     }
--- a/tests/testsuite/cold_upstreams/requests.rs
+++ b/tests/testsuite/cold_upstreams/requests.rs
@@ -140,7 +140,8 @@
     /// Puts the upstreams of the last domain back into service at entry `number`, as its
     /// registrations say.
     fn return_cold(&self, number: usize) {
-        let mut members = WarmUpMembers { own: VmId::new(&vm(number)), domains: BTreeMap::new() };
+        let (own, domains) = (VmId::new(&vm(number)), BTreeMap::new());
+        let mut members = WarmUpMembers { own, domains, may_stand_in: false };
         for entry in 0..DOMAINS.len() * DOMAIN_ENTRIES {
             let domain = FailureDomain::new(DOMAINS[entry / DOMAIN_ENTRIES]);
             members.domains.entry(domain).or_default().push(VmId::new(&vm(entry)));
--- a/tests/testsuite/fleet_peers.rs
+++ b/tests/testsuite/fleet_peers.rs
@@ -56,6 +56,8 @@
 fn a_decoded_message_equals_the_encoded_one() {
     let sent = message("entry-1", "fd-a", 7);
     let datagram = key().encode(&sent).expect("fits");
+    let text = String::from_utf8_lossy(&datagram).into_owned();
+    assert!(!text.contains("cold"), "an empty list is left out");
     assert_eq!(key().decode(&datagram), Ok(sent));
 }
 
