limits: enforce tenant quotas by permits of a few grantors

Cause: quotas were decoded but not enforced. Change: limits::tenant_quota decides, fleet::permit_exchange sends and receives permits in optional fields of PeerMessage, and the proxy obtains a permit before the body is read. Metrics by outcome. Result: builds; no test of the new parts has run yet.

--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -21,7 +21,7 @@
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::control_api::ControlApi;
 use crate::fleet::directory::EntryDirectory;
-use crate::fleet::entry_settings::EntrySettings;
+use crate::fleet::entry_settings::{EntrySettings, QuotaTolerance};
 use crate::fleet::fleet_metrics::FleetMetrics;
 use crate::fleet::live_settings::LiveSettings;
 use crate::fleet::load_probe::{LoadProbeService, LoadProbeSettings, LoadRecorder};
@@ -35,6 +35,7 @@
 use crate::kernel::ServiceKernel;
 use crate::ledger::{ClaimDecision, ClaimGrant, ClaimIntent, ClaimLedger, ClaimOutcome};
 use crate::limits::RouteLimitSettings;
+use crate::limits::tenant_quota::{QuotaAllowance, QuotaTable};
 use crate::membership::{
     AddressResolver, AssignmentSettings, ConfigFreshness, EntryRecord, EntryState, SharedMembership,
 };
@@ -45,8 +46,8 @@
 };
 use crate::serve::{
     CallerServer, CallerServerSettings, ConnectionPool, HttpUpstreamClient, LatencyMetrics,
-    LeavingFlag, LimitMetrics, PoolSettings, ProxyService, ProxySettings, RequestOrigin,
-    ResponseFraming, UpstreamPoolSettings,
+    LeavingFlag, LimitMetrics, PoolSettings, ProxyService, ProxySettings, QuotaMetrics,
+    RequestOrigin, ResponseFraming, UpstreamPoolSettings,
 };
 use crate::util::SeededRandom;
 
@@ -213,6 +214,15 @@
         .with_forwarding(forward_table)
         .with_read_schedule(ReadSchedule::new(&settings.changes))
         .with_metrics(FleetMetrics::new(&registry).into_diagnostic()?);
+    let quota = quota_table(&settings);
+    let state = match &quota {
+        Some(quota) => {
+            QuotaMetrics::register(&registry, Arc::clone(quota)).into_diagnostic()?;
+            let domains = settings.regions.keys().map(|domain| FailureDomain::new(domain));
+            state.with_quota(Arc::clone(quota), domains.collect())
+        }
+        None => state,
+    };
     let state = Arc::new(state);
     state.refresh_membership();
     let live_settings = LiveSettings::new(settings.clone(), plane.limits());
@@ -263,7 +273,11 @@
         AssignmentSettings::default(),
     ));
     let metrics = LatencyMetrics::new(&registry).into_diagnostic()?;
-    let proxy = Arc::new(ProxyService::new(plane, addresses, metrics, proxy_settings(&settings)));
+    let proxy = ProxyService::new(plane, addresses, metrics, proxy_settings(&settings));
+    let proxy = Arc::new(match quota {
+        Some(quota) => proxy.with_quota(quota),
+        None => proxy,
+    });
     let leaving_flag = proxy.leaving_flag();
     let forwarded = sockets.forwarded.run(Arc::clone(&proxy), stops.callers.clone());
     let callers = sockets.callers.run(proxy, stops.callers.clone());
@@ -375,6 +389,14 @@
     }
 }
 
+/// The quotas of tenants; `None` if the settings don't enforce them.
+fn quota_table(settings: &EntrySettings) -> Option<Arc<QuotaTable>> {
+    let QuotaTolerance { window, overage, slack } = settings.quota?;
+    let allowance = QuotaAllowance { window, overage, slack };
+    let random = SeededRandom::from_entropy();
+    Some(Arc::new(QuotaTable::new(allowance, VmId::new(&settings.vm), random)))
+}
+
 fn probe_counter(registry: &Registry) -> miette::Result<IntCounter> {
     let counter = IntCounter::new("heatherfall_probes_total", "Load probes sent by this entry.");
     let counter = counter.into_diagnostic()?;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -26,6 +26,7 @@
 //! - [`store_follower`]: follows the store; `enrolment` makes an entry known to the others, by the
 //!   [`roster`] of its failure domain.
 //! - [`peer_message`], [`peer_table`], [`peer_service`]: messages between entries, and liveness.
+//! - `permit_exchange`: asks other entries for permits of tenants' quotas, and answers them.
 //! - [`state`]: state that the services of an entry share.
 //! - [`limit_shares`]: divides the rate limits of upstreams; `rate_limits` shares news of them.
 //! - [`crash_update`]: which requests crash upstreams, shared by `crash_exchange`.
@@ -54,6 +55,7 @@
 pub mod peer_message;
 pub mod peer_service;
 pub mod peer_table;
+mod permit_exchange;
 mod rate_limits;
 pub mod read_schedule;
 pub mod roster;
--- a/src/fleet/peer_message.rs
+++ b/src/fleet/peer_message.rs
@@ -12,6 +12,7 @@
 use sha2::Sha256;
 
 use crate::fleet::view::{ViewChange, ViewWatermark};
+use crate::limits::tenant_quota::{PermitAnswer, PermitRequest};
 use crate::membership::EntryState;
 use crate::request::{ForwardKey, ForwardKeys};
 
@@ -28,7 +29,8 @@
     pub vm: String,
     /// Random number of the sender's process start.
     pub incarnation: u64,
-    /// Number of the message within the incarnation, ascending.
+    /// Number of the message within the incarnation, ascending; 0 for messages about permits, which
+    /// may arrive in any order and say nothing about the state of their sender.
     pub sequence: u64,
     /// Failure domain of the sender.
     pub failure_domain: String,
@@ -59,6 +61,16 @@
     /// Rate limits that the sender has just learned from upstreams.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LearnedLimit>,
+    /// Whether the sender grants permits of tenants' quotas if it is among the first entries of its
+    /// failure domain.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub grants_permits: bool,
+    /// Permits that the sender asks the receiver for.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub permit_requests: Vec<PermitRequest>,
+    /// Answers to permit requests of the receiver.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub permit_answers: Vec<PermitAnswer>,
 }
 
 fn enrolled_by_default() -> bool {
@@ -79,6 +91,11 @@
     pub fn parse(payload: &[u8]) -> Result<Self, MessageError> {
         serde_json::from_slice(payload).map_err(|_| MessageError::Malformed)
     }
+
+    /// Whether this message is about permits only.
+    pub(super) fn is_about_permits(&self) -> bool {
+        !self.permit_requests.is_empty() || !self.permit_answers.is_empty()
+    }
 }
 
 /// Confirmation that a view matched the store at some time.
--- a/src/fleet/peer_service.rs
+++ b/src/fleet/peer_service.rs
@@ -20,6 +20,7 @@
     LearnedLimit, MeasuredLoad, MessageError, MessageKey, PeerMessage,
 };
 use crate::fleet::peer_table::MessageScope;
+use crate::fleet::permit_exchange::{send_message, send_permit_requests};
 use crate::fleet::state::{FleetState, Outbox};
 use crate::fleet::view::ViewChange;
 use crate::kernel::{ServiceName, ServiceTask};
@@ -57,12 +58,16 @@
                 () = stop.cancelled() => break,
                 _ = ticks.tick() => {
                     self.state.refresh_membership();
+                    self.state.refresh_permits();
                     sender.send_due(&self.socket, &self.state).await;
                 }
                 () = self.state.peer_wakeup.notified() => {
                     ticks.reset();
                     sender.send_due(&self.socket, &self.state).await;
                 }
+                () = self.state.wait_for_permit_requests() => {
+                    send_permit_requests(&self.socket, &self.state, sender.incarnation).await;
+                }
                 received = self.socket.recv_from(&mut buffer) => {
                     // An error reports that an earlier datagram met a closed port (ICMP).
                     let Ok((length, from)) = received else { continue };
@@ -114,6 +119,13 @@
             return Ok(());
         }
         let message = PeerMessage::parse(payload)?;
+        if message.is_about_permits() {
+            let answer = self.state.receive_permits(&message, sender.incarnation);
+            if let Some(answer) = answer {
+                send_message(&self.socket, &keys, from, &answer).await;
+            }
+            return Ok(());
+        }
         if !self.state.apply_message(&message, from) {
             return Ok(());
         }
@@ -340,6 +352,9 @@
             loads: content.loads,
             change: content.change,
             limits: content.limits,
+            grants_permits: state.grants_permits(),
+            permit_requests: Vec::new(),
+            permit_answers: Vec::new(),
         };
         let mut encoded = key.encode(&message);
         if encoded == Err(MessageError::TooLarge) {
--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -4,6 +4,8 @@
 //! each other messages several times a second, which serve as heartbeats: they decide who is alive,
 //! who is returned to callers, and who leads the domain.
 
+mod permit_peers;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -19,6 +21,8 @@
 use crate::membership::{EntryRecord, EntryState, MembershipView, rendezvous_score};
 use crate::util::FastSet;
 
+pub use self::permit_peers::OwnPermitRole;
+
 /// Largest failure domain, in entries, in which every entry sends every message to all others.
 const MAX_MESH_ENTRIES: usize = 12;
 /// Time between two messages in a domain up to that size.
@@ -75,7 +79,11 @@
     incarnation: u64,
     sequence: u64,
     last_heard_at: Option<Instant>,
+    /// When this entry last received a message of the entry, not of a leader that reports it.
+    last_message_at: Option<Instant>,
     is_enrolled: bool,
+    /// Whether it grants permits; `None` before its first message.
+    grants_permits: Option<bool>,
     /// [`name_digest`] of its VM.
     digest: u32,
 }
@@ -164,7 +172,9 @@
                     incarnation: 0,
                     sequence: 0,
                     last_heard_at: None,
+                    last_message_at: None,
                     is_enrolled: true,
+                    grants_permits: None,
                     digest: name_digest(vm.as_str()),
                 };
                 self.insert(vm, entry);
@@ -199,7 +209,9 @@
             incarnation: message.incarnation,
             sequence: message.sequence,
             last_heard_at: Some(now),
+            last_message_at: Some(now),
             is_enrolled: message.is_enrolled,
+            grants_permits: Some(message.grants_permits),
             digest: name_digest(vm.as_str()),
         };
         let Some(known) = self.peers.get_mut(&vm) else {
@@ -441,11 +453,14 @@
         peer.is_enrolled && self.is_live(peer, now)
     }
 
+    /// Time without a message after which an entry is considered dead.
+    fn failure_timeout(&self) -> Duration {
+        MIN_FAILURE_TIMEOUT.max(self.message_interval() * MAX_MISSED_MESSAGES)
+    }
+
     fn is_live(&self, peer: &PeerEntry, now: Instant) -> bool {
-        let failure_timeout =
-            MIN_FAILURE_TIMEOUT.max(self.message_interval() * MAX_MISSED_MESSAGES);
         let is_local = peer.record.failure_domain == self.own.failure_domain;
-        is_local && peer.last_heard_at.is_some_and(|at| now - at <= failure_timeout)
+        is_local && peer.last_heard_at.is_some_and(|at| now - at <= self.failure_timeout())
     }
 }
 
--- /dev/null
+++ b/src/fleet/peer_table/permit_peers.rs
@@ -0,0 +1,114 @@
+//! Which entries grant permits of tenants' quotas.
+//!
+//! In a large failure domain most entries receive messages of the leader only, so what they do not
+//! know of the others they assume to be as the leader says of itself. An entry of which that is not
+//! true does not answer, or answers that it is no grantor, and is not asked for some time.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use tokio::time::Instant;
+
+use crate::core::FailureDomain;
+use crate::fleet::peer_table::{PeerEntry, PeerTable};
+use crate::limits::tenant_quota::{MAX_GRANTORS, PermitGrantor, PermitPeers};
+use crate::membership::{EntryRecord, EntryState};
+
+/// What an entry knows about itself and its settings that concerns permits.
+#[derive(Clone, Debug)]
+pub struct OwnPermitRole {
+    /// Whether it tells the others that it grants permits.
+    pub is_advertised: bool,
+    /// Whether its roster lists it and it has heard from the others since.
+    pub is_registered: bool,
+    /// Failure domains of the deployment; empty if the settings name none.
+    pub domains: BTreeSet<FailureDomain>,
+}
+
+impl PeerTable {
+    /// The entries as far as they concern quotas.
+    pub fn permit_peers(&self, role: &OwnPermitRole, now: Instant) -> PermitPeers {
+        let mut members = Vec::with_capacity(self.local_peer_count + 1);
+        let mut remote: BTreeMap<&FailureDomain, Vec<PermitGrantor>> = BTreeMap::new();
+        for (vm, peer) in &self.peers {
+            if peer.record.failure_domain == self.own.failure_domain {
+                members.push(vm.clone());
+            } else {
+                let domain = remote.entry(&peer.record.failure_domain).or_default();
+                domain.push(grantor(&peer.record));
+            }
+        }
+        members.push(self.own.vm.clone());
+        members.sort_unstable();
+        let mut domains: BTreeSet<&FailureDomain> = role.domains.iter().collect();
+        if domains.is_empty() {
+            domains.extend(remote.keys().copied());
+        }
+        domains.insert(&self.own.failure_domain);
+        let domain_count = domains.len();
+        let interval = self.message_interval();
+        PermitPeers {
+            own: self.own.vm.clone(),
+            local: self.local_grantors(role, now),
+            remote: remote.into_values().collect(),
+            may_grant: role.is_advertised && role.is_registered && self.has_quorum(now),
+            is_registered: role.is_registered,
+            has_older_peers: self.has_older_peers(now),
+            domains: domain_count,
+            members,
+            role_lifetime: self.failure_timeout().saturating_sub(interval),
+        }
+    }
+
+    /// The first live, enrolled entries of the local failure domain that grant permits, by name.
+    fn local_grantors(&self, role: &OwnPermitRole, now: Instant) -> Vec<PermitGrantor> {
+        let leader = self.peers.values().find(|peer| self.is_candidate(peer, now));
+        let leader = leader.filter(|peer| peer.record.vm < self.own.vm);
+        let is_assumed = leader
+            .map_or(role.is_advertised, |peer| peer.grants_permits.unwrap_or(role.is_advertised));
+        let mut grantors = Vec::with_capacity(MAX_GRANTORS + 1);
+        for peer in self.peers.values() {
+            if grantors.len() == MAX_GRANTORS {
+                break;
+            }
+            if self.is_candidate(peer, now) && peer.grants_permits.unwrap_or(is_assumed) {
+                grantors.push(grantor(&peer.record));
+            }
+        }
+        if role.is_advertised {
+            let rank = grantors.partition_point(|grantor| grantor.vm < self.own.vm);
+            grantors.insert(rank, grantor(&self.own));
+            grantors.truncate(MAX_GRANTORS);
+        }
+        grantors
+    }
+
+    /// Whether this entry receives messages of so many entries of its failure domain that those it
+    /// does not hear from can't do so too. A domain of up to [`MAX_GRANTORS`] entries needs no
+    /// quorum: each of them has a share of its own.
+    fn has_quorum(&self, now: Instant) -> bool {
+        let known = self.local_peer_count + 1;
+        if known <= MAX_GRANTORS {
+            return true;
+        }
+        let is_heard = |peer: &PeerEntry| {
+            peer.last_message_at.is_some_and(|at| now - at <= self.failure_timeout())
+        };
+        let heard = self.local_peers().filter(|peer| is_heard(peer)).count() + 1;
+        let first = self.local_peers().next();
+        // Of two halves, the one with the first entry grants.
+        let has_first = first.is_none_or(|first| first.record.vm > self.own.vm || is_heard(first));
+        2 * heard > known || (2 * heard == known && has_first)
+    }
+
+    /// Whether one of the entries that would grant permits runs a version without quotas.
+    fn has_older_peers(&self, now: Instant) -> bool {
+        let candidates = self.local_peers().filter(|peer| self.is_candidate(peer, now));
+        candidates.take(MAX_GRANTORS).any(|peer| {
+            peer.grants_permits == Some(false) && peer.record.state == EntryState::Ready
+        })
+    }
+}
+
+fn grantor(record: &EntryRecord) -> PermitGrantor {
+    PermitGrantor { vm: record.vm.clone(), address: record.peer_address }
+}
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -3,6 +3,7 @@
 mod forwarding;
 mod status;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -12,7 +13,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::core::SharedSnapshot;
+use crate::core::{FailureDomain, SharedSnapshot};
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::fleet_metrics::FleetMetrics;
 use crate::fleet::peer_message::{
@@ -22,6 +23,7 @@
 use crate::fleet::read_schedule::ReadSchedule;
 use crate::fleet::view::{DeploymentView, ViewChange};
 use crate::fleet::view_gap::{GapKind, ViewGap, is_behind};
+use crate::limits::tenant_quota::QuotaTable;
 use crate::limits::{LimitTable, QuarantineTable};
 use crate::membership::{ConfigFreshness, EntryState, SharedMembership};
 use crate::platform::StorePosition;
@@ -56,6 +58,14 @@
     pub(super) is_urgent: bool,
 }
 
+/// Quotas of tenants, shared with the data plane.
+#[derive(Debug)]
+pub(super) struct FleetQuota {
+    pub(super) table: Arc<QuotaTable>,
+    /// Failure domains of the deployment; empty if the settings name none.
+    pub(super) domains: BTreeSet<FailureDomain>,
+}
+
 /// A peer's report of uninterrupted store access.
 #[derive(Clone, Copy, Debug)]
 struct PeerSteadiness {
@@ -103,6 +113,8 @@
     pub(super) quarantine: Arc<QuarantineTable>,
     /// Peers that requests are forwarded to, shared with the data plane.
     forwarding: Option<Arc<ForwardTable>>,
+    /// `None` if quotas are not enforced.
+    pub(super) quota: Option<FleetQuota>,
 }
 
 impl<D: DeploymentCodec> FleetState<D> {
@@ -138,6 +150,7 @@
             limits,
             quarantine: Arc::default(),
             forwarding: None,
+            quota: None,
         }
     }
 
@@ -153,6 +166,13 @@
         Self { forwarding: Some(forwarding), ..self }
     }
 
+    /// Exchanges permits of the data plane's quotas with the other entries. `domains` are the failure
+    /// domains of the deployment; if empty, those of the known entries.
+    #[must_use]
+    pub fn with_quota(self, table: Arc<QuotaTable>, domains: BTreeSet<FailureDomain>) -> Self {
+        Self { quota: Some(FleetQuota { table, domains }), ..self }
+    }
+
     /// Replaces the default read schedule.
     #[must_use]
     pub fn with_read_schedule(self, read_schedule: ReadSchedule) -> Self {
@@ -413,6 +433,11 @@
         *lock(&self.acting_from)
     }
 
+    /// Whether the enrolment has ended, so that the roster lists this entry.
+    pub(super) fn is_listed(&self) -> bool {
+        self.is_listed.load(Ordering::Relaxed)
+    }
+
     /// Whether this entry may be considered the leader of its failure domain.
     pub fn is_enrolled(&self) -> bool {
         self.is_listed.load(Ordering::Relaxed) || self.enrolment_deadline(Instant::now()).is_none()
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -7,7 +7,7 @@
 //! allowance for the whole deployment, [`LoadCheckLimiter`] bounds the load checks sent to
 //! upstreams, [`RouteCostEstimator`] estimates the cost of a route's requests, [`PartSequence`]
 //! divides the requests of a split route, and [`QuarantineTable`] names the requests that are refused
-//! because they crash upstreams.
+//! because they crash upstreams. [`tenant_quota`] limits the requests of a tenant over all entries.
 
 mod adaptive_limit;
 mod admission_gate;
@@ -23,6 +23,7 @@
 mod route_cost;
 mod route_group;
 mod route_limits;
+pub mod tenant_quota;
 mod window_budget;
 
 pub use self::adaptive_limit::{AdaptiveLimit, AttemptWindow, CongestionSignal, LimitUsage};
--- /dev/null
+++ b/src/limits/tenant_quota/quota_state.rs
@@ -0,0 +1,401 @@
+//! Decides whom an entry asks for permits, and which permits it grants as a grantor.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::core::{TenantId, TenantQuota, VmId};
+use crate::limits::tenant_quota::grantor_bucket::GrantorBucket;
+use crate::limits::tenant_quota::permit_peers::{PermitGrantor, PermitPeers};
+use crate::limits::tenant_quota::quota_terms::{MAX_GRANTORS, QuotaAllowance, QuotaTerms};
+use crate::limits::tenant_quota::reserve_share::reserve_share;
+use crate::limits::tenant_quota::tenant_permits::TenantPermits;
+use crate::util::FastMap;
+
+/// Most grantors of other failure domains that are asked for one request, each of another domain.
+const MAX_REMOTE_REQUESTS: usize = 2;
+/// Pause after a grantor has not answered in time; doubled each further time.
+const FIRST_SILENCE_PAUSE: Duration = Duration::from_millis(500);
+/// Longest such pause.
+const MAX_SILENCE_PAUSE: Duration = Duration::from_secs(5);
+/// Pause after an entry has answered that it is no grantor; its role changes within some messages.
+const NO_GRANTOR_PAUSE: Duration = Duration::from_secs(1);
+/// Time in which a refused caller is told to return if no grantor has named any.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time without use after which state of a tenant is dropped, beyond the span.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time for which an entry that has not answered is not asked, for any tenant.
+#[derive(Clone, Copy, Debug)]
+struct GrantorPause {
+    until: Instant,
+    length: Duration,
+}
+
+/// Where a permit comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum PermitSource {
+    /// A former request that did not use it.
+    Kept,
+    /// The share that this entry holds as a grantor.
+    Own,
+    /// The reserve.
+    Reserve,
+    /// Nothing is limited while older versions run.
+    Unenforced,
+}
+
+/// Next step to obtain a permit.
+#[derive(Debug)]
+pub(super) enum PermitStep {
+    /// The permit, with the time from which its lifetime counts.
+    Granted(PermitSource, Instant),
+    /// Ask this entry.
+    Ask(PermitGrantor),
+    /// There is none; the time until one is expected, and whether this begins a limited period.
+    Refused(Duration, bool),
+}
+
+/// The entries that were asked for one request's permit.
+#[derive(Debug, Default)]
+pub(super) struct PermitSearch {
+    asked: Vec<VmId>,
+    remote_domains: Vec<usize>,
+    has_checked_kept: bool,
+}
+
+/// Decisions of one entry.
+#[derive(Debug)]
+pub(super) struct QuotaState {
+    allowance: QuotaAllowance,
+    peers: PermitPeers,
+    /// When `peers` was last updated.
+    updated_at: Instant,
+    /// Since when this entry is a grantor without interruption; `None` if it is none.
+    granting_since: Option<Instant>,
+    registered_since: Option<Instant>,
+    buckets: FastMap<TenantId, GrantorBucket>,
+    tenants: FastMap<TenantId, TenantPermits>,
+    pauses: FastMap<VmId, GrantorPause>,
+    turn: usize,
+}
+
+impl QuotaState {
+    pub(super) fn new(allowance: QuotaAllowance, own: VmId, now: Instant) -> Self {
+        let peers = PermitPeers {
+            own,
+            local: Vec::new(),
+            remote: Vec::new(),
+            members: Vec::new(),
+            domains: 1,
+            may_grant: false,
+            is_registered: false,
+            has_older_peers: false,
+            role_lifetime: Duration::ZERO,
+        };
+        Self {
+            allowance,
+            peers,
+            updated_at: now,
+            granting_since: None,
+            registered_since: None,
+            buckets: FastMap::default(),
+            tenants: FastMap::default(),
+            pauses: FastMap::default(),
+            turn: 0,
+        }
+    }
+
+    /// Replaces what is known about the other entries. If that shows that this entry was no grantor
+    /// for a time, it starts again with empty buckets.
+    pub(super) fn update_peers(&mut self, peers: PermitPeers, now: Instant) {
+        self.check_role(now);
+        if self.peers.members != peers.members {
+            for permits in self.tenants.values_mut() {
+                permits.share = None;
+            }
+        }
+        self.peers = peers;
+        self.updated_at = now;
+        if self.position().is_none() || !self.peers.may_grant {
+            self.end_role();
+        } else if self.granting_since.is_none() {
+            self.granting_since = Some(now);
+            log::info!(target: "quota", "this entry grants permits domains={}", self.peers.domains);
+        }
+        let registered_since = self.peers.is_registered.then_some(now);
+        self.registered_since = registered_since.and(self.registered_since.or(Some(now)));
+    }
+
+    /// Whether this entry is a grantor.
+    pub(super) fn is_granting(&self) -> bool {
+        self.granting_since.is_some()
+    }
+
+    /// Ends the role of a grantor if the state of the others is too old, after a pause of the
+    /// process.
+    fn check_role(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.updated_at) > self.peers.role_lifetime {
+            self.end_role();
+        }
+    }
+
+    fn end_role(&mut self) {
+        if self.granting_since.take().is_some() {
+            log::info!(target: "quota", "this entry no longer grants permits");
+        }
+        self.buckets.clear();
+    }
+
+    fn position(&self) -> Option<usize> {
+        let grantors = self.peers.local.iter().take(MAX_GRANTORS);
+        grantors
+            .enumerate()
+            .find(|(_, grantor)| grantor.vm == self.peers.own)
+            .map(|(index, _)| index)
+    }
+
+    pub(super) fn terms(&self) -> QuotaTerms {
+        let grantors = self.peers.members.len().clamp(1, MAX_GRANTORS);
+        QuotaTerms { allowance: self.allowance, domains: self.peers.domains, grantors }
+    }
+
+    /// Decides on a permit as a grantor; `None` if this entry is no grantor for the quota.
+    pub(super) fn grant(
+        &mut self,
+        tenant: &TenantId,
+        quota: TenantQuota,
+        now: Instant,
+    ) -> Option<Result<(), Duration>> {
+        self.check_role(now);
+        let since = self.granting_since?;
+        let terms = self.terms();
+        if self.position()? >= terms.grantor_count(quota) {
+            return None;
+        }
+        let limits = terms.grantor_limits(quota);
+        let span = terms.span();
+        let bucket = self.buckets.entry(tenant.clone());
+        let bucket = bucket.or_insert_with(|| GrantorBucket::new(limits, span, since));
+        bucket.set_limits(limits, now);
+        Some(bucket.try_grant(now))
+    }
+
+    /// Next step to obtain a permit for a request of `tenant`.
+    pub(super) fn next_step(
+        &mut self,
+        tenant: &TenantId,
+        quota: TenantQuota,
+        search: &mut PermitSearch,
+        now: Instant,
+    ) -> PermitStep {
+        if self.peers.has_older_peers {
+            return PermitStep::Granted(PermitSource::Unenforced, now);
+        }
+        if !std::mem::replace(&mut search.has_checked_kept, true) {
+            self.turn = self.turn.wrapping_add(1);
+            let permits = self.permits(tenant, now);
+            if let Some(asked_at) = permits.take_kept(now) {
+                return PermitStep::Granted(PermitSource::Kept, asked_at);
+            }
+            if !self.asked_before(tenant, &self.peers.own.clone(), search, now) {
+                match self.grant(tenant, quota, now) {
+                    Some(Ok(())) => return PermitStep::Granted(PermitSource::Own, now),
+                    Some(Err(pause)) => {
+                        let own = self.peers.own.clone();
+                        self.permits(tenant, now).record_denial(&own, now + pause, now);
+                    }
+                    None => {}
+                }
+            }
+            search.asked.push(self.peers.own.clone());
+        }
+        let next = self.next_local(tenant, quota, search, now);
+        let next = next.or_else(|| self.next_remote(tenant, quota, search, now));
+        if let Some(grantor) = next {
+            search.asked.push(grantor.vm.clone());
+            return PermitStep::Ask(grantor);
+        }
+        if self.take_reserve(tenant, quota, now) {
+            return PermitStep::Granted(PermitSource::Reserve, now);
+        }
+        let after = self.retry_after(tenant, now);
+        PermitStep::Refused(after, self.permits(tenant, now).record_refusal(now))
+    }
+
+    fn permits(&mut self, tenant: &TenantId, now: Instant) -> &mut TenantPermits {
+        if !self.tenants.contains_key(tenant) {
+            self.tenants.insert(tenant.clone(), TenantPermits::new(now));
+        }
+        let permits = self.tenants.entry(tenant.clone()).or_insert_with(|| TenantPermits::new(now));
+        permits.used_at = now;
+        permits
+    }
+
+    /// Whether `grantor` is not to be asked: it was, or has denied a permit or not answered lately.
+    fn asked_before(
+        &self,
+        tenant: &TenantId,
+        grantor: &VmId,
+        search: &PermitSearch,
+        now: Instant,
+    ) -> bool {
+        search.asked.contains(grantor)
+            || self.pauses.get(grantor).is_some_and(|pause| pause.until > now)
+            || self
+                .tenants
+                .get(tenant)
+                .is_some_and(|known| known.denied_for(grantor, now).is_some())
+    }
+
+    fn next_local(
+        &self,
+        tenant: &TenantId,
+        quota: TenantQuota,
+        search: &PermitSearch,
+        now: Instant,
+    ) -> Option<PermitGrantor> {
+        let count = self.terms().grantor_count(quota).min(self.peers.local.len());
+        for offset in 0..count {
+            let grantor = &self.peers.local[(self.turn + offset) % count];
+            if !self.asked_before(tenant, &grantor.vm, search, now) {
+                return Some(grantor.clone());
+            }
+        }
+        None
+    }
+
+    fn next_remote(
+        &self,
+        tenant: &TenantId,
+        quota: TenantQuota,
+        search: &mut PermitSearch,
+        now: Instant,
+    ) -> Option<PermitGrantor> {
+        if search.remote_domains.len() >= MAX_REMOTE_REQUESTS {
+            return None;
+        }
+        let domains = self.peers.remote.len();
+        for offset in 0..domains {
+            let domain = (self.turn + offset) % domains;
+            if search.remote_domains.contains(&domain) {
+                continue;
+            }
+            let members = &self.peers.remote[domain];
+            // The number of grantors there follows from the number of entries, as it does here.
+            let grantors = members.len().clamp(1, MAX_GRANTORS);
+            let count = QuotaTerms { grantors, ..self.terms() }.grantor_count(quota);
+            let mut present = members.iter().filter(|entry| !self.is_paused(&entry.vm, now));
+            let mut candidates = Vec::with_capacity(count);
+            candidates.extend(present.by_ref().take(count));
+            for index in 0..candidates.len() {
+                let start = self.turn / domains;
+                let grantor = candidates[(start + index) % candidates.len()];
+                if !self.asked_before(tenant, &grantor.vm, search, now) {
+                    search.remote_domains.push(domain);
+                    return Some(grantor.clone());
+                }
+            }
+        }
+        None
+    }
+
+    fn is_paused(&self, vm: &VmId, now: Instant) -> bool {
+        self.pauses.get(vm).is_some_and(|pause| pause.until > now)
+    }
+
+    fn take_reserve(&mut self, tenant: &TenantId, quota: TenantQuota, now: Instant) -> bool {
+        let Some(since) = self.registered_since else { return false };
+        let terms = self.terms();
+        let total = terms.reserve_tokens(quota);
+        let known = self.tenants.get(tenant).and_then(|permits| permits.share);
+        let share = match known {
+            Some((of_total, share)) if of_total == total => share,
+            _ => reserve_share(total, tenant.as_str(), &self.peers.own, &self.peers.members),
+        };
+        let permits = self.permits(tenant, now);
+        permits.share = Some((total, share));
+        permits.reserve.try_take(share, terms.span(), since, now)
+    }
+
+    /// Time until the first of the grantors that were asked has a token again.
+    fn retry_after(&mut self, tenant: &TenantId, now: Instant) -> Duration {
+        let span = self.terms().span();
+        let Some(permits) = self.tenants.get(tenant) else { return DEFAULT_RETRY_AFTER };
+        let remote = self.peers.remote.iter().flatten();
+        let mut after: Option<Duration> = None;
+        for grantor in self.peers.local.iter().chain(remote) {
+            let Some(pause) = permits.denied_for(&grantor.vm, now) else { continue };
+            after = Some(after.map_or(pause, |known| known.min(pause)));
+        }
+        let reserve = permits.reserve.next_token_in(span, now);
+        after.or(reserve).unwrap_or(DEFAULT_RETRY_AFTER)
+    }
+
+    /// Records an answer. `wait` is the pause that a denial asks for; `None` if the entry that was
+    /// asked is no grantor.
+    pub(super) fn record_denial(
+        &mut self,
+        tenant: &TenantId,
+        grantor: &VmId,
+        wait: Option<Duration>,
+        now: Instant,
+    ) {
+        match wait {
+            Some(wait) => {
+                self.pauses.remove(grantor);
+                self.permits(tenant, now).record_denial(grantor, now + wait, now);
+            }
+            None => {
+                let pause =
+                    GrantorPause { until: now + NO_GRANTOR_PAUSE, length: FIRST_SILENCE_PAUSE };
+                self.pauses.insert(grantor.clone(), pause);
+            }
+        }
+    }
+
+    /// Records that `grantor` has granted a permit, so it is reachable.
+    pub(super) fn record_grant(&mut self, grantor: &VmId) {
+        self.pauses.remove(grantor);
+    }
+
+    /// Records that `grantor` has not answered in time; true if it did before.
+    pub(super) fn record_silence(&mut self, grantor: &VmId, now: Instant) -> bool {
+        let known = self.pauses.get(grantor).copied();
+        if known.is_some_and(|pause| pause.until > now) {
+            return false;
+        }
+        let length =
+            known.map_or(FIRST_SILENCE_PAUSE, |pause| (pause.length * 2).min(MAX_SILENCE_PAUSE));
+        self.pauses.insert(grantor.clone(), GrantorPause { until: now + length, length });
+        known.is_none()
+    }
+
+    /// Keeps a permit that was asked for at `asked_at` for the next request of the tenant.
+    pub(super) fn keep(&mut self, tenant: &TenantId, asked_at: Instant, now: Instant) {
+        self.permits(tenant, now).keep(asked_at, now);
+    }
+
+    /// Returns the tenants that are no longer limited, and drops state that has not been used for
+    /// long.
+    pub(super) fn sweep(&mut self, now: Instant) -> Vec<TenantId> {
+        let window = self.allowance.window;
+        let timeout = self.terms().span() * 2 + IDLE_TIMEOUT;
+        let mut released = Vec::new();
+        for (tenant, permits) in &mut self.tenants {
+            if permits.end_limit(window, now) {
+                released.push(tenant.clone());
+            }
+        }
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < timeout;
+        self.tenants.retain(|_, permits| is_recent(permits.used_at));
+        self.buckets.retain(|_, bucket| is_recent(bucket.refilled_at()));
+        self.pauses.retain(|_, pause| is_recent(pause.until));
+        released
+    }
+
+    /// Number of tenants with state, as an entry that runs requests and as a grantor.
+    pub(super) fn tenant_counts(&self) -> (usize, usize) {
+        (self.tenants.len(), self.buckets.len())
+    }
+}
--- a/src/request/data_plane.rs
+++ b/src/request/data_plane.rs
@@ -235,6 +235,13 @@
         Ok(AdmittedRequest { snapshot, class, limits, criticality, started, deadline })
     }
 
+    /// Response to a request that is refused for `after`; it did not run.
+    pub fn refusal(&self, parts: &Parts, code: ResultCode, after: Duration) -> PlaneResponse<C> {
+        let mut response = unclaimed_error_response(&parts.headers, code);
+        set_retry_after(&mut response, after, self.core.settings.retry_after_format);
+        response
+    }
+
     /// Runs an admitted request with its complete body.
     pub async fn run(
         &self,
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -10,6 +10,7 @@
 mod pending_response;
 mod plain_response;
 mod proxy_service;
+mod quota_metrics;
 mod request_body;
 mod upstream_pool;
 mod write_timeout;
@@ -23,6 +24,7 @@
 pub use self::limit_metrics::LimitMetrics;
 pub(crate) use self::plain_response::{metrics_response, plain_response};
 pub use self::proxy_service::{LeavingFlag, ProxyService, ProxySettings, RequestOrigin};
+pub use self::quota_metrics::QuotaMetrics;
 pub use self::upstream_pool::{
     ConnectionPermit, Poolable, PooledConnection, UpstreamPool, UpstreamPoolSettings,
 };
--- a/src/serve/proxy_service.rs
+++ b/src/serve/proxy_service.rs
@@ -15,8 +15,12 @@
 use tokio_util::task::TaskTracker;
 
 use crate::balance::UpstreamPicker;
-use crate::core::{IdempotenceMode, RESULT_CODE_HEADER, ResultCode, TenantId};
+use crate::core::{
+    IdempotenceMode, NOT_DISPATCHED_HEADER, NOT_RUN_HEADER, RESULT_CODE_HEADER, ResultCode,
+    TenantId,
+};
 use crate::ledger::ClaimLedger;
+use crate::limits::tenant_quota::{QuotaTable, TenantPermit};
 use crate::membership::AddressResolver;
 use crate::request::{
     AdmittedRequest, DataPlane, ForwardRefusal, PlaneResponse, ResponseBody, UpstreamClient,
@@ -87,6 +91,8 @@
     body_budget: Arc<BodyMemoryBudget>,
     at_most_once_tasks: TaskTracker,
     leaving_flag: LeavingFlag,
+    /// `None` if quotas are not enforced.
+    quota: Option<Arc<QuotaTable>>,
 }
 
 impl<C: UpstreamClient, P: UpstreamPicker, L: ClaimLedger> ProxyService<C, P, L> {
@@ -106,9 +112,16 @@
             body_budget,
             at_most_once_tasks: TaskTracker::new(),
             leaving_flag: LeavingFlag::default(),
+            quota: None,
         }
     }
 
+    /// Enforces the quotas of tenants on requests of callers.
+    #[must_use]
+    pub fn with_quota(self, quota: Arc<QuotaTable>) -> Self {
+        Self { quota: Some(quota), ..self }
+    }
+
     /// Waits for all at-most-once requests, which continue if their callers disconnect.
     pub(super) async fn wait_for_at_most_once_tasks(&self) {
         self.at_most_once_tasks.close();
@@ -166,6 +179,10 @@
             Ok(admitted) => admitted,
             Err(code) => return unclaimed_error_response(&parts.headers, code),
         };
+        let mut permit = match self.acquire_permit(&admitted, origin).await {
+            Ok(permit) => permit,
+            Err(after) => return self.refuse_over_quota(&admitted, &parts, after),
+        };
         let limits = BodyLimits {
             max_bytes: self.settings.max_body_bytes,
             deadline: (admitted.started + self.settings.body_timeout).min(admitted.deadline),
@@ -188,14 +205,20 @@
                 return refusal.response();
             }
         }
+        if permit.as_ref().is_some_and(TenantPermit::is_expired) {
+            permit = match self.acquire_permit(&admitted, origin).await {
+                Ok(permit) => permit,
+                Err(after) => return self.refuse_over_quota(&admitted, &parts, after),
+            };
+        }
         if admitted.class.mode == IdempotenceMode::Idempotent {
-            return self.run(admitted, parts, body).await;
+            return self.run(admitted, parts, body, permit).await;
         }
         // This future is dropped when the caller disconnects. That must not cancel an at-most-once
         // request, whose outcome would then be unknown.
         let service = Arc::clone(self);
-        let task =
-            self.at_most_once_tasks.spawn(async move { service.run(admitted, parts, body).await });
+        let run = async move { service.run(admitted, parts, body, permit).await };
+        let task = self.at_most_once_tasks.spawn(run);
         task.await.unwrap_or_else(|_| error_response(ResultCode::OutcomeUnknown))
     }
 
@@ -204,14 +227,50 @@
         admitted: AdmittedRequest,
         parts: Parts,
         body: BufferedBody,
+        mut permit: Option<TenantPermit>,
     ) -> PlaneResponse<C> {
+        // A request that is cancelled from here on may have run.
+        if let Some(permit) = &mut permit {
+            permit.set_used(true);
+        }
         let (tenant, class) = (admitted.class.tenant.clone(), admitted.class.class.clone());
         let started = admitted.started;
         let response = self.plane.run(admitted, parts, body.bytes.clone()).await;
+        if let Some(permit) = &mut permit {
+            permit.set_used(!has_not_run(&response));
+        }
         self.record_metrics(&tenant, &class, &response, started);
         response
     }
 
+    /// Obtains a permit of the tenant's quota; `None` if the request needs none. The entry that has
+    /// forwarded a request has obtained its permit.
+    async fn acquire_permit(
+        &self,
+        admitted: &AdmittedRequest,
+        origin: RequestOrigin,
+    ) -> Result<Option<TenantPermit>, Duration> {
+        let (Some(quota), Some(tenant)) = (&self.quota, &admitted.class.authenticated) else {
+            return Ok(None);
+        };
+        if origin == RequestOrigin::Peers {
+            return Ok(None);
+        }
+        quota.acquire(tenant).await
+    }
+
+    fn refuse_over_quota(
+        &self,
+        admitted: &AdmittedRequest,
+        parts: &Parts,
+        after: Duration,
+    ) -> PlaneResponse<C> {
+        let response = self.plane.refusal(parts, ResultCode::QuotaExceeded, after);
+        let class = &admitted.class;
+        self.record_metrics(&class.tenant, &class.class, &response, admitted.started);
+        response
+    }
+
     /// Buffers a response without `Content-Length` until it is complete.
     ///
     /// HTTP/1.0 has no chunked coding: the response would be close-delimited, and the caller could
@@ -249,3 +308,10 @@
         self.metrics.record(tenant.as_str(), class, result, started.elapsed());
     }
 }
+
+/// Whether a response of the data plane states that no upstream has run the request. Only this node
+/// sets these headers.
+fn has_not_run<B>(response: &Response<B>) -> bool {
+    let headers = response.headers();
+    headers.contains_key(NOT_RUN_HEADER) || headers.contains_key(NOT_DISPATCHED_HEADER)
+}
--- a/tests/testsuite/enrolment.rs
+++ b/tests/testsuite/enrolment.rs
@@ -126,6 +126,9 @@
             loads: Vec::new(),
             change: None,
             limits: Vec::new(),
+            grants_permits: false,
+            permit_requests: Vec::new(),
+            permit_answers: Vec::new(),
         }
     }
 }
--- a/tests/testsuite/fleet_peers.rs
+++ b/tests/testsuite/fleet_peers.rs
@@ -37,6 +37,9 @@
         loads: Vec::new(),
         change: None,
         limits: Vec::new(),
+        grants_permits: false,
+        permit_requests: Vec::new(),
+        permit_answers: Vec::new(),
     }
 }
 
--- a/tests/testsuite/path_membership.rs
+++ b/tests/testsuite/path_membership.rs
@@ -42,6 +42,9 @@
         loads: Vec::new(),
         change: None,
         limits: Vec::new(),
+        grants_permits: false,
+        permit_requests: Vec::new(),
+        permit_answers: Vec::new(),
     }
 }
 
