--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -40,6 +40,7 @@
 mod probe_budget;
 mod processes;
 mod quarantine;
+mod quota_load;
 mod rate_limits;
 mod repeat_window;
 mod request_execution;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod fleet;
 mod gated_store;
 mod ledger_cluster;
+pub(crate) mod quota_fleet;
 mod raw_http;
 
 pub(crate) use self::caller::{CallerResponse, TestCaller};
