limits: let small shares grant two permits in a row

Cause: grantors with less than two tokens refused short bursts of small tenants: 1 of 55 requests of a tenant with two requests a second. Change: least burst of 2 tokens; up to four grantors of other domains.

--- a/src/limits/tenant_quota/quota_state.rs
+++ b/src/limits/tenant_quota/quota_state.rs
@@ -12,8 +12,10 @@
 use crate::limits::tenant_quota::tenant_permits::TenantPermits;
 use crate::util::FastMap;
 
-/// Most grantors of other failure domains that are asked for one request, each of another domain.
-const MAX_REMOTE_REQUESTS: usize = 2;
+/// Most grantors of each other failure domain that are asked for one request.
+const MAX_REQUESTS_PER_DOMAIN: usize = 2;
+/// Most grantors of other failure domains that are asked for one request.
+const MAX_REMOTE_REQUESTS: usize = 4;
 /// Pause after a grantor has not answered in time; doubled each further time.
 const FIRST_SILENCE_PAUSE: Duration = Duration::from_millis(500);
 /// Longest such pause.
@@ -278,7 +280,8 @@
         let domains = self.peers.remote.len();
         for offset in 0..domains {
             let domain = (self.turn + offset) % domains;
-            if search.remote_domains.contains(&domain) {
+            let asked = search.remote_domains.iter().filter(|asked| **asked == domain).count();
+            if asked >= MAX_REQUESTS_PER_DOMAIN {
                 continue;
             }
             let members = &self.peers.remote[domain];
--- a/src/limits/tenant_quota/quota_terms.rs
+++ b/src/limits/tenant_quota/quota_terms.rs
@@ -15,6 +15,9 @@
 /// Largest burst of a grantor as a share of its budget. A new grantor waits for as long as its
 /// burst takes to refill: at this share, for half the window.
 const MAX_BURST_SHARE: f64 = 0.5;
+/// Least burst of a grantor whose budget allows it. With 1, a tenant with 2 requests a second and a
+/// quota of 3 was refused up to 2% of its requests, since a grantor could not grant two in a row.
+const MIN_BURST: f64 = 2.0;
 
 /// Tolerance of all quotas: in any window, all entries together may run
 /// `(rate * window + burst) * (1 + overage) + slack` requests of a tenant.
@@ -86,7 +89,7 @@
         let budget = self.granted_by_domain(quota) / self.grantor_count(quota).max(1) as f64;
         let QuotaAllowance { overage, slack, .. } = self.allowance;
         let burst_share = (quota.burst * (1.0 + overage) + slack) / self.bound(quota);
-        let burst = (budget * burst_share.clamp(MIN_BURST_SHARE, MAX_BURST_SHARE)).max(1.0);
+        let burst = (budget * burst_share.clamp(MIN_BURST_SHARE, MAX_BURST_SHARE)).max(MIN_BURST);
         let per_second = budget / self.span().as_secs_f64();
         GrantorLimits { budget, burst: burst.min(budget), per_second }
     }
