--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -27,6 +27,7 @@
 //!   [`roster`] of its failure domain.
 //! - [`config_parts`]: sends a configuration that is too large for one datagram.
 //! - [`peer_message`], [`peer_table`], [`peer_service`]: messages between entries, and liveness.
+//! - `permit_exchange`: asks other entries for permits of tenants' quotas, and answers them.
 //! - [`state`]: state that the services of an entry share.
 //! - [`limit_shares`]: divides the rate limits of upstreams; `rate_limits` shares news of them.
 //! - [`warm_up_shares`]: divides the rate that cold upstreams bear; `warm_ups` shares news of them.
@@ -57,6 +58,7 @@
 pub mod peer_message;
 pub mod peer_service;
 pub mod peer_table;
+mod permit_exchange;
 mod rate_limits;
 pub mod read_schedule;
 pub mod roster;
--- a/src/fleet/peer_service.rs
+++ b/src/fleet/peer_service.rs
@@ -21,6 +21,7 @@
     ColdUpstream, LearnedLimit, MeasuredLoad, MessageError, MessageKey, PeerMessage,
 };
 use crate::fleet::peer_table::MessageScope;
+use crate::fleet::permit_exchange::{send_message, send_permit_requests};
 use crate::fleet::state::{FleetState, Outbox};
 use crate::fleet::view::ViewChange;
 use crate::kernel::{ServiceName, ServiceTask};
@@ -63,12 +64,16 @@
                 () = stop.cancelled() => break,
                 _ = ticks.tick() => {
                     self.state.refresh_membership();
+                    self.state.refresh_permits();
                     sender.send_due(&self.socket, &self.state).await;
                 }
                 () = self.state.peer_wakeup.notified() => {
                     ticks.reset();
                     sender.send_due(&self.socket, &self.state).await;
                 }
+                () = self.state.wait_for_permit_requests() => {
+                    send_permit_requests(&self.socket, &self.state, sender.incarnation).await;
+                }
                 received = self.socket.recv_from(&mut buffer) => {
                     // An error reports that an earlier datagram met a closed port (ICMP).
                     let Ok((length, from)) = received else { continue };
@@ -124,6 +129,13 @@
             // Parts may overtake each other, so the order of the messages does not matter.
             sender.receive_config_part(&self.socket, &self.state, part).await;
         }
+        if message.is_about_permits() {
+            let answer = self.state.receive_permits(&message, sender.incarnation);
+            if let Some(answer) = answer {
+                send_message(&self.socket, &keys, from, &answer).await;
+            }
+            return Ok(());
+        }
         if !self.state.apply_message(&message, from) {
             return Ok(());
         }
@@ -369,6 +381,9 @@
             limits: content.limits,
             config_part: content.config_part,
             cold: content.cold,
+            grants_permits: state.grants_permits(),
+            permit_requests: Vec::new(),
+            permit_answers: Vec::new(),
         };
         let mut encoded = key.encode(&message);
         let is_in_parts = match &encoded {
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -12,6 +12,7 @@
 mod pipeline;
 mod plain_response;
 mod proxy_service;
+mod quota_metrics;
 mod request_body;
 mod upstream_pool;
 mod write_timeout;
@@ -28,6 +29,7 @@
 };
 pub(crate) use self::plain_response::{metrics_response, plain_response};
 pub use self::proxy_service::{LeavingFlag, ProxyService, ProxySettings, RequestOrigin};
+pub use self::quota_metrics::QuotaMetrics;
 pub use self::upstream_pool::{
     ConnectionPermit, Poolable, PooledConnection, UpstreamPool, UpstreamPoolSettings,
 };
--- a/tests/testsuite/enrolment.rs
+++ b/tests/testsuite/enrolment.rs
@@ -128,6 +128,9 @@
             limits: Vec::new(),
             config_part: None,
             cold: Vec::new(),
+            grants_permits: false,
+            permit_requests: Vec::new(),
+            permit_answers: Vec::new(),
         }
     }
 }
