--- a/src/limits/tenant_quota/grantor_bucket.rs
+++ b/src/limits/tenant_quota/grantor_bucket.rs
@@ -100,6 +100,11 @@
         self.refilled_at
     }
 
+    /// Allocated memory besides the bucket itself, in bytes.
+    pub(super) fn heap_bytes(&self) -> usize {
+        self.granted.capacity() * size_of::<(u64, f64)>()
+    }
+
     fn deny(&mut self, slot: u64, now: Instant) -> Duration {
         let missing = (1.0 - self.tokens).max(0.0) + self.announced;
         // Within half the time in which the bucket fills, so that no permit is lost meanwhile.
--- a/src/limits/tenant_quota/quota_state.rs
+++ b/src/limits/tenant_quota/quota_state.rs
@@ -415,8 +415,16 @@
         released
     }
 
-    /// Number of tenants with state, as an entry that runs requests and as a grantor.
-    pub(super) fn tenant_counts(&self) -> (usize, usize) {
-        (self.tenants.len(), self.buckets.len())
+    /// Memory of the state of tenants in bytes, without the spare room of the hash maps.
+    pub(super) fn state_bytes(&self) -> usize {
+        let mut bytes = self.tenants.len() * size_of::<(TenantId, TenantPermits)>()
+            + self.buckets.len() * size_of::<(TenantId, GrantorBucket)>();
+        for (tenant, permits) in &self.tenants {
+            bytes += tenant.as_str().len() + permits.heap_bytes();
+        }
+        for (tenant, bucket) in &self.buckets {
+            bytes += tenant.as_str().len() + bucket.heap_bytes();
+        }
+        bytes
     }
 }
--- a/src/limits/tenant_quota/quota_table.rs
+++ b/src/limits/tenant_quota/quota_table.rs
@@ -300,9 +300,9 @@
         }
     }
 
-    /// Number of tenants with state, as an entry that runs requests and as a grantor.
-    pub fn tenant_counts(&self) -> (usize, usize) {
-        lock(&self.state).tenant_counts()
+    /// Memory of the state of tenants in bytes, without the spare room of the hash maps.
+    pub fn state_bytes(&self) -> usize {
+        lock(&self.state).state_bytes()
     }
 
     fn count_source(&self, source: PermitSource) {
--- a/src/limits/tenant_quota/reserve_share.rs
+++ b/src/limits/tenant_quota/reserve_share.rs
@@ -50,6 +50,11 @@
         true
     }
 
+    /// Allocated memory besides the bucket itself, in bytes.
+    pub(super) fn heap_bytes(&self) -> usize {
+        self.used.capacity() * size_of::<Instant>()
+    }
+
     /// Time until a token that was used is available again; `None` if none was.
     pub(super) fn next_token_in(&self, span: Duration, now: Instant) -> Option<Duration> {
         let used_at = self.used.front()?;
--- a/src/limits/tenant_quota/tenant_permits.rs
+++ b/src/limits/tenant_quota/tenant_permits.rs
@@ -86,6 +86,13 @@
         Some(*until - now)
     }
 
+    /// Allocated memory besides this state itself, in bytes.
+    pub(super) fn heap_bytes(&self) -> usize {
+        self.kept.capacity() * size_of::<Instant>()
+            + self.denied.capacity() * size_of::<(VmId, Instant)>()
+            + self.reserve.heap_bytes()
+    }
+
     /// Records a refusal; returns true for the first since the tenant was last not limited.
     pub(super) fn record_refusal(&mut self, now: Instant) -> bool {
         self.refused_at.replace(now).is_none()
--- a/tests/testsuite/fleet_peers.rs
+++ b/tests/testsuite/fleet_peers.rs
@@ -61,6 +61,17 @@
     assert_eq!(key().decode(&datagram), Ok(sent));
 }
 
+/// Guards against messages that differ from those of versions without quotas.
+#[test]
+fn a_message_without_permits_has_none_of_their_fields() {
+    let text = serde_json::to_string(&message("entry-1", "fd-a", 7)).expect("encoded");
+    for field in ["grants_permits", "permit_requests", "permit_answers"] {
+        assert!(!text.contains(field), "{text}");
+    }
+    let parsed = PeerMessage::parse(text.as_bytes());
+    assert_eq!(parsed, Ok(message("entry-1", "fd-a", 7)), "an older version leaves them out");
+}
+
 #[test]
 fn a_message_signed_with_another_key_is_rejected() {
     let other_key = MessageKey::new("another key").expect("usable");
--- a/tests/testsuite/quota_load.rs
+++ b/tests/testsuite/quota_load.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use heatherfall::core::TenantRecord;
+use heatherfall::limits::tenant_quota::PERMIT_LIFETIME;
 use tokio::time::{Instant, sleep};
 
 use crate::support::quota_fleet::{ALLOWANCE, QuotaFleet, tenant};
@@ -15,6 +17,11 @@
 /// Largest share of a tenant's requests that may be refused while its demand is below its quota.
 const MAX_REFUSED_SHARE: f64 = 0.01;
 
+/// Most permit requests for one request: to three grantors of its domain, and four of others.
+const MAX_ASKED: f64 = 7.0;
+/// Most state of an entry: 1% of the memory of the smallest VM, 112 MB.
+const MAX_STATE_BYTES: usize = 1_120_000;
+
 /// Usual rates of tenants, proportional to rank^-1.2.
 fn rates(count: usize) -> Vec<f64> {
     let weight = |rank: usize| (rank as f64).powf(-1.2);
@@ -55,7 +62,10 @@
         let bound = fleet.bound(index);
         assert!(most as f64 <= bound, "tenant {index}: {most} in a window, bound {bound}");
         if noisy == Some(index) {
-            println!("noisy tenant {index}: most {most} bound {bound} {:?}", fleet.counts(index, from));
+            println!(
+                "noisy tenant {index}: most {most} bound {bound} {:?}",
+                fleet.counts(index, from)
+            );
             continue;
         }
         let (run, refused) = fleet.counts(index, from);
@@ -172,22 +182,60 @@
 async fn messages_and_state_follow_the_requests() {
     for (entries, tenants) in [(135, 85), (135, 1000), (300, 85), (300, 1000)] {
         let fleet = QuotaFleet::start(entries, 3, 47);
-        let began = Instant::now();
         add_load(&fleet, entries, tenants, 1.5, 1.0, Some(0));
         sleep(SETTLING_TIME).await;
+        let (from, asked_before) = (Instant::now(), fleet.traffic().requests);
+        sleep(ALLOWANCE.window).await;
         let (mut run, mut refused) = (0, 0);
         for index in 0..tenants {
-            let counts = fleet.counts(index, began);
+            let counts = fleet.counts(index, from);
             (run, refused) = (run + counts.0, refused + counts.1);
         }
-        let requests = fleet.traffic().requests;
-        let per_request = requests as f64 / (run + refused) as f64;
+        let asked = fleet.traffic().requests - asked_before;
+        let per_request = asked as f64 / (run + refused) as f64;
+        let bytes = fleet.state_bytes();
         println!(
-            "{entries} entries, {tenants} tenants: {requests} permit requests for {run} run and \
-             {refused} refused ({per_request:.2} each), most tenants with state {:?}",
-            fleet.tenant_counts(),
+            "{entries} entries, {tenants} tenants: {:.0} permit requests a second for {run} run and \
+             {refused} refused in 5 s ({per_request:.2} each), most state {bytes} bytes",
+            asked as f64 / ALLOWANCE.window.as_secs_f64(),
         );
-        // A request asks three grantors of its domain and four of others at most.
-        assert!(per_request <= 7.0, "{per_request} permit requests for each request");
+        assert!(per_request <= MAX_ASKED, "{per_request} permit requests for each request");
+        assert!(bytes <= MAX_STATE_BYTES, "{bytes} bytes");
     }
 }
+
+/// Guards against permits of requests that were not run getting lost, and against ones that run later
+/// than the window allows for.
+#[tokio::test(start_paused = true)]
+async fn an_unused_permit_is_kept_until_it_expires() {
+    let fleet = QuotaFleet::start(1, 1, 48);
+    sleep(SETTLING_TIME).await;
+    let (quota, record) = (fleet.quota(0), tenant(0, 1.0, 0.0));
+    let permit = quota.acquire(&record).await.expect("granted").expect("limited");
+    drop(permit);
+    let mut permit = quota.acquire(&record).await.expect("granted").expect("limited");
+    assert_eq!((quota.usage().own, quota.usage().kept), (1, 1));
+    sleep(PERMIT_LIFETIME / 2).await;
+    assert!(!permit.is_expired());
+    permit.set_used(false);
+    drop(permit);
+    sleep(PERMIT_LIFETIME).await;
+    let permit = quota.acquire(&record).await.expect("granted").expect("limited");
+    assert_eq!((quota.usage().own, quota.usage().kept), (2, 1), "the first one has expired");
+    sleep(PERMIT_LIFETIME + Duration::from_millis(1)).await;
+    assert!(permit.is_expired());
+    let unlimited = TenantRecord { quota: None, ..record };
+    assert!(quota.acquire(&unlimited).await.expect("granted").is_none());
+}
+
+/// Guards against refusals while entries of a version without quotas run requests without limit.
+#[tokio::test(start_paused = true)]
+async fn nothing_is_limited_beside_older_versions() {
+    let fleet = QuotaFleet::start(3, 1, 49);
+    fleet.set_older(0);
+    fleet.add_tenant(tenant(0, 1.0, 0.0), 100.0, vec![1, 2]);
+    sleep(SETTLING_TIME).await;
+    let from = Instant::now();
+    sleep(ALLOWANCE.window).await;
+    assert_eq!(fleet.counts(0, from).1, 0, "refused");
+}
--- a/tests/testsuite/quota_model.rs
+++ b/tests/testsuite/quota_model.rs
@@ -96,8 +96,13 @@
         let most = fleet.most_in_a_window(index, began);
         let bound = fleet.bound(index);
         let (run, _) = fleet.counts(index, began);
-        println!("{entries} entries seed {seed} tenant {index}: most {most} bound {bound:.1} run {run}");
-        assert!(most as f64 <= bound, "tenant {index}, seed {seed}: {most} of {bound}: {faults:#?}");
+        println!(
+            "{entries} entries seed {seed} tenant {index}: most {most} bound {bound:.1} run {run}"
+        );
+        assert!(
+            most as f64 <= bound,
+            "tenant {index}, seed {seed}: {most} of {bound}: {faults:#?}"
+        );
     }
 }
 
--- a/tests/testsuite/support/quota_fleet.rs
+++ b/tests/testsuite/support/quota_fleet.rs
@@ -43,6 +43,8 @@
     sequence: u64,
     registered_at: Instant,
     is_down: bool,
+    /// Whether it runs a version without quotas.
+    is_older: bool,
     paused_until: Instant,
 }
 
@@ -158,6 +160,7 @@
             sequence: 0,
             registered_at: Instant::now() + ENROLMENT_TIME,
             is_down: false,
+            is_older: false,
             paused_until: Instant::now(),
         }
     }
@@ -167,6 +170,16 @@
         self.lock().entries[entry].is_down = true;
     }
 
+    /// Makes an entry one of a version without quotas, as its messages show it.
+    pub(crate) fn set_older(&self, entry: usize) {
+        self.lock().entries[entry].is_older = true;
+    }
+
+    /// Quotas at an entry.
+    pub(crate) fn quota(&self, entry: usize) -> Arc<QuotaTable> {
+        Arc::clone(&self.lock().entries[entry].quota)
+    }
+
     /// Starts an entry again that was killed.
     pub(crate) fn restart(&self, entry: usize) {
         let count = self.lock().entries.len();
@@ -236,7 +249,8 @@
             }
             let quota = Arc::clone(&known.quota);
             // One request in ten has a body that takes up to 600 ms, and one in fifty is not run.
-            let body_time = if state.random.below(10) == 0 { 600.0 * state.random.unit() } else { 0.0 };
+            let body_time =
+                if state.random.below(10) == 0 { 600.0 * state.random.unit() } else { 0.0 };
             let is_run = state.random.below(50) > 0;
             state.arrivals[tenant].push(Instant::now());
             (quota, state.tenants[tenant].clone(), body_time, is_run)
@@ -313,7 +327,7 @@
                     loads: Vec::new(),
                     change: None,
                     limits: Vec::new(),
-                    grants_permits: known.registered_at <= now,
+                    grants_permits: known.registered_at <= now && !known.is_older,
                     permit_requests: Vec::new(),
                     permit_answers: Vec::new(),
                 };
@@ -345,7 +359,8 @@
                 let state = self.lock();
                 let known = &state.entries[entry];
                 let now = Instant::now();
-                let domains = (0..self.domain_count).map(|index| FailureDomain::new(&self.domain(index)));
+                let domains =
+                    (0..self.domain_count).map(|index| FailureDomain::new(&self.domain(index)));
                 let is_registered = known.registered_at <= now;
                 let role = OwnPermitRole {
                     is_advertised: is_registered,
@@ -440,7 +455,8 @@
         let allowed = quota.per_second * ALLOWANCE.window.as_secs_f64() + quota.burst;
         let mut refused = 0;
         for at in state.refusals[tenant].iter().filter(|at| **at >= from) {
-            let recent = |arrival: &&Instant| **arrival <= *at && *at - **arrival <= ALLOWANCE.window;
+            let recent =
+                |arrival: &&Instant| **arrival <= *at && *at - **arrival <= ALLOWANCE.window;
             let arrived = state.arrivals[tenant].iter().filter(recent).count();
             refused += usize::from(arrived as f64 <= allowed);
         }
@@ -457,14 +473,9 @@
         self.lock().traffic
     }
 
-    /// Largest number of tenants with state at an entry, and at a grantor.
-    pub(crate) fn tenant_counts(&self) -> (usize, usize) {
+    /// Most bytes of state at an entry.
+    pub(crate) fn state_bytes(&self) -> usize {
         let state = self.lock();
-        let mut most = (0, 0);
-        for entry in &state.entries {
-            let (known, granted) = entry.quota.tenant_counts();
-            most = (most.0.max(known), most.1.max(granted));
-        }
-        most
+        state.entries.iter().map(|entry| entry.quota.state_bytes()).max().unwrap_or_default()
     }
 }
