limits: start small shares again after a changed position

Cause: a quota with fewer grantors than the domain has moves to another entry when the positions change, which then had a full burst at once.

--- a/src/limits/tenant_quota/mod.rs
+++ b/src/limits/tenant_quota/mod.rs
@@ -11,11 +11,12 @@
 //! deployment, whichever entries can communicate; `docs/design/quotas.md` has the proof.
 //!
 //! This module decides, on the runtime's clock and without sockets: `QuotaTerms` divides a quota,
-//! `grantor_bucket` holds the share of a grantor, `reserve_share` that of an entry,
+//! `grantor_role` and `grantor_bucket` hold the shares of a grantor, `reserve_share` that of an entry,
 //! `quota_state` decides whom to ask, and [`QuotaTable`] is the interface for the request path and
 //! for `fleet::permit_exchange`, which sends and receives the messages.
 
 mod grantor_bucket;
+mod grantor_role;
 mod permit_peers;
 mod quota_state;
 mod quota_table;
--- a/src/limits/tenant_quota/quota_state.rs
+++ b/src/limits/tenant_quota/quota_state.rs
@@ -1,11 +1,11 @@
-//! Decides whom an entry asks for permits, and which permits it grants as a grantor.
+//! Decides whom an entry asks for permits.
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use crate::core::{TenantId, TenantQuota, VmId};
-use crate::limits::tenant_quota::grantor_bucket::GrantorBucket;
+use crate::limits::tenant_quota::grantor_role::GrantorRole;
 use crate::limits::tenant_quota::permit_peers::{PermitGrantor, PermitPeers};
 use crate::limits::tenant_quota::quota_terms::{MAX_GRANTORS, QuotaAllowance, QuotaTerms};
 use crate::limits::tenant_quota::reserve_share::reserve_share;
@@ -71,12 +71,8 @@
 pub(super) struct QuotaState {
     allowance: QuotaAllowance,
     peers: PermitPeers,
-    /// When `peers` was last updated.
-    updated_at: Instant,
-    /// Since when this entry is a grantor without interruption; `None` if it is none.
-    granting_since: Option<Instant>,
+    role: GrantorRole,
     registered_since: Option<Instant>,
-    buckets: FastMap<TenantId, GrantorBucket>,
     tenants: FastMap<TenantId, TenantPermits>,
     pauses: FastMap<VmId, GrantorPause>,
     turn: usize,
@@ -98,10 +94,8 @@
         Self {
             allowance,
             peers,
-            updated_at: now,
-            granting_since: None,
+            role: GrantorRole::new(now),
             registered_since: None,
-            buckets: FastMap::default(),
             tenants: FastMap::default(),
             pauses: FastMap::default(),
             turn: 0,
@@ -111,42 +105,22 @@
     /// Replaces what is known about the other entries. If that shows that this entry was no grantor
     /// for a time, it starts again with empty buckets.
     pub(super) fn update_peers(&mut self, peers: PermitPeers, now: Instant) {
-        self.check_role(now);
+        self.role.check(self.peers.role_lifetime, now);
         if self.peers.members != peers.members {
             for permits in self.tenants.values_mut() {
                 permits.share = None;
             }
         }
         self.peers = peers;
-        self.updated_at = now;
-        if self.position().is_none() || !self.peers.may_grant {
-            self.end_role();
-        } else if self.granting_since.is_none() {
-            self.granting_since = Some(now);
-            log::info!(target: "quota", "this entry grants permits domains={}", self.peers.domains);
-        }
+        let position = self.position().filter(|_| self.peers.may_grant);
+        self.role.update(position, now);
         let registered_since = self.peers.is_registered.then_some(now);
         self.registered_since = registered_since.and(self.registered_since.or(Some(now)));
     }
 
     /// Whether this entry is a grantor.
     pub(super) fn is_granting(&self) -> bool {
-        self.granting_since.is_some()
-    }
-
-    /// Ends the role of a grantor if the state of the others is too old, after a pause of the
-    /// process.
-    fn check_role(&mut self, now: Instant) {
-        if now.saturating_duration_since(self.updated_at) > self.peers.role_lifetime {
-            self.end_role();
-        }
-    }
-
-    fn end_role(&mut self) {
-        if self.granting_since.take().is_some() {
-            log::info!(target: "quota", "this entry no longer grants permits");
-        }
-        self.buckets.clear();
+        self.role.is_granting()
     }
 
     fn position(&self) -> Option<usize> {
@@ -170,18 +144,8 @@
         quota: TenantQuota,
         now: Instant,
     ) -> Option<Result<bool, Duration>> {
-        self.check_role(now);
-        let since = self.granting_since?;
-        let terms = self.terms();
-        if self.position()? >= terms.grantor_count(quota) {
-            return None;
-        }
-        let limits = terms.grantor_limits(quota);
-        let span = terms.span();
-        let bucket = self.buckets.entry(tenant.clone());
-        let bucket = bucket.or_insert_with(|| GrantorBucket::new(limits, span, since));
-        bucket.set_limits(limits, now);
-        Some(bucket.try_grant(now))
+        self.role.check(self.peers.role_lifetime, now);
+        self.role.grant(tenant, quota, self.terms(), now)
     }
 
     /// Next step to obtain a permit for a request of `tenant`.
@@ -410,21 +374,18 @@
         }
         let is_recent = |at: Instant| now.saturating_duration_since(at) < timeout;
         self.tenants.retain(|_, permits| is_recent(permits.used_at));
-        self.buckets.retain(|_, bucket| is_recent(bucket.refilled_at()));
+        self.role.remove_idle(timeout, now);
         self.pauses.retain(|_, pause| is_recent(pause.until));
         released
     }
 
     /// Memory of the state of tenants in bytes, without the spare room of the hash maps.
     pub(super) fn state_bytes(&self) -> usize {
-        let mut bytes = self.tenants.len() * size_of::<(TenantId, TenantPermits)>()
-            + self.buckets.len() * size_of::<(TenantId, GrantorBucket)>();
+        let mut bytes =
+            self.tenants.len() * size_of::<(TenantId, TenantPermits)>() + self.role.state_bytes();
         for (tenant, permits) in &self.tenants {
             bytes += tenant.as_str().len() + permits.heap_bytes();
         }
-        for (tenant, bucket) in &self.buckets {
-            bytes += tenant.as_str().len() + bucket.heap_bytes();
-        }
         bytes
     }
 }
