--- a/src/limits/tenant_quota/quota_state.rs
+++ b/src/limits/tenant_quota/quota_state.rs
@@ -1,11 +1,12 @@
-//! Decides whom an entry asks for permits, and which permits it grants as a grantor.
+//! Decides whom an entry asks for permits.
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use crate::core::{TenantId, TenantQuota, VmId};
-use crate::limits::tenant_quota::grantor_bucket::{GrantPredecessor, GrantorBucket};
+use crate::limits::tenant_quota::grantor_bucket::GrantPredecessor;
+use crate::limits::tenant_quota::grantor_role::GrantorRole;
 use crate::limits::tenant_quota::permit_peers::{PermitGrantor, PermitPeers};
 use crate::limits::tenant_quota::quota_terms::{MAX_GRANTORS, QuotaAllowance, QuotaTerms};
 use crate::limits::tenant_quota::reserve_share::reserve_share;
@@ -76,14 +77,8 @@
 pub(super) struct QuotaState {
     allowance: QuotaAllowance,
     peers: PermitPeers,
-    /// When `peers` was last updated.
-    updated_at: Instant,
-    /// Since when this entry is a grantor without interruption; `None` if it is none.
-    granting_since: Option<Instant>,
-    /// What may have been granted before.
-    predecessor: GrantPredecessor,
+    role: GrantorRole,
     registered_since: Option<Instant>,
-    buckets: FastMap<TenantId, GrantorBucket>,
     tenants: FastMap<TenantId, TenantPermits>,
     pauses: FastMap<VmId, GrantorPause>,
     turn: usize,
@@ -107,11 +102,8 @@
         Self {
             allowance,
             peers,
-            updated_at: now,
-            granting_since: None,
-            predecessor: GrantPredecessor::Active,
+            role: GrantorRole::new(now),
             registered_since: None,
-            buckets: FastMap::default(),
             tenants: FastMap::default(),
             pauses: FastMap::default(),
             turn: 0,
@@ -121,36 +113,28 @@
     /// Replaces what is known about the other entries. If that shows that this entry was no grantor
     /// for a time, it starts again with empty buckets.
     pub(super) fn update_peers(&mut self, peers: PermitPeers, now: Instant) {
-        self.check_role(now);
+        self.role.check(self.peers.role_lifetime, now);
         if self.peers.members != peers.members {
             for permits in self.tenants.values_mut() {
                 permits.share = None;
             }
         }
         self.peers = peers;
-        self.updated_at = now;
-        if self.position().is_none() || !self.peers.may_grant {
-            self.end_role();
-        } else if self.granting_since.is_none() {
-            self.granting_since = Some(now);
-            let uptime = now.saturating_duration_since(self.peers.started_at);
-            let is_start = self.peers.is_domain_start && uptime < self.allowance.window;
-            self.predecessor = if is_start {
-                GrantPredecessor::SilentFor(uptime + RESTART_TIME)
-            } else {
-                GrantPredecessor::Active
-            };
-            log::info!(
-                target: "quota",
-                "this entry grants permits domains={} predecessor={:?}",
-                self.peers.domains,
-                self.predecessor,
-            );
-        }
+        let position = self.position().filter(|_| self.peers.may_grant);
+        self.role.update(position, self.predecessor(now), now);
         let registered_since = self.peers.is_registered.then_some(now);
         self.registered_since = registered_since.and(self.registered_since.or(Some(now)));
     }
 
+    /// What others may have granted in place of this entry, if it becomes a grantor now.
+    fn predecessor(&self, now: Instant) -> GrantPredecessor {
+        let uptime = now.saturating_duration_since(self.peers.started_at);
+        if self.peers.is_domain_start && uptime < self.allowance.window {
+            return GrantPredecessor::SilentFor(uptime + RESTART_TIME);
+        }
+        GrantPredecessor::Active
+    }
+
     /// Whether this process has just started and grantors may begin soon.
     pub(super) fn is_starting(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.peers.started_at) < START_WAIT
@@ -158,22 +142,7 @@
 
     /// Whether this entry is a grantor.
     pub(super) fn is_granting(&self) -> bool {
-        self.granting_since.is_some()
-    }
-
-    /// Ends the role of a grantor if the state of the others is too old, after a pause of the
-    /// process.
-    fn check_role(&mut self, now: Instant) {
-        if now.saturating_duration_since(self.updated_at) > self.peers.role_lifetime {
-            self.end_role();
-        }
-    }
-
-    fn end_role(&mut self) {
-        if self.granting_since.take().is_some() {
-            log::info!(target: "quota", "this entry no longer grants permits");
-        }
-        self.buckets.clear();
+        self.role.is_granting()
     }
 
     fn position(&self) -> Option<usize> {
@@ -197,19 +166,8 @@
         quota: TenantQuota,
         now: Instant,
     ) -> Option<Result<bool, Duration>> {
-        self.check_role(now);
-        let since = self.granting_since?;
-        let terms = self.terms();
-        if self.position()? >= terms.grantor_count(quota) {
-            return None;
-        }
-        let limits = terms.grantor_limits(quota);
-        let span = terms.span();
-        let bucket = self.buckets.entry(tenant.clone());
-        let predecessor = self.predecessor;
-        let bucket = bucket.or_insert_with(|| GrantorBucket::new(limits, span, since, predecessor));
-        bucket.set_limits(limits, now);
-        Some(bucket.try_grant(now))
+        self.role.check(self.peers.role_lifetime, now);
+        self.role.grant(tenant, quota, self.terms(), now)
     }
 
     /// Next step to obtain a permit for a request of `tenant`.
@@ -438,13 +396,18 @@
         }
         let is_recent = |at: Instant| now.saturating_duration_since(at) < timeout;
         self.tenants.retain(|_, permits| is_recent(permits.used_at));
-        self.buckets.retain(|_, bucket| is_recent(bucket.refilled_at()));
+        self.role.remove_idle(timeout, now);
         self.pauses.retain(|_, pause| is_recent(pause.until));
         released
     }
 
-    /// Number of tenants with state, as an entry that runs requests and as a grantor.
-    pub(super) fn tenant_counts(&self) -> (usize, usize) {
-        (self.tenants.len(), self.buckets.len())
+    /// Memory of the state of tenants in bytes, without the spare room of the hash maps.
+    pub(super) fn state_bytes(&self) -> usize {
+        let mut bytes =
+            self.tenants.len() * size_of::<(TenantId, TenantPermits)>() + self.role.state_bytes();
+        for (tenant, permits) in &self.tenants {
+            bytes += tenant.as_str().len() + permits.heap_bytes();
+        }
+        bytes
     }
 }
--- a/tests/testsuite/support/quota_fleet.rs
+++ b/tests/testsuite/support/quota_fleet.rs
@@ -44,6 +44,8 @@
     started_at: Instant,
     registered_at: Instant,
     is_down: bool,
+    /// Whether it runs a version without quotas.
+    is_older: bool,
     paused_until: Instant,
 }
 
@@ -60,6 +62,8 @@
     random: SeededRandom,
     /// Start of each request that ran, by tenant.
     runs: Vec<Vec<Instant>>,
+    /// Arrivals of requests, by tenant.
+    arrivals: Vec<Vec<Instant>>,
     /// Times of refusals, by tenant.
     refusals: Vec<Vec<Instant>>,
     traffic: PermitTraffic,
@@ -105,6 +109,7 @@
             link: Arc::new(|_, _, _| LinkState::Up),
             random: SeededRandom::new(seed),
             runs: Vec::new(),
+            arrivals: Vec::new(),
             refusals: Vec::new(),
             traffic: PermitTraffic::default(),
             tenants: Vec::new(),
@@ -157,6 +162,7 @@
             started_at: Instant::now(),
             registered_at: Instant::now() + ENROLMENT_TIME,
             is_down: false,
+            is_older: false,
             paused_until: Instant::now(),
         }
     }
@@ -166,6 +172,16 @@
         self.lock().entries[entry].is_down = true;
     }
 
+    /// Makes an entry one of a version without quotas, as its messages show it.
+    pub(crate) fn set_older(&self, entry: usize) {
+        self.lock().entries[entry].is_older = true;
+    }
+
+    /// Quotas at an entry.
+    pub(crate) fn quota(&self, entry: usize) -> Arc<QuotaTable> {
+        Arc::clone(&self.lock().entries[entry].quota)
+    }
+
     /// Starts an entry again that was killed.
     pub(crate) fn restart(&self, entry: usize) {
         let count = self.lock().entries.len();
@@ -206,6 +222,7 @@
             state.tenants.push(record);
             state.rates.push(per_second);
             state.runs.push(Vec::new());
+            state.arrivals.push(Vec::new());
             state.refusals.push(Vec::new());
             state.tenants.len() - 1
         };
@@ -237,6 +254,7 @@
             let body_time =
                 if state.random.below(10) == 0 { 600.0 * state.random.unit() } else { 0.0 };
             let is_run = state.random.below(50) > 0;
+            state.arrivals[tenant].push(Instant::now());
             (quota, state.tenants[tenant].clone(), body_time, is_run)
         };
         let mut acquired = quota.acquire(&record).await;
@@ -314,7 +332,7 @@
                     config_part: None,
                     cold: Vec::new(),
                     uptime_ms: Some((now - known.started_at).as_millis() as u64),
-                    grants_permits: known.registered_at <= now,
+                    grants_permits: known.registered_at <= now && !known.is_older,
                     permit_requests: Vec::new(),
                     permit_answers: Vec::new(),
                 };
@@ -435,6 +453,22 @@
         (since(&state.runs[tenant]), since(&state.refusals[tenant]))
     }
 
+    /// Refusals since `from` while no more requests than the rate and the burst allow had arrived in
+    /// the window before.
+    pub(crate) fn refused_below_quota(&self, tenant: usize, from: Instant) -> usize {
+        let state = self.lock();
+        let quota = state.tenants[tenant].quota.expect("a quota");
+        let allowed = quota.per_second * ALLOWANCE.window.as_secs_f64() + quota.burst;
+        let mut refused = 0;
+        for at in state.refusals[tenant].iter().filter(|at| **at >= from) {
+            let recent =
+                |arrival: &&Instant| **arrival <= *at && *at - **arrival <= ALLOWANCE.window;
+            let arrived = state.arrivals[tenant].iter().filter(recent).count();
+            refused += usize::from(arrived as f64 <= allowed);
+        }
+        refused
+    }
+
     /// Requests that a tenant may run in any window.
     pub(crate) fn bound(&self, tenant: usize) -> f64 {
         let quota = self.lock().tenants[tenant].quota.expect("a quota");
@@ -445,14 +479,9 @@
         self.lock().traffic
     }
 
-    /// Largest number of tenants with state at an entry, and at a grantor.
-    pub(crate) fn tenant_counts(&self) -> (usize, usize) {
+    /// Most bytes of state at an entry.
+    pub(crate) fn state_bytes(&self) -> usize {
         let state = self.lock();
-        let mut most = (0, 0);
-        for entry in &state.entries {
-            let (known, granted) = entry.quota.tenant_counts();
-            most = (most.0.max(known), most.1.max(granted));
-        }
-        most
+        state.entries.iter().map(|entry| entry.quota.state_bytes()).max().unwrap_or_default()
     }
 }
