--- a/src/request/upstream_selection.rs
+++ b/src/request/upstream_selection.rs
@@ -120,10 +120,7 @@
         if let Some(prepared) = self.prepare_forward(role, ctx, history) {
             return prepared;
         }
-        if !self.has_budget(role) {
-            return Err(StartRefusal::BudgetSpent);
-        }
-        if let Some(refusal) = self.limit_refusal(role, route, ctx, history) {
+        if let Some(refusal) = self.budget_refusal(role, route, ctx, history) {
             return Err(refusal);
         }
         let selected = self.select_within_limits(role, route, ctx, history, trace).await?;
@@ -304,22 +301,26 @@
         }
     }
 
-    /// Why the operators' limit does not allow a hedge; a hedge without a gain is not refused for
-    /// the limit.
-    fn limit_refusal<C, P: UpstreamPicker>(
+    /// Why a budget or the operators' limit does not allow the attempt, as far as that is known before
+    /// they are spent. Under a limit, a hedge that promises no gain is refused for that reason.
+    fn budget_refusal<C, P: UpstreamPicker>(
         &self,
         role: AttemptRole,
         route: &RouteRecord,
         ctx: &ExecutionContext<'_, C, P>,
         history: &AttemptHistory,
     ) -> Option<StartRefusal> {
-        let limits = self.hedge_limits(role)?;
-        if limits.can_spend() {
+        let has_budget = self.has_budget(role);
+        let Some(limits) = self.hedge_limits(role) else {
+            return (!has_budget).then_some(StartRefusal::BudgetSpent);
+        };
+        if has_budget && limits.can_spend() {
             return None;
         }
         let pick = self.pick_request(role, route, &history.tried, ctx).after(history);
         Some(match ctx.picker.pick(pick) {
-            Ok(_) => StartRefusal::HedgeLimit,
+            Ok(_) if has_budget => StartRefusal::HedgeLimit,
+            Ok(_) => StartRefusal::BudgetSpent,
             Err(PickRefusal::NoUpstream) => StartRefusal::NoUpstream,
             Err(PickRefusal::Crowded) => StartRefusal::Crowded,
         })
