--- a/tests/testsuite/utility_picker.rs
+++ b/tests/testsuite/utility_picker.rs
@@ -491,6 +491,16 @@
     assert_eq!(pick(&fixture), Err(PickRefusal::NoUpstream), "evacuated and draining");
     fixture.upstream(1).set_evacuated(false);
     assert_eq!(pick(&fixture), Ok(fixture.key(1)));
+    let share = WarmUpShare {
+        total_per_second: 2.8,
+        limit: LimitShare::new(2.8, 1.0),
+        initial_tokens: 1.0,
+    };
+    fixture.upstream(1).warm_up().set_share(share, 0);
+    fixture.upstream(1).warm_up().record_registration(Duration::from_secs(3));
+    assert_eq!(pick(&fixture), Err(PickRefusal::NoUpstream), "cold");
+    advance(Duration::from_secs(4)).await;
+    fixture.report(1, 0, 100);
     let _busy = fixture.start_requests(1, SLOTS);
     assert_eq!(pick(&fixture), Err(PickRefusal::Crowded), "the hedge would queue");
 }
