--- a/src/limits/tenant_quota/mod.rs
+++ b/src/limits/tenant_quota/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! ```text
 //! request -> kept permit? -> grantors of the domain -> grantors of other domains -> reserve -> 429
-//!                              (this entry first)        (one of each)
+//!                              (this entry first)
 //! ```
 //!
 //! A few entries of each failure domain, the grantors, hold static shares of each tenant's quota.
