--- a/src/balance/pick.rs
+++ b/src/balance/pick.rs
@@ -114,8 +114,7 @@
     /// Whether the request may be sent to `upstream` now, also by the regions of its tenant.
     pub fn allows(&self, upstream: &UpstreamState, now: Instant) -> bool {
         // A hedge is extra work, which an upstream that is warming up must not get.
-        let is_cold_hedge =
-            self.purpose == PickPurpose::Hedge && upstream.warm_up().is_cold(now);
+        let is_cold_hedge = self.purpose == PickPurpose::Hedge && upstream.warm_up().is_cold(now);
         upstream.accepts_attempts(now)
             && !is_cold_hedge
             && self.tenant.is_none_or(|tenant| tenant.allows_domain(&upstream.failure_domain))
