load: measure classify and recompile by number of routes

Cause: the slopes cover rules with a path prefix alone, up to 80; a fleet's configuration with 1,400 further routes more than doubled the entries' CPU time.

--- a/src/bin/heatherfall-load/slopes.rs
+++ b/src/bin/heatherfall-load/slopes.rs
@@ -44,5 +44,18 @@
     for point in &report.rules {
         table.add_row([point.rules.to_string(), format!("{:.0}", point.classify_ns)]);
     }
+    println!("{table}\n");
+    let mut table = Table::new();
+    let header = ["ROUTES", "CLASSIFY NS", "RECOMPILE US", "LIMITS US", "SNAPSHOT KB"];
+    table.load_style(NOTHING).set_header(header);
+    for point in &report.routes {
+        table.add_row([
+            point.routes.to_string(),
+            format!("{:.0}", point.classify_ns),
+            format!("{:.0}", point.recompile_us),
+            format!("{:.0}", point.limits_us),
+            format!("{:.0}", point.snapshot_kb),
+        ]);
+    }
     println!("{table}");
 }
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -15,6 +15,7 @@
 pub mod path_bench;
 pub mod request_timeline;
 pub mod rollout;
+pub mod route_bench;
 pub mod scaling_bench;
 pub mod smoke;
 
--- a/src/ops/scaling_bench.rs
+++ b/src/ops/scaling_bench.rs
@@ -1,7 +1,8 @@
 //! Benchmark of how state and processing time grow with targets and rules, for `docs/CAPACITY.md`.
 //!
-//! Two series are measured at several sizes with the code that the daemon runs: size and compile
-//! time of a configuration by number of targets, and time to classify a request by number of rules.
+//! Three series are measured at several sizes with the code that the daemon runs: size and compile
+//! time of a configuration by number of targets, time to classify a request by number of rules, and
+//! the costs of a fleet's configuration by number of routes ([`route_bench`]).
 
 use std::hint::black_box;
 use std::time::Instant;
@@ -13,6 +14,7 @@
 
 use crate::config::{ObjectSet, compile};
 use crate::core::{CONFIG_KINDS, ConfigSnapshot, GenerationNumber};
+use crate::ops::route_bench::{self, RoutePoint};
 use crate::request::{RequestHead, classify};
 
 /// Compilations timed for each point; the point is their median.
@@ -49,17 +51,22 @@
     pub targets: Vec<TargetPoint>,
     /// Series by number of rules.
     pub rules: Vec<RulePoint>,
+    /// Series by number of routes with a host and a path prefix.
+    pub routes: Vec<RoutePoint>,
 }
 
-/// Measures both series.
+/// Measures all series.
 pub fn run() -> ScalingReport {
-    let mut report = ScalingReport { targets: Vec::new(), rules: Vec::new() };
+    let mut report = ScalingReport { targets: Vec::new(), rules: Vec::new(), routes: Vec::new() };
     for targets in [79, 197, 395, 790] {
         report.targets.push(measure_targets(20, targets));
     }
     for rules in [10, 20, 40, 80] {
         report.rules.push(measure_rules(rules));
     }
+    for routes in [12, 400, 1400] {
+        report.routes.push(route_bench::measure_routes(routes));
+    }
     report
 }
 
