request: classify by indexes of hosts, prefixes and labels

Cause: classify tested every request rule twice and every route selector for each request, and with_upstreams copied all rules, specs and lists of upstreams for each change of an upstream. Rules without such a condition are always evaluated. What the index returns is evaluated in full and in order of precedence, so results stay the same.

--- a/src/config/compile.rs
+++ b/src/config/compile.rs
@@ -13,11 +13,11 @@
 use tokio::time::Instant;
 
 use crate::config::object_set::ObjectSet;
+use crate::config::upstream_selection::UpstreamSelection;
 use crate::core::{
     BudgetSpec, ConfigSnapshot, DepartedUpstream, GenerationNumber, IdempotenceRule,
-    IdempotenceSpec, LabelSelector, LabelSet, ObjectKind, RequestLabelSpec, RequestRule,
-    ResultCode, RouteRecord, RouteSpec, TenantId, UpstreamArena, UpstreamKey, UpstreamSpec,
-    UpstreamState, WeightedPart,
+    IdempotenceSpec, LabelSet, ObjectKind, RequestLabelSpec, RequestRule, ResultCode, RouteSpec,
+    RouteTable, TenantId, UpstreamArena, UpstreamKey, UpstreamSpec, UpstreamState,
 };
 use crate::util::{FastMap, FastSet};
 
@@ -59,9 +59,9 @@
     let routes = read_specs(objects, ObjectKind::Route, &mut faults);
     let mut snapshot = ConfigSnapshot {
         generation,
-        request_rules: compile_request_rules(objects, &mut faults),
+        request_rules: compile_request_rules(objects, &mut faults).into(),
         routes: compile_routes(routes, &upstreams),
-        idempotence_rules: compile_idempotence(objects, &mut faults),
+        idempotence_rules: compile_idempotence(objects, &mut faults).into(),
         budget: compile_budget(objects, &mut faults),
         departed_upstreams,
         ..ConfigSnapshot::default()
@@ -81,7 +81,7 @@
     pub spec: UpstreamSpec,
 }
 
-/// Returns a snapshot with the rules of `rules` and these upstreams. An upstream that `previous`
+/// Returns a snapshot with the rules of `rules`, in their order, and these upstreams. An upstream that `previous`
 /// has under the same name, address and start keeps its key and counters.
 ///
 /// Upstreams change far more often than rules, so this avoids parsing the rules again.
@@ -91,11 +91,13 @@
     previous: Option<&ConfigSnapshot>,
 ) -> ConfigSnapshot {
     let MergedUpstreams { upstreams, departed_upstreams } = merge_upstreams(declared, previous);
-    let mut specs = Vec::with_capacity(rules.routes.len());
-    for route in &rules.routes {
-        specs.push((route.name.clone(), route.spec.clone()));
+    let mut selection = UpstreamSelection::new(&upstreams);
+    if let Some(previous) = previous {
+        selection.reuse_lists(&previous.routes);
     }
-    let routes = compile_routes(specs, &upstreams);
+    let routes = rules.routes.map_upstreams(|route| {
+        selection.compile_route(route.name.clone(), Arc::clone(&route.spec))
+    });
     let mut snapshot = ConfigSnapshot { routes, departed_upstreams, ..rules.clone() };
     set_upstreams(&mut snapshot, upstreams);
     snapshot
@@ -266,43 +268,14 @@
     rules
 }
 
-fn compile_routes(
-    mut specs: Vec<(String, RouteSpec)>,
-    upstreams: &UpstreamArena,
-) -> Vec<RouteRecord> {
+fn compile_routes(mut specs: Vec<(String, RouteSpec)>, upstreams: &UpstreamArena) -> RouteTable {
     specs.sort_by(|a, b| b.1.priority.cmp(&a.1.priority).then_with(|| a.0.cmp(&b.0)));
-    let mut by_name: Vec<(UpstreamKey, &Arc<UpstreamState>)> = upstreams.iter().collect();
-    by_name.sort_by(|a, b| a.1.name.cmp(&b.1.name));
-    // Routes often share a selector, so each one is evaluated once.
-    let mut selections: FastMap<String, Vec<UpstreamKey>> = FastMap::default();
-    let mut selected = |selector: &LabelSelector| {
-        let text = selector.to_string();
-        selections.entry(text).or_insert_with(|| select(selector, &by_name)).clone()
-    };
+    let mut selection = UpstreamSelection::new(upstreams);
     let mut routes = Vec::with_capacity(specs.len());
     for (name, spec) in specs {
-        let mut parts = Vec::with_capacity(spec.parts.len());
-        for part in &spec.parts {
-            let upstreams = selected(&part.upstreams);
-            parts.push(WeightedPart { weight: part.weight, upstreams });
-        }
-        let upstreams = selected(&spec.upstreams);
-        routes.push(RouteRecord { name, spec, upstreams, parts });
-    }
-    routes
-}
-
-fn select(
-    selector: &LabelSelector,
-    by_name: &[(UpstreamKey, &Arc<UpstreamState>)],
-) -> Vec<UpstreamKey> {
-    let mut selected = Vec::new();
-    for (key, upstream) in by_name {
-        if selector.matches(&upstream.labels) {
-            selected.push(*key);
-        }
+        routes.push(selection.compile_route(name, Arc::new(spec)));
     }
-    selected
+    routes.into()
 }
 
 fn compile_idempotence(objects: &ObjectSet, faults: &mut Vec<SpecError>) -> Vec<IdempotenceRule> {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -14,6 +14,7 @@
 mod object_source;
 mod publish;
 mod status;
+mod upstream_selection;
 
 pub use self::compile::{
     CompileOutcome, DeclaredUpstream, SpecError, check_object, compile, with_upstreams,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -12,6 +12,8 @@
 mod object;
 mod rate_limit;
 mod result_code;
+mod rule_index;
+mod rule_table;
 mod selector;
 mod snapshot;
 mod tenant;
@@ -36,6 +38,8 @@
 };
 pub use self::rate_limit::{LimitNews, LimitStatement, NamedRateLimit, RateLimit};
 pub use self::result_code::ResultCode;
+pub use self::rule_index::{MatcherIndex, RuleIndex, SelectingRule, SelectorIndex};
+pub use self::rule_table::{IdempotenceRules, RequestRules, RouteTable, RuleTable};
 pub use self::selector::{LabelSelector, SelectorError};
 pub use self::snapshot::{
     ConfigSnapshot, DepartedUpstream, IdempotenceRule, PartIndex, ReplacedRules, RequestRule,
--- a/src/core/selector.rs
+++ b/src/core/selector.rs
@@ -27,12 +27,12 @@
 const MAX_SELECTOR_BYTES: usize = 4096;
 
 /// A parsed selector; the empty selector matches every label set.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 pub struct LabelSelector {
     requirements: Vec<LabelRequirement>,
 }
 
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 enum LabelRequirement {
     In { key: String, values: Vec<String> },
     NotIn { key: String, values: Vec<String> },
@@ -55,6 +55,19 @@
     pub fn matches(&self, labels: &LabelSet) -> bool {
         self.requirements.iter().all(|requirement| requirement.holds(labels))
     }
+
+    /// Key and values of the requirement that a label has one of the fewest values; none if the
+    /// selector has no requirement of this form.
+    pub(crate) fn narrowest_values(&self) -> Option<(&str, &[String])> {
+        let mut narrowest: Option<(&str, &[String])> = None;
+        for requirement in &self.requirements {
+            let LabelRequirement::In { key, values } = requirement else { continue };
+            if narrowest.is_none_or(|(_, fewest)| values.len() < fewest.len()) {
+                narrowest = Some((key, values));
+            }
+        }
+        narrowest
+    }
 }
 
 impl LabelRequirement {
--- a/src/core/snapshot.rs
+++ b/src/core/snapshot.rs
@@ -11,6 +11,7 @@
 use crate::core::identity::{GenerationNumber, TenantId};
 use crate::core::label::LabelSet;
 use crate::core::object::{BudgetSpec, IdempotenceMode, RequestMatcher, RouteSpec};
+use crate::core::rule_table::{IdempotenceRules, RequestRules, RouteTable};
 use crate::core::selector::LabelSelector;
 use crate::core::tenant::TenantTable;
 use crate::core::upstream::{UpstreamArena, UpstreamKey, UpstreamState};
@@ -35,11 +36,11 @@
     /// Upstreams that were removed a short time ago, and may return.
     pub departed_upstreams: Vec<DepartedUpstream>,
     /// Request rules in order of precedence.
-    pub request_rules: Vec<RequestRule>,
+    pub request_rules: RequestRules,
     /// Routes in order of precedence; [`RouteKey`] is the index.
-    pub routes: Vec<RouteRecord>,
+    pub routes: RouteTable,
     /// Idempotence rules in name order.
-    pub idempotence_rules: Vec<IdempotenceRule>,
+    pub idempotence_rules: IdempotenceRules,
     /// Idempotence rules of recently replaced generations. While other nodes may still apply them,
     /// a request that one of them marks at-most-once runs at most once here too.
     pub replaced_rules: Vec<Arc<ReplacedRules>>,
@@ -63,9 +64,9 @@
 pub struct ReplacedRules {
     /// Request rules in order of precedence; they assign the labels that idempotence rules select
     /// by.
-    pub request_rules: Vec<RequestRule>,
+    pub request_rules: RequestRules,
     /// Idempotence rules in name order.
-    pub idempotence_rules: Vec<IdempotenceRule>,
+    pub idempotence_rules: IdempotenceRules,
 }
 
 /// A compiled `RequestLabel`.
@@ -88,10 +89,10 @@
 pub struct RouteRecord {
     /// Object name.
     pub name: String,
-    /// Spec that the route was compiled from.
-    pub spec: RouteSpec,
-    /// Upstreams that the route selects, in name order.
-    pub upstreams: Vec<UpstreamKey>,
+    /// Spec that the route was compiled from, shared between snapshots.
+    pub spec: Arc<RouteSpec>,
+    /// Upstreams that the route selects, in name order; shared by routes with the same selector.
+    pub upstreams: Arc<[UpstreamKey]>,
     /// Parts of the traffic split; empty for a route that is not split.
     pub parts: Vec<WeightedPart>,
 }
@@ -106,7 +107,7 @@
     /// Share of the requests, relative to the weights of the other parts.
     pub weight: u32,
     /// Upstreams of the part, in name order.
-    pub upstreams: Vec<UpstreamKey>,
+    pub upstreams: Arc<[UpstreamKey]>,
 }
 
 impl RouteRecord {
--- a/src/limits/route_group.rs
+++ b/src/limits/route_group.rs
@@ -20,7 +20,7 @@
     let mut parents: Vec<usize> = (0..snapshot.routes.len()).collect();
     let mut first_route: FastMap<UpstreamKey, usize> = FastMap::default();
     for (index, route) in snapshot.routes.iter().enumerate() {
-        for key in &route.upstreams {
+        for key in route.upstreams.iter() {
             let other = *first_route.entry(*key).or_insert(index);
             let (root, other_root) = (root_of(&parents, index), root_of(&parents, other));
             parents[root.max(other_root)] = root.min(other_root);
--- a/src/ops/experiment/entry.rs
+++ b/src/ops/experiment/entry.rs
@@ -48,8 +48,8 @@
         }
         entry.snapshot.routes.push(RouteRecord {
             name: service.name.clone(),
-            spec: parse_spec(json!({ "requests": "app=any", "upstreams": "app=any" }))?,
-            upstreams,
+            spec: Arc::new(parse_spec(json!({ "requests": "app=any", "upstreams": "app=any" }))?),
+            upstreams: upstreams.into(),
             parts: Vec::new(),
         });
         Ok(entry)
@@ -83,9 +83,11 @@
     pub(super) fn replace(&mut self, target: usize) -> miette::Result<()> {
         self.versions[target] += 1;
         let key = self.add_upstream(target)?;
-        if let Some(route) = self.snapshot.routes.first_mut() {
-            let old = std::mem::replace(&mut route.upstreams[target], key);
+        if let Some(route) = self.snapshot.routes.first() {
+            let mut upstreams = route.upstreams.to_vec();
+            let old = std::mem::replace(&mut upstreams[target], key);
             self.snapshot.upstreams.remove(old);
+            self.snapshot.routes.set_upstreams(0, upstreams);
         }
         Ok(())
     }
--- a/src/ops/experiment/hedging/mod.rs
+++ b/src/ops/experiment/hedging/mod.rs
@@ -374,7 +374,7 @@
     snapshot.routes.push(RouteRecord {
         name: "hedged".to_owned(),
         spec: serde_json::from_value(spec).into_diagnostic()?,
-        upstreams: keys,
+        upstreams: keys.into(),
         parts: Vec::new(),
     });
     snapshot.idempotence_rules.push(IdempotenceRule {
--- a/src/ops/explain.rs
+++ b/src/ops/explain.rs
@@ -208,7 +208,7 @@
 
 fn selected_upstreams(snapshot: &ConfigSnapshot, route: &RouteRecord) -> Vec<SelectedUpstream> {
     let mut upstreams = Vec::with_capacity(route.upstreams.len());
-    for key in &route.upstreams {
+    for key in route.upstreams.iter() {
         let Some(upstream) = snapshot.upstreams.get(*key) else { continue };
         upstreams.push(SelectedUpstream {
             name: upstream.name.clone(),
--- a/src/request/classify.rs
+++ b/src/request/classify.rs
@@ -9,8 +9,8 @@
 use http::{HeaderMap, Method, Uri};
 
 use crate::core::{
-    ConfigSnapshot, IdempotenceMode, IdempotenceRule, LabelSet, RequestMatcher, RequestRule,
-    RouteKey, TenantId, TenantRecord,
+    ConfigSnapshot, IdempotenceMode, IdempotenceRules, LabelSet, RequestMatcher, RequestRule,
+    RequestRules, RouteKey, TenantId, TenantRecord,
 };
 
 /// Class of requests to which no rule assigns one.
@@ -52,15 +52,13 @@
 pub fn classify(snapshot: &ConfigSnapshot, head: RequestHead<'_>) -> RequestClass {
     let mut tenant = None;
     let mut class = None;
-    for rule in &snapshot.request_rules {
-        if !matches_request(&rule.matcher, head) {
-            continue;
-        }
+    let mut labels = LabelSet::default();
+    for rule in matching_rules(&snapshot.request_rules, head) {
         tenant = tenant.or_else(|| rule.tenant.clone());
         class = class.or_else(|| rule.class.clone());
+        labels.insert_missing(&rule.labels);
     }
-    let labels = collect_labels(&snapshot.request_rules, head);
-    let route = snapshot.routes.iter().position(|route| route.spec.requests.matches(&labels));
+    let route = snapshot.routes.first_match(&labels);
     let rank = route.map_or(0, |index| snapshot.routes[index].spec.rank);
     RequestClass {
         tenant: tenant.unwrap_or_else(|| TenantId::new(DEFAULT_TENANT)),
@@ -73,12 +71,19 @@
     }
 }
 
-fn collect_labels(rules: &[RequestRule], head: RequestHead<'_>) -> LabelSet {
+/// Rules that match a request, in order of precedence.
+fn matching_rules<'a>(
+    rules: &'a RequestRules,
+    head: RequestHead<'a>,
+) -> impl Iterator<Item = &'a RequestRule> {
+    let candidates = rules.candidates(request_host(head), head.uri.path());
+    candidates.filter(move |rule| matches_request(&rule.matcher, head))
+}
+
+fn collect_labels(rules: &RequestRules, head: RequestHead<'_>) -> LabelSet {
     let mut labels = LabelSet::default();
-    for rule in rules {
-        if matches_request(&rule.matcher, head) {
-            labels.insert_missing(&rule.labels);
-        }
+    for rule in matching_rules(rules, head) {
+        labels.insert_missing(&rule.labels);
     }
     labels
 }
@@ -101,12 +106,9 @@
     IdempotenceMode::Idempotent
 }
 
-fn mode_under_rules(rules: &[IdempotenceRule], labels: &LabelSet) -> IdempotenceMode {
+fn mode_under_rules(rules: &IdempotenceRules, labels: &LabelSet) -> IdempotenceMode {
     let mut mode = IdempotenceMode::AtMostOnce;
-    for rule in rules {
-        if !rule.requests.matches(labels) {
-            continue;
-        }
+    for rule in rules.matches(labels) {
         if rule.mode == IdempotenceMode::AtMostOnce {
             return IdempotenceMode::AtMostOnce;
         }
@@ -141,7 +143,7 @@
 }
 
 /// Host of a request without its port.
-fn request_host(head: RequestHead<'_>) -> Option<&str> {
+fn request_host<'a>(head: RequestHead<'a>) -> Option<&'a str> {
     if let Some(host) = head.uri.host() {
         return Some(host);
     }
--- a/tests/testsuite/compile.rs
+++ b/tests/testsuite/compile.rs
@@ -1,8 +1,13 @@
 //! Compilation of objects into snapshots.
 
-use heatherfall::config::{CompileOutcome, ObjectSet, compile};
-use heatherfall::core::{ConfigSnapshot, GenerationNumber, ResultCode, UpstreamKey};
+use std::sync::Arc;
+
+use heatherfall::config::{CompileOutcome, DeclaredUpstream, ObjectSet, compile, with_upstreams};
+use heatherfall::core::{
+    ConfigSnapshot, GenerationNumber, LabelSelector, LabelSet, ResultCode, UpstreamKey,
+};
 use heatherfall::platform::{ObjectEnvelope, ObjectList};
+use proptest::prelude::*;
 use serde_json::{Value, json};
 
 fn object(kind: &str, name: &str, version: u64, spec: Value) -> ObjectEnvelope {
@@ -79,3 +84,53 @@
     assert_eq!(outcome.errors[0].code, ResultCode::SpecMalformed);
     assert!(outcome.errors[0].message.starts_with("spec.upstreams:"), "{:?}", outcome.errors);
 }
+
+/// Guards against a list of upstreams for each route and snapshot, which takes tens of megabytes at
+/// 1,400 routes.
+#[test]
+fn routes_with_one_selector_share_their_upstreams_and_a_snapshot_shares_unchanged_ones() {
+    let route = json!({ "requests": "route=a", "upstreams": "app in (lookups,packs)" });
+    let objects = vec![object("Route", "a", 1, route.clone()), object("Route", "b", 1, route)];
+    let rules = compile_one(1, objects, None).snapshot;
+    let declared = |name: &str, app: &str| DeclaredUpstream {
+        name: name.to_owned(),
+        labels: LabelSet::new([("app".to_owned(), app.to_owned())].into()),
+        spec: serde_json::from_value(upstream(1, false)).expect("a spec"),
+    };
+    let first = with_upstreams(&rules, vec![declared("u", "packs")], None);
+    assert_eq!(first.routes[0].upstreams.len(), 1);
+    assert!(Arc::ptr_eq(&first.routes[0].upstreams, &first.routes[1].upstreams));
+    let other = vec![declared("u", "packs"), declared("v", "reads")];
+    let second = with_upstreams(&rules, other, Some(&first));
+    assert!(Arc::ptr_eq(&second.routes[0].upstreams, &first.routes[0].upstreams));
+    assert!(Arc::ptr_eq(&second.routes[1].spec, &rules.routes[1].spec));
+    let changed = vec![declared("u", "packs"), declared("w", "lookups")];
+    let third = with_upstreams(&rules, changed, Some(&second));
+    assert_eq!(third.routes[1].upstreams.len(), 2);
+}
+
+proptest! {
+    /// Guards against an index of the upstreams' labels that misses one, repeats one or changes
+    /// their order.
+    #[test]
+    fn a_route_has_the_upstreams_that_its_selector_matches_in_name_order(
+        labels in prop::collection::vec(prop::collection::btree_map("[ab]", "[0-3]", 0..3), 0..12),
+        selector in "([ab]=[0-3],)?[ab] (not)?in \\([0-3],[0-3],[0-3]\\)(,!?[ab])?",
+    ) {
+        let route = json!({ "requests": "", "upstreams": selector.as_str() });
+        let rules = compile_one(1, vec![object("Route", "r", 1, route)], None).snapshot;
+        let mut declared = Vec::new();
+        for (index, labels) in labels.into_iter().enumerate() {
+            let spec = serde_json::from_value(upstream(1, false)).expect("a spec");
+            let name = format!("u{}", index * 7 % 12);
+            declared.push(DeclaredUpstream { name, labels: LabelSet::new(labels), spec });
+        }
+        let snapshot = with_upstreams(&rules, declared, None);
+        let selector: LabelSelector = selector.parse().expect("a selector");
+        let mut wanted: Vec<_> = snapshot.upstreams.iter().collect();
+        wanted.retain(|(_, upstream)| selector.matches(&upstream.labels));
+        wanted.sort_by(|a, b| a.1.name.cmp(&b.1.name));
+        let wanted: Vec<UpstreamKey> = wanted.into_iter().map(|(key, _)| key).collect();
+        prop_assert_eq!(snapshot.routes[0].upstreams.to_vec(), wanted);
+    }
+}
--- a/tests/testsuite/load_picker.rs
+++ b/tests/testsuite/load_picker.rs
@@ -39,7 +39,7 @@
         fixture.snapshot.routes.push(RouteRecord {
             name: "any".to_owned(),
             spec: serde_json::from_value(spec).unwrap(),
-            upstreams: Vec::new(),
+            upstreams: Default::default(),
             parts: Vec::new(),
         });
         for domain in domains {
@@ -54,7 +54,9 @@
         let name = format!("upstream-{}", self.snapshot.upstreams.len());
         let state = UpstreamState::new(&name, spec, LabelSet::default());
         let key = self.snapshot.upstreams.insert(Arc::new(state));
-        self.snapshot.routes[0].upstreams.push(key);
+        let mut upstreams = self.snapshot.routes[0].upstreams.to_vec();
+        upstreams.push(key);
+        self.snapshot.routes.set_upstreams(0, upstreams);
         key
     }
 
@@ -78,7 +80,7 @@
     /// Records responses of all upstreams with equal load for long enough to end their slow start.
     async fn warm_up(&self) {
         for _ in 0..100 {
-            for key in &self.snapshot.routes[0].upstreams {
+            for key in self.snapshot.routes[0].upstreams.iter() {
                 self.record_attempt(*key, answered(self.latency_of(*key), 2));
             }
             advance(Duration::from_millis(50)).await;
--- a/tests/testsuite/repeat_window.rs
+++ b/tests/testsuite/repeat_window.rs
@@ -93,12 +93,12 @@
     RouteRecord {
         name: "split".to_owned(),
         spec: serde_json::from_value(spec).unwrap(),
-        upstreams: Vec::new(),
+        upstreams: Default::default(),
         parts: weights
             .iter()
             .map(|weight| heatherfall::core::WeightedPart {
                 weight: *weight,
-                upstreams: Vec::new(),
+                upstreams: Default::default(),
             })
             .collect(),
     }
--- a/tests/testsuite/support/fake_upstream.rs
+++ b/tests/testsuite/support/fake_upstream.rs
@@ -186,7 +186,12 @@
         let state = UpstreamState::new(&format!("u{index}"), spec, Default::default());
         upstreams.push(snapshot.upstreams.insert(Arc::new(state)));
     }
-    snapshot.routes.push(RouteRecord { name: "only".into(), spec, upstreams, parts: Vec::new() });
+    snapshot.routes.push(RouteRecord {
+        name: "only".into(),
+        spec: spec.into(),
+        upstreams: upstreams.into(),
+        parts: Vec::new(),
+    });
     snapshot.request_rules.push(RequestRule {
         name: "read".into(),
         matcher: serde_json::from_value(json!({ "path_prefix": "/read" })).unwrap(),
--- a/tests/testsuite/utility_picker.rs
+++ b/tests/testsuite/utility_picker.rs
@@ -48,7 +48,7 @@
         fixture.snapshot.routes.push(RouteRecord {
             name: "any".to_owned(),
             spec: serde_json::from_value(spec).unwrap(),
-            upstreams: Vec::new(),
+            upstreams: Default::default(),
             parts: Vec::new(),
         });
         for domain in domains {
@@ -58,7 +58,9 @@
             let name = format!("upstream-{}", fixture.snapshot.upstreams.len());
             let state = Arc::new(UpstreamState::new(&name, spec, LabelSet::default()));
             let key = fixture.snapshot.upstreams.insert(state);
-            fixture.snapshot.routes[0].upstreams.push(key);
+            let mut upstreams = fixture.snapshot.routes[0].upstreams.to_vec();
+            upstreams.push(key);
+            fixture.snapshot.routes.set_upstreams(0, upstreams);
         }
         fixture
     }
