limits: create the limits of a route at its first use

Change: limits are created when a route is first used. Groups look at a shared list once. Metrics list the routes that have been used since they were configured. The starts of part sequences are drawn in the order of first use.

The test fails if budgets of services are not kept, and if limits in use are not carried over.

--- a/src/limits/route_limits.rs
+++ b/src/limits/route_limits.rs
@@ -1,11 +1,14 @@
 //! Limits of each route, kept across configuration changes.
+//!
+//! Limits are created when a route is first used, because most routes of a large configuration get
+//! no requests at a given entry.
 
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use arc_swap::ArcSwapOption;
 
-use crate::core::{ConfigSnapshot, PartIndex, RouteKey, RouteRecord};
+use crate::core::{ConfigSnapshot, LabelSelector, PartIndex, RouteKey, RouteRecord};
 use crate::limits::admission_gate::{AdmissionGate, GateSettings};
 use crate::limits::hedge_budget::HedgeBudget;
 use crate::limits::hedge_counts::HedgeCounts;
@@ -15,9 +18,9 @@
 use crate::limits::part_sequence::PartSequence;
 use crate::limits::retry_budget::RetryBudget;
 use crate::limits::route_cost::RouteCostEstimator;
-use crate::limits::route_group::route_groups;
+use crate::limits::route_group::{RouteGroup, route_groups};
 use crate::limits::window_budget::{WindowAllowance, WindowBudget};
-use crate::util::{FastMap, SeededRandom};
+use crate::util::{FastMap, FastSet, SeededRandom};
 
 /// How the requests of all routes are limited.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -97,7 +100,7 @@
     }
 }
 
-/// Limits of all routes by name.
+/// Limits of the routes in use, by name.
 #[derive(Debug)]
 pub struct LimitTable {
     settings: RouteLimitSettings,
@@ -128,9 +131,10 @@
 #[derive(Debug, Default)]
 struct RetainedLimits {
     routes: FastMap<String, Arc<RouteLimits>>,
+    /// By the name of the group.
     gates: FastMap<String, Arc<AdmissionGate>>,
-    /// By the text of the upstream selector.
-    window_budgets: FastMap<String, Arc<WindowBudget>>,
+    /// By the upstream selector.
+    window_budgets: FastMap<LabelSelector, Arc<WindowBudget>>,
     /// Allowance for repeats that replaced the one in the settings.
     allowance: Option<WindowAllowance>,
     hedges: HedgeTable,
@@ -142,7 +146,9 @@
 #[derive(Debug)]
 struct SnapshotLimits {
     snapshot: Arc<ConfigSnapshot>,
-    routes: Vec<Arc<RouteLimits>>,
+    groups: Vec<RouteGroup>,
+    /// Empty for a route that has not been used.
+    routes: Vec<OnceLock<Arc<RouteLimits>>>,
 }
 
 impl LimitTable {
@@ -169,7 +175,7 @@
         if self.settings.repeats.is_none() {
             return;
         }
-        let mut retained = self.retained.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut retained = self.lock();
         retained.allowance = Some(allowance);
         for budget in retained.window_budgets.values() {
             budget.set_allowance(allowance);
@@ -179,9 +185,10 @@
     /// Replaces the operators' limit on hedges; it is in force when the call returns, also for
     /// requests that are running.
     pub fn set_hedge_allowance(&self, allowance: Option<HedgeAllowance>) {
-        self.retained.lock().unwrap_or_else(PoisonError::into_inner).hedging = allowance;
+        let mut retained = self.lock();
+        retained.hedging = allowance;
         if let Some(current) = self.current.load_full() {
-            self.rebuild(&current.snapshot);
+            self.rebuild(&mut retained, &current.snapshot);
         }
     }
 
@@ -201,16 +208,17 @@
         let current = self.current.load();
         if let Some(limits) = current.as_ref()
             && Arc::ptr_eq(&limits.snapshot, snapshot)
+            && let Some(known) = limits.routes.get(key.0 as usize)?.get()
         {
-            return limits.routes.get(key.0 as usize).cloned();
+            return Some(Arc::clone(known));
         }
         drop(current);
-        self.rebuild(snapshot).routes.get(key.0 as usize).cloned()
+        self.create(snapshot, key)
     }
 
-    /// Limits of all routes of the snapshot that was asked for last.
+    /// Limits of the routes in use of the snapshot that was asked for last.
     pub fn routes(&self) -> Vec<NamedLimits> {
-        let retained = self.retained.lock().unwrap_or_else(PoisonError::into_inner);
+        let retained = self.lock();
         let mut routes = Vec::with_capacity(retained.routes.len());
         for (name, limits) in &retained.routes {
             routes.push(NamedLimits { name: name.clone(), limits: Arc::clone(limits) });
@@ -223,76 +231,140 @@
         PartSequence::starting_at(random.unit())
     }
 
-    fn rebuild(&self, snapshot: &Arc<ConfigSnapshot>) -> Arc<SnapshotLimits> {
-        let mut retained = self.retained.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut next = RetainedLimits {
-            allowance: retained.allowance,
-            hedging: retained.hedging,
-            ..RetainedLimits::default()
+    fn lock(&self) -> MutexGuard<'_, RetainedLimits> {
+        self.retained.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Creates the limits of a route at its first use, unless another request has just done so.
+    fn create(&self, snapshot: &Arc<ConfigSnapshot>, key: RouteKey) -> Option<Arc<RouteLimits>> {
+        let mut retained = self.lock();
+        let current = match self.current.load_full() {
+            Some(current) if Arc::ptr_eq(&current.snapshot, snapshot) => current,
+            _ => self.rebuild(&mut retained, snapshot),
         };
-        let allowance = self.settings.repeats.map(|repeats| retained.allowance.unwrap_or(repeats));
+        let index = key.0 as usize;
+        let slot = current.routes.get(index)?;
+        if let Some(known) = slot.get() {
+            return Some(Arc::clone(known));
+        }
+        let limits = self.limits_of(&mut retained, snapshot, index, *current.groups.get(index)?)?;
+        Some(Arc::clone(slot.get_or_init(|| limits)))
+    }
+
+    /// Carries the limits in use over to another snapshot, and makes it the current one.
+    fn rebuild(
+        &self,
+        retained: &mut RetainedLimits,
+        snapshot: &Arc<ConfigSnapshot>,
+    ) -> Arc<SnapshotLimits> {
+        let groups = route_groups(snapshot);
+        let used = retained.retain_for(snapshot, &groups);
         let mut routes = Vec::with_capacity(snapshot.routes.len());
-        for (route, group) in snapshot.routes.iter().zip(route_groups(snapshot)) {
-            let gate = next.gates.entry(group.name).or_insert_with_key(|name| {
-                retained.gates.remove(name).unwrap_or_else(|| {
-                    Arc::new(AdmissionGate::new(group.slots, GateSettings::default()))
-                })
-            });
-            gate.set_slots(group.slots);
-            let limits = match retained.routes.remove(&route.name) {
-                Some(limits) if Arc::ptr_eq(&limits.gate, gate) => limits,
-                _ => Arc::new(RouteLimits::new(Arc::clone(gate), self.new_part_sequence())),
-            };
-            let selectors = service_selectors(route);
-            let hedge_limits = retained.hedging.map(|allowance| {
-                Arc::new(next.hedges.limits_of(route, &selectors, allowance, &retained.hedges))
-            });
-            limits.hedge_limits.store(hedge_limits);
-            if let Some(allowance) = allowance {
-                let budgets = window_budgets_of(
-                    selectors,
-                    allowance,
-                    &retained.window_budgets,
-                    &mut next.window_budgets,
-                );
-                limits.window_budgets.store(Some(Arc::new(budgets)));
-            }
-            next.routes.insert(route.name.clone(), Arc::clone(&limits));
-            routes.push(limits);
+        routes.resize_with(snapshot.routes.len(), OnceLock::new);
+        for index in used {
+            let limits = self.limits_of(retained, snapshot, index, groups[index]);
+            routes[index] = limits.map_or_else(OnceLock::new, OnceLock::from);
         }
-        *retained = next;
-        let limits = Arc::new(SnapshotLimits { snapshot: Arc::clone(snapshot), routes });
+        let limits = Arc::new(SnapshotLimits { snapshot: Arc::clone(snapshot), groups, routes });
         self.current.store(Some(Arc::clone(&limits)));
         limits
     }
+
+    /// Limits of the route at `index`: the retained ones, or new ones if the route has none or has
+    /// moved to another group.
+    fn limits_of(
+        &self,
+        retained: &mut RetainedLimits,
+        snapshot: &ConfigSnapshot,
+        index: usize,
+        group: RouteGroup,
+    ) -> Option<Arc<RouteLimits>> {
+        let route = snapshot.routes.get(index)?;
+        let name = &snapshot.routes.get(group.first_route)?.name;
+        let gate = retained
+            .gates
+            .entry(name.clone())
+            .or_insert_with(|| Arc::new(AdmissionGate::new(group.slots, GateSettings::default())));
+        let limits = match retained.routes.get(&route.name) {
+            Some(limits) if Arc::ptr_eq(&limits.gate, gate) => Arc::clone(limits),
+            _ => Arc::new(RouteLimits::new(Arc::clone(gate), self.new_part_sequence())),
+        };
+        let selectors = service_selectors(route);
+        let hedge_limits = retained
+            .hedging
+            .map(|allowance| Arc::new(retained.hedges.limits_of(route, &selectors, allowance)));
+        limits.hedge_limits.store(hedge_limits);
+        if let Some(repeats) = self.settings.repeats {
+            let allowance = retained.allowance.unwrap_or(repeats);
+            let budgets = window_budgets_of(&selectors, allowance, &mut retained.window_budgets);
+            limits.window_budgets.store(Some(Arc::new(budgets)));
+        }
+        retained.routes.insert(route.name.clone(), Arc::clone(&limits));
+        Some(limits)
+    }
+}
+
+impl RetainedLimits {
+    /// Drops the state of routes, groups and services that `snapshot` does not have, and applies its
+    /// slots and the hedge allowance to the rest. Returns the indexes of the routes in use.
+    fn retain_for(&mut self, snapshot: &ConfigSnapshot, groups: &[RouteGroup]) -> Vec<usize> {
+        let mut used = Vec::new();
+        let mut routes = FastMap::default();
+        let mut gates = FastMap::default();
+        for (index, route) in snapshot.routes.iter().enumerate() {
+            if let Some((name, limits)) = self.routes.remove_entry(&route.name) {
+                routes.insert(name, limits);
+                used.push(index);
+            }
+            let RouteGroup { first_route, slots } = groups[index];
+            if first_route != index {
+                continue;
+            }
+            if let Some((name, gate)) = self.gates.remove_entry(&route.name) {
+                gate.set_slots(slots);
+                gates.insert(name, gate);
+            }
+        }
+        (self.routes, self.gates) = (routes, gates);
+        if self.window_budgets.is_empty() && self.hedges.is_empty() {
+            return used;
+        }
+        let mut names: FastSet<&str> = FastSet::default();
+        let mut services: FastSet<&LabelSelector> = FastSet::default();
+        for route in &snapshot.routes {
+            names.insert(&route.name);
+            services.extend(service_selectors(route));
+        }
+        self.window_budgets.retain(|selector, _| services.contains(selector));
+        self.hedges.retain_for(&names, &services, self.hedging);
+        used
+    }
 }
 
-/// Texts of the upstream selectors of a route's parts, or of the route if it is not split. Routes
-/// with the same selector send to the same service.
-fn service_selectors(route: &RouteRecord) -> Vec<String> {
+/// Upstream selectors of a route's parts, or of the route if it is not split. Routes with the same
+/// selector send to the same service.
+fn service_selectors(route: &RouteRecord) -> Vec<&LabelSelector> {
     let mut selectors = Vec::with_capacity(route.spec.parts.len().max(1));
     for part in &route.spec.parts {
-        selectors.push(part.upstreams.to_string());
+        selectors.push(&part.upstreams);
     }
     if selectors.is_empty() {
-        selectors.push(route.spec.upstreams.to_string());
+        selectors.push(&route.spec.upstreams);
     }
     selectors
 }
 
-/// Budgets for the repeats of the services with these selectors; those in `retained` are reused.
+/// Budgets for the repeats of the services with these selectors; those in `known` are reused.
 fn window_budgets_of(
-    selectors: Vec<String>,
+    selectors: &[&LabelSelector],
     allowance: WindowAllowance,
-    retained: &FastMap<String, Arc<WindowBudget>>,
-    next: &mut FastMap<String, Arc<WindowBudget>>,
+    known: &mut FastMap<LabelSelector, Arc<WindowBudget>>,
 ) -> Vec<Arc<WindowBudget>> {
     let mut budgets = Vec::with_capacity(selectors.len());
     for selector in selectors {
-        let known = retained.get(&selector).cloned();
-        let budget = next
-            .entry(selector)
-            .or_insert_with(|| known.unwrap_or_else(|| Arc::new(WindowBudget::new(allowance))));
+        let budget = known
+            .entry((*selector).clone())
+            .or_insert_with(|| Arc::new(WindowBudget::new(allowance)));
         budgets.push(Arc::clone(budget));
     }
     budgets
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -54,6 +54,7 @@
 mod request_timeline;
 mod response_validation;
 mod result_codes;
+mod route_limits;
 mod scenario_runner;
 mod scenarios;
 mod selectors;
