--- a/src/ops/route_bench.rs
+++ b/src/ops/route_bench.rs
@@ -17,9 +17,10 @@
 use crate::limits::LimitTable;
 use crate::request::{RequestHead, classify};
 
-/// Recompilations timed for each point; the point is their median.
+/// Snapshots over which memory is measured, and whose limits are timed.
 const RECOMPILE_ITERATIONS: usize = 100;
-/// Snapshots that are kept before memory is measured. They use up what compiling the rules freed.
+/// Snapshots that are kept before memory is measured. They use up what compiling the rules freed; the
+/// time of a recompilation is the median of these and the others.
 const WARM_UP_SNAPSHOTS: usize = 100;
 /// Classifications timed for each point; the point is their mean.
 const CLASSIFY_ITERATIONS: usize = 20_000;
