--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::expect_used, clippy::unwrap_used, reason = "a test panics to fail")]
 
 mod addresses;
+mod classify;
 mod client;
 mod cold_upstreams;
 mod compile;
@@ -56,6 +57,7 @@
 mod request_timeline;
 mod response_validation;
 mod result_codes;
+mod route_limits;
 mod scenario_runner;
 mod scenarios;
 mod selectors;
