--- a/src/serve/caller_server.rs
+++ b/src/serve/caller_server.rs
@@ -1,10 +1,12 @@
 //! HTTP server for callers: HTTP/1.1 and HTTP/2 on one port, with graceful shutdown.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use http::Request;
+use http::header::CONNECTION;
 use http_body::Body;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -164,7 +166,18 @@
             let early = lock(&queue).take_over(&parts, !body.is_end_stream());
             let mut request = Request::from_parts(parts, body);
             request.extensions_mut().insert(CallerAddress(caller));
-            Arc::clone(&proxy).serve_request(request, RequestOrigin::Callers, early)
+            let (proxy, queue) = (Arc::clone(&proxy), Arc::clone(&queue));
+            async move {
+                let served =
+                    Arc::clone(&proxy).serve_request(request, RequestOrigin::Callers, early);
+                let mut response = served.await?;
+                // Upstreams already run the requests that were started ahead, so the last of them
+                // closes the connection of a leaving entry.
+                if proxy.leaving_flag().is_leaving() && lock(&queue).running() > 0 {
+                    response.headers_mut().remove(CONNECTION);
+                }
+                Ok::<_, Infallible>(response)
+            }
         });
         let stream = WriteTimeoutStream::new(stream, self.settings.write_timeout);
         let builder = self.connection_builder();
--- a/src/serve/proxy_service.rs
+++ b/src/serve/proxy_service.rs
@@ -67,7 +67,7 @@
         self.0.store(true, Ordering::Relaxed);
     }
 
-    fn is_leaving(&self) -> bool {
+    pub(super) fn is_leaving(&self) -> bool {
         self.0.load(Ordering::Relaxed)
     }
 }
--- a/tests/testsuite/pipelining.rs
+++ b/tests/testsuite/pipelining.rs
@@ -270,6 +270,25 @@
     assert_eq!(*upstream.events.lock().unwrap(), expected.concat());
 }
 
+// Guards against requests that upstreams already run and that a leaving entry cuts off, because an
+// earlier response of their connection closes it.
+#[tokio::test]
+async fn a_leaving_entry_answers_the_requests_that_run_ahead_before_it_closes_the_connection() {
+    let (upstream, entry) = start(8).await;
+    let targets = ["/read/a/200", "/read/b/400", "/read/c/300"];
+    let mut stream = send(&entry, &targets.map(get)).await;
+    timeout(PATIENCE, upstream.wait_for("start", 3)).await.unwrap();
+    entry.leaving_flag.set_leaving();
+    stream.write_all(get("/read/d/0").as_bytes()).await.unwrap();
+    for (index, target) in targets.iter().enumerate() {
+        let (head, body) = timeout(PATIENCE, read_message(&mut stream)).await.unwrap().unwrap();
+        assert!(body.starts_with(target), "{body}");
+        assert_eq!(head.contains("connection: close"), index == 2, "{head}");
+    }
+    assert_eq!(timeout(PATIENCE, read_message(&mut stream)).await.unwrap(), None);
+    assert_eq!(upstream.count("start"), 3);
+}
+
 #[tokio::test]
 async fn a_planned_stop_answers_the_first_request_and_cancels_those_behind_it() {
     let (upstream, entry) = start(8).await;
