fleet: end the role of a grantor that has been replaced

Change: messages say whether their sender grants now; a grantor that hears for 0.3 s of one outside its first three ends its role.

--- a/src/fleet/peer_message.rs
+++ b/src/fleet/peer_message.rs
@@ -65,6 +65,9 @@
     /// failure domain.
     #[serde(default, skip_serializing_if = "is_false")]
     pub grants_permits: bool,
+    /// Whether the sender is one of the entries that grant permits now.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_granting: bool,
     /// Permits that the sender asks the receiver for.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub permit_requests: Vec<PermitRequest>,
--- a/src/fleet/peer_service.rs
+++ b/src/fleet/peer_service.rs
@@ -353,6 +353,7 @@
             change: content.change,
             limits: content.limits,
             grants_permits: state.grants_permits(),
+            is_granting: state.is_granting(),
             permit_requests: Vec::new(),
             permit_answers: Vec::new(),
         };
--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -84,6 +84,8 @@
     is_enrolled: bool,
     /// Whether it grants permits; `None` before its first message.
     grants_permits: Option<bool>,
+    /// Since when its messages say that it grants permits now.
+    granting_since: Option<Instant>,
     /// [`name_digest`] of its VM.
     digest: u32,
 }
@@ -175,6 +177,7 @@
                     last_message_at: None,
                     is_enrolled: true,
                     grants_permits: None,
+                    granting_since: None,
                     digest: name_digest(vm.as_str()),
                 };
                 self.insert(vm, entry);
@@ -212,6 +215,7 @@
             last_message_at: Some(now),
             is_enrolled: message.is_enrolled,
             grants_permits: Some(message.grants_permits),
+            granting_since: message.is_granting.then_some(now),
             digest: name_digest(vm.as_str()),
         };
         let Some(known) = self.peers.get_mut(&vm) else {
@@ -233,7 +237,9 @@
                 entry.record.has_path,
             );
         }
-        *known = entry;
+        let granting_since = known.granting_since.or(entry.granting_since);
+        let granting_since = entry.granting_since.and(granting_since);
+        *known = PeerEntry { granting_since, ..entry };
         true
     }
 
--- a/src/fleet/peer_table/permit_peers.rs
+++ b/src/fleet/peer_table/permit_peers.rs
@@ -5,6 +5,7 @@
 //! true does not answer, or answers that it is no grantor, and is not asked for some time.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use tokio::time::Instant;
 
@@ -13,6 +14,10 @@
 use crate::limits::tenant_quota::{MAX_GRANTORS, PermitGrantor, PermitPeers};
 use crate::membership::{EntryRecord, EntryState};
 
+/// Time for which another entry grants until this one ends its role; longer than the time between
+/// the moments when two entries of a full mesh notice that a third has stopped.
+const REPLACEMENT_TIME: Duration = Duration::from_millis(300);
+
 /// What an entry knows about itself and its settings that concerns permits.
 #[derive(Clone, Debug)]
 pub struct OwnPermitRole {
@@ -46,11 +51,16 @@
         domains.insert(&self.own.failure_domain);
         let domain_count = domains.len();
         let interval = self.message_interval();
+        let local = self.local_grantors(role, now);
+        let is_replaced = self.has_other_grantor(&local, now);
         PermitPeers {
             own: self.own.vm.clone(),
-            local: self.local_grantors(role, now),
+            local,
             remote: remote.into_values().collect(),
-            may_grant: role.is_advertised && role.is_registered && self.has_quorum(now),
+            may_grant: role.is_advertised
+                && role.is_registered
+                && self.has_quorum(now)
+                && !is_replaced,
             is_registered: role.is_registered,
             has_older_peers: self.has_older_peers(now),
             domains: domain_count,
@@ -100,6 +110,16 @@
         2 * heard > known || (2 * heard == known && has_first)
     }
 
+    /// Whether an entry that is not one of `grantors` grants nevertheless. The others then do not hear
+    /// from this entry, or from another one that it hears from.
+    fn has_other_grantor(&self, grantors: &[PermitGrantor], now: Instant) -> bool {
+        self.local_peers().any(|peer| {
+            let is_listed = grantors.iter().any(|grantor| grantor.vm == peer.record.vm);
+            let is_granting = peer.granting_since.is_some_and(|at| now - at >= REPLACEMENT_TIME);
+            !is_listed && is_granting && self.is_live(peer, now)
+        })
+    }
+
     /// Whether one of the entries that would grant permits runs a version without quotas.
     fn has_older_peers(&self, now: Instant) -> bool {
         let candidates = self.local_peers().filter(|peer| self.is_candidate(peer, now));
--- a/src/fleet/permit_exchange.rs
+++ b/src/fleet/permit_exchange.rs
@@ -23,6 +23,11 @@
         self.quota.is_some() && self.is_enrolled() && self.table().own().state == EntryState::Ready
     }
 
+    /// Whether this entry grants permits now.
+    pub(super) fn is_granting(&self) -> bool {
+        self.quota.as_ref().is_some_and(|quota| quota.table.is_granting())
+    }
+
     /// Tells the quotas what is known about the other entries.
     pub(super) fn refresh_permits(&self) {
         let Some(quota) = &self.quota else { return };
@@ -109,6 +114,7 @@
             change: None,
             limits: Vec::new(),
             grants_permits: self.grants_permits(),
+            is_granting: self.is_granting(),
             permit_requests: Vec::new(),
             permit_answers: Vec::new(),
         }
--- a/tests/testsuite/enrolment.rs
+++ b/tests/testsuite/enrolment.rs
@@ -127,6 +127,7 @@
             change: None,
             limits: Vec::new(),
             grants_permits: false,
+            is_granting: false,
             permit_requests: Vec::new(),
             permit_answers: Vec::new(),
         }
--- a/tests/testsuite/fleet_peers.rs
+++ b/tests/testsuite/fleet_peers.rs
@@ -38,6 +38,7 @@
         change: None,
         limits: Vec::new(),
         grants_permits: false,
+        is_granting: false,
         permit_requests: Vec::new(),
         permit_answers: Vec::new(),
     }
@@ -65,7 +66,7 @@
 #[test]
 fn a_message_without_permits_has_none_of_their_fields() {
     let text = serde_json::to_string(&message("entry-1", "fd-a", 7)).expect("encoded");
-    for field in ["grants_permits", "permit_requests", "permit_answers"] {
+    for field in ["grants_permits", "is_granting", "permit_requests", "permit_answers"] {
         assert!(!text.contains(field), "{text}");
     }
     let parsed = PeerMessage::parse(text.as_bytes());
--- a/tests/testsuite/path_membership.rs
+++ b/tests/testsuite/path_membership.rs
@@ -43,6 +43,7 @@
         change: None,
         limits: Vec::new(),
         grants_permits: false,
+        is_granting: false,
         permit_requests: Vec::new(),
         permit_answers: Vec::new(),
     }
--- a/tests/testsuite/support/quota_fleet.rs
+++ b/tests/testsuite/support/quota_fleet.rs
@@ -322,6 +322,7 @@
                     change: None,
                     limits: Vec::new(),
                     grants_permits: known.registered_at <= now && !known.is_older,
+                    is_granting: known.quota.is_granting(),
                     permit_requests: Vec::new(),
                     permit_answers: Vec::new(),
                 };
