--- a/src/fleet/peer_service.rs
+++ b/src/fleet/peer_service.rs
@@ -383,6 +383,7 @@
             cold: content.cold,
             uptime_ms: state.quota_uptime_ms(),
             grants_permits: state.grants_permits(),
+            is_granting: state.is_granting(),
             permit_requests: Vec::new(),
             permit_answers: Vec::new(),
         };
--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -90,6 +90,8 @@
     started_at: Option<Instant>,
     /// Whether it grants permits; `None` before its first message.
     grants_permits: Option<bool>,
+    /// Since when its messages say that it grants permits now.
+    granting_since: Option<Instant>,
     /// [`name_digest`] of its VM.
     digest: u32,
 }
@@ -198,6 +200,7 @@
                     is_registered: true,
                     started_at: None,
                     grants_permits: None,
+                    granting_since: None,
                     digest: name_digest(vm.as_str()),
                 };
                 self.insert(vm, entry);
@@ -240,6 +243,7 @@
                 .uptime_ms
                 .and_then(|uptime| now.checked_sub(Duration::from_millis(uptime))),
             grants_permits: Some(message.grants_permits),
+            granting_since: message.is_granting.then_some(now),
             digest: name_digest(vm.as_str()),
         };
         let Some(known) = self.peers.get_mut(&vm) else {
@@ -264,7 +268,9 @@
         entry.is_registered |= known.is_registered;
         let is_moved = known.record.failure_domain != entry.record.failure_domain;
         self.registered_revision += u64::from(is_moved || !known.is_registered);
-        *known = entry;
+        let granting_since = known.granting_since.or(entry.granting_since);
+        let granting_since = entry.granting_since.and(granting_since);
+        *known = PeerEntry { granting_since, ..entry };
         true
     }
 
--- a/src/fleet/permit_exchange.rs
+++ b/src/fleet/permit_exchange.rs
@@ -29,6 +29,11 @@
         Some(quota.started_at.elapsed().as_millis() as u64)
     }
 
+    /// Whether this entry grants permits now.
+    pub(super) fn is_granting(&self) -> bool {
+        self.quota.as_ref().is_some_and(|quota| quota.table.is_granting())
+    }
+
     /// Tells the quotas what is known about the other entries.
     pub(super) fn refresh_permits(&self) {
         let Some(quota) = &self.quota else { return };
@@ -119,6 +124,7 @@
             cold: Vec::new(),
             uptime_ms: self.quota_uptime_ms(),
             grants_permits: self.grants_permits(),
+            is_granting: self.is_granting(),
             permit_requests: Vec::new(),
             permit_answers: Vec::new(),
         }
--- a/tests/testsuite/enrolment.rs
+++ b/tests/testsuite/enrolment.rs
@@ -130,6 +130,7 @@
             cold: Vec::new(),
             uptime_ms: None,
             grants_permits: false,
+            is_granting: false,
             permit_requests: Vec::new(),
             permit_answers: Vec::new(),
         }
--- a/tests/testsuite/path_membership.rs
+++ b/tests/testsuite/path_membership.rs
@@ -46,6 +46,7 @@
         cold: Vec::new(),
         uptime_ms: None,
         grants_permits: false,
+        is_granting: false,
         permit_requests: Vec::new(),
         permit_answers: Vec::new(),
     }
