fleet: read the configuration during the enrolment

Cause: an entry that enrols slept until the end of its enrolment, up to 4 s. The first round of a new small fleet may have no entry that creates the key and the roster, and without them no entry tells the others of a change. A new leader then waited a whole watch before it read the configuration.

Change: an entry that enrols reads for itself once its last confirmation is 1.25 to 1.57 s old, spread by its name. The wait of a leader's watch is shorter by the age of its last confirmation.

--- a/src/fleet/read_schedule.rs
+++ b/src/fleet/read_schedule.rs
@@ -18,6 +18,8 @@
 /// Stagger of each further entry, as a share of the bound, so that the result of the first one
 /// saves the others their read.
 const RANK_DELAY_RATIO: f64 = 0.02;
+/// Rank above which store calls are no longer staggered.
+const MAX_DELAYED_RANK: u32 = 8;
 /// Cap on the bound; a slower schedule would save few calls.
 const MAX_BOUND: Duration = Duration::from_secs(2);
 /// Heartbeat intervals without any confirmation from which registrations may have expired. They
@@ -74,6 +76,17 @@
             min_outage,
         }
     }
+
+    /// Stagger of the store calls of the entry with this rank in its failure domain.
+    pub fn delay_of_rank(&self, rank: u32) -> Duration {
+        self.rank_delay * rank.min(MAX_DELAYED_RANK)
+    }
+
+    /// Stagger of the store calls of an entry that does not know its rank yet, by the position of its
+    /// name, from 0 to 1.
+    pub fn enrolment_spread(&self, position: f64) -> Duration {
+        self.delay_of_rank(MAX_DELAYED_RANK).mul_f64(position)
+    }
 }
 
 impl Default for ReadSchedule {
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -35,9 +35,6 @@
 /// Time for which a peer's report of uninterrupted store access is used; several messages.
 const PEER_STEADINESS_TTL: Duration = Duration::from_secs(2);
 
-/// Rank above which store calls are no longer staggered.
-const MAX_DELAYED_RANK: u32 = 8;
-
 /// Time for which a starting entry does not act for its failure domain while it is not listed among
 /// the others: a few rounds of the enrolment.
 const ENROLMENT_TIMEOUT: Duration = Duration::from_secs(4);
@@ -485,7 +482,7 @@
     /// Stagger of this entry's store calls among those of its failure domain.
     pub(super) fn rank_delay(&self, now: Instant) -> Duration {
         let rank = self.table().rank(now);
-        self.read_schedule.rank_delay * rank.min(MAX_DELAYED_RANK)
+        self.read_schedule.delay_of_rank(rank)
     }
 
     /// Number of known entries in all failure domains, this one included.
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -16,7 +16,7 @@
 use crate::fleet::enrolment::{EntryEnrolment, new_key};
 use crate::fleet::fleet_metrics::StoreCall;
 use crate::fleet::load_update::name_digest;
-use crate::fleet::peer_table::EntryRegistration;
+use crate::fleet::peer_table::{EntryRegistration, PeerTable};
 use crate::fleet::roster::DomainRoster;
 use crate::fleet::state::{CALL_TIMEOUT, FleetState};
 use crate::fleet::view::StoreOutage;
@@ -222,8 +222,16 @@
                 GapKind::DigestMismatch | GapKind::NewerEra => StoreAction::List,
             };
         }
+        let schedule = self.state.read_schedule;
         if let Some(end) = self.state.enrolment_deadline(now) {
-            return StoreAction::Sleep(end);
+            // Until the others know this entry, none of them may tell it what changes.
+            let age = self.state.freshness.age().unwrap_or_else(|| now - self.created_at);
+            let limit = schedule.confirmation_limit
+                + schedule.enrolment_spread(name_position(&self.state.table()));
+            if age >= limit {
+                return StoreAction::Watch(CONFIRMATION_WATCH_WAIT);
+            }
+            return StoreAction::Sleep(end.min(now + (limit - age)));
         }
         let expiry = self.state.view().next_expiry();
         let rank = self.state.table().rank(now);
@@ -232,11 +240,13 @@
             if next > now {
                 return StoreAction::Sleep(next);
             }
-            let wait = self.state.read_schedule.watch_wait;
+            // The first watch of a new leader returns earlier: its last confirmation may be old.
+            let age = self.state.freshness.age().unwrap_or(schedule.watch_wait);
+            let wait = schedule.watch_wait.saturating_sub(age).max(CONFIRMATION_WATCH_WAIT);
             let wait = expiry.map_or(wait, |at| wait.min(at.saturating_duration_since(now)));
             return StoreAction::Watch(wait);
         }
-        let limit = self.state.read_schedule.confirmation_limit + self.state.rank_delay(now);
+        let limit = schedule.confirmation_limit + self.state.rank_delay(now);
         let age = self.state.freshness.age().unwrap_or_else(|| {
             // The leader confirms the view of an entry that has just enrolled.
             now - self.state.acting_from().map_or(self.created_at, |at| at.max(self.created_at))
@@ -413,7 +423,7 @@
         if table.is_full_mesh() {
             return Duration::ZERO;
         }
-        let position = f64::from(name_digest(table.own().vm.as_str())) / f64::from(u32::MAX);
+        let position = name_position(&table);
         let is_starting = noticed_at < self.created_at + START_TIME;
         let spread = if is_starting { START_CATCH_UP_SPREAD } else { CATCH_UP_SPREAD };
         spread.mul_f64(position)
@@ -451,6 +461,11 @@
     }
 }
 
+/// Position of this entry in a spread of store calls over the entries by their names, from 0 to 1.
+fn name_position(table: &PeerTable) -> f64 {
+    f64::from(name_digest(table.own().vm.as_str())) / f64::from(u32::MAX)
+}
+
 /// Whether a read that began with the view at `known` shows that the store's history went back: its
 /// era changed, or a store that reports none has a lower revision than before.
 fn went_back(known: StorePosition, read: StorePosition) -> bool {
--- a/tests/testsuite/enrolment.rs
+++ b/tests/testsuite/enrolment.rs
@@ -35,20 +35,20 @@
 /// Most store calls that a new entry costs in its first half minute.
 const MAX_CALLS_AN_ENTRY: f64 = 1.0;
 /// Cost of a relaxed read as a fraction of another call.
-const RELAXED_COST: f64 = 0.1;
+pub(crate) const RELAXED_COST: f64 = 0.1;
 
 /// A running entry.
-struct RunningEntry {
-    entry: TestEntry,
-    vm: String,
+pub(crate) struct RunningEntry {
+    pub(crate) entry: TestEntry,
+    pub(crate) vm: String,
     registration: EntryRegistration,
-    stop: CancellationToken,
+    pub(crate) stop: CancellationToken,
     /// Whether its last message told that it is enrolled.
     has_announced: Cell<bool>,
 }
 
 /// Starts the store service of an entry. The digits in its name give its addresses.
-fn start(vm: &str, store: &StandinPlatform, seed: u64) -> RunningEntry {
+pub(crate) fn start(vm: &str, store: &StandinPlatform, seed: u64) -> RunningEntry {
     let number = vm.rsplit('-').next().and_then(|digits| digits.parse::<u16>().ok());
     let host = [10, 0, (number.unwrap_or(0) >> 8) as u8, number.unwrap_or(0) as u8];
     let registration = EntryRegistration {
@@ -70,7 +70,7 @@
 
 /// Delivers the messages of entries that know the key, for `time`: those of the leader to all that it
 /// knows, those of the others to the leader candidates, and now and then to all.
-async fn exchange_messages(entries: &[RunningEntry], time: Duration) {
+pub(crate) async fn exchange_messages(entries: &[RunningEntry], time: Duration) {
     static SEQUENCE: AtomicU64 = AtomicU64::new(0);
     let mut by_address = HashMap::new();
     for running in entries {
@@ -138,7 +138,7 @@
     DomainRoster::decode(&roster).entries.into_keys().collect()
 }
 
-fn start_all(count: u64, store: &StandinPlatform) -> Vec<RunningEntry> {
+pub(crate) fn start_all(count: u64, store: &StandinPlatform) -> Vec<RunningEntry> {
     (0..count).map(|index| start(&format!("entry-{index}"), store, index)).collect()
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod experiment;
 mod fleet_faults;
 mod fleet_peers;
+mod fleet_start;
 mod fleet_store;
 mod generations;
 mod hedge_limit;
