fleet: report only entries that the leader has heard from

Cause: the leader of a large domain reported entries that it knew alive only from a report of the former leader, and each report counts for 3 s.

Change: messages and reports are kept apart; a leader reports only entries whose messages it has received within the failure timeout.

--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -75,7 +75,10 @@
     record: EntryRecord,
     incarnation: u64,
     sequence: u64,
+    /// Its last message.
     last_heard_at: Option<Instant>,
+    /// The last report of a leader that it is alive.
+    last_reported_at: Option<Instant>,
     is_enrolled: bool,
     /// Whether the store, or the entry itself, has ever said that it is registered. A restart does not
     /// change that.
@@ -84,6 +87,14 @@
     digest: u32,
 }
 
+impl PeerEntry {
+    /// Time of the last sign of life. A report counts for [`ALIVE_DIGEST_GRACE`] longer than a message.
+    fn last_alive_at(&self) -> Option<Instant> {
+        let reported_at = self.last_reported_at.map(|at| at + ALIVE_DIGEST_GRACE);
+        self.last_heard_at.max(reported_at)
+    }
+}
+
 /// The entries that share the probing of the upstreams of a failure domain.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ProberSet {
@@ -170,7 +181,7 @@
         match self.peers.get_mut(&vm) {
             Some(known) => {
                 let is_moved = known.record.failure_domain != record.failure_domain;
-                if known.last_heard_at.is_none() {
+                if known.last_alive_at().is_none() {
                     self.registered_revision += u64::from(is_moved);
                     known.record = record;
                 }
@@ -183,6 +194,7 @@
                     incarnation: 0,
                     sequence: 0,
                     last_heard_at: None,
+                    last_reported_at: None,
                     is_enrolled: true,
                     is_registered: true,
                     digest: name_digest(vm.as_str()),
@@ -220,6 +232,7 @@
             incarnation: message.incarnation,
             sequence: message.sequence,
             last_heard_at: Some(now),
+            last_reported_at: None,
             is_enrolled: message.is_enrolled,
             is_registered: message.is_enrolled,
             digest: name_digest(vm.as_str()),
@@ -232,7 +245,7 @@
         if known.incarnation == entry.incarnation && known.sequence >= entry.sequence {
             return false;
         }
-        let is_returning = known.last_heard_at.is_none_or(|at| now - at > MIN_FAILURE_TIMEOUT);
+        let is_returning = known.last_alive_at().is_none_or(|at| now - at > MIN_FAILURE_TIMEOUT);
         let is_changed = known.record.state != entry.record.state
             || known.record.has_path != entry.record.has_path;
         if is_returning || is_changed {
@@ -244,6 +257,7 @@
             );
         }
         entry.is_registered |= known.is_registered;
+        entry.last_reported_at = known.last_reported_at;
         let is_moved = known.record.failure_domain != entry.record.failure_domain;
         self.registered_revision += u64::from(is_moved || !known.is_registered);
         *known = entry;
@@ -288,14 +302,16 @@
         candidates.take(LEADER_CANDIDATES).map(|peer| peer.record.peer_address).collect()
     }
 
-    /// Name digests of the live, ready entries, if this one leads a large domain; otherwise empty.
+    /// Name digests of the ready entries that have recently sent a message to this one, if it leads a
+    /// large domain; otherwise empty. Entries that are known alive from a report only are left out, or
+    /// successive leaders would report a dead one for ever longer.
     pub fn alive_digests(&self, now: Instant) -> Vec<u32> {
         let mut alive = Vec::new();
         if self.is_full_mesh() || self.rank(now) > 0 {
             return alive;
         }
         for peer in self.local_peers() {
-            if self.is_live(peer, now) && peer.record.state == EntryState::Ready {
+            if self.is_recent(peer.last_heard_at, now) && peer.record.state == EntryState::Ready {
                 alive.push(peer.digest);
             }
         }
@@ -323,11 +339,10 @@
             return;
         }
         let alive: FastSet<u32> = alive.iter().copied().collect();
-        let heard_at = now + ALIVE_DIGEST_GRACE;
         for peer in self.peers.values_mut() {
             let is_local = peer.record.failure_domain == self.own.failure_domain;
             if is_local && alive.contains(&peer.digest) {
-                peer.last_heard_at = peer.last_heard_at.max(Some(heard_at));
+                peer.last_reported_at = Some(now);
                 peer.record.has_path = !no_path.contains(&peer.digest);
             }
         }
@@ -488,10 +503,15 @@
     }
 
     fn is_live(&self, peer: &PeerEntry, now: Instant) -> bool {
+        let is_local = peer.record.failure_domain == self.own.failure_domain;
+        is_local && self.is_recent(peer.last_alive_at(), now)
+    }
+
+    /// Whether a sign of life at this time shows that an entry is alive.
+    fn is_recent(&self, at: Option<Instant>, now: Instant) -> bool {
         let failure_timeout =
             MIN_FAILURE_TIMEOUT.max(self.message_interval() * MAX_MISSED_MESSAGES);
-        let is_local = peer.record.failure_domain == self.own.failure_domain;
-        is_local && peer.last_heard_at.is_some_and(|at| now - at <= failure_timeout)
+        at.is_some_and(|at| now - at <= failure_timeout)
     }
 }
 
--- a/tests/testsuite/fleet_peers.rs
+++ b/tests/testsuite/fleet_peers.rs
@@ -222,3 +222,112 @@
     advance(Duration::from_secs(2)).await;
     assert_ne!(table.gateways(0, Instant::now()), table.gateways(1, Instant::now()));
 }
+
+/// Time after its death after which an entry is no longer named: 3 s and `stableWindow` of 3 s.
+const DEAD_LIMIT: Duration = Duration::from_secs(6);
+
+/// Entries of one domain, of which `deaths` stop at these times in milliseconds. Another entry takes
+/// over, and `returning` starts again as a leader that has heard of nobody. Returns for how long a
+/// live entry names a dead one.
+async fn time_until_unnamed(
+    count: usize,
+    deaths: &[(usize, u64)],
+    returning: Option<usize>,
+) -> Duration {
+    let names: Vec<String> = (0..count).map(|index| format!("entry-{index:02}")).collect();
+    let addresses: Vec<SocketAddr> = (0..count).map(|index| address(100 + index as u16)).collect();
+    let mut tables: Vec<PeerTable> = names.iter().map(|name| table(name)).collect();
+    for (own, table) in tables.iter_mut().enumerate() {
+        for index in (0..count).filter(|index| *index != own) {
+            table.apply_message(
+                &message(&names[index], "fd-a", 1),
+                addresses[index],
+                Instant::now(),
+            );
+        }
+    }
+    let mut last_named = Duration::ZERO;
+    let interval = tables[0].message_interval();
+    let step = Duration::from_millis(100);
+    let mut died_at = None;
+    for round in 0..200_u64 {
+        let now = Instant::now();
+        if round == 20 {
+            died_at = Some(now);
+        }
+        let age = died_at.map_or(Duration::ZERO, |at| now - at);
+        let is_back = age >= Duration::from_millis(2600);
+        if let Some(own) = returning.filter(|_| is_back && age < Duration::from_millis(2700)) {
+            tables[own] = table(&names[own]);
+            for index in (0..count).filter(|index| *index != own) {
+                let registration = EntryRegistration {
+                    failure_domain: "fd-a".to_owned(),
+                    caller_address: address(80),
+                    peer_address: addresses[index],
+                };
+                tables[own].register(&names[index], &registration);
+            }
+        }
+        let death_age = |index: usize| {
+            let (_, delay_ms) = deaths.iter().find(|(dead, _)| *dead == index)?;
+            let has_returned = is_back && returning == Some(index);
+            age.checked_sub(Duration::from_millis(*delay_ms))
+                .filter(|_| died_at.is_some() && !has_returned)
+        };
+        let is_dead = |index: usize| death_age(index).is_some();
+        for own in (0..count).filter(|own| !is_dead(*own)) {
+            // The messages of different entries are spread over the interval.
+            let phase =
+                (step * round as u32 + step * own as u32).as_millis() % interval.as_millis();
+            if phase != 0 {
+                continue;
+            }
+            let mut heartbeat = message(&names[own], "fd-a", round + 2);
+            heartbeat.incarnation += u64::from(is_back && returning == Some(own));
+            heartbeat.alive = tables[own].alive_digests(now);
+            let recipients = tables[own].recipients(MessageScope::LeaderCandidates, now);
+            for index in (0..count).filter(|index| !is_dead(*index)) {
+                if recipients.contains(&addresses[index]) {
+                    tables[index].apply_message(&heartbeat, addresses[own], now);
+                }
+            }
+        }
+        for own in (0..count).filter(|own| !is_dead(*own)) {
+            let view = tables[own].membership(now);
+            for (dead, _) in deaths {
+                let Some(age) = death_age(*dead) else { continue };
+                if view.find(&VmId::new(&names[*dead])).is_some() {
+                    last_named = last_named.max(age);
+                }
+            }
+        }
+        advance(step).await;
+    }
+    last_named
+}
+
+/// Guards against callers that are sent to entries that are gone, because a report of who is alive is
+/// repeated by one that knows it only from another report.
+#[tokio::test(start_paused = true)]
+async fn no_entry_is_named_longer_than_six_seconds_after_its_death() {
+    // The last two: a leader that still reports an entry stops too, and its successor after it.
+    let all: [(&[(usize, u64)], Option<usize>); 7] = [
+        (&[(7, 0)], None),
+        (&[(0, 0), (7, 0)], None),
+        (&[(0, 0), (1, 0), (2, 0), (7, 0)], None),
+        (&[(0, 0), (7, 0)], Some(0)),
+        (&[(0, 0), (1, 0), (2, 0), (7, 0)], Some(0)),
+        (&[(7, 0), (0, 1900)], None),
+        (&[(7, 0), (0, 1900), (1, 4200)], None),
+    ];
+    for count in [9, 12, 13, 36, 73] {
+        for (dead, returning) in all {
+            let last = time_until_unnamed(count, dead, returning).await;
+            println!("{count} entries, {dead:?} dead, {returning:?} back: named for {last:?}");
+            assert!(
+                last <= DEAD_LIMIT,
+                "{count} entries, {dead:?} dead, {returning:?} back: {last:?}"
+            );
+        }
+    }
+}
