--- a/src/fleet/peer_table/permit_peers.rs
+++ b/src/fleet/peer_table/permit_peers.rs
@@ -85,7 +85,7 @@
     }
 
     fn is_heard(&self, peer: &PeerEntry, now: Instant) -> bool {
-        peer.last_message_at.is_some_and(|at| now - at <= self.failure_timeout())
+        peer.last_heard_at.is_some_and(|at| now - at <= self.failure_timeout())
     }
 
     /// The first live, enrolled entries of the local failure domain that grant permits, by name.
