--- a/tests/testsuite/fleet_peers.rs
+++ b/tests/testsuite/fleet_peers.rs
@@ -226,6 +226,9 @@
 /// Time after its death after which an entry is no longer named: 3 s and `stableWindow` of 3 s.
 const DEAD_LIMIT: Duration = Duration::from_secs(6);
 
+/// Deaths by entry and time in milliseconds, and the entry that returns.
+type DeathCase = (&'static [(usize, u64)], Option<usize>);
+
 /// Entries of one domain, of which `deaths` stop at these times in milliseconds. Another entry takes
 /// over, and `returning` starts again as a leader that has heard of nobody. Returns for how long a
 /// live entry names a dead one.
@@ -311,7 +314,7 @@
 #[tokio::test(start_paused = true)]
 async fn no_entry_is_named_longer_than_six_seconds_after_its_death() {
     // The last two: a leader that still reports an entry stops too, and its successor after it.
-    let all: [(&[(usize, u64)], Option<usize>); 7] = [
+    let all: [DeathCase; 7] = [
         (&[(7, 0)], None),
         (&[(0, 0), (7, 0)], None),
         (&[(0, 0), (1, 0), (2, 0), (7, 0)], None),
