--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -32,6 +32,8 @@
 /// Time that an entry waits for a missed change to arrive before it reads the store: the leader
 /// sends to the entries of its domain one after the other, over slow links.
 const CATCH_UP_DELAY: Duration = Duration::from_millis(200);
+/// Confirmation limits after which an entry of a full mesh that enrols reads for itself: 1.75 s.
+const MESH_ENROLMENT_LIMITS: f64 = 1.4;
 /// Time over which the entries of a failure domain spread such reads, by their names. A message to
 /// all of a large domain takes some tenths of a second over a slow link, and most of them still get
 /// the change while they wait.
@@ -243,12 +245,15 @@
         if let Some(end) = self.state.enrolment_deadline(now) {
             // Until the others know this entry, none of them may tell it what changes.
             let age = self.state.freshness.age().unwrap_or_else(|| now - self.created_at);
-            let mut limit = schedule.confirmation_limit
-                + schedule.enrolment_spread(name_position(&self.state.table()));
-            if !self.state.table().is_full_mesh() {
-                // Nearly all entries of a large domain are listed by then, which saves their calls.
-                limit += schedule.confirmation_limit;
-            }
+            let spread = schedule.enrolment_spread(name_position(&self.state.table()));
+            // The later this is, the more entries are listed by then, which saves their calls. A full
+            // mesh may take the whole enrolment, and the bound is 2 s; in a large domain nearly all are
+            // listed after two limits.
+            let limit = if self.state.table().is_full_mesh() {
+                schedule.confirmation_limit.mul_f64(MESH_ENROLMENT_LIMITS) + spread / 2
+            } else {
+                schedule.confirmation_limit * 2 + spread
+            };
             if age >= limit {
                 return StoreAction::Watch(CONFIRMATION_WATCH_WAIT);
             }
