fleet: read the configuration with every gap that a watch closes

If the peer that revealed a gap had the same configuration as this entry and knew it to be current, the read was left out, although the watch had returned a later revision. The new test fails with the shortcut.

--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -24,7 +24,7 @@
 use crate::fleet::peer_table::{MessageScope, PeerTable};
 use crate::fleet::read_schedule::ReadSchedule;
 use crate::fleet::view::{DeploymentView, ViewChange};
-use crate::fleet::view_gap::{GapConfig, GapKind, ViewGap, is_behind};
+use crate::fleet::view_gap::{GapKind, ViewGap, is_behind};
 use crate::fleet::warm_ups::WarmUpPlan;
 use crate::limits::tenant_quota::QuotaTable;
 use crate::limits::{LimitTable, QuarantineTable};
@@ -388,16 +388,14 @@
     }
 
     /// Takes over up to which revision the peer that revealed a gap knows the configuration, if that
-    /// is the configuration of this view. Returns how the two compare.
-    pub(super) fn confirm_config_by_gap(&self) -> GapConfig {
-        let Some(gap) = *lock(&self.gap) else { return GapConfig::Other };
+    /// is the configuration of this view.
+    pub(super) fn confirm_config_by_gap(&self) {
+        let Some(gap) = *lock(&self.gap) else { return };
         let mut view = self.view();
         let own = view.watermark();
-        if gap.watermark.era != own.era || !own.has_same_config(&gap.watermark) {
-            return GapConfig::Other;
+        if gap.watermark.era == own.era && own.has_same_config(&gap.watermark) {
+            view.confirm_config(gap.watermark.config_known);
         }
-        view.confirm_config(gap.watermark.config_known);
-        if gap.watermark.is_config_current() { GapConfig::Same } else { GapConfig::Other }
     }
 
     pub(super) fn clear_gap(&self) {
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -20,7 +20,7 @@
 use crate::fleet::roster::DomainRoster;
 use crate::fleet::state::{CALL_TIMEOUT, FleetState};
 use crate::fleet::view::StoreOutage;
-use crate::fleet::view_gap::{GapConfig, GapKind};
+use crate::fleet::view_gap::GapKind;
 use crate::kernel::{ServiceName, ServiceTask};
 use crate::platform::{PlatformStore, Revision, StoreEra, StoreError, StorePosition, WatchRequest};
 use crate::util::SeededRandom;
@@ -372,13 +372,7 @@
         let count = until.saturating_sub(since).saturating_sub(batch.events.len() as u64);
         let change = self.state.view().apply_batch(batch, since, returned);
         self.state.publish(change);
-        let gap_config = self.state.confirm_config_by_gap();
-        let is_leader = self.state.table().rank(returned) == 0;
-        if gap_config == GapConfig::Same && !is_leader {
-            // The leader's next message confirms the configuration too, or else the confirmation
-            // becomes too old and this entry reads it.
-            return Ok(());
-        }
+        self.state.confirm_config_by_gap();
         if !self.state.view().watermark().is_config_current() {
             self.read_config(Some(OtherWrites { since, until, count })).await?;
         }
--- a/src/fleet/view_gap.rs
+++ b/src/fleet/view_gap.rs
@@ -15,15 +15,6 @@
     NewerEra,
 }
 
-/// Configuration of the peer that revealed a gap, compared with the local one.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum GapConfig {
-    /// The peer has the same configuration and the same evacuations, and knows that they are current.
-    Same,
-    /// It has others, does not know whether they are current, or there is no gap.
-    Other,
-}
-
 /// Changes that a peer knows and this entry has missed.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ViewGap {
--- a/tests/testsuite/fleet_peers.rs
+++ b/tests/testsuite/fleet_peers.rs
@@ -21,7 +21,7 @@
     MessageKey::new("the key of a deployment of tests").expect("usable")
 }
 
-fn message(vm: &str, domain: &str, sequence: u64) -> PeerMessage {
+pub(crate) fn message(vm: &str, domain: &str, sequence: u64) -> PeerMessage {
     PeerMessage {
         vm: vm.to_owned(),
         incarnation: 1,
--- a/tests/testsuite/fleet_store.rs
+++ b/tests/testsuite/fleet_store.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 use tokio::time::Instant;
 
+use crate::fleet_peers::message;
 use crate::support::fleet::{
     TestCodec, TestEntry, UPSTREAM_KIND, delete_upstream, put, put_config, put_upstream,
 };
@@ -365,3 +366,20 @@
     entry.run_for(Duration::from_secs(3)).await;
     assert_eq!((entry.upstreams(), entry.generation()), (vec!["b".to_owned()], Some(2)));
 }
+
+/// Guards against an entry that closes one gap after the other and never reads the configuration that
+/// was written after what the peer knows.
+#[tokio::test(start_paused = true)]
+async fn a_configuration_that_the_revealing_peer_does_not_know_is_read_with_the_gap() {
+    let store = store_with(1, &["a"]).await;
+    let [mut leader, mut entry] = start_pair(&store, Duration::from_secs(2)).await;
+    put_upstream(&store, "b").await;
+    leader.run_for(Duration::from_millis(1200)).await;
+    let heard = message("entry-1", "fd-a", 1);
+    entry.state.apply_message(&heard, heard.caller_address);
+    entry.state.freshness.confirm(Duration::ZERO);
+    send_confirmation(&leader, &entry);
+    put_config(&store, 2).await;
+    entry.run_for(Duration::from_millis(500)).await;
+    assert_eq!(entry.generation(), Some(2));
+}
