--- a/tests/testsuite/cold_upstreams.rs
+++ b/tests/testsuite/cold_upstreams.rs
@@ -24,7 +24,7 @@
 use crate::support::fleet::{CONFIG_KIND, CONFIG_NAME, TestEntry, UPSTREAM_KIND, put};
 
 const HEADER: HeaderName = HeaderName::from_static("x-warmup-ms");
-/// The page's figures: rate, tolerance, and the requests that they allow in any one second.
+/// Figures of the target deployments: rate, tolerance, and the requests that they allow in any one second.
 const RATE: f64 = 2.7;
 const TOLERANCE: WarmUpTolerance = WarmUpTolerance { overage: 1.5, slack: 8.0 };
 const ALLOWED: f64 = 12.05;
@@ -232,8 +232,8 @@
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(40))]
 
-    /// Guards against entries that cannot communicate and together exceed the rate: with the page's
-    /// figures if each misses two registrations, with any figures if they miss none.
+    /// Guards against entries that cannot communicate and together exceed the rate: with those
+    /// figures if each misses two registrations, with any if they miss none.
     #[test]
     fn the_entries_of_all_domains_together_keep_within_the_bound(
         seed in any::<u64>(),
