--- a/src/fleet/config_parts.rs
+++ b/src/fleet/config_parts.rs
@@ -6,7 +6,7 @@
 //!
 //! Without it, every entry would read each change of a large configuration from the store, and one
 //! that the store refuses would keep the old one. The object is compressed and divided into parts of
-//! at most [`MAX_PART_TEXT_BYTES`]. With groups of the square root of the domain's size, no link
+//! at most `MAX_PART_TEXT_BYTES`. With groups of the square root of the domain's size, no link
 //! carries more than a few copies, also if a VM with a slow link has read it. Parts are not
 //! acknowledged: an entry that misses one reads the store as before.
 
@@ -74,7 +74,7 @@
 }
 
 /// Compresses a configuration and divides it into parts; `None` if that takes more than
-/// [`MAX_PARTS`].
+/// `MAX_PARTS`.
 pub fn split_config(object: &ObjectEnvelope) -> Option<Vec<ConfigPart>> {
     let json = serde_json::to_vec(object).ok()?;
     let mut encoder = DeflateEncoder::new(Vec::new(), Compression::default());
