--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -38,7 +38,7 @@
     let record = Record::create(&folder.join("record.txt"));
     record.say(&format!("case {case}, disruption: {has_trouble}"));
     let verdict = match case.as_str() {
-        // No case of its own: see REPORT.md.
+        // No cases of their own: see REPORT.md.
         "evacuated" => evacuated::run(has_trouble, &record),
         "leaving" => leaving::run(has_trouble, &record),
         "poison" => poison::run(has_trouble, &record),
