config: repeat requests only while no newer version can be due

Cause: permission to repeat rested on a configuration that may have been replaced. It counted as the newest for 4 s, while a change is due within 2 s here; from the arrival of a response and not from the start of its read; and for running requests of replaced versions too.

Evidence: config_age_ms up to 3,900 beside two attempts. On the new test repeats::requests_of_a_route_that_the_entry_cannot_know_run_once sees (2, 2, 2) runs with the store silent, closed and losing responses.

Change: ConfigFreshness keeps the start of the latest read that found no newer version and permits repeats until 100 ms before the bound of the deployment. Peers send that age and when a message was made, so that its delay counts. A request needs a version that was confirmed when it was received, and the version that has replaced it must permit the repeat. Rules of a replaced version count for 500 ms.

--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -173,7 +173,7 @@
     let forwarder =
         PeerForwarder { client: unmonitored_client(CONNECT_TIMEOUT), table: forward_table };
     let snapshot = SharedSnapshot::default();
-    let freshness = Arc::new(ConfigFreshness::default());
+    let freshness = Arc::new(ConfigFreshness::new(settings.changes.max_confirmed_age()));
     let probe_headers = headers.clone();
     let failure_domain = FailureDomain::new(&settings.failure_domain);
     let picker = UtilityPicker::new(
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -64,6 +64,7 @@
 pub mod roster;
 pub mod state;
 pub mod store_follower;
+mod transit_delay;
 pub mod view;
 mod view_change;
 mod view_gap;
--- a/src/fleet/peer_message.rs
+++ b/src/fleet/peer_message.rs
@@ -121,6 +121,13 @@
     /// Time for which the sender has had uninterrupted store access, in milliseconds.
     #[serde(default)]
     pub steady_ms: u64,
+    /// Time since the start of the latest read that found no newer configuration, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub config_age_ms: Option<u64>,
+    /// Time since the start of the sender at which the message was made, in milliseconds; missing from
+    /// entries of former versions, which don't tell `config_age_ms` either.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub sent_ms: Option<u64>,
 }
 
 /// Load of one upstream, as measured by a probe.
--- a/src/fleet/peer_service.rs
+++ b/src/fleet/peer_service.rs
@@ -77,7 +77,8 @@
                 received = self.socket.recv_from(&mut buffer) => {
                     // An error reports that an earlier datagram met a closed port (ICMP).
                     let Ok((length, from)) = received else { continue };
-                    if let Err(error) = self.receive(&buffer[..length], from, &mut sender).await {
+                    let datagram = &buffer[..length];
+                    if let Err(error) = self.receive(datagram, from, &mut sender).await {
                         rejected.record(from, error);
                     }
                 }
@@ -114,6 +115,7 @@
         from: SocketAddr,
         sender: &mut PeerSender,
     ) -> Result<(), MessageError> {
+        let received_at = Instant::now();
         let Some(keys) = self.state.message_keys() else { return Ok(()) };
         let payload = keys.verify(datagram)?;
         if let Some(loads) = decode_load_update(payload) {
@@ -139,7 +141,11 @@
         if !self.state.apply_message(&message, from) {
             return Ok(());
         }
+        let read_at = self.state.config_read_at(&message, received_at);
         self.state.apply_peer_state(message.change, message.confirmation);
+        if let Some((confirmation, read_at)) = message.confirmation.zip(read_at) {
+            self.state.confirm_config_of_peer(confirmation, read_at);
+        }
         self.state.apply_peer_limits(&message.limits);
         self.state.apply_peer_warm_ups(&message.cold);
         let snapshot = self.state.snapshot.load_full();
--- a/src/fleet/read_schedule.rs
+++ b/src/fleet/read_schedule.rs
@@ -26,6 +26,9 @@
 /// expire after three missed heartbeats, one of which may precede the outage.
 const OUTAGE_HEARTBEATS: f64 = 5.0 / 3.0;
 
+/// Time by which repeats stop before a configuration that this entry does not know is due.
+const CONFIRMATION_MARGIN: Duration = Duration::from_millis(100);
+
 /// Bounds of the platform for applying changes.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -50,6 +53,14 @@
     }
 }
 
+impl ChangeBounds {
+    /// Age of the last read of the configuration up to which it counts as the newest one. A later
+    /// one is due on this entry only after [`Self::config`], and it may forbid repeats.
+    pub fn max_confirmed_age(&self) -> Duration {
+        self.config.saturating_sub(CONFIRMATION_MARGIN)
+    }
+}
+
 /// When an entry reads the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ReadSchedule {
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -1,6 +1,7 @@
 //! What the services of one entry share.
 
 mod forwarding;
+mod repeat_permission;
 mod status;
 
 use std::collections::BTreeSet;
@@ -13,7 +14,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::core::{FailureDomain, SharedSnapshot};
+use crate::core::{ConfigSnapshot, FailureDomain, SharedSnapshot};
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::config_parts::{ConfigPart, PartAssembly};
 use crate::fleet::fleet_metrics::FleetMetrics;
@@ -23,6 +24,7 @@
 };
 use crate::fleet::peer_table::{MessageScope, PeerTable};
 use crate::fleet::read_schedule::ReadSchedule;
+use crate::fleet::transit_delay::TransitDelays;
 use crate::fleet::view::{DeploymentView, ViewChange};
 use crate::fleet::view_gap::{GapKind, ViewGap, is_behind};
 use crate::fleet::warm_ups::WarmUpPlan;
@@ -87,6 +89,10 @@
     steady_since: Mutex<Option<Instant>>,
     /// The longest such period that a peer has reported recently.
     peer_steadiness: Mutex<Option<PeerSteadiness>>,
+    /// Delays of the messages of other entries.
+    transit_delays: Mutex<TransitDelays>,
+    /// When this process started.
+    created_at: Instant,
     /// Parts of a configuration that have been received.
     config_parts: Mutex<PartAssembly>,
     /// Position that the store last reported to this entry.
@@ -143,6 +149,8 @@
             outbox: Mutex::default(),
             steady_since: Mutex::default(),
             peer_steadiness: Mutex::default(),
+            transit_delays: Mutex::default(),
+            created_at: Instant::now(),
             config_parts: Mutex::default(),
             store_position: Mutex::default(),
             config_shared_at: Mutex::default(),
@@ -228,6 +236,14 @@
         }
     }
 
+    /// Drops the rules of replaced configurations whose time is over.
+    pub(super) fn expire_replaced_rules(&self, now: Instant) {
+        let Some(replaced_rules) = self.view().expire_replaced(now) else { return };
+        let Some(active) = self.snapshot.load_full() else { return };
+        let snapshot = ConfigSnapshot { replaced_rules, ..(*active).clone() };
+        self.snapshot.store(Some(Arc::new(snapshot)));
+    }
+
     /// Activates a change that was read from the store and queues it for the other entries.
     pub(super) fn publish(&self, change: ViewChange) {
         if !change.is_empty() {
@@ -319,7 +335,7 @@
     /// Records that the view matched the store `age` ago.
     pub(super) fn confirm(&self, age: Duration) {
         let is_outage = self.freshness.age().is_none_or(|age| age >= self.read_schedule.min_outage);
-        self.freshness.confirm(age);
+        self.freshness.record_contact(age);
         let mut since = lock(&self.steady_since);
         if is_outage || since.is_none() {
             *since = Instant::now().checked_sub(age);
@@ -441,6 +457,8 @@
             mark: self.view().watermark(),
             age_ms: age.as_millis() as u64,
             steady_ms: steady.as_millis() as u64,
+            config_age_ms: self.freshness.read_age().map(|age| age.as_millis() as u64),
+            sent_ms: Some(self.created_at.elapsed().as_millis() as u64),
         })
     }
 
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -22,7 +22,9 @@
 use crate::fleet::view::StoreOutage;
 use crate::fleet::view_gap::GapKind;
 use crate::kernel::{ServiceName, ServiceTask};
-use crate::platform::{PlatformStore, Revision, StoreEra, StoreError, StorePosition, WatchRequest};
+use crate::platform::{
+    PlatformStore, Revision, StoreEra, StoreError, StorePosition, WatchBatch, WatchRequest,
+};
 use crate::util::SeededRandom;
 
 /// Minimum time between the starts of two watches, so that a burst of changes costs one call.
@@ -194,6 +196,7 @@
         let now = Instant::now();
         let expired = self.state.view().expire(now);
         self.state.publish(expired);
+        self.state.expire_replaced_rules(now);
         let result = match self.next_action(now) {
             StoreAction::InitialList => self.list_relaxed().await,
             StoreAction::RelaxedList => {
@@ -297,6 +300,7 @@
         self.state.record_store_position(list.position());
         let is_restored = went_back(known, list.position());
         if is_restored {
+            self.state.suspend_repeats();
             let change = self.state.view().restart_history(list, Instant::now());
             self.state.view().log_change(&change, "restored store");
             self.state.activate_view();
@@ -307,6 +311,7 @@
         self.read_config(None).await?;
         self.state.clear_gap();
         self.state.confirm(started.elapsed());
+        self.state.confirm_config(started);
         if is_restored {
             self.state.restore_notice.notify_one();
             self.state.request_message();
@@ -341,7 +346,8 @@
     }
 
     async fn watch(&mut self, wait: Duration) -> Result<(), StoreError> {
-        self.last_watch_at = Some(Instant::now());
+        let began = Instant::now();
+        self.last_watch_at = Some(began);
         let known = self.state.view().position();
         let since = known.revision;
         let kinds = vec![self.names().upstream_kind.to_owned()];
@@ -369,14 +375,17 @@
         }
         // The store's revision counts all writes, and upstreams account for one each.
         let until = batch.revision;
+        let mut read_at = response_time(&batch, began, wait);
         let count = until.saturating_sub(since).saturating_sub(batch.events.len() as u64);
         let change = self.state.view().apply_batch(batch, since, returned);
         self.state.publish(change);
         self.state.confirm_config_by_gap();
         if !self.state.view().watermark().is_config_current() {
+            read_at = Instant::now();
             self.read_config(Some(OtherWrites { since, until, count })).await?;
         }
         self.state.confirm(returned.elapsed());
+        self.state.confirm_config(read_at);
         self.state.request_message();
         Ok(())
     }
@@ -495,6 +504,14 @@
     f64::from(name_digest(table.own().vm.as_str())) / f64::from(u32::MAX)
 }
 
+/// Earliest time at which the store can have made the response to a watch that began at `began`: it
+/// holds one without events for the whole wait. The response itself may have been read much later.
+fn response_time(batch: &WatchBatch, began: Instant, wait: Duration) -> Instant {
+    let elapsed = began.elapsed();
+    let is_held = batch.events.is_empty() && elapsed >= wait && elapsed <= wait + CALL_TIMEOUT;
+    if is_held { began + wait } else { began }
+}
+
 /// Whether a read that began with the view at `known` shows that the store's history went back: its
 /// era changed, or a store that reports none has a lower revision than before.
 fn went_back(known: StorePosition, read: StorePosition) -> bool {
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -6,6 +6,7 @@
 
 mod compilation;
 mod history;
+mod replaced_config;
 mod upstream_record;
 
 use std::cmp::Ordering;
@@ -17,6 +18,7 @@
 use crate::core::{ConfigSnapshot, GenerationNumber};
 use crate::fleet::codec::{DeclaredConfig, DeploymentCodec, PlatformNames, RegisteredUpstream};
 use crate::fleet::evacuation::{EvacuatedDomains, EvacuationRecord};
+use crate::fleet::view::replaced_config::ReplacedConfig;
 use crate::fleet::view::upstream_record::{DepartedUpstreams, UpstreamRecord, is_same_lifetime};
 use crate::fleet::view_change::entry_digest;
 pub use crate::fleet::view_change::{ViewChange, ViewWatermark};
@@ -39,6 +41,8 @@
     config_position: StorePosition,
     /// Revision in this era up to which no newer configuration exists.
     config_known: Revision,
+    /// Whether the store's configuration cannot be decoded, so that an older one is active.
+    is_config_unreadable: bool,
     upstreams: BTreeMap<String, UpstreamRecord>,
     /// Upstreams that are missing after an outage, and when each is removed.
     held: BTreeMap<String, Instant>,
@@ -47,6 +51,8 @@
     outage: Option<StoreOutage>,
     /// The compiled configuration without upstreams. Cleared when the configuration changes.
     base_snapshot: Option<ConfigSnapshot>,
+    /// Configurations that were replaced a moment ago.
+    replaced: Vec<ReplacedConfig>,
     digest: u64,
     /// Region of each failure domain, as far as the settings name it.
     regions: BTreeMap<String, String>,
@@ -78,11 +84,13 @@
             config: None,
             config_position: StorePosition::default(),
             config_known: 0,
+            is_config_unreadable: false,
             upstreams: BTreeMap::new(),
             held: BTreeMap::new(),
             departed: DepartedUpstreams::default(),
             outage: None,
             base_snapshot: None,
+            replaced: Vec::new(),
             digest: 0,
             regions: BTreeMap::new(),
             evacuations: EvacuationRecord::default(),
@@ -155,6 +163,11 @@
         }
     }
 
+    /// Whether the store has a configuration that cannot be decoded.
+    pub(in crate::fleet) fn has_unreadable_config(&self) -> bool {
+        self.is_config_unreadable
+    }
+
     /// Records that no configuration newer than the current one existed at `revision`.
     pub fn confirm_config(&mut self, revision: Revision) {
         self.config_known = self.config_known.max(revision);
@@ -254,9 +267,11 @@
                     "invalid configuration, keeping the current one revision={} reason={error}",
                     object.version,
                 );
+                self.is_config_unreadable = true;
                 return change;
             }
         };
+        self.is_config_unreadable = false;
         if self.generation().is_some_and(|present| config.generation < present) {
             log::warn!(
                 target: "config",
@@ -277,7 +292,7 @@
         );
         self.config_position = object.position();
         self.config = Some(ActiveConfig { object: object.clone(), declared: config });
-        self.base_snapshot = None;
+        self.replace_base(Instant::now());
         change.config = Some(object);
         change
     }
--- a/src/fleet/view/compilation.rs
+++ b/src/fleet/view/compilation.rs
@@ -40,7 +40,8 @@
             let region = self.regions.get(&upstream.failure_domain).map(String::as_str);
             declared.push(declared_upstream(upstream, service, region));
         }
-        let snapshot = with_upstreams(base_snapshot, declared, previous);
+        let mut snapshot = with_upstreams(base_snapshot, declared, previous);
+        snapshot.replaced_rules = self.replaced_rules();
         for upstream in snapshot.upstreams.values() {
             upstream.set_evacuated(self.evacuations.contains(&upstream.spec.failure_domain));
         }
--- a/src/fleet/view/history.rs
+++ b/src/fleet/view/history.rs
@@ -88,7 +88,7 @@
             object.era,
         );
         self.config = Some(ActiveConfig { object: object.clone(), declared });
-        self.base_snapshot = None;
+        self.replace_base(Instant::now());
         change.config = Some(object);
         change
     }
--- a/src/request/data_plane.rs
+++ b/src/request/data_plane.rs
@@ -35,6 +35,7 @@
     ExecutionContext, ExecutionFailure, ExecutionOutcome, RepeatBudgetShare, RequestExecution,
 };
 use crate::request::execution_settings::ExecutionSettings;
+use crate::request::execution_state::ConfigConfirmation;
 use crate::request::forward_attempt::PeerForwarder;
 use crate::request::forward_gate::ForwardRefusal;
 use crate::request::forward_header::{AttemptOrder, ForwardedRequest};
@@ -73,6 +74,8 @@
 pub struct AdmittedRequest {
     /// Configuration under which the request was admitted.
     pub snapshot: Arc<ConfigSnapshot>,
+    /// Whether that configuration is confirmed.
+    pub confirmation: ConfigConfirmation,
     /// Class of the request under that configuration.
     pub class: RequestClass,
     /// Limits of the route.
@@ -90,6 +93,7 @@
 pub(super) struct DataPlaneCore<C, P, L> {
     client: C,
     picker: P,
+    active: SharedSnapshot,
     freshness: Arc<ConfigFreshness>,
     settings: ExecutionSettings,
     load_checker: Option<LoadChecker>,
@@ -104,6 +108,7 @@
         ExecutionContext {
             client: &self.client,
             picker: &self.picker,
+            active: &self.active,
             freshness: &self.freshness,
             settings: &self.settings,
             load_checker: self.load_checker.as_ref(),
@@ -137,6 +142,7 @@
         let core = Arc::new(DataPlaneCore {
             client,
             picker,
+            active: Arc::clone(&snapshot),
             freshness,
             settings,
             load_checker,
@@ -232,7 +238,19 @@
             header_u64(&parts.headers, &header_names.deadline).map(Duration::from_millis);
         let deadline = started + requested.unwrap_or(configured).min(configured);
         let criticality = route.spec.criticality;
-        Ok(AdmittedRequest { snapshot, class, limits, criticality, started, deadline })
+        let confirmation = match self.core.freshness.covers(started) {
+            true => ConfigConfirmation::Confirmed,
+            false => ConfigConfirmation::Unconfirmed,
+        };
+        Ok(AdmittedRequest {
+            snapshot,
+            confirmation,
+            class,
+            limits,
+            criticality,
+            started,
+            deadline,
+        })
     }
 
     /// Response to a request that is refused for `after`; it did not run.
@@ -273,6 +291,7 @@
         set_tenant_headers(&mut headers, header_names, &admitted.snapshot, tenant);
         let execution = RequestExecution {
             snapshot: admitted.snapshot,
+            admitted_under: admitted.confirmation,
             class: admitted.class,
             limits: admitted.limits,
             headers,
@@ -428,7 +447,7 @@
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
         let tenant = execution.class.authenticated.as_ref();
         let tenant = tenant.map_or_else(String::new, |tenant| format!(" tenant={}", tenant.name));
-        let age = self.core.freshness.age().unwrap_or(Duration::MAX);
+        let age = self.core.freshness.read_age().unwrap_or(Duration::MAX);
         log::log!(
             target: "request",
             level,
--- a/src/request/execution.rs
+++ b/src/request/execution.rs
@@ -16,7 +16,7 @@
 use crate::balance::{PathMonitor, PathResult, PathTrial, UpstreamPicker};
 use crate::core::{
     ConfigSnapshot, IdempotenceMode, InflightGuard, PartIndex, ResultCode, RouteRecord,
-    UpstreamState,
+    SharedSnapshot, UpstreamState,
 };
 use crate::limits::{QuarantineTable, RouteLimits, WindowBudget};
 use crate::membership::ConfigFreshness;
@@ -28,7 +28,7 @@
     AttemptReporter, ReporterContext, takes_last_slot, validate_outcome,
 };
 use crate::request::attempt_trace::AttemptTrace;
-use crate::request::classify::RequestClass;
+use crate::request::classify::{RequestClass, RequestHead, classify};
 use crate::request::crash_watch::CallerAddress;
 use crate::request::execution_settings::{ExecutionSettings, HedgeTrigger, hedge_interval};
 use crate::request::execution_state::{
@@ -50,7 +50,9 @@
     pub client: &'a C,
     /// Picks upstreams.
     pub picker: &'a P,
-    /// Whether the configuration is known to be the newest.
+    /// The active configuration, which may have replaced that of the request.
+    pub active: &'a SharedSnapshot,
+    /// Whether the active configuration is known to be the newest.
     pub freshness: &'a ConfigFreshness,
     /// Settings of attempts.
     pub settings: &'a ExecutionSettings,
@@ -69,6 +71,8 @@
 pub struct RequestExecution {
     /// Configuration under which the request was admitted.
     pub snapshot: Arc<ConfigSnapshot>,
+    /// Whether that configuration was confirmed when the request was admitted.
+    pub admitted_under: ConfigConfirmation,
     /// Class of the request under that configuration.
     pub class: RequestClass,
     /// Limits of the route.
@@ -177,7 +181,7 @@
         let mut other_slot = pin!(None);
         let mut event = ExecutionEvent::Admitted;
         loop {
-            match state.step(event, step_context(&event, ctx.freshness)) {
+            match state.step(event, self.step_context(&event, &ctx)) {
                 ExecutionAction::Start(role) => {
                     let prepared = tokio::select! {
                         biased;
@@ -194,7 +198,7 @@
                             // The running attempt ended while its hedge was being prepared, so the
                             // hedge is dropped before the end is reported.
                             let refused = ExecutionEvent::StartRefused(StartRefusal::NoUpstream);
-                            state.step(refused, step_context(&refused, ctx.freshness));
+                            state.step(refused, self.step_context(&refused, &ctx));
                             refusal = finished.failure.or(refusal);
                             event = record_end(finished, trace, &mut last_response);
                             continue;
@@ -298,6 +302,38 @@
         }
     }
 
+    /// Conditions of a step. Whether the configuration is confirmed is looked up only for the events
+    /// after which a further attempt may start.
+    fn step_context<C, P>(
+        &self,
+        event: &ExecutionEvent,
+        ctx: &ExecutionContext<'_, C, P>,
+    ) -> StepContext {
+        let may_start_attempt =
+            matches!(event, ExecutionEvent::Ended { .. } | ExecutionEvent::TimerFired);
+        let confirmation = match may_start_attempt {
+            true => self.confirmation(ctx),
+            false => ConfigConfirmation::Unconfirmed,
+        };
+        StepContext { now: Instant::now(), confirmation }
+    }
+
+    /// Whether the request's configuration was the newest one when the request was received, as far
+    /// as the bound for changes requires. One that has replaced it since must not forbid repeats.
+    fn confirmation<C, P>(&self, ctx: &ExecutionContext<'_, C, P>) -> ConfigConfirmation {
+        let active = ctx.active.load();
+        let replacing = active.as_ref().filter(|it| it.generation != self.snapshot.generation);
+        let Some(replacing) = replacing else {
+            let is_covered = ctx.freshness.covers(self.started);
+            return if is_covered { ConfigConfirmation::Confirmed } else { self.admitted_under };
+        };
+        let head = RequestHead { method: &self.method, uri: &self.uri, headers: &self.headers };
+        match classify(replacing, head).mode {
+            IdempotenceMode::Idempotent => self.admitted_under,
+            IdempotenceMode::AtMostOnce => ConfigConfirmation::Unconfirmed,
+        }
+    }
+
     async fn attempt<C: UpstreamClient, P: UpstreamPicker>(
         &self,
         prepared: PreparedAttempt,
@@ -381,7 +417,7 @@
         ctx: &ExecutionContext<'_, C, P>,
     ) -> AttemptRequest {
         let settings = ctx.settings;
-        let is_confirmed = ctx.freshness.is_confirmed();
+        let is_confirmed = self.confirmation(ctx) == ConfigConfirmation::Confirmed;
         let is_idempotent = self.class.mode == IdempotenceMode::Idempotent;
         let now = Instant::now();
         let allowance = self.forwarded_allowance(role, route);
@@ -429,17 +465,6 @@
     }
 }
 
-/// Conditions of a step. Whether the configuration is confirmed is looked up only for the events
-/// after which a further attempt may start.
-fn step_context(event: &ExecutionEvent, freshness: &ConfigFreshness) -> StepContext {
-    let may_start_attempt =
-        matches!(event, ExecutionEvent::Ended { .. } | ExecutionEvent::TimerFired);
-    let is_confirmed = may_start_attempt && freshness.is_confirmed();
-    let confirmation =
-        if is_confirmed { ConfigConfirmation::Confirmed } else { ConfigConfirmation::Unconfirmed };
-    StepContext { now: Instant::now(), confirmation }
-}
-
 /// Waits for the attempt in a slot to end, and empties the slot. Never returns for an empty slot.
 async fn wait_slot<F: Future>(mut slot: Pin<&mut Option<F>>) -> F::Output {
     std::future::poll_fn(|cx| {
--- a/src/serve/proxy_service.rs
+++ b/src/serve/proxy_service.rs
@@ -23,8 +23,8 @@
 use crate::limits::tenant_quota::{QuotaTable, TenantPermit};
 use crate::membership::AddressResolver;
 use crate::request::{
-    AdmittedRequest, DataPlane, ForwardRefusal, PlaneResponse, ResponseBody, UpstreamClient,
-    error_response, unclaimed_error_response, validate_host,
+    AdmittedRequest, ConfigConfirmation, DataPlane, ForwardRefusal, PlaneResponse, ResponseBody,
+    UpstreamClient, error_response, unclaimed_error_response, validate_host,
 };
 use crate::serve::early_response::EarlyResponse;
 use crate::serve::latency_metrics::LatencyMetrics;
@@ -166,6 +166,10 @@
     /// once, or would be refused now.
     pub(super) fn start_early(self: &Arc<Self>, parts: Parts) -> Option<EarlyResponse<C>> {
         let admitted = self.admit_idempotent(&parts)?;
+        // One that is cancelled before its turn runs again when its turn comes.
+        if admitted.confirmation == ConfigConfirmation::Unconfirmed {
+            return None;
+        }
         let request = Request::from_parts(parts, Empty::<Bytes>::new());
         let service = Arc::clone(self);
         let task = tokio::spawn(async move {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -53,6 +53,7 @@
 mod quota_load;
 mod quota_model;
 mod rate_limits;
+mod repeat_permission;
 mod repeat_window;
 mod request_execution;
 mod request_timeline;
--- a/tests/testsuite/support/fleet.rs
+++ b/tests/testsuite/support/fleet.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use heatherfall::core::{FailureDomain, GenerationNumber, IdempotenceMode, SharedSnapshot, VmId};
+use heatherfall::core::IdempotenceMode::{AtMostOnce, Idempotent};
+use heatherfall::core::{FailureDomain, GenerationNumber, SharedSnapshot, VmId};
 use heatherfall::fleet::codec::{
     DeclaredBackend, DeclaredConfig, DeclaredRoute, DeclaredService, DecodeError, DeploymentCodec,
     DirectoryQuery, PlatformNames, RegisteredUpstream, StatementOrder,
 };
 use heatherfall::fleet::peer_table::PeerTable;
+use heatherfall::fleet::read_schedule::ChangeBounds;
 use heatherfall::fleet::state::FleetState;
 use heatherfall::fleet::store_follower::StoreFollower;
 use heatherfall::fleet::view::DeploymentView;
@@ -25,7 +27,8 @@
 pub(crate) const UPSTREAM_KIND: &str = "backends";
 pub(crate) const EVACUATION_KIND: &str = "evacuations";
 
-/// Codec of a deployment whose configuration object is `{ "generation": N, "warm_up_rate": R }` and
+/// Codec of a deployment whose configuration object is `{ "generation": N, "warm_up_rate": R,
+/// "at_most_once": B }` and
 /// whose upstream objects are `{ "service": S, "draining": B, "started": T, "sequence": N,
 /// "warm_up_ms": N }`; all other fields have
 /// fixed values.
@@ -47,11 +50,12 @@
     fn config(&self, object: &ObjectEnvelope) -> Result<DeclaredConfig, DecodeError> {
         let generation = object.spec["generation"].as_u64();
         let generation = generation.ok_or_else(|| missing("generation"))?;
+        let is_at_most_once = object.spec["at_most_once"].as_bool() == Some(true);
         let route = DeclaredRoute {
             name: "reads".to_owned(),
             host: "reads.example".to_owned(),
             path_prefix: "/".to_owned(),
-            mode: IdempotenceMode::Idempotent,
+            mode: if is_at_most_once { AtMostOnce } else { Idempotent },
             timeout: Duration::from_secs(1),
             goal: Duration::from_millis(200),
             rank: 0,
@@ -145,7 +149,7 @@
             PeerTable::new(own),
             SharedSnapshot::default(),
             SharedMembership::default(),
-            Arc::new(ConfigFreshness::default()),
+            Arc::new(ConfigFreshness::new(ChangeBounds::default().max_confirmed_age())),
             Arc::new(LimitTable::new(RouteLimitSettings::default())),
         ));
         let follower = StoreFollower::new(Arc::new(store.clone()), Arc::clone(&state));
