serve: refuse requests that a leaving entry can't finish

Cause: a leaving entry admitted requests whose deadlines lay beyond its own end, and ended 500 ms before the grace was over.

Evidence: the access log admits them with left_ms beyond the end.

Change: LeavingFlag holds the time until which requests are waited for, grace less 300 ms from SIGTERM on.

--- a/src/core/result_code.rs
+++ b/src/core/result_code.rs
@@ -59,6 +59,8 @@
     AnswerNotWhole = 1011, "The upstream's answer was not whole.";
     /// Upstreams have ended while they ran the same request, so it is refused for some time.
     CrashesUpstreams = 1012, "Upstreams ended while they ran this request.";
+    /// This entry is leaving, and may end before the request does; it did not run.
+    Leaving = 1013, "The entry is leaving and may end before the request does.";
     /// An earlier request with the same key has no outcome yet and may be running.
     KeyInProgress = 1020, "A request with this idempotency key is in progress.";
     /// The key was used with another request.
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -14,6 +14,7 @@
 use prometheus::{IntCounter, Registry};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::balance::{PathMonitor, UtilityPicker, UtilityPickerSettings};
@@ -53,8 +54,11 @@
 
 /// Share of the shutdown grace that remains for requests in flight when the listener closes.
 const DRAIN_RATIO: f64 = 0.33;
-/// Time before the end of the shutdown grace at which the process exits by itself.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Time before the end of the shutdown grace at which requests in flight are dropped, so that the
+/// process exits by itself.
+const EXIT_MARGIN: Duration = Duration::from_millis(300);
+/// Time that the response to a request may need on its way to the caller after its deadline.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 /// Idle timeout of connections to upstreams; shorter than the 10 s after which upstreams close
 /// theirs.
 const UPSTREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(8);
@@ -118,9 +122,10 @@
     }
 
     /// Shuts down gracefully. At first the entry is no longer returned to callers, but still serves
-    /// requests. Then it closes its listener, so that callers with a cached address fail over at
-    /// once, and finishes the requests in flight.
+    /// requests that end in time; it refuses the others as not run. Then it closes its listener, so
+    /// that callers with a cached address fail over at once, and finishes the requests in flight.
     pub async fn shut_down(self) {
+        let began = Instant::now();
         let settings = self.settings.load();
         let grace = settings.shutdown.grace;
         let announce_time = grace - grace.mul_f64(DRAIN_RATIO);
@@ -131,11 +136,11 @@
             announce_time.as_millis(),
         );
         self.state.set_state(EntryState::Leaving);
-        self.leaving_flag.set_leaving();
-        tokio::time::sleep(announce_time).await;
+        let work_end = began + grace - EXIT_MARGIN;
+        self.leaving_flag.leave_by(work_end - RESPONSE_MARGIN);
+        tokio::time::sleep_until(began + announce_time).await;
         self.stops.callers.cancel();
-        let drain_time = grace - announce_time - EXIT_MARGIN;
-        if tokio::time::timeout(drain_time, self.callers).await.is_err() {
+        if tokio::time::timeout_at(work_end, self.callers).await.is_err() {
             log::error!(
                 target: "node",
                 "requests still in flight at the end of the shutdown grace, dropping them",
--- a/src/request/forward_gate.rs
+++ b/src/request/forward_gate.rs
@@ -19,6 +19,8 @@
     NoPath,
     /// The request was admitted under another generation than the active one.
     OtherGeneration,
+    /// This entry is leaving, and may end before the request does.
+    Leaving,
     /// The header is missing or malformed, or the signature is not one of the deployment.
     Unauthenticated,
     /// The peer gave a reason that this version does not know.
@@ -28,7 +30,7 @@
 impl ForwardRefusal {
     /// Reads the reason from a peer's response.
     pub(super) fn parse(value: &HeaderValue) -> Self {
-        let known = [Self::NoPath, Self::OtherGeneration, Self::Unauthenticated];
+        let known = [Self::NoPath, Self::OtherGeneration, Self::Leaving, Self::Unauthenticated];
         let named = known.into_iter().find(|reason| reason.as_str().as_bytes() == value.as_bytes());
         named.unwrap_or(Self::Unknown)
     }
@@ -38,6 +40,7 @@
         match self {
             Self::NoPath => "no-path",
             Self::OtherGeneration => "other-generation",
+            Self::Leaving => "leaving",
             Self::Unauthenticated => "unauthenticated",
             Self::Unknown => "unknown",
         }
--- a/src/request/response.rs
+++ b/src/request/response.rs
@@ -249,6 +249,7 @@
             | ResultCode::NotReady
             | ResultCode::Overloaded
             | ResultCode::CrashesUpstreams
+            | ResultCode::Leaving
             | ResultCode::KeyMalformed
             | ResultCode::LedgerUnavailable
             | ResultCode::LedgerFull
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -7,6 +7,7 @@
 mod early_response;
 mod http_client;
 mod latency_metrics;
+mod leaving_flag;
 mod limit_metrics;
 mod pending_response;
 mod pipeline;
@@ -23,12 +24,13 @@
 pub use self::connection_pool::{ConnectionPool, PoolSettings};
 pub use self::http_client::{HttpUpstreamClient, ResponseFraming, UpstreamBody};
 pub use self::latency_metrics::LatencyMetrics;
+pub use self::leaving_flag::LeavingFlag;
 pub use self::limit_metrics::LimitMetrics;
 pub use self::pipeline::{
     AheadQueue, HeadScanner, PipelineMetrics, QueueLimits, RequestStarter, ScanStep, ScannedHead,
 };
 pub(crate) use self::plain_response::{metrics_response, plain_response};
-pub use self::proxy_service::{LeavingFlag, ProxyService, ProxySettings, RequestOrigin};
+pub use self::proxy_service::{ProxyService, ProxySettings, RequestOrigin};
 pub use self::quota_metrics::QuotaMetrics;
 pub use self::upstream_pool::{
     ConnectionPermit, Poolable, PooledConnection, UpstreamPool, UpstreamPoolSettings,
--- a/src/serve/proxy_service.rs
+++ b/src/serve/proxy_service.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -28,8 +27,11 @@
 };
 use crate::serve::early_response::EarlyResponse;
 use crate::serve::latency_metrics::LatencyMetrics;
+use crate::serve::leaving_flag::LeavingFlag;
 use crate::serve::request_body::{BodyLimits, BodyMemoryBudget, BufferedBody, read_body};
 
+/// Time after which a request that a leaving entry refuses may be sent to another one.
+const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Path at which callers look up the addresses of entry VMs.
 const ADDRESSES_PATH: &str = "/.heatherfall/addresses";
 
@@ -57,21 +59,6 @@
     }
 }
 
-/// Tells a [`ProxyService`] that its node is leaving; clones share the state.
-#[derive(Clone, Debug, Default)]
-pub struct LeavingFlag(Arc<AtomicBool>);
-
-impl LeavingFlag {
-    /// From now on responses carry `Connection: close` for callers on HTTP/1.1.
-    pub fn set_leaving(&self) {
-        self.0.store(true, Ordering::Relaxed);
-    }
-
-    pub(super) fn is_leaving(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
-    }
-}
-
 /// Who sends the requests of a listener.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum RequestOrigin {
@@ -220,6 +207,10 @@
             Ok(admitted) => admitted,
             Err(code) => return unclaimed_error_response(&parts.headers, code),
         };
+        let deadline = admitted.deadline;
+        if !self.leaving_flag.can_finish(deadline) {
+            return self.refuse_leaving(&admitted, &parts, origin);
+        }
         let mut permit = match self.acquire_permit(&admitted, origin).await {
             Ok(permit) => permit,
             Err(after) => return self.refuse_over_quota(&admitted, &parts, after),
@@ -228,7 +219,14 @@
             max_bytes: self.settings.max_body_bytes,
             deadline: (admitted.started + self.settings.body_timeout).min(admitted.deadline),
         };
-        let body = match read_body(body, limits, &self.body_budget).await {
+        let body = tokio::select! {
+            biased;
+            body = read_body(body, limits, &self.body_budget) => body,
+            () = self.leaving_flag.cannot_finish(deadline) => {
+                return self.refuse_leaving(&admitted, &parts, origin);
+            }
+        };
+        let body = match body {
             Ok(body) => body,
             Err(code) => {
                 let response = unclaimed_error_response(&parts.headers, code);
@@ -252,6 +250,10 @@
                 Err(after) => return self.refuse_over_quota(&admitted, &parts, after),
             };
         }
+        // The entry may have begun to leave while the request waited.
+        if !self.leaving_flag.can_finish(deadline) {
+            return self.refuse_leaving(&admitted, &parts, origin);
+        }
         if admitted.class.mode == IdempotenceMode::Idempotent {
             return self.run(admitted, parts, body, permit).await;
         }
@@ -312,6 +314,22 @@
         response
     }
 
+    /// Refuses a request that may need longer than this leaving entry works.
+    fn refuse_leaving(
+        &self,
+        admitted: &AdmittedRequest,
+        parts: &Parts,
+        origin: RequestOrigin,
+    ) -> PlaneResponse<C> {
+        if origin == RequestOrigin::Peers {
+            return ForwardRefusal::Leaving.response();
+        }
+        let response = self.plane.refusal(parts, ResultCode::Leaving, LEAVING_RETRY_AFTER);
+        let class = &admitted.class;
+        self.record_metrics(&class.tenant, &class.class, &response, admitted.started);
+        response
+    }
+
     /// Buffers a response without `Content-Length` until it is complete.
     ///
     /// HTTP/1.0 has no chunked coding: the response would be close-delimited, and the caller could
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -28,6 +28,7 @@
 mod kernel;
 mod keyed_requests;
 mod leases;
+mod leaving;
 mod ledger;
 mod ledger_race;
 mod ledger_wire;
