quarantine: notice upstreams that fall silent under a request

Cause: only a broken connection led to the question whether an upstream had ended. Attempts that timed out or were cancelled were never looked at, and an upstream that gave no answer to the question counted as running.

Evidence: attempts end in Unknown(TimedOut) or caller-left, no crash is logged.

Change: RunWatch keeps runs without a response at silent upstreams, however the attempt ended; RunCheckService asks these upstreams. Two unanswered checks and 700 ms of silence, a refused connection, or a later start count as the end of the upstream. Withdrawn if the same process is heard again. A request that has ended an upstream is not hedged.

--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -30,6 +30,7 @@
 use crate::fleet::peer_service::PeerService;
 use crate::fleet::peer_table::{EntryRegistration, PeerTable};
 use crate::fleet::read_schedule::ReadSchedule;
+use crate::fleet::run_check::RunCheckService;
 use crate::fleet::state::FleetState;
 use crate::fleet::store_follower::StoreService;
 use crate::fleet::view::DeploymentView;
@@ -179,7 +180,7 @@
         PeerForwarder { client: unmonitored_client(CONNECT_TIMEOUT), table: forward_table };
     let snapshot = SharedSnapshot::default();
     let freshness = Arc::new(ConfigFreshness::new(settings.changes.max_confirmed_age()));
-    let probe_headers = headers.clone();
+    let (probe_headers, check_headers) = (headers.clone(), headers.clone());
     let failure_domain = FailureDomain::new(&settings.failure_domain);
     let picker = UtilityPicker::new(
         failure_domain.clone(),
@@ -262,9 +263,17 @@
     kernel.start_task(PathCheckService {
         client: unmonitored_client(CHECK_CONNECT_TIMEOUT),
         state: Arc::clone(&state),
-        monitor: path,
+        monitor: Arc::clone(&path),
         random: SeededRandom::from_entropy(),
     });
+    kernel.start_task(RunCheckService {
+        client: unmonitored_client(CONNECT_TIMEOUT),
+        state: Arc::clone(&state),
+        watch: plane.runs(),
+        quarantine: plane.quarantine(),
+        path,
+        headers: check_headers,
+    });
 
     let stops = EntryStops::default();
     let directory =
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -62,6 +62,7 @@
 mod rate_limits;
 pub mod read_schedule;
 pub mod roster;
+pub mod run_check;
 pub mod state;
 pub mod store_follower;
 mod transit_delay;
--- a/src/kernel/service_kernel.rs
+++ b/src/kernel/service_kernel.rs
@@ -29,6 +29,8 @@
     Load,
     /// Checks whether this entry has a path to the upstreams.
     Path,
+    /// Checks upstreams that fell silent while they ran a request.
+    Run,
 }
 
 impl ServiceName {
@@ -43,6 +45,7 @@
             Self::Peer => "peer",
             Self::Load => "load",
             Self::Path => "path",
+            Self::Run => "run",
         }
     }
 }
--- a/src/limits/quarantine/history.rs
+++ b/src/limits/quarantine/history.rs
@@ -128,7 +128,11 @@
         true
     }
 
-    fn crash_mut(&mut self, traits: RequestTraits, upstream: u32) -> Option<&mut UpstreamCrash> {
+    pub(super) fn crash_mut(
+        &mut self,
+        traits: RequestTraits,
+        upstream: u32,
+    ) -> Option<&mut UpstreamCrash> {
         self.crashes.iter_mut().find(|known| known.traits == traits && known.upstream == upstream)
     }
 
--- a/src/limits/quarantine/mod.rs
+++ b/src/limits/quarantine/mod.rs
@@ -152,9 +152,20 @@
         request: RequestFingerprint,
         upstream: u32,
         now: Instant,
+    ) -> RecordEffect {
+        self.record_crash_at(request, upstream, now, now)
+    }
+
+    /// Records that an upstream has ended while it ran a request of this entry that was sent at `at`.
+    pub fn record_crash_at(
+        &self,
+        request: RequestFingerprint,
+        upstream: u32,
+        at: Instant,
+        now: Instant,
     ) -> RecordEffect {
         let is_first = !self.lock().history(request).is_some_and(RequestHistory::is_suspect);
-        let (cleared, age) = (TraitSets::default(), Duration::ZERO);
+        let (cleared, age) = (TraitSets::default(), now.saturating_duration_since(at));
         let effect = self.record(CrashRecord { request, upstream, cleared, age }, now);
         if effect == RecordEffect::None {
             return effect;
@@ -170,6 +181,34 @@
         effect
     }
 
+    /// Whether an upstream has ended under this request, and nothing has cleared that.
+    pub fn is_suspect(&self, request: RequestFingerprint) -> bool {
+        let state = self.lock();
+        let Some(history) = state.history(request) else { return false };
+        let mut crashes = history.crashes.iter();
+        crashes.any(|crash| crash.traits == request.traits && crash.cleared != TraitSets::ALL)
+    }
+
+    /// Withdraws a crash that was recorded: the upstream is still running.
+    pub fn withdraw(&self, request: RequestFingerprint, upstream: u32, now: Instant) {
+        let mut state = self.lock();
+        let key = (request.target, request.content);
+        let history = state.histories.get_mut(&key);
+        let crash = history.and_then(|history| history.crash_mut(request.traits, upstream));
+        let Some(crash) = crash else { return };
+        if !crash.cleared.add(TraitSets::ALL) {
+            return;
+        }
+        let waiting = state
+            .unshared
+            .iter()
+            .position(|unshared| unshared.is_crash(request, upstream) && !unshared.is_update);
+        match waiting {
+            Some(index) => drop(state.unshared.remove(index)),
+            None => state.queue(UnsharedCrash { request, upstream, due_at: now, is_update: true }),
+        }
+    }
+
     /// Records that a request of this entry has got a response, which clears the crashes of what has
     /// as much in common with it.
     pub fn record_response(&self, request: RequestFingerprint, now: Instant) {
--- a/src/request/crash_watch.rs
+++ b/src/request/crash_watch.rs
@@ -1,5 +1,7 @@
 //! Watches for requests that crash the upstreams that run them, and refuses those.
 //!
+//! Upstreams that fall silent are watched by [`RunWatch`](crate::request::RunWatch).
+//!
 //! ```text
 //! connection broken -> does the upstream still accept connections? --no--> record_crash
 //! response -----------------------------------------------------------> record_response
@@ -46,6 +48,13 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallerAddress(pub IpAddr);
 
+/// Whether it is known what became of the upstream of an attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum RunKnowledge {
+    Known,
+    Unknown,
+}
+
 impl RequestExecution {
     /// Time for which the request is refused, because upstreams have ended under it; none if it may
     /// be sent.
@@ -67,6 +76,16 @@
         ctx.quarantine.has_target(target).then(|| self.fingerprint(target, &ctx.settings.headers))
     }
 
+    /// Whether an upstream has ended under this request, so that it is sent to one at a time.
+    pub(super) fn is_suspect<C, P>(&self, ctx: &ExecutionContext<'_, C, P>) -> bool {
+        self.suspect_fingerprint(ctx).is_some_and(|request| ctx.quarantine.is_suspect(request))
+    }
+
+    /// Fingerprint of the request.
+    pub(super) fn request_fingerprint(&self, header_names: &HeaderNames) -> RequestFingerprint {
+        self.fingerprint(self.target_digest(), header_names)
+    }
+
     fn fingerprint(&self, target: u64, header_names: &HeaderNames) -> RequestFingerprint {
         let caller = self.caller.map(|caller| caller.0.to_string()).unwrap_or_default();
         let traits = RequestTraits {
@@ -78,25 +97,31 @@
     }
 
     /// Records whether the attempt at `upstream` ended with it, or showed that the request does not
-    /// crash it.
+    /// crash it. Returns whether that is known; if not, the run is to be watched.
     pub(super) async fn record_run<C: UpstreamClient, P>(
         &self,
         outcome: OutcomeKind,
         upstream: &Arc<UpstreamState>,
         ctx: &ExecutionContext<'_, C, P>,
-    ) {
+    ) -> RunKnowledge {
         match outcome {
             OutcomeKind::Answered => {
                 if let Some(request) = self.suspect_fingerprint(ctx) {
                     ctx.quarantine.record_response(request, Instant::now());
                 }
+                RunKnowledge::Known
             }
             OutcomeKind::Unknown(UnknownCause::ConnectionBroken) => {
                 if has_ended(upstream, ctx).await && self.reaches_another(upstream, ctx).await {
                     self.record_crash(upstream, ctx);
+                    return RunKnowledge::Known;
                 }
+                RunKnowledge::Unknown
+            }
+            OutcomeKind::Unknown(UnknownCause::TimedOut) => RunKnowledge::Unknown,
+            OutcomeKind::ServerError | OutcomeKind::Unknown(_) | OutcomeKind::NotRun => {
+                RunKnowledge::Known
             }
-            OutcomeKind::ServerError | OutcomeKind::Unknown(_) | OutcomeKind::NotRun => {}
         }
     }
 
@@ -210,7 +235,7 @@
 }
 
 /// Digest of an upstream's process: an upstream may start again under the same name.
-fn lifetime_digest(upstream: &UpstreamState) -> u32 {
+pub(crate) fn lifetime_digest(upstream: &UpstreamState) -> u32 {
     let started_ms = upstream.spec.started_ms.unwrap_or_default();
     let bytes = upstream.name.bytes().chain([0]).chain(started_ms.to_be_bytes());
     fnv1a(bytes) as u32
--- a/src/request/data_plane.rs
+++ b/src/request/data_plane.rs
@@ -4,6 +4,7 @@
 //! the configuration that was active at admission.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -47,6 +48,7 @@
     error_response_retry_after, limit_claim_to_this_send, set_retry_after,
     unclaimed_error_response,
 };
+use crate::request::run_watch::RunWatch;
 
 /// Hop-by-hop headers, in addition to those that `Connection` names.
 const HOP_BY_HOP: [HeaderName; 4] = [CONNECTION, TE, TRANSFER_ENCODING, UPGRADE];
@@ -98,6 +100,7 @@
     settings: ExecutionSettings,
     load_checker: Option<LoadChecker>,
     quarantine: Arc<QuarantineTable>,
+    runs: Arc<RunWatch>,
     path: Arc<PathMonitor>,
     pub(super) forwarder: Option<PeerForwarder<C>>,
     pub(super) ledger: L,
@@ -113,6 +116,7 @@
             settings: &self.settings,
             load_checker: self.load_checker.as_ref(),
             quarantine: &self.quarantine,
+            runs: &self.runs,
             path: &self.path,
             forwarder: self.forwarder.as_ref(),
         }
@@ -147,6 +151,7 @@
             settings,
             load_checker,
             quarantine: Arc::default(),
+            runs: Arc::default(),
             path: Arc::default(),
             forwarder: None,
             ledger,
@@ -191,6 +196,11 @@
         Arc::clone(&self.core.quarantine)
     }
 
+    /// Runs whose upstreams have fallen silent; whoever reads them must check those upstreams.
+    pub fn runs(&self) -> Arc<RunWatch> {
+        Arc::clone(&self.core.runs)
+    }
+
     /// Limits of all routes.
     pub fn limits(&self) -> Arc<LimitTable> {
         Arc::clone(&self.limits)
@@ -305,6 +315,7 @@
             repeat_budget_share,
             caller,
             forwarded,
+            is_answered: AtomicBool::default(),
         };
         match key {
             Ok(None) => {}
--- a/src/request/execution.rs
+++ b/src/request/execution.rs
@@ -6,6 +6,7 @@
 
 use std::pin::{Pin, pin};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Poll, ready};
 use std::time::Duration;
 
@@ -29,7 +30,7 @@
 };
 use crate::request::attempt_trace::AttemptTrace;
 use crate::request::classify::{RequestClass, RequestHead, classify};
-use crate::request::crash_watch::CallerAddress;
+use crate::request::crash_watch::{CallerAddress, RunKnowledge};
 use crate::request::execution_settings::{ExecutionSettings, HedgeTrigger, hedge_interval};
 use crate::request::execution_state::{
     AttemptIndex, AttemptPolicy, AttemptRole, ConfigConfirmation, ExecutionAction, ExecutionEvent,
@@ -40,6 +41,8 @@
 use crate::request::forward_table::FORWARD_RETRY_AFTER;
 use crate::request::hedge_tally::HedgeTally;
 use crate::request::load_check::LoadChecker;
+use crate::request::run_guard::RunGuard;
+use crate::request::run_watch::{RunWatch, SILENCE_INTERVAL};
 use crate::request::upstream_notices::UpstreamNotices;
 use crate::request::upstream_selection::{AttemptHistory, PreparedAttempt};
 
@@ -60,6 +63,8 @@
     pub load_checker: Option<&'a LoadChecker>,
     /// Requests that are refused because they crash upstreams.
     pub quarantine: &'a QuarantineTable,
+    /// Runs whose upstreams have fallen silent.
+    pub runs: &'a RunWatch,
     /// Whether this entry has a path to the upstreams.
     pub path: &'a PathMonitor,
     /// Forwards requests to peers while there is no path; none disables that.
@@ -99,6 +104,8 @@
     pub caller: Option<CallerAddress>,
     /// What the peer that forwarded the request told about it; `None` if a caller sent it here.
     pub forwarded: Option<ForwardedRequest>,
+    /// Whether an attempt got a response that is forwarded to the caller.
+    pub is_answered: AtomicBool,
 }
 
 /// This entry's share of a budget for repeats (retries and hedges) that all entries spend from.
@@ -246,6 +253,7 @@
                 }
                 ExecutionAction::Respond(index) => {
                     tally.answered(index);
+                    self.is_answered.store(true, Ordering::Relaxed);
                     return forward_response(last_response, index);
                 }
                 ExecutionAction::Fail(code) => {
@@ -372,8 +380,18 @@
             headers: header_names,
         };
         let reporter = AttemptReporter::new(ctx.picker, &prepared.upstream, reporter_context);
-        let sent = ctx.client.send(&prepared.upstream, request);
-        let outcome = match tokio::time::timeout_at(deadline, sent).await {
+        let mut guard = RunGuard::new(ctx.runs, self, header_names, &prepared.upstream);
+        let ended = {
+            let mut sent = pin!(ctx.client.send(&prepared.upstream, request));
+            loop {
+                let until = deadline.min(Instant::now() + SILENCE_INTERVAL);
+                match tokio::time::timeout_at(until, sent.as_mut()).await {
+                    Err(_) if until < deadline => guard.check_silence(),
+                    ended => break ended,
+                }
+            }
+        };
+        let outcome = match ended {
             Ok(outcome) => {
                 let notices = UpstreamNotices::from_outcome(&outcome, header_names);
                 let request_id = self.headers.get(&header_names.request_id);
@@ -388,7 +406,9 @@
             AttemptOutcome::Answered(_) | AttemptOutcome::Unknown(_) => true,
         };
         let kind = reporter.finish(&outcome);
-        self.record_run(kind, &prepared.upstream, ctx).await;
+        if self.record_run(kind, &prepared.upstream, ctx).await == RunKnowledge::Known {
+            guard.finish();
+        }
         let response = match outcome {
             AttemptOutcome::Answered(response) => {
                 let address = prepared.upstream.spec.address;
--- a/src/request/load_check.rs
+++ b/src/request/load_check.rs
@@ -221,7 +221,7 @@
 }
 
 /// Whether the response names another upstream than the one that was asked.
-pub(super) fn is_other_instance(
+pub(crate) fn is_other_instance(
     headers: &HeaderMap,
     header_names: &HeaderNames,
     upstream: &UpstreamState,
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -29,6 +29,8 @@
 mod load_check;
 mod response;
 mod response_relay;
+mod run_guard;
+mod run_watch;
 mod upstream_notices;
 mod upstream_selection;
 
@@ -40,7 +42,7 @@
 pub(crate) use self::classify::matches_request;
 pub use self::classify::{RequestClass, RequestHead, classify};
 pub use self::crash_watch::CallerAddress;
-pub(crate) use self::crash_watch::log_refusal;
+pub(crate) use self::crash_watch::{lifetime_digest, log_refusal};
 pub use self::data_plane::{AdmittedRequest, DataPlane, PlaneResponse, ResponseGuard};
 pub use self::execution::{
     ExecutionContext, ExecutionFailure, ExecutionOutcome, RepeatBudgetShare, RequestExecution,
@@ -55,10 +57,12 @@
 pub use self::forward_header::{AttemptOrder, ForwardKey, ForwardedRequest, SignedParts};
 pub use self::forward_table::{ForwardKeys, ForwardPeers, ForwardTable};
 pub use self::head_validation::{validate_head, validate_host};
+pub(crate) use self::load_check::is_other_instance;
 pub use self::load_check::{LoadCheckSettings, LoadChecker, LoadProbeOutcome, probe_load};
 pub use self::response::{
     CallerResponse, ResponseBody, ResponseBodyError, ResponseStream, RetryAfterFormat,
     error_response, error_response_retry_after, is_not_run, unclaimed_error_response,
 };
 pub use self::response_relay::RelayedBody;
+pub use self::run_watch::{RunCheck, RunId, RunWatch, WatchedRun};
 pub(crate) use self::upstream_notices::record_late_response;
--- a/src/request/upstream_selection.rs
+++ b/src/request/upstream_selection.rs
@@ -117,6 +117,9 @@
         if self.refusal_left(ctx).is_some() {
             return Err(StartRefusal::Quarantined);
         }
+        if role == AttemptRole::Hedge && self.is_suspect(ctx) {
+            return Err(StartRefusal::Quarantined);
+        }
         if let Some(prepared) = self.prepare_forward(role, ctx, history) {
             return prepared;
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -61,6 +61,7 @@
 mod response_validation;
 mod result_codes;
 mod route_limits;
+mod run_watch;
 mod scenario_runner;
 mod scenarios;
 mod selectors;
