--- a/src/fleet/fleet_metrics.rs
+++ b/src/fleet/fleet_metrics.rs
@@ -55,6 +55,8 @@
     pub known_entries: u32,
     /// Number of upstreams in the active configuration, draining ones included.
     pub upstreams: usize,
+    /// Registrations in the store that are invalid.
+    pub invalid_registrations: usize,
     /// Number of upstreams that name a rate limit.
     pub limited_upstreams: usize,
     /// Cold upstreams.
@@ -78,6 +80,7 @@
     view_age: Gauge,
     entries: IntGauge,
     upstreams: IntGauge,
+    invalid_registrations: IntGauge,
     limited_upstreams: IntGauge,
     cold_upstreams: IntGauge,
     cold_allowed: Gauge,
@@ -114,6 +117,10 @@
                 "heatherfall_upstreams",
                 "Upstreams in the active configuration.",
             )?,
+            invalid_registrations: IntGauge::new(
+                "heatherfall_invalid_registrations",
+                "Registrations in the store that are invalid and name no upstream.",
+            )?,
             limited_upstreams: IntGauge::new(
                 "heatherfall_limited_upstreams",
                 "Upstreams that name a rate limit.",
@@ -157,6 +164,7 @@
             calls: IntCounterVec::new(options, &["call", "outcome"])?,
         };
         registry.register(Box::new(metrics.generation.clone()))?;
+        registry.register(Box::new(metrics.invalid_registrations.clone()))?;
         registry.register(Box::new(metrics.limited_upstreams.clone()))?;
         registry.register(Box::new(metrics.cold_upstreams.clone()))?;
         registry.register(Box::new(metrics.cold_allowed.clone()))?;
@@ -180,6 +188,8 @@
         self.view_age.set(status.view_age.map_or(-1.0, |age| age.as_secs_f64()));
         self.entries.set(i64::from(status.known_entries));
         self.upstreams.set(i64::try_from(status.upstreams).unwrap_or(i64::MAX));
+        let invalid = i64::try_from(status.invalid_registrations).unwrap_or(i64::MAX);
+        self.invalid_registrations.set(invalid);
         self.limited_upstreams.set(i64::try_from(status.limited_upstreams).unwrap_or(i64::MAX));
         self.cold_upstreams.set(i64::try_from(status.cold.upstreams).unwrap_or(i64::MAX));
         self.cold_allowed.set(status.cold.allowed_per_second);
--- a/src/fleet/state/status.rs
+++ b/src/fleet/state/status.rs
@@ -46,6 +46,7 @@
             view_age: self.freshness.age(),
             known_entries: self.known_entries(),
             upstreams: snapshot.map_or(0, |snapshot| snapshot.upstreams.len()),
+            invalid_registrations: self.view().invalid_registrations(),
             limited_upstreams: snapshot.map_or(0, |snapshot| limited_upstreams(snapshot)),
             cold: snapshot.map_or_else(Default::default, |snapshot| cold_upstreams(snapshot)),
             refused_requests: self.quarantine.refused_requests(Instant::now()),
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -29,6 +29,9 @@
 /// Time after the end of a store outage for which missing upstreams are held. The platform states
 /// that upstreams register again within about two seconds.
 const REREGISTRATION_GRACE: Duration = Duration::from_millis(2200);
+/// Bytes of a name or an error in a log line.
+const MAX_LOGGED_BYTES: usize = 120;
+
 /// The configuration and the upstreams as last read from the store or received from a peer.
 #[derive(Debug)]
 pub struct DeploymentView<D> {
@@ -163,6 +166,11 @@
         }
     }
 
+    /// Number of registrations that are invalid, and name no upstream to use.
+    pub(in crate::fleet) fn invalid_registrations(&self) -> usize {
+        self.upstreams.values().filter(|record| record.upstream.is_none()).count()
+    }
+
     /// Whether the store has a configuration that cannot be decoded.
     pub(in crate::fleet) fn has_unreadable_config(&self) -> bool {
         self.is_config_unreadable
@@ -431,13 +439,23 @@
         match self.codec.upstream(object) {
             Ok(upstream) => Some(upstream),
             Err(error) => {
+                let (name, reason) = (shortened(&object.name), error.to_string());
                 log::warn!(
                     target: "upstream",
-                    "ignored an invalid registration instance={} reason={error}",
-                    object.name,
+                    "ignored an invalid registration instance={name:?} reason={:?}",
+                    shortened(&reason),
                 );
                 None
             }
         }
     }
 }
+
+/// The beginning of a text that others have written, for a log line.
+fn shortened(text: &str) -> &str {
+    let mut end = MAX_LOGGED_BYTES.min(text.len());
+    while !text.is_char_boundary(end) {
+        end -= 1;
+    }
+    &text[..end]
+}
