store: read a late configuration alone, and don't give its response up

Cause: such an entry is short of processor time. Its watch succeeds, the read of the configuration takes more than 700 ms and is given up, and the next try begins with another watch, which costs as much again. Beside it, missing parts of one version after the other were awaited without an upper limit.

Change: a second read is sent after 700 ms and the first response counts, up to 1.4 s. A failed read is repeated without a watch, twice. Parts are awaited for 900 ms from when the gap was noticed.

--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -6,9 +6,11 @@
 //! Each reads for itself as soon as its last confirmation is too old, so that no single entry,
 //! connection or datagram is critical.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::{Either, select};
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
@@ -23,7 +25,8 @@
 use crate::fleet::view_gap::GapKind;
 use crate::kernel::{ServiceName, ServiceTask};
 use crate::platform::{
-    PlatformStore, Revision, StoreEra, StoreError, StorePosition, WatchBatch, WatchRequest,
+    ObjectEnvelope, PlatformStore, Revision, StoreEra, StoreError, StorePosition, WatchBatch,
+    WatchRequest,
 };
 use crate::util::SeededRandom;
 
@@ -52,6 +55,11 @@
 const START_TIME: Duration = Duration::from_secs(2);
 /// Time between two looks whether missing parts of a configuration have arrived.
 const PART_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest wait for missing parts of a configuration, from when the gap was noticed. In a series of
+/// versions there is always another one whose parts may still arrive.
+const MAX_PART_WAIT: Duration = Duration::from_millis(900);
+/// Reads of a configuration after a watch before another watch is made.
+const MAX_CONFIG_READS: u32 = 2;
 /// Wait of a watch that only confirms the view.
 const CONFIRMATION_WATCH_WAIT: Duration = Duration::from_millis(1);
 /// Backoff after the first failed call; doubles with each further one.
@@ -85,6 +93,8 @@
     List,
     /// Watch for changes, with this wait.
     Watch(Duration),
+    /// Read the configuration alone, which could not be read after the last watch.
+    ReadConfig,
     /// Do nothing before this time, unless woken.
     Sleep(Instant),
 }
@@ -107,6 +117,17 @@
     }
 }
 
+/// A watch after which the configuration could not be read.
+#[derive(Clone, Copy, Debug)]
+struct UnreadConfig {
+    /// When the watch returned.
+    returned: Instant,
+    /// Reads before the next watch.
+    attempts: u32,
+    /// Era of the watch.
+    era: StoreEra,
+}
+
 /// Enrols the entry and follows the store.
 #[derive(Debug)]
 pub struct StoreService<S, D> {
@@ -155,6 +176,8 @@
     last_watch_at: Option<Instant>,
     /// Start of the last list.
     last_list_at: Option<Instant>,
+    /// The last watch, if the configuration could not be read after it.
+    unread_config: Option<UnreadConfig>,
     /// Relaxed lists that were read to close a gap.
     relaxed_lists: u32,
     created_at: Instant,
@@ -170,6 +193,7 @@
             backoff: MIN_BACKOFF,
             last_watch_at: None,
             last_list_at: None,
+            unread_config: None,
             relaxed_lists: 0,
             created_at: Instant::now(),
         }
@@ -206,6 +230,7 @@
             }
             StoreAction::List => self.list().await,
             StoreAction::Watch(wait) => self.watch(wait).await,
+            StoreAction::ReadConfig => self.read_unread_config().await,
             StoreAction::Sleep(until) => {
                 let wakeup = self.state.store_wakeup.notified();
                 let _ = timeout(until.saturating_duration_since(now), wakeup).await;
@@ -222,6 +247,9 @@
         if self.state.view().revision() == 0 {
             return StoreAction::InitialList;
         }
+        if self.unread_config.is_some() {
+            return StoreAction::ReadConfig;
+        }
         if let Some((noticed_at, kind)) = self.state.gap_since() {
             // The missing change may still be in flight, and entries that keep disagreeing must not
             // overload the store.
@@ -234,7 +262,7 @@
             let next = last.map_or(now, |at| at + MIN_CATCH_UP_INTERVAL).max(noticed_at + delay);
             return match kind {
                 _ if next > now => StoreAction::Sleep(next),
-                _ if self.state.awaits_config_parts() => {
+                _ if now < noticed_at + MAX_PART_WAIT && self.state.awaits_config_parts() => {
                     StoreAction::Sleep(now + PART_CHECK_INTERVAL)
                 }
                 // The view of an entry that has just started is seldom far behind.
@@ -382,7 +410,12 @@
         self.state.confirm_config_by_gap();
         if !self.state.view().watermark().is_config_current() {
             read_at = Instant::now();
-            self.read_config(Some(OtherWrites { since, until, count })).await?;
+            let read = self.read_config(Some(OtherWrites { since, until, count })).await;
+            if read.is_err() {
+                let (attempts, era) = (MAX_CONFIG_READS, known.era);
+                self.unread_config = Some(UnreadConfig { returned, attempts, era });
+            }
+            read?;
         }
         self.state.confirm(returned.elapsed());
         self.state.confirm_config(read_at);
@@ -390,19 +423,55 @@
         Ok(())
     }
 
+    /// Reads the configuration that could not be read after the last watch. Another watch would cost a
+    /// round trip and tell nothing more.
+    async fn read_unread_config(&mut self) -> Result<(), StoreError> {
+        let Some(unread) = self.unread_config.take() else { return Ok(()) };
+        if self.state.view().position().era != unread.era {
+            return Ok(());
+        }
+        let read_at = Instant::now();
+        let read = self.read_config(None).await;
+        if read.is_err() && unread.attempts > 1 {
+            let attempts = unread.attempts - 1;
+            self.unread_config = Some(UnreadConfig { attempts, ..unread });
+        }
+        read?;
+        self.record_success(Instant::now());
+        self.state.confirm(unread.returned.elapsed());
+        self.state.confirm_config(read_at);
+        self.state.request_message();
+        Ok(())
+    }
+
+    /// Reads the configuration object. A response that is on its way to a slow entry is not given up
+    /// after the timeout of a call; a second read is sent meanwhile, in case it was lost.
+    async fn read_config_object(&self) -> Result<ObjectEnvelope, StoreError> {
+        let names = self.names();
+        let read = |limit| {
+            let response = self.store.get(names.config_kind, names.config_name);
+            self.state.call_store_within(StoreCall::Get, limit, response)
+        };
+        let mut first = pin!(read(CALL_TIMEOUT * 2));
+        if let Ok(result) = timeout(CALL_TIMEOUT, first.as_mut()).await {
+            return result;
+        }
+        let second = pin!(read(CALL_TIMEOUT));
+        match select(first, second).await {
+            Either::Left((Err(StoreError::ResponseLost(_)), second)) => second.await,
+            Either::Right((Err(StoreError::ResponseLost(_)), first)) => first.await,
+            Either::Left((result, _)) | Either::Right((result, _)) => result,
+        }
+    }
+
     /// Reads the configuration, and the evacuations unless the configuration accounts for all `writes`
     /// since they were last read.
     async fn read_config(&mut self, writes: Option<OtherWrites>) -> Result<(), StoreError> {
-        let names = self.names();
         let is_known_before =
             writes.is_some_and(|writes| self.state.view().watermark().config_known >= writes.since);
         let mut is_explained = false;
         let StorePosition { era, revision } = self.state.view().position();
-        match self
-            .state
-            .call_store(StoreCall::Get, self.store.get(names.config_kind, names.config_name))
-            .await
-        {
+        match self.read_config_object().await {
             Ok(object) if object.era != era => {
                 return Err(StoreError::Unavailable(
                     "the store was restored between two reads".to_owned(),
--- a/tests/testsuite/fleet_store.rs
+++ b/tests/testsuite/fleet_store.rs
@@ -1,7 +1,10 @@
 //! Entries that follow the platform's store, with outages, partitions and missed changes.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use heatherfall::fleet::config_parts::ConfigPart;
+use heatherfall::fleet::store_follower::StoreFollower;
 use heatherfall::fleet::view::{DeploymentView, ViewChange};
 use heatherfall::platform::{PlatformStore, WatchBatch, WatchEvent};
 use heatherfall_standins::platform::{FaultSettings, StandinPlatform};
@@ -9,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::fleet_peers::message;
+use crate::support::GatedStore;
 use crate::support::fleet::{
     TestCodec, TestEntry, UPSTREAM_KIND, delete_upstream, put, put_config, put_upstream,
 };
@@ -383,3 +387,53 @@
     entry.run_for(Duration::from_millis(500)).await;
     assert_eq!(entry.generation(), Some(2));
 }
+
+/// Guards against reads of a large configuration that are given up again and again on a slow link,
+/// though their responses are on the way.
+#[tokio::test(start_paused = true)]
+async fn a_configuration_that_takes_longer_than_a_call_is_read() {
+    let store = store_with(1, &["a"]).await;
+    let mut entry = TestEntry::new("entry-1", &store);
+    entry.run_for(Duration::from_millis(1500)).await;
+    put_config(&store, 2).await;
+    let slow = GatedStore::new(store).with_read_time(Duration::from_millis(900));
+    let mut follower = StoreFollower::new(Arc::new(slow), Arc::clone(&entry.state));
+    let steps = async {
+        loop {
+            let _ = follower.step().await;
+        }
+    };
+    let _ = tokio::time::timeout(Duration::from_secs(4), steps).await;
+    assert_eq!(entry.generation(), Some(2));
+}
+
+/// Guards against an entry that waits for the missing parts of one version after the other, and never
+/// reads the configuration for itself.
+#[tokio::test(start_paused = true)]
+async fn a_series_of_incomplete_versions_does_not_delay_the_read_of_the_configuration() {
+    let store = store_with(1, &["a"]).await;
+    let [mut leader, mut entry] = start_pair(&store, Duration::from_secs(2)).await;
+    put_config(&store, 2).await;
+    leader.run_for(Duration::from_millis(1200)).await;
+    let heard = message("entry-1", "fd-a", 1);
+    entry.state.apply_message(&heard, heard.caller_address);
+    entry.state.freshness.confirm(Duration::ZERO);
+    send_confirmation(&leader, &entry);
+    let state = Arc::clone(&entry.state);
+    let parts = async {
+        for version in 0..8 {
+            state.apply_config_part(ConfigPart {
+                era: Default::default(),
+                version: 1000 + version,
+                index: 0,
+                count: 2,
+                data: "a".to_owned(),
+                relay_to: Vec::new(),
+            });
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            state.freshness.confirm(Duration::ZERO);
+        }
+    };
+    tokio::join!(entry.run_for(Duration::from_millis(1600)), parts);
+    assert_eq!(entry.generation(), Some(2));
+}
--- a/tests/testsuite/support/gated_store.rs
+++ b/tests/testsuite/support/gated_store.rs
@@ -1,5 +1,7 @@
 //! A platform client whose process can be paused around its reads and writes.
 
+use std::time::Duration;
+
 use heatherfall::platform::{
     ObjectDraft, ObjectEnvelope, ObjectList, PlatformStore, Precondition, Revision, StoreError,
     VmList, WatchBatch, WatchRequest,
@@ -24,11 +26,18 @@
 pub(crate) struct GatedStore {
     platform: StandinPlatform,
     pause: watch::Sender<Option<PausePoint>>,
+    /// Time that each read of an object takes.
+    read_time: Duration,
 }
 
 impl GatedStore {
     pub(crate) fn new(platform: StandinPlatform) -> Self {
-        Self { platform, pause: watch::Sender::new(None) }
+        Self { platform, pause: watch::Sender::new(None), read_time: Duration::ZERO }
+    }
+
+    /// Sets the time that each read of an object takes.
+    pub(crate) fn with_read_time(self, read_time: Duration) -> Self {
+        Self { read_time, ..self }
     }
 
     pub(crate) fn pause_at(&self, point: PausePoint) {
@@ -48,6 +57,7 @@
 impl PlatformStore for GatedStore {
     async fn get(&self, kind: &str, name: &str) -> Result<ObjectEnvelope, StoreError> {
         self.wait_while_paused_at(PausePoint::BeforeRead).await;
+        tokio::time::sleep(self.read_time).await;
         self.platform.get(kind, name).await
     }
 
