serve: close a connection whose response was to another request

What callers saw: after a target had written an earlier refusal once more, each further request on that connection got the answer to the one before it, and its caller a 502.

Cause: the connection went back to the pool when the copy, which has no body, had been read, before its id was compared.

Change: the client compares the id and closes the connection.

--- a/src/serve/http_client.rs
+++ b/src/serve/http_client.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{Method, Request, Response, StatusCode, Version};
+use http::{HeaderValue, Method, Request, Response, StatusCode, Version};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -90,6 +90,18 @@
     Unsent(Request<Full<Bytes>>),
 }
 
+/// Id of a request that its response repeats.
+struct EchoedId {
+    header_names: Arc<HeaderNames>,
+    value: HeaderValue,
+}
+
+impl EchoedId {
+    fn is_echoed_by<B>(&self, response: &Response<B>) -> bool {
+        response.headers().get(&self.header_names.request_id) == Some(&self.value)
+    }
+}
+
 /// Pool that a connection was checked out of and is released to.
 #[derive(Clone, Debug)]
 pub(super) struct ConnectionOrigin {
@@ -151,6 +163,7 @@
         reader: Option<LateResponseReader>,
     ) -> SendResult {
         let method = request.method().clone();
+        let request_id = self.echoed_id(&request);
         if held.connection.sender.ready().await.is_err() {
             return SendResult::Unsent(request);
         }
@@ -160,6 +173,9 @@
         let (sent, held) = pending.wait().await;
         match sent {
             Ok(response) => {
+                // After a response to another request, the next one would get this one's.
+                let is_own = request_id.is_none_or(|id| id.is_echoed_by(&response));
+                let held = held.filter(|_| is_own);
                 SendResult::Done(wrap_response(&method, response, held, origin, self.framing))
             }
             Err(mut error) => match error.take_message() {
@@ -169,6 +185,13 @@
         }
     }
 
+    /// The id that the response to this request repeats; none if responses repeat no ids.
+    fn echoed_id(&self, request: &Request<Full<Bytes>>) -> Option<EchoedId> {
+        let header_names = self.late_notices.as_ref().filter(|names| names.echoes_request_id)?;
+        let value = request.headers().get(&header_names.request_id)?;
+        Some(EchoedId { header_names: Arc::clone(header_names), value: value.clone() })
+    }
+
     /// Reader of a late response to a request; none for load checks, which have no identity.
     fn late_reader(
         &self,
