upstreams: a process that says it is leaving stays out until it ends

Cause: a drain signal expires after 60 s, and an upstream that drains gets nothing that could renew it.

Change: a signal of a process whose start is known holds for as long as that process is registered; another start has a state of its own. Signals of upstreams without a start expire as before.

--- a/src/core/drain_signal.rs
+++ b/src/core/drain_signal.rs
@@ -3,7 +3,8 @@
 //! A steady signal takes effect at once. A signal that keeps changing takes effect only once it has
 //! been set without a break for [`FLAP_HOLD_DOWN`]. Flapping thus does not take an upstream out of
 //! service, while an upstream that really drains gets no new requests after the hold-down. A signal
-//! that is not renewed expires after [`DRAIN_SIGNAL_TTL`].
+//! that is not renewed expires after [`DRAIN_SIGNAL_TTL`], unless the process that gave it is known: that
+//! one leaves, and another process has a signal of its own.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -20,6 +21,15 @@
 /// Times that the signal may be newly set within a window before it counts as flapping.
 const MAX_SETS_PER_WINDOW: u32 = 2;
 
+/// When a signal that is not renewed expires.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SignalExpiry {
+    /// After [`DRAIN_SIGNAL_TTL`]: whoever gave it may have started again unnoticed.
+    AfterTtl,
+    /// Never: it belongs to one process.
+    Never,
+}
+
 /// What a node last saw of a drain signal.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum DrainObservation {
@@ -54,11 +64,17 @@
 impl DrainSignal {
     /// Whether the signal is in effect now.
     pub fn is_active(&self) -> bool {
+        self.is_active_with(SignalExpiry::AfterTtl)
+    }
+
+    /// Whether the signal is in effect now, by when it expires.
+    pub fn is_active_with(&self, expiry: SignalExpiry) -> bool {
         if !self.is_set.load(Ordering::Relaxed) {
             return false;
         }
         let Some(history) = *self.lock() else { return false };
-        if history.renewed.elapsed() > DRAIN_SIGNAL_TTL {
+        let is_expired = history.renewed.elapsed() > DRAIN_SIGNAL_TTL;
+        if is_expired && expiry == SignalExpiry::AfterTtl {
             return false;
         }
         history.sets <= MAX_SETS_PER_WINDOW || history.changed.elapsed() >= FLAP_HOLD_DOWN
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -21,7 +21,9 @@
 mod upstream_stats;
 mod warm_up;
 
-pub use self::drain_signal::{DRAIN_SIGNAL_TTL, DrainObservation, DrainSignal, FLAP_HOLD_DOWN};
+pub use self::drain_signal::{
+    DRAIN_SIGNAL_TTL, DrainObservation, DrainSignal, FLAP_HOLD_DOWN, SignalExpiry,
+};
 pub use self::entry_peer::EntryPeer;
 pub use self::header::{
     DEADLINE_HEADER, FORWARD_REFUSED_HEADER, FORWARDED_HEADER, HeaderNames, IDEMPOTENCY_KEY_HEADER,
--- a/src/core/upstream.rs
+++ b/src/core/upstream.rs
@@ -7,7 +7,7 @@
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
-use crate::core::drain_signal::{DrainObservation, DrainSignal};
+use crate::core::drain_signal::{DrainObservation, DrainSignal, SignalExpiry};
 use crate::core::identity::FailureDomain;
 use crate::core::label::LabelSet;
 use crate::core::object::UpstreamSpec;
@@ -113,10 +113,14 @@
     /// Whether the upstream gets no new attempts: because of its spec, the newest configuration,
     /// its own drain signal, or a drain signal that a peer has seen.
     pub fn is_draining(&self) -> bool {
+        let expiry = match self.spec.started_ms {
+            Some(_) => SignalExpiry::Never,
+            None => SignalExpiry::AfterTtl,
+        };
         let is_retired = self.shared.is_retired.load(Ordering::Relaxed);
         is_retired
             || self.spec.draining
-            || self.shared.own_signal.is_active()
+            || self.shared.own_signal.is_active_with(expiry)
             || self.shared.peer_signal.is_active()
     }
 
--- a/tests/testsuite/drain_signal.rs
+++ b/tests/testsuite/drain_signal.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-use heatherfall::core::{DRAIN_SIGNAL_TTL, DrainObservation, DrainSignal, FLAP_HOLD_DOWN};
+use heatherfall::core::{
+    DRAIN_SIGNAL_TTL, DrainObservation, DrainSignal, FLAP_HOLD_DOWN, UpstreamState,
+};
 use heatherfall::kernel::sync_drain_hints;
+use serde_json::json;
 use tokio::time::{Instant, advance};
 
 use crate::support::ControlFleet;
@@ -69,6 +72,21 @@
     assert!(!signal.is_active());
 }
 
+/// Guards against requests that reach a leaving upstream again after a minute, because it gets none that
+/// could renew its signal and the store does not tell its state.
+#[tokio::test(start_paused = true)]
+async fn the_signal_of_a_known_process_holds_until_another_one_has_started() {
+    for (started_ms, is_held) in [(Some(1), true), (None, false)] {
+        let spec = json!({ "address": "127.0.0.1:1", "failure_domain": "fd-a",
+                           "started_ms": started_ms });
+        let spec = serde_json::from_value(spec).unwrap();
+        let upstream = UpstreamState::new("u", spec, Default::default());
+        upstream.record_drain_signal(true, LATENCY);
+        advance(DRAIN_SIGNAL_TTL * 10).await;
+        assert_eq!(upstream.is_draining(), is_held, "started_ms: {started_ms:?}");
+    }
+}
+
 /// Runs the drain service of every node until all nodes report `is_draining`; returns the time that
 /// it took.
 async fn time_to_agree(fleet: &ControlFleet, is_draining: bool) -> Duration {
