--- a/tests/testsuite/repeat_permission.rs
+++ b/tests/testsuite/repeat_permission.rs
@@ -5,8 +5,9 @@
 
 use bytes::Bytes;
 use heatherfall::balance::TwoChoicesPicker;
-use heatherfall::core::{BudgetSpec, SharedSnapshot};
-use heatherfall::core::{ConfigSnapshot, GenerationNumber, IdempotenceMode, IdempotenceRules};
+use heatherfall::core::{
+    BudgetSpec, ConfigSnapshot, GenerationNumber, IdempotenceMode, IdempotenceRules, SharedSnapshot,
+};
 use heatherfall::fleet::peer_message::PeerMessage;
 use heatherfall::fleet::read_schedule::ChangeBounds;
 use heatherfall::membership::ConfigFreshness;
