--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -25,13 +25,11 @@
 use crate::platform::{
     ObjectEnvelope, ObjectList, Revision, StorePosition, WatchBatch, WatchEvent,
 };
+use crate::util::shortened;
 
 /// Time after the end of a store outage for which missing upstreams are held. The platform states
 /// that upstreams register again within about two seconds.
 const REREGISTRATION_GRACE: Duration = Duration::from_millis(2200);
-/// Bytes of a name or an error in a log line.
-const MAX_LOGGED_BYTES: usize = 120;
-
 /// The configuration and the upstreams as last read from the store or received from a peer.
 #[derive(Debug)]
 pub struct DeploymentView<D> {
@@ -450,12 +448,3 @@
         }
     }
 }
-
-/// The beginning of a text that others have written, for a log line.
-fn shortened(text: &str) -> &str {
-    let mut end = MAX_LOGGED_BYTES.min(text.len());
-    while !text.is_char_boundary(end) {
-        end -= 1;
-    }
-    &text[..end]
-}
