--- a/src/fleet/transit_delay.rs
+++ b/src/fleet/transit_delay.rs
@@ -11,7 +11,7 @@
 
 use crate::util::FastMap;
 
-/// Time for which the quickest message counts, so that clocks which drift apart don't add up.
+/// Window over which the smallest offset is taken; bounds the error from clock drift.
 const OFFSET_WINDOW: Duration = Duration::from_secs(60);
 
 /// Smallest differences between the time of arrival and the time of sending, by sender.
--- a/src/request/run_watch.rs
+++ b/src/request/run_watch.rs
@@ -37,7 +37,7 @@
 const WITHDRAWAL_TIME: Duration = Duration::from_secs(30);
 /// Time from the first sign of an upstream to its registration in the view, if it has restarted.
 const REGISTRATION_TIME: Duration = Duration::from_millis(2500);
-/// Most runs that are watched, so that a failure of many upstreams costs little.
+/// Maximum number of watched runs; bounds the cost when many upstreams fail.
 const MAX_RUNS: usize = 512;
 
 /// Identifies a watched run.
--- a/src/serve/http_client.rs
+++ b/src/serve/http_client.rs
@@ -173,7 +173,7 @@
         let (sent, held) = pending.wait().await;
         match sent {
             Ok(response) => {
-                // After a response to another request, the next one would get this one's.
+                // The response to this request may still follow, so the connection must not be reused.
                 let is_own = request_id.is_none_or(|id| id.is_echoed_by(&response));
                 let held = held.filter(|_| is_own);
                 SendResult::Done(wrap_response(&method, response, held, origin, self.framing))
--- a/src/serve/proxy_service.rs
+++ b/src/serve/proxy_service.rs
@@ -153,7 +153,7 @@
     /// once, or would be refused now.
     pub(super) fn start_early(self: &Arc<Self>, parts: Parts) -> Option<EarlyResponse<C>> {
         let admitted = self.admit_idempotent(&parts)?;
-        // One that is cancelled before its turn runs again when its turn comes.
+        // An early request that is cancelled is sent again in its turn, which repeats it.
         if admitted.confirmation == ConfigConfirmation::Unconfirmed {
             return None;
         }
