--- a/review/harness-2/standins.rs
+++ b/review/harness-2/standins.rs
@@ -405,14 +405,22 @@
     pub settings: TargetSettings,
     running: Arc<AtomicU32>,
     runs: Arc<AtomicU64>,
+    /// Number of crashes. While it is odd, the target is down.
+    crashes: Arc<AtomicU64>,
     record: Record,
 }
 
+/// Part of the path of a request that crashes the target that begins to run it.
+pub const CRASHING: &str = "/crashes/";
+/// Time after which a target that has crashed is back.
+const BACK_AFTER: Duration = Duration::from_millis(2500);
+
 impl Target {
     /// Serves, and writes to the store as often as a target does.
     pub fn start(settings: TargetSettings, store: &Store, record: &Record) -> Self {
         let record = record.clone();
-        let target = Self { settings, running: Arc::default(), runs: Arc::default(), record };
+        let (running, runs, crashes) = (Arc::default(), Arc::default(), Arc::default());
+        let target = Self { settings, running, runs, crashes, record };
         target.serve(&target.settings.address, Arc::default());
         let (store, written) = (store.clone(), target.clone());
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
@@ -437,24 +445,59 @@
     }
 
     fn serve(&self, address: &str, is_cut: Arc<AtomicBool>) {
-        let listener = TcpListener::bind(address).expect("target address");
-        let served = self.clone();
+        let mut listener = TcpListener::bind(address).expect("target address");
+        let (served, address) = (self.clone(), address.to_owned());
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let (target, is_cut) = (served.clone(), is_cut.clone());
-                thread::spawn(move || target.serve_connection(stream, &is_cut));
+            let mut lifetime = 0;
+            loop {
+                loop {
+                    let accepted = listener.accept();
+                    if served.crashes.load(Ordering::Relaxed) != lifetime {
+                        break;
+                    }
+                    let Ok((stream, _)) = accepted else { continue };
+                    let (target, is_cut) = (served.clone(), is_cut.clone());
+                    thread::spawn(move || target.serve_connection(stream, lifetime, &is_cut));
+                }
+                drop(listener);
+                lifetime += 2;
+                while served.crashes.load(Ordering::Relaxed) < lifetime {
+                    thread::sleep(Duration::from_millis(5));
+                }
+                listener = TcpListener::bind(&address).expect("the former address");
             }
         });
     }
 
+    /// Ends all connections and the listeners for some time.
+    fn crash(&self, id: &str) {
+        self.crashes.fetch_add(1, Ordering::Relaxed);
+        self.record.add(format!("crash id={id} target={}", self.settings.name));
+        let target = self.clone();
+        thread::spawn(move || {
+            // Wakes the listener, which then ends.
+            drop(TcpStream::connect(&target.settings.address));
+            thread::sleep(BACK_AFTER);
+            target.running.store(0, Ordering::Relaxed);
+            target.crashes.fetch_add(1, Ordering::Relaxed);
+        });
+    }
+
+    /// Times that it has crashed.
+    pub fn crashes(&self) -> u64 {
+        self.crashes.load(Ordering::Relaxed).div_ceil(2)
+    }
+
     /// Requests that it has run.
     pub fn runs(&self) -> u64 {
         self.runs.load(Ordering::Relaxed)
     }
 
-    fn serve_connection(&self, stream: TcpStream, is_cut: &AtomicBool) {
+    fn serve_connection(&self, stream: TcpStream, lifetime: u64, is_cut: &AtomicBool) {
         let _ = stream.set_nodelay(true);
-        let is_cut = || is_cut.load(Ordering::Relaxed);
+        let is_cut = || {
+            is_cut.load(Ordering::Relaxed) || self.crashes.load(Ordering::Relaxed) != lifetime
+        };
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         loop {
@@ -513,8 +556,11 @@
         self.runs.fetch_add(1, Ordering::Relaxed);
         let tenant = request.header("x-tenant");
         self.record.add(format!("run id={id} target={name} tenant={tenant}"));
+        if request.first.contains(CRASHING) {
+            self.crash(id);
+        }
         thread::sleep(*work);
-        self.running.fetch_sub(1, Ordering::Relaxed);
+        let _ = self.running.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |running| running.checked_sub(1));
         let body = format!("answer to {id}");
         format!(
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n{load}\r\nX-Response-Signature: proof.{id}\r\nContent-Length: {}\r\n\r\n{body}",
@@ -675,6 +721,7 @@
 
 /// Sends one request, and again after a refusal, as a sound requester does.
 pub struct Requester {
+    pub method: &'static str,
     pub host: String,
     pub path: String,
     pub key: String,
@@ -723,10 +770,10 @@
         let mut stream = TcpStream::connect_timeout(&entry, connect).ok()?;
         let _ = stream.set_nodelay(true);
         stream.set_read_timeout(Some(left.max(Duration::from_millis(1)))).ok()?;
-        let (host, path, key) = (&self.host, &self.path, &self.key);
+        let Self { method, host, path, key, .. } = self;
         let key = if key.is_empty() { String::new() } else { format!("Api-Key: {key}\r\n") };
         let request = format!(
-            "GET {path} HTTP/1.1\r\nHost: {host}\r\n{key}X-Attempt-Id: {id}\r\nX-Time-Remaining: {}\r\n\r\n",
+            "{method} {path} HTTP/1.1\r\nHost: {host}\r\n{key}Content-Length: 0\r\nX-Attempt-Id: {id}\r\nX-Time-Remaining: {}\r\n\r\n",
             left.as_millis()
         );
         stream.write_all(request.as_bytes()).ok()?;
--- a/review/harness-2/zone_cut.rs
+++ b/review/harness-2/zone_cut.rs
@@ -133,6 +133,7 @@
                 let (sent, record, seed) = (sent.clone(), record.clone(), number);
                 thread::spawn(move || {
                     let requester = Requester {
+                        method: "GET",
                         host: "hulo84.example".to_owned(),
                         path: "/leny950/2f".to_owned(),
                         key: String::new(),
