review: show that a request that crashes targets as they answer goes on

Cause: the head of a response counts as the end of the run (`RequestExecution::record_run`, src/request/crash_watch.rs). A body that breaks off because its target has ended is not looked at, and the crashes known before are cleared. So the request is never refused.

The stand-in targets may crash while they answer, and register with a new start when they are back.

--- a/review/harness-2/standins.rs
+++ b/review/harness-2/standins.rs
@@ -36,6 +36,11 @@
         self.add(line);
     }
 
+    /// The lines so far, with their times in milliseconds.
+    pub fn lines(&self) -> Vec<(u128, String)> {
+        self.lines.lock().unwrap().clone()
+    }
+
     pub fn write(&self, path: &str) {
         let mut text = String::new();
         for (at, line) in self.lines.lock().unwrap().iter() {
@@ -407,37 +412,67 @@
     runs: Arc<AtomicU64>,
     /// Number of crashes. While it is odd, the target is down.
     crashes: Arc<AtomicU64>,
+    /// Whether it drops a request when its connection closes.
+    drops_requests: Arc<AtomicBool>,
     record: Record,
 }
 
 /// Part of the path of a request that crashes the target that begins to run it.
 pub const CRASHING: &str = "/crashes/";
+/// The same for a target that has sent the head and half of the body of its answer by then.
+pub const CRASHING_IN_ANSWER: &str = "/breaks/";
+/// Time between the first half of such an answer and the crash.
+const ANSWERING: Duration = Duration::from_millis(20);
+/// Time between two writes of a target to the store.
+const HEARTBEAT: Duration = Duration::from_millis(1500);
 /// Time after which a target that has crashed is back.
 const BACK_AFTER: Duration = Duration::from_millis(2500);
 
+fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis()
+}
+
 impl Target {
     /// Serves, and writes to the store as often as a target does.
     pub fn start(settings: TargetSettings, store: &Store, record: &Record) -> Self {
         let record = record.clone();
         let (running, runs, crashes) = (Arc::default(), Arc::default(), Arc::default());
-        let target = Self { settings, running, runs, crashes, record };
+        let drops_requests = Arc::default();
+        let target = Self { settings, running, runs, crashes, drops_requests, record };
         target.serve(&target.settings.address, Arc::default());
         let (store, written) = (store.clone(), target.clone());
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
         thread::spawn(move || {
             let TargetSettings { name, service, zone, address, slots, .. } = &written.settings;
-            // The entry changes only when more than the number changes.
-            let spec = format!(
-                r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":{slots},"state":"ready","warmupLeft":"0ms","sequence":1,"born":{born}}}"#
-            );
+            let (mut crashes, mut born) = (0, unix_ms());
             loop {
-                store.put("servers", name, &spec);
-                thread::sleep(Duration::from_millis(1500));
+                let known = written.crashes.load(Ordering::Relaxed);
+                if known != crashes {
+                    (crashes, born) = (known, unix_ms());
+                }
+                // While it is down it writes nothing, and after that it has another start.
+                if known % 2 == 0 {
+                    // The entry changes only when more than the number changes.
+                    let spec = format!(
+                        r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":{slots},"state":"ready","warmupLeft":"0ms","sequence":1,"born":{born}}}"#
+                    );
+                    store.put("servers", name, &spec);
+                }
+                let written_at = Instant::now();
+                while written_at.elapsed() < HEARTBEAT
+                    && written.crashes.load(Ordering::Relaxed) == crashes
+                {
+                    thread::sleep(Duration::from_millis(20));
+                }
             }
         });
         target
     }
 
+    /// Lets it drop a request when its connection closes, as most targets do.
+    pub fn drop_requests(&self) {
+        self.drops_requests.store(true, Ordering::Relaxed);
+    }
+
     /// Serves the machines of a zone over their own path too.
     pub fn serve_path(&self, path: &ZonePath) {
         let port = self.settings.address.rsplit(':').next().unwrap_or_default();
@@ -518,18 +553,45 @@
             if is_cut() {
                 return reset_at_end(&writer);
             }
-            let response = self.respond(&request);
+            let response = self.respond(&request, &writer);
             if is_cut() {
                 return reset_at_end(&writer);
             }
+            if request.first.contains(CRASHING_IN_ANSWER) && response.starts_with("HTTP/1.1 200 ") {
+                let body = response.find("\r\n\r\n").map_or(0, |end| end + 4);
+                let half = body + (response.len() - body) / 2;
+                let _ = writer.write_all(&response.as_bytes()[..half]);
+                thread::sleep(ANSWERING);
+                self.crash(request.header("x-attempt-id"));
+                return reset_at_end(&writer);
+            }
             if writer.write_all(response.as_bytes()).is_err() {
                 return;
             }
         }
     }
 
-    fn respond(&self, request: &Message) -> String {
-        let TargetSettings { name, slots, work, .. } = &self.settings;
+    /// Works on a request; false if its connection has closed.
+    fn work(&self, stream: &TcpStream) -> bool {
+        if !self.drops_requests.load(Ordering::Relaxed) {
+            thread::sleep(self.settings.work);
+            return true;
+        }
+        let began = Instant::now();
+        let _ = stream.set_read_timeout(Some(Duration::from_millis(10)));
+        let mut is_open = true;
+        while is_open && began.elapsed() < self.settings.work {
+            is_open = match stream.peek(&mut [0]) {
+                Ok(count) => count > 0,
+                Err(error) => error.kind() == ErrorKind::WouldBlock,
+            };
+        }
+        let _ = stream.set_read_timeout(None);
+        is_open
+    }
+
+    fn respond(&self, request: &Message, stream: &TcpStream) -> String {
+        let TargetSettings { name, slots, .. } = &self.settings;
         let load = format!("X-Server-Load: {},0,{slots},100", self.running.load(Ordering::Relaxed));
         if request.first.starts_with("GET /health ") {
             return format!(
@@ -559,7 +621,8 @@
         if request.first.contains(CRASHING) {
             self.crash(id);
         }
-        thread::sleep(*work);
+        let is_done = self.work(stream);
+        self.record.add(format!("{} id={id} target={name}", if is_done { "done" } else { "dropped" }));
         let _ = self.running.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |running| running.checked_sub(1));
         let body = format!("answer to {id}");
         format!(
