request: log why a forwarded attempt has no response

The entry now logs the peer and the reason where a peer does not respond or fails a request, and the client logs the error of a broken connection (debug).

--- a/src/request/forward_attempt.rs
+++ b/src/request/forward_attempt.rs
@@ -214,7 +214,14 @@
                 pass_over(&forwarder.table, peer, "unreachable");
                 return None;
             }
-            AttemptOutcome::Unknown(_) => return Some(TakenRequest { outcome, failure: None }),
+            AttemptOutcome::Unknown(cause) => {
+                log::info!(
+                    target: "path",
+                    "no response of a peer to a forwarded request vm={} reason={cause:?}",
+                    peer.name,
+                );
+                return Some(TakenRequest { outcome, failure: None });
+            }
         };
         match read_answer(answered) {
             PeerAnswer::Refused(ForwardRefusal::OtherGeneration) => None,
@@ -232,6 +239,12 @@
                 Some(TakenRequest { outcome, failure: None })
             }
             PeerAnswer::Failure(taken) => {
+                log::info!(
+                    target: "path",
+                    "a peer failed a forwarded request vm={} outcome={:?}",
+                    peer.name,
+                    outcome_kind(&taken.outcome),
+                );
                 self.transfer_budget(role);
                 Some(taken)
             }
--- a/src/serve/http_client.rs
+++ b/src/serve/http_client.rs
@@ -180,7 +180,15 @@
             }
             Err(mut error) => match error.take_message() {
                 Some(request) => SendResult::Unsent(request),
-                None => SendResult::Done(AttemptOutcome::Unknown(UnknownCause::ConnectionBroken)),
+                None => {
+                    let error = error.into_error();
+                    log::debug!(
+                        target: "connection",
+                        "broken before a response reason={}",
+                        error_chain(&error),
+                    );
+                    SendResult::Done(AttemptOutcome::Unknown(UnknownCause::ConnectionBroken))
+                }
             },
         }
     }
@@ -263,6 +271,17 @@
     }
 }
 
+/// An error with its causes, on one line.
+fn error_chain(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(&format!(": {cause}"));
+        source = cause.source();
+    }
+    text
+}
+
 fn wrap_response(
     method: &Method,
     response: Response<Incoming>,
