request: forward between generations that decide a request alike

While versions of the configuration came quickly, callers of a zone without a path to the upstreams got 502 or 503: the other zones refused what was handed to them.

Cause: a peer compared the numbers of the generations. Zones learn of a version up to 0.9 s apart, so with one each 190 ms they hardly ever agree, although most versions do not concern the request.

Change: a forwarded request carries a signed digest of what its generation decides about it (RequestDecision): route, kind, upstreams and shares, attempts, rank, tenant and terms; without the time limits, which both entries apply. A peer with another generation takes it if its own decision has the same digest, and refuses it as before if not. Builds that do not know the header neither send nor read it, and compare generations.

The test that a peer takes requests of its own generation only asserted the old rule. Its replacement, forward_decisions, asserts for an older and a newer generation that four harmless changes are accepted and nine others refused as not run, that at-most-once work runs once, and by a property test that equal digests mean an equal route, mode, tenant, rank, upstreams and parts; with the numbers compared again, two of its tests fail.

--- a/src/core/header.rs
+++ b/src/core/header.rs
@@ -19,6 +19,9 @@
 pub const REPLAYED_HEADER: &str = "heatherfall-replayed";
 /// What an entry tells a peer about a request that it forwards; not on requests to upstreams.
 pub const FORWARDED_HEADER: &str = "heatherfall-forwarded";
+/// Digest of what the configuration of the forwarding entry decides about the request. A peer with
+/// another generation takes the request if its own configuration decides the same.
+pub const DECISION_HEADER: &str = "heatherfall-decision";
 /// Why a peer has not taken a forwarded request, which has not run.
 pub const FORWARD_REFUSED_HEADER: &str = "heatherfall-forward-refused";
 /// Name of the upstream that has answered a forwarded request; not on responses to callers.
--- a/src/core/tenant.rs
+++ b/src/core/tenant.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use serde::Serialize;
 use sha2::{Digest, Sha256};
 
 use crate::core::identity::{FailureDomain, TenantId};
@@ -23,7 +24,7 @@
 }
 
 /// Requests that a tenant may run, over all entries together.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct TenantQuota {
     /// Requests per second; above 0.
     pub per_second: f64,
@@ -32,7 +33,7 @@
 }
 
 /// A tenant of the configuration.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct TenantRecord {
     /// Unique name.
     pub name: TenantId,
--- a/src/request/admission.rs
+++ b/src/request/admission.rs
@@ -15,6 +15,8 @@
 use crate::request::classify::{RequestClass, RequestHead, classify};
 use crate::request::data_plane::{DataPlane, header_u64};
 use crate::request::execution_state::ConfigConfirmation;
+use crate::request::forward_gate::{ForwardAdmissionError, ForwardRefusal};
+use crate::request::forward_header::ForwardedRequest;
 use crate::request::head_validation::validate_head;
 use crate::request::refusal_log::RefusedRequest;
 
@@ -52,9 +54,20 @@
     ///
     /// # Errors
     ///
-    /// Returns the result code of the error response; the request did not run.
-    pub fn admit_forwarded(&self, parts: &Parts) -> Result<AdmittedRequest, ResultCode> {
-        self.admit_from(parts, TenantSource::Peer)
+    /// Returns the refusal; the request did not run.
+    pub fn admit_forwarded(
+        &self,
+        parts: &Parts,
+        forwarded: ForwardedRequest,
+    ) -> Result<AdmittedRequest, ForwardAdmissionError> {
+        let generation = self.snapshot.load().as_deref().map(|snapshot| snapshot.generation);
+        self.admit_from(parts, TenantSource::Peer).map_err(|code| match generation {
+            Some(generation) if generation == forwarded.generation => {
+                ForwardAdmissionError::Failed(code)
+            }
+            // The sender's generation admits it.
+            _ => ForwardAdmissionError::Refused(ForwardRefusal::OtherGeneration),
+        })
     }
 
     fn admit_from(
--- a/src/request/forward_attempt.rs
+++ b/src/request/forward_attempt.rs
@@ -21,8 +21,8 @@
 
 use crate::balance::UpstreamPicker;
 use crate::core::{
-    FORWARD_REFUSED_HEADER, FORWARDED_HEADER, NOT_RUN_HEADER, RESULT_CODE_HEADER, ResultCode,
-    RouteRecord, UPSTREAM_HEADER, UpstreamState,
+    DECISION_HEADER, FORWARD_REFUSED_HEADER, FORWARDED_HEADER, NOT_RUN_HEADER, RESULT_CODE_HEADER,
+    ResultCode, RouteRecord, UPSTREAM_HEADER, UpstreamState,
 };
 use crate::request::attempt::{
     AttemptOutcome, AttemptRequest, ConnectionPolicy, NotRunProof, UnknownCause, UpstreamClient,
@@ -37,6 +37,7 @@
 use crate::request::forward_gate::ForwardRefusal;
 use crate::request::forward_header::{AttemptOrder, ForwardedRequest, SignedParts};
 use crate::request::forward_table::{FORWARD_RETRY_AFTER, ForwardTable};
+use crate::request::request_decision::RequestDecision;
 use crate::request::upstream_selection::{AttemptHistory, PreparedAttempt};
 
 /// Maximum number of peers that a request is offered to. More than one is asked only if a peer has stopped,
@@ -264,12 +265,18 @@
         let deadline_header = &ctx.settings.headers.deadline;
         headers.insert(deadline_header, HeaderValue::from(remaining.as_millis() as u64));
         headers.remove(FORWARDED_HEADER);
+        headers.remove(DECISION_HEADER);
+        let decision = RequestDecision::new(&self.snapshot, &self.class);
+        if let Some(decision) = decision {
+            headers.insert(DECISION_HEADER, decision.header_value());
+        }
         let order = match role {
             AttemptRole::First => AttemptOrder::First,
             AttemptRole::Retry | AttemptRole::Hedge => AttemptOrder::Repeat,
         };
         let forwarded = ForwardedRequest {
             generation: self.snapshot.generation,
+            decision,
             retries: self.forwarded_allowance(role, route),
             order,
             caller: self.caller.map(|caller| caller.0),
--- a/src/request/forward_gate.rs
+++ b/src/request/forward_gate.rs
@@ -5,11 +5,15 @@
 use http::{HeaderValue, Response, StatusCode};
 use http_body::Body;
 
-use crate::core::{ConfigSnapshot, FORWARD_REFUSED_HEADER, FORWARDED_HEADER};
+use crate::core::{
+    ConfigSnapshot, DECISION_HEADER, FORWARD_REFUSED_HEADER, FORWARDED_HEADER, ResultCode,
+};
+use crate::request::admission::AdmittedRequest;
 use crate::request::crash_watch::CallerAddress;
 use crate::request::data_plane::DataPlane;
 use crate::request::forward_header::{ForwardedRequest, SignedParts};
 use crate::request::forward_table::ForwardTable;
+use crate::request::request_decision::RequestDecision;
 use crate::request::response::{CallerResponse, ResponseBody};
 
 /// Why a forwarded request was not taken. The request has not run.
@@ -17,7 +21,8 @@
 pub enum ForwardRefusal {
     /// This entry has no path to the upstreams either.
     NoPath,
-    /// The request was admitted under another generation than the active one.
+    /// The request was admitted under another generation than the active one, which decides about it
+    /// otherwise or cannot tell.
     OtherGeneration,
     /// This entry is leaving, and may end before the request does.
     Leaving,
@@ -56,6 +61,15 @@
     }
 }
 
+/// Why a forwarded request was not admitted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ForwardAdmissionError {
+    /// Another peer may take it.
+    Refused(ForwardRefusal),
+    /// Its caller is refused, under the sender's generation.
+    Failed(ResultCode),
+}
+
 impl ForwardTable {
     /// Parses the forwarding header and checks what the head alone shows. The signature also covers the
     /// body and is verified later, by [`Self::accept`].
@@ -68,13 +82,15 @@
         parts: &Parts,
         snapshot: Option<&ConfigSnapshot>,
     ) -> Result<ForwardedRequest, ForwardRefusal> {
-        let value = parts.headers.get(FORWARDED_HEADER);
-        let forwarded = value.and_then(ForwardedRequest::parse);
+        let forwarded = ForwardedRequest::parse(&parts.headers);
         let forwarded = forwarded.ok_or(ForwardRefusal::Unauthenticated)?;
         if self.path().is_cut() {
             return Err(ForwardRefusal::NoPath);
         }
-        if snapshot.is_none_or(|snapshot| snapshot.generation != forwarded.generation) {
+        let is_comparable = |snapshot: &ConfigSnapshot| {
+            snapshot.generation == forwarded.generation || forwarded.decision.is_some()
+        };
+        if !snapshot.is_some_and(is_comparable) {
             return Err(ForwardRefusal::OtherGeneration);
         }
         Ok(forwarded)
@@ -101,6 +117,7 @@
             return Err(ForwardRefusal::Unauthenticated);
         }
         parts.headers.remove(FORWARDED_HEADER);
+        parts.headers.remove(DECISION_HEADER);
         parts.extensions.insert(forwarded);
         if let Some(caller) = forwarded.caller {
             parts.extensions.insert(CallerAddress(caller));
@@ -120,7 +137,8 @@
         table.check_head(parts, self.snapshot.load().as_deref())
     }
 
-    /// Verifies a complete request that a peer has forwarded.
+    /// Verifies a complete request that a peer has forwarded, and that this entry has admitted under a
+    /// configuration which decides about it as that of the peer does.
     ///
     /// # Errors
     ///
@@ -130,7 +148,15 @@
         parts: &mut Parts,
         body: &Bytes,
         forwarded: ForwardedRequest,
+        admitted: &AdmittedRequest,
     ) -> Result<(), ForwardRefusal> {
+        let snapshot = &admitted.snapshot;
+        let is_decided_alike = snapshot.generation == forwarded.generation
+            || forwarded.decision.is_some()
+                && forwarded.decision == RequestDecision::new(snapshot, &admitted.class);
+        if !is_decided_alike {
+            return Err(ForwardRefusal::OtherGeneration);
+        }
         self.forward_table()?.accept(parts, body, forwarded)
     }
 
--- a/src/request/forward_header.rs
+++ b/src/request/forward_header.rs
@@ -13,7 +13,8 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
 use sha2::Sha256;
 
-use crate::core::{FORWARDED_HEADER, GenerationNumber};
+use crate::core::{DECISION_HEADER, FORWARDED_HEADER, GenerationNumber};
+use crate::request::request_decision::RequestDecision;
 
 /// Begins the signed text, so that a signature fits no other kind of message.
 const SIGNATURE_PURPOSE: &[u8] = b"heatherfall forwarded request 1";
@@ -34,8 +35,11 @@
 /// What an entry tells a peer about a request that it forwards.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ForwardedRequest {
-    /// Generation under which the request was admitted. A peer with another one refuses it.
+    /// Generation under which the request was admitted.
     pub generation: GenerationNumber,
+    /// What that generation decides about the request; `None` if the sender does not say. A peer with
+    /// another generation takes the request only if its own decides the same.
+    pub decision: Option<RequestDecision>,
     /// Attempts in addition to the first that the peer may start.
     pub retries: u32,
     /// Whether the request may have reached an upstream before.
@@ -122,9 +126,10 @@
 }
 
 impl ForwardedRequest {
-    /// Reads the header without verifying its signature; `None` if it is malformed.
-    pub fn parse(value: &HeaderValue) -> Option<Self> {
-        let mut fields = value.to_str().ok()?.split(' ');
+    /// Reads the headers of a request without verifying their signature; `None` if the forwarding
+    /// header is missing or malformed.
+    pub fn parse(headers: &HeaderMap) -> Option<Self> {
+        let mut fields = headers.get(FORWARDED_HEADER)?.to_str().ok()?.split(' ');
         let generation = GenerationNumber(fields.next()?.parse().ok()?);
         let retries = fields.next()?.parse().ok()?;
         let order = match fields.next()? {
@@ -137,7 +142,9 @@
             address => Some(address.parse().ok()?),
         };
         fields.next()?;
-        fields.next().is_none().then_some(Self { generation, retries, order, caller })
+        let decision = headers.get(DECISION_HEADER).and_then(RequestDecision::parse);
+        let is_complete = fields.next().is_none();
+        is_complete.then_some(Self { generation, decision, retries, order, caller })
     }
 
     fn fields(&self) -> String {
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -30,6 +30,7 @@
 mod keyed;
 mod load_check;
 mod refusal_log;
+mod request_decision;
 mod response;
 mod response_relay;
 mod run_guard;
@@ -57,13 +58,14 @@
     ExecutionState, OutcomeKind, StartRefusal, StepContext,
 };
 pub use self::forward_attempt::PeerForwarder;
-pub use self::forward_gate::ForwardRefusal;
+pub use self::forward_gate::{ForwardAdmissionError, ForwardRefusal};
 pub use self::forward_header::{AttemptOrder, ForwardKey, ForwardedRequest, SignedParts};
 pub use self::forward_table::{ForwardKeys, ForwardPeers, ForwardTable};
 pub use self::head_validation::{validate_head, validate_host};
 pub(crate) use self::load_check::is_other_instance;
 pub use self::load_check::{LoadCheckSettings, LoadChecker, LoadProbeOutcome, probe_load};
 pub use self::refusal_log::RefusalLog;
+pub use self::request_decision::RequestDecision;
 pub use self::response::{
     CallerResponse, ResponseBody, ResponseBodyError, ResponseStream, RetryAfterFormat,
     error_response, error_response_retry_after, is_not_run, unclaimed_error_response,
--- a/src/serve/proxy_service.rs
+++ b/src/serve/proxy_service.rs
@@ -23,9 +23,9 @@
 use crate::limits::tenant_quota::{QuotaTable, TenantPermit};
 use crate::membership::AddressResolver;
 use crate::request::{
-    AdmittedRequest, ConfigConfirmation, DEFAULT_CLASS, DEFAULT_TENANT, DataPlane, ForwardRefusal,
-    PlaneResponse, ResponseBody, UpstreamClient, error_response, unclaimed_error_response,
-    validate_host,
+    AdmittedRequest, ConfigConfirmation, DEFAULT_CLASS, DEFAULT_TENANT, DataPlane,
+    ForwardAdmissionError, ForwardRefusal, PlaneResponse, ResponseBody, UpstreamClient,
+    error_response, unclaimed_error_response, validate_host,
 };
 use crate::serve::early_response::EarlyResponse;
 use crate::serve::latency_metrics::LatencyMetrics;
@@ -208,14 +208,17 @@
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             return response;
         }
-        let admitted = match (admitted, origin) {
+        let admitted = match (admitted, forwarded) {
             (Some(admitted), _) => Ok(admitted),
-            (None, RequestOrigin::Callers) => self.plane.admit(&parts),
-            (None, RequestOrigin::Peers) => self.plane.admit_forwarded(&parts),
+            (None, None) => self.plane.admit(&parts).map_err(ForwardAdmissionError::Failed),
+            (None, Some(forwarded)) => self.plane.admit_forwarded(&parts, forwarded),
         };
         let admitted = match admitted {
             Ok(admitted) => admitted,
-            Err(code) => return self.refuse_admission(&parts, code),
+            Err(ForwardAdmissionError::Failed(code)) => {
+                return self.refuse_admission(&parts, code);
+            }
+            Err(ForwardAdmissionError::Refused(refusal)) => return refusal.response(),
         };
         let deadline = admitted.deadline;
         if !self.leaving_flag.can_finish(deadline) {
@@ -246,10 +249,8 @@
             }
         };
         if let Some(forwarded) = forwarded {
-            if admitted.snapshot.generation != forwarded.generation {
-                return ForwardRefusal::OtherGeneration.response();
-            }
-            let accepted = self.plane.accept_forwarded(&mut parts, &body.bytes, forwarded);
+            let accepted =
+                self.plane.accept_forwarded(&mut parts, &body.bytes, forwarded, &admitted);
             if let Err(refusal) = accepted {
                 return refusal.response();
             }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod fleet_peers;
 mod fleet_start;
 mod fleet_store;
+mod forward_decisions;
 mod generations;
 mod hedge_limit;
 mod hedging;
