request: do not send by a lost path what peers decide otherwise

A request that peers had refused because of their configuration was sent by the path that its entry knew to be cut: it ended with 502 and an unknown outcome in place of a refusal as not run.

Cause: prepare_untaken takes "no peer has taken it" for "no entry has a path", which means that the upstreams are slow for all. A peer with another configuration says nothing of that.

Change: the reason is kept; only where no peer had a path is the request sent by the entry itself.

Result: forward_decisions::a_request_that_peers_decide_otherwise_is_refused_and_not_sent_by_the_lost_path fails without the condition (200 for /read, by the lost path) and passes with it; 34 tests of forwarding and paths pass.

--- a/src/request/execution.rs
+++ b/src/request/execution.rs
@@ -151,14 +151,23 @@
     pub(super) inflight: InflightGuard,
     /// Whether the attempt may have reached an upstream.
     pub(super) has_reached_upstream: bool,
-    /// Whether the attempt was to be forwarded, and no peer has taken it.
-    pub(super) is_untaken: bool,
+    /// Why no peer has taken the attempt, if it was to be forwarded.
+    pub(super) untaken: Option<UntakenReason>,
     /// Why the peer to which the request was forwarded has refused it, or that no peer took it.
     pub(super) failure: Option<ExecutionFailure>,
     /// The upstream, or the peer.
     pub(super) upstream: Arc<UpstreamState>,
 }
 
+/// Why peers have not taken a forwarded attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum UntakenReason {
+    /// None could be reached that has a path to the upstreams.
+    NoPath,
+    /// One has another configuration, which decides about the request otherwise.
+    OtherGeneration,
+}
+
 impl RequestExecution {
     /// Runs attempts until one gets a response or no further one is allowed; records each in
     /// `trace`.
@@ -424,7 +433,7 @@
             response,
             inflight: prepared.inflight,
             has_reached_upstream,
-            is_untaken: false,
+            untaken: None,
             failure: None,
             upstream: prepared.upstream,
         }
--- a/src/request/forward_attempt.rs
+++ b/src/request/forward_attempt.rs
@@ -31,7 +31,7 @@
 use crate::request::attempt_reporter::{is_drain_signal, outcome_kind, validate_outcome};
 use crate::request::attempt_trace::AttemptTrace;
 use crate::request::execution::{
-    ExecutionContext, ExecutionFailure, FinishedAttempt, RequestExecution,
+    ExecutionContext, ExecutionFailure, FinishedAttempt, RequestExecution, UntakenReason,
 };
 use crate::request::execution_state::{AttemptIndex, AttemptRole, StartRefusal};
 use crate::request::forward_gate::ForwardRefusal;
@@ -126,14 +126,15 @@
     }
 
     /// Prepares an attempt at an upstream in place of one that no peer has taken, if upstreams still
-    /// accept connections of this entry: if all entries miss responses, the upstreams are slow.
+    /// accept connections of this entry: if all entries miss responses, the upstreams are slow. A peer
+    /// with another configuration may have a path, so nothing is known of the upstreams then.
     pub(super) fn prepare_untaken<C: UpstreamClient, P: UpstreamPicker>(
         &self,
         finished: &FinishedAttempt<C::Body>,
         route: &RouteRecord,
         ctx: &ExecutionContext<'_, C, P>,
     ) -> Option<PreparedAttempt> {
-        if !finished.is_untaken || !ctx.path.accepts_connections() {
+        if finished.untaken != Some(UntakenReason::NoPath) || !ctx.path.accepts_connections() {
             return None;
         }
         let role = finished.role;
@@ -160,17 +161,19 @@
         let PreparedAttempt { index, role, upstream, mut inflight, .. } = prepared;
         let mut peer = upstream;
         let mut tried: Vec<SocketAddr> = Vec::new();
+        let mut reason = UntakenReason::NoPath;
         let taken = loop {
             tried.push(peer.spec.address);
-            let Some(taken) = self.offer(&peer, role, route, ctx).await else {
-                let Some(next) = next_peer(ctx, &tried) else { break None };
-                inflight = next.start_request();
-                peer = next;
-                continue;
-            };
-            break Some(taken);
+            match self.offer(&peer, role, route, ctx).await {
+                Ok(taken) => break Some(taken),
+                Err(UntakenReason::OtherGeneration) => reason = UntakenReason::OtherGeneration,
+                Err(UntakenReason::NoPath) => {}
+            }
+            let Some(next) = next_peer(ctx, &tried) else { break None };
+            inflight = next.start_request();
+            peer = next;
         };
-        let is_untaken = taken.is_none();
+        let untaken = taken.is_none().then_some(reason);
         let TakenRequest { outcome, failure } = taken.unwrap_or_else(|| TakenRequest {
             outcome: AttemptOutcome::NotRun(NotRunProof::NoPath),
             failure: Some(ExecutionFailure {
@@ -189,23 +192,23 @@
             outcome: kind,
             response,
             inflight,
-            has_reached_upstream: !is_untaken,
-            is_untaken,
+            has_reached_upstream: untaken.is_none(),
+            untaken,
             failure,
             upstream: peer,
         }
     }
 
-    /// Sends the request to a peer; `None` if the peer has not taken it, so that another one may.
+    /// Sends the request to a peer; an error if the peer has not taken it, so that another one may.
     async fn offer<C: UpstreamClient, P>(
         &self,
         peer: &Arc<UpstreamState>,
         role: AttemptRole,
         route: &RouteRecord,
         ctx: &ExecutionContext<'_, C, P>,
-    ) -> Option<TakenRequest<C::Body>> {
-        let forwarder = ctx.forwarder?;
-        let request = self.forwarded_request(role, route, ctx)?;
+    ) -> Result<TakenRequest<C::Body>, UntakenReason> {
+        let forwarder = ctx.forwarder.ok_or(UntakenReason::NoPath)?;
+        let request = self.forwarded_request(role, route, ctx).ok_or(UntakenReason::NoPath)?;
         let started = Instant::now();
         let sent = timeout_at(self.deadline, forwarder.client.send(peer, request)).await;
         let outcome = sent.unwrap_or(AttemptOutcome::Unknown(UnknownCause::TimedOut));
@@ -213,7 +216,7 @@
             AttemptOutcome::Answered(answered) => answered,
             AttemptOutcome::NotRun(_) => {
                 pass_over(&forwarder.table, peer, "unreachable");
-                return None;
+                return Err(UntakenReason::NoPath);
             }
             AttemptOutcome::Unknown(cause) => {
                 log::info!(
@@ -221,14 +224,22 @@
                     "no response of a peer to a forwarded request vm={} reason={cause:?}",
                     peer.name,
                 );
-                return Some(TakenRequest { outcome, failure: None });
+                return Ok(TakenRequest { outcome, failure: None });
             }
         };
         match read_answer(answered) {
-            PeerAnswer::Refused(ForwardRefusal::OtherGeneration) => None,
+            PeerAnswer::Refused(ForwardRefusal::OtherGeneration) => {
+                log::debug!(
+                    target: "path",
+                    "peer has another configuration vm={} generation={}",
+                    peer.name,
+                    self.snapshot.generation,
+                );
+                Err(UntakenReason::OtherGeneration)
+            }
             PeerAnswer::Refused(refusal) => {
                 pass_over(&forwarder.table, peer, refusal.as_str());
-                None
+                Err(UntakenReason::NoPath)
             }
             PeerAnswer::Upstream(mut answered) => {
                 self.transfer_budget(role);
@@ -237,7 +248,7 @@
                 let request_id = self.headers.get(&header_names.request_id);
                 let answered = AttemptOutcome::Answered(answered);
                 let outcome = validate_outcome(answered, request_id, header_names);
-                Some(TakenRequest { outcome, failure: None })
+                Ok(TakenRequest { outcome, failure: None })
             }
             PeerAnswer::Failure(taken) => {
                 log::info!(
@@ -247,7 +258,7 @@
                     outcome_kind(&taken.outcome),
                 );
                 self.transfer_budget(role);
-                Some(taken)
+                Ok(taken)
             }
         }
     }
--- a/tests/testsuite/forward_decisions.rs
+++ b/tests/testsuite/forward_decisions.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use heatherfall::balance::PathVerdict;
 use heatherfall::core::{
     ConfigSnapshot, GenerationNumber, IdempotenceMode, IdempotenceRule, RouteRecord,
     SharedSnapshot, TenantId,
@@ -10,6 +11,7 @@
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use proptest::prelude::*;
 use serde_json::{Value, json};
+use tokio::time::Instant;
 
 use crate::path_forwarding::{Fleet, code, is_not_run};
 use crate::support::three_upstream_snapshot;
@@ -152,6 +154,26 @@
     }
 }
 
+/// Guards against a request that the entry sends by the path that it knows to be lost, because its peers
+/// have another configuration: its outcome is then unknown, and it was refused nowhere.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_peers_decide_otherwise_is_refused_and_not_sent_by_the_lost_path() {
+    for path in ["/read", "/write"] {
+        let fleet = Fleet::with_cut_entry(2);
+        let lost = fleet.entry.path();
+        for _ in 0..2 {
+            lost.conclude(PathVerdict::NoResponse, Instant::now());
+        }
+        assert!(lost.is_cut() && lost.accepts_connections());
+        for snapshot in &fleet.snapshots[1..] {
+            change(snapshot, 8, &[ConfigChange::Rank]);
+        }
+        let response = fleet.send(path).await;
+        assert!(is_not_run(&response), "{path}: {}", code(&response));
+        assert_eq!(fleet.runs(), 0, "{path}");
+    }
+}
+
 fn decided(snapshot: &ConfigSnapshot, path: &str) -> (RequestClass, Option<RequestDecision>) {
     let (method, uri) = (Method::GET, path.parse::<Uri>().unwrap());
     let headers = HeaderMap::new();
