run_check: do not blame requests for a lost path of the entry

Cause: checks of silent upstreams go on while the path is lost. Nothing is recorded then, but the unanswered checks and the silence counted as soon as the path was back; and until the cut is noticed, an exchange up to 500 ms old, from before the cut, counted as a path.

Change: what checks show while the path is lost is dropped, silence counts from the last moment without a path, and an upstream must have been reached since the checks began. A later start in the registration still counts.

The test of run_watch has 1 crash where 0 are expected if disregard_silence does nothing (guard taken out).

--- a/src/fleet/run_check.rs
+++ b/src/fleet/run_check.rs
@@ -31,9 +31,7 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Most upstreams that are asked in a round.
 const MAX_CHECKS: usize = 16;
-/// Age of the last exchange with another upstream up to which this entry has a path to the upstreams.
-const RECENT_EXCHANGE_AGE: Duration = Duration::from_millis(500);
-/// Most other upstreams that are asked if there was no recent exchange.
+/// Most other upstreams that are asked if there was no exchange since the checks began.
 const COMPARED_UPSTREAMS: usize = 3;
 
 /// Checks the upstreams of watched runs.
@@ -85,8 +83,11 @@
         while let Some((upstream, check)) = checks.next().await {
             self.watch.record_check(&upstream.name, check, asked_at);
         }
+        if self.path.is_cut() {
+            self.watch.disregard_silence(Instant::now());
+        }
         let Some(snapshot) = self.state.snapshot.load_full() else { return };
-        if !self.path.is_cut() && self.reaches_any(&snapshot).await {
+        if !self.path.is_cut() && self.reaches_any(&snapshot, asked_at).await {
             for run in self.watch.take_crashes(&snapshot, Instant::now()) {
                 self.record_crash(&run);
             }
@@ -120,16 +121,18 @@
         }
     }
 
-    /// Whether this entry has exchanged something with an upstream a moment ago, or one of a few
-    /// responds now. If none does, the silence may be on this side.
-    async fn reaches_any(&self, snapshot: &ConfigSnapshot) -> bool {
+    /// Whether this entry has exchanged something with an upstream since the checks began at `asked_at`,
+    /// or one of a few responds now. If none does, the silence may be on this side. An exchange before the
+    /// checks says nothing: the path may have been lost since then.
+    async fn reaches_any(&self, snapshot: &ConfigSnapshot, asked_at: Instant) -> bool {
         let now = Instant::now();
+        let since_checks = now.saturating_duration_since(asked_at);
         let mut others = Vec::new();
         for upstream in snapshot.upstreams.values() {
             let stats = upstream.stats();
             let exchanged_at = stats.last_exchange_at.get().max(stats.last_response_at.get());
             let age = exchanged_at.map_or(Duration::MAX, |at| stats.age_at(now, at));
-            if age <= RECENT_EXCHANGE_AGE {
+            if age <= since_checks {
                 return true;
             }
             others.push((age, Arc::clone(upstream)));
--- a/src/request/run_watch.rs
+++ b/src/request/run_watch.rs
@@ -73,6 +73,8 @@
     run: WatchedRun,
     /// Start of the latest check that was answered.
     running_at: Option<Instant>,
+    /// Latest time since the run was inserted at which this entry had no path to the upstreams.
+    path_lost_at: Option<Instant>,
     unanswered_checks: u32,
     has_ended: bool,
 }
@@ -112,7 +114,14 @@
         }
         state.next_id += 1;
         let id = state.next_id;
-        let entry = RunEntry { id, run, running_at: None, unanswered_checks: 0, has_ended: false };
+        let entry = RunEntry {
+            id,
+            run,
+            running_at: None,
+            path_lost_at: None,
+            unanswered_checks: 0,
+            has_ended: false,
+        };
         state.runs.push(entry);
         drop(state);
         self.wakeup.notify_one();
@@ -177,6 +186,16 @@
         }
     }
 
+    /// Forgets what the checks have shown, because this entry has no path to the upstreams at `now`: they
+    /// may respond, and this entry does not hear it. They are judged by checks after that.
+    pub fn disregard_silence(&self, now: Instant) {
+        for entry in &mut self.lock().runs {
+            entry.path_lost_at = Some(now);
+            entry.unanswered_checks = 0;
+            entry.has_ended = false;
+        }
+    }
+
     /// Takes the runs whose upstreams have ended with them; `snapshot` is the active configuration.
     pub fn take_crashes(&self, snapshot: &ConfigSnapshot, now: Instant) -> Vec<WatchedRun> {
         let mut state = self.lock();
@@ -262,7 +281,10 @@
         if self.has_ended || is_restarted(&self.run, snapshot) {
             return true;
         }
-        self.unanswered_checks >= MIN_UNANSWERED_CHECKS && self.silence(now) >= MAX_SILENCE
+        let silent_since = Some(self.last_sign(now)).max(self.path_lost_at);
+        let silence =
+            silent_since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
+        self.unanswered_checks >= MIN_UNANSWERED_CHECKS && silence >= MAX_SILENCE
     }
 }
 
--- a/tests/testsuite/run_watch.rs
+++ b/tests/testsuite/run_watch.rs
@@ -71,6 +71,39 @@
     watch.take_crashes(snapshot, Instant::now()).len()
 }
 
+/// Guards against an entry that blames a request for its own lost path: all upstreams were silent for it.
+#[tokio::test(start_paused = true)]
+async fn silence_while_the_path_was_lost_is_no_crash_and_later_silence_is_one() {
+    for check in [RunCheck::Silent, RunCheck::Ended] {
+        let (watch, upstream) = (RunWatch::default(), upstream(1));
+        let snapshot = snapshot_of(&upstream);
+        silent_run(&watch, &upstream).await;
+        for _ in 0..40 {
+            ask(&watch, check);
+            watch.disregard_silence(Instant::now());
+            advance(ms(100)).await;
+        }
+        assert_eq!(crashes(&watch, &snapshot), 0, "{check:?}: the path is back");
+        assert_eq!(ask(&watch, RunCheck::Silent), 1, "it is asked again");
+        advance(ms(300)).await;
+        ask(&watch, RunCheck::Silent);
+        assert_eq!(crashes(&watch, &snapshot), 0, "{check:?}: silent for 400 ms");
+        advance(ms(400)).await;
+        assert_eq!(crashes(&watch, &snapshot), 1, "{check:?}: silent for 800 ms");
+    }
+}
+
+/// Guards against a crash that is forgotten because the path was lost meanwhile.
+#[tokio::test(start_paused = true)]
+async fn an_upstream_that_restarts_while_the_path_is_lost_has_ended_with_the_run() {
+    let (watch, upstream_before) = (RunWatch::default(), upstream(1));
+    silent_run(&watch, &upstream_before).await;
+    watch.disregard_silence(Instant::now());
+    advance(ms(100)).await;
+    assert_eq!(crashes(&watch, &snapshot_of(&upstream_before)), 0);
+    assert_eq!(crashes(&watch, &snapshot_of(&upstream(2))), 1);
+}
+
 /// Guards against crashes that go unnoticed because no connection breaks.
 #[tokio::test(start_paused = true)]
 async fn an_upstream_that_stays_silent_has_ended_with_the_run() {
