probe: limit what is read of the response to a health check

Cause: a body that this node reads for itself had a limit in time only: probe_load collected it.

Change: util::limited_body reads or discards a body up to a limit in bytes. The health check (64 KiB), the calls to the store, responses buffered for HTTP/1.0 and the tools use it, and a lint (clippy.toml) forbids BodyExt::collect outside tests. Other paths read by frames with a limit of their own (requests of callers, the relay) or drop the body with its connection (checks of runs and crashes, late responses).

--- a/crates/heatherfall-standins/src/lib.rs
+++ b/crates/heatherfall-standins/src/lib.rs
@@ -5,6 +5,8 @@
 //! sockets, count calls, and inject the faults that the real systems show. They contain no load
 //! balancing logic.
 
+#![allow(clippy::disallowed_methods, reason = "stand-ins read what tests have sent")]
+
 pub mod platform;
 pub mod upstream;
 
--- a/src/ops/load/caller.rs
+++ b/src/ops/load/caller.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, StatusCode, Uri};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -17,6 +17,7 @@
 use crate::core::{IDEMPOTENCY_KEY_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER, RESULT_CODE_HEADER};
 use crate::ops::load::settings::{LoadTestClass, LoadTestSettings};
 use crate::util::FastMap;
+use crate::util::limited_body::{MAX_TOOL_BODY_BYTES, read_limited};
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -150,8 +151,9 @@
             else {
                 continue;
             };
-            let Ok(body) = response.into_body().collect().await else { continue };
-            let parsed: Result<AddressResponse, _> = serde_json::from_slice(&body.to_bytes());
+            let body = read_limited(response.into_body(), MAX_TOOL_BODY_BYTES).await;
+            let Ok(body) = body else { continue };
+            let parsed: Result<AddressResponse, _> = serde_json::from_slice(&body);
             let Ok(parsed) = parsed else { continue };
             if parsed.addresses.is_empty() {
                 continue;
@@ -203,7 +205,8 @@
     let status = response.status();
     let is_not_run = response.headers().contains_key(NOT_RUN_HEADER);
     let has_code = response.headers().contains_key(RESULT_CODE_HEADER);
-    let Ok(body) = response.into_body().collect().await else { return CallOutcome::Broken };
+    let body = read_limited(response.into_body(), MAX_TOOL_BODY_BYTES).await;
+    let Ok(body) = body else { return CallOutcome::Broken };
     if is_not_run {
         return CallOutcome::NotRun;
     }
@@ -213,7 +216,6 @@
     if status != StatusCode::OK {
         return CallOutcome::Error;
     }
-    let body = body.to_bytes();
     let is_own = body.windows(id.len()).any(|window| window == id.as_bytes());
     if is_own { CallOutcome::Answered } else { CallOutcome::Foreign }
 }
--- a/src/ops/node_status.rs
+++ b/src/ops/node_status.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty};
+use http_body_util::Empty;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -13,6 +13,7 @@
 
 use crate::core::{FailureDomain, GenerationNumber, ResultCode, SharedSnapshot, VmId};
 use crate::membership::{ControlNode, MembershipView, SharedMembership};
+use crate::util::limited_body::{MAX_TOOL_BODY_BYTES, read_limited};
 
 /// State from which a node reports its readiness and status.
 #[derive(Debug)]
@@ -100,6 +101,6 @@
     let response = client.get(uri).await.into_diagnostic();
     let response =
         response.wrap_err_with(|| format!("no response from the node's admin address {admin}"))?;
-    let body = response.into_body().collect().await.into_diagnostic()?.to_bytes();
+    let body = read_limited(response.into_body(), MAX_TOOL_BODY_BYTES).await.into_diagnostic()?;
     Ok(String::from_utf8_lossy(&body).into_owned())
 }
--- a/src/ops/path_bench.rs
+++ b/src/ops/path_bench.rs
@@ -17,7 +17,7 @@
 use heatherfall_standins::platform::{self, StandinPlatform};
 use heatherfall_standins::upstream::{self, StandinUpstream, UpstreamBehaviour};
 use http::Request;
-use http_body_util::{BodyExt, Empty};
+use http_body_util::Empty;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use miette::{IntoDiagnostic, miette};
@@ -37,6 +37,7 @@
 use crate::peer::PeerKeys;
 use crate::platform::{VmRecord, VmState};
 use crate::util::SeededRandom;
+use crate::util::limited_body::{MAX_TOOL_BODY_BYTES, discard_limited};
 
 /// Routes and other objects of both users, without upstreams.
 const SAMPLE_OBJECTS: &str = include_str!("../../examples/both-users.jsonc");
@@ -290,7 +291,7 @@
     let started = Instant::now();
     let response = sender.send_request(request).await.ok()?;
     let is_success = response.status().is_success();
-    response.into_body().collect().await.ok()?;
+    discard_limited(response.into_body(), MAX_TOOL_BODY_BYTES).await.ok()?;
     is_success.then(|| started.elapsed())
 }
 
--- a/src/ops/smoke.rs
+++ b/src/ops/smoke.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{Method, Request, Response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -14,6 +14,7 @@
 
 use crate::core::{IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER};
 use crate::ops::dev::DevDeployment;
+use crate::util::limited_body::{MAX_TOOL_BODY_BYTES, read_limited};
 
 /// One request of the smoke test.
 struct SmokeCase {
@@ -136,6 +137,6 @@
 }
 
 async fn read_json(response: Response<Incoming>) -> miette::Result<Value> {
-    let body = response.into_body().collect().await.into_diagnostic()?.to_bytes();
+    let body = read_limited(response.into_body(), MAX_TOOL_BODY_BYTES).await.into_diagnostic()?;
     serde_json::from_slice(&body).into_diagnostic()
 }
--- a/src/platform/json_client.rs
+++ b/src/platform/json_client.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -20,6 +20,8 @@
 
 use heatherfall_platform_api::StoreError;
 
+use crate::util::read_limited;
+
 /// Maximum size of a response body in bytes; a list holds many objects.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
@@ -160,9 +162,9 @@
         }
     })?;
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+    let body = read_limited(body, MAX_RESPONSE_BYTES).await;
     let body = body.map_err(|error| StoreError::ResponseLost(error.to_string()))?;
-    Ok(JsonResponse { status: head.status, headers: head.headers, body: body.to_bytes() })
+    Ok(JsonResponse { status: head.status, headers: head.headers, body })
 }
 
 fn new_client(connect_timeout: Duration) -> HttpClient {
--- a/src/request/load_check.rs
+++ b/src/request/load_check.rs
@@ -19,7 +19,6 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
-use http_body_util::BodyExt;
 use tokio::time::{Instant, timeout};
 
 use crate::balance::{AttemptResult, LoadReport, PathResult, record_probe_sent};
@@ -31,6 +30,10 @@
 use crate::request::attempt_reporter::is_drain_signal;
 use crate::request::execution_state::AttemptRole;
 use crate::request::upstream_notices::{UpstreamNotices, record_replacement};
+use crate::util::discard_limited;
+
+/// Largest body of the response to a health check, in bytes. The load report is in its head.
+const MAX_PROBE_BODY_BYTES: usize = 64 << 10;
 
 /// Limits of load checks.
 #[derive(Clone, Debug, PartialEq)]
@@ -209,7 +212,13 @@
         notices.record_probe(upstream, started.elapsed());
         let report = LoadReport::from_headers(headers, &header_names.load);
         // The connection returns to the pool only after the response has been read to its end.
-        if answered.response.into_body().collect().await.is_err() {
+        let body = answered.response.into_body();
+        if let Err(error) = discard_limited(body, MAX_PROBE_BODY_BYTES).await {
+            log::debug!(
+                target: "probe",
+                "health check failed instance={} reason={error}",
+                upstream.name,
+            );
             return LoadProbeOutcome::Failed(AttemptResult::Broken);
         }
         let Some(report) = report else { return LoadProbeOutcome::NoReport };
--- a/src/serve/proxy_service.rs
+++ b/src/serve/proxy_service.rs
@@ -9,7 +9,7 @@
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, Uri, Version};
 use http_body::Body;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::Empty;
 use prometheus::IntCounter;
 use tokio::time::Instant;
 use tokio_util::task::{AbortOnDropHandle, TaskTracker};
@@ -31,6 +31,7 @@
 use crate::serve::latency_metrics::LatencyMetrics;
 use crate::serve::leaving_flag::LeavingFlag;
 use crate::serve::request_body::{BodyLimits, BodyMemoryBudget, BufferedBody, read_body};
+use crate::util::read_limited;
 
 /// Time after which a request that a leaving entry refuses may be sent to another one.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -376,10 +377,8 @@
             return response;
         }
         let (parts, body) = response.into_parts();
-        match Limited::new(body, self.settings.max_buffered_response_bytes).collect().await {
-            Ok(complete) => {
-                Response::from_parts(parts, ResponseBody::Local(Some(complete.to_bytes())))
-            }
+        match read_limited(body, self.settings.max_buffered_response_bytes).await {
+            Ok(complete) => Response::from_parts(parts, ResponseBody::Local(Some(complete))),
             Err(_) => error_response(ResultCode::AnswerNotWhole),
         }
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of heatherfall, one module for each feature, linked into one binary.
 
 #![allow(clippy::expect_used, clippy::unwrap_used, reason = "a test panics to fail")]
+#![allow(clippy::disallowed_methods, reason = "tests read what they have sent")]
 
 mod addresses;
 mod caller_departure;
@@ -14,6 +15,7 @@
 mod control_plane;
 mod drain_signal;
 mod end_to_end;
+mod endless_bodies;
 mod enrolment;
 mod evacuations;
 mod execution_state;
