client: accept only statuses that a final response can have

Cause: the HTTP library accepts 100 to 999, and nothing behind it asked; the replay fell back to 200.

The outcome of such an attempt is unknown: idempotent requests are sent again, others get 502.

Result: response_status: three of four tests fail before (101 had the code of an unclear end, 600 reached the caller, a stored 0 was 200), all pass now; 26 tests of framing, keys and statuses pass.

--- a/src/fleet/run_check.rs
+++ b/src/fleet/run_check.rs
@@ -22,7 +22,7 @@
 use crate::limits::{QuarantineTable, RecordEffect};
 use crate::request::{
     AttemptOutcome, AttemptRequest, ConnectionPolicy, NotRunProof, RunCheck, RunWatch,
-    UpstreamClient, WatchedRun, is_other_instance, lifetime_digest, log_refusal,
+    UnknownCause, UpstreamClient, WatchedRun, is_other_instance, lifetime_digest, log_refusal,
 };
 
 /// Pause between two rounds of checks while runs are watched.
@@ -165,6 +165,7 @@
                     false => RunCheck::Running,
                 }
             }
+            Ok(AttemptOutcome::Unknown(UnknownCause::InvalidStatus)) => RunCheck::Running,
             // A connection that times out takes longer than a check.
             Ok(AttemptOutcome::NotRun(NotRunProof::ConnectFailed)) => RunCheck::Ended,
             Ok(AttemptOutcome::NotRun(_) | AttemptOutcome::Unknown(_)) | Err(_) => RunCheck::Silent,
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Response, Uri};
+use http::{HeaderMap, Method, Response, StatusCode, Uri};
 use http_body::Body;
 use tokio::time::Instant;
 
@@ -72,6 +72,8 @@
     ConnectionBroken,
     /// No response before the deadline.
     TimedOut,
+    /// The status of the response is none that a final response can have.
+    InvalidStatus,
     /// The framing of the response does not show where it ends, so truncation would go unnoticed.
     AnswerNotWhole,
     /// The response echoes the identity of another request.
@@ -83,6 +85,15 @@
     UnmarkedRefusal,
 }
 
+/// Statuses that a final response can have; RFC 9110, section 15. A parser accepts up to 999.
+const FINAL_STATUSES: std::ops::RangeInclusive<u16> = 200..=599;
+
+/// Whether a final response can have this status. One that has another is not passed on, whoever it is
+/// from: its sender is in trouble, and callers cannot tell what it means.
+pub(crate) fn is_final_status(status: StatusCode) -> bool {
+    FINAL_STATUSES.contains(&status.as_u16())
+}
+
 impl NotRunProof {
     /// Whether the attempt may have reached an upstream, which has refused it.
     pub(super) fn is_of_upstream(self) -> bool {
--- a/src/request/crash_watch.rs
+++ b/src/request/crash_watch.rs
@@ -299,7 +299,8 @@
             UpstreamPresence::Running
         }
         AttemptOutcome::NotRun(NotRunProof::ConnectFailed) => UpstreamPresence::Ended,
-        AttemptOutcome::NotRun(NotRunProof::ShareInUse) => UpstreamPresence::Running,
+        AttemptOutcome::NotRun(NotRunProof::ShareInUse)
+        | AttemptOutcome::Unknown(UnknownCause::InvalidStatus) => UpstreamPresence::Running,
         AttemptOutcome::NotRun(_) | AttemptOutcome::Unknown(_) => UpstreamPresence::Unclear,
     }
 }
--- a/src/request/execution_state.rs
+++ b/src/request/execution_state.rs
@@ -314,9 +314,9 @@
 
 fn result_code(cause: UnknownCause) -> ResultCode {
     match cause {
-        UnknownCause::ConnectionBroken | UnknownCause::UnmarkedRefusal => {
-            ResultCode::OutcomeUnknown
-        }
+        UnknownCause::ConnectionBroken
+        | UnknownCause::InvalidStatus
+        | UnknownCause::UnmarkedRefusal => ResultCode::OutcomeUnknown,
         UnknownCause::TimedOut => ResultCode::DeadlineExceeded,
         UnknownCause::AnswerNotWhole
         | UnknownCause::ForeignAnswer
--- a/src/request/keyed.rs
+++ b/src/request/keyed.rs
@@ -21,7 +21,7 @@
 };
 use crate::limits::GatePermit;
 use crate::membership::ConfigFreshness;
-use crate::request::attempt::UpstreamClient;
+use crate::request::attempt::{UpstreamClient, is_final_status};
 use crate::request::attempt_trace::AttemptTrace;
 use crate::request::data_plane::{DataPlaneCore, PlaneResponse, sanitize_response_headers};
 use crate::request::execution::{ExecutionFailure, ExecutionOutcome, RequestExecution};
@@ -147,13 +147,14 @@
 }
 
 /// The stored response of the request that ran with this key, or HF-1026 if its body was not
-/// stored.
+/// stored or its status is none that a response can have.
 fn replayed_response<C: UpstreamClient>(stored: StoredResponse) -> PlaneResponse<C> {
-    if stored.is_body_dropped {
+    let status = StatusCode::from_u16(stored.status).ok().filter(|it| is_final_status(*it));
+    let Some(status) = status.filter(|_| !stored.is_body_dropped) else {
         return error_response(ResultCode::AlreadyRan);
-    }
+    };
     let mut response = Response::new(ResponseBody::Local(Some(stored.body)));
-    *response.status_mut() = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
+    *response.status_mut() = status;
     let headers = response.headers_mut();
     if let Ok(value) = HeaderValue::from_str(&stored.content_type)
         && !stored.content_type.is_empty()
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -39,6 +39,7 @@
 mod upstream_selection;
 
 pub use self::admission::AdmittedRequest;
+pub(crate) use self::attempt::is_final_status;
 pub use self::attempt::{
     AttemptOutcome, AttemptRequest, ConnectionPolicy, NotRunProof, UnknownCause, UpstreamClient,
     UpstreamResponse,
--- a/src/serve/http_client.rs
+++ b/src/serve/http_client.rs
@@ -23,7 +23,7 @@
 use crate::core::{HeaderNames, UpstreamState};
 use crate::request::{
     AttemptOutcome, AttemptRequest, ConnectionPolicy, NotRunProof, UnknownCause, UpstreamClient,
-    UpstreamResponse,
+    UpstreamResponse, is_final_status,
 };
 use crate::serve::connection_pool::{
     ConnectError, ConnectionPool, HttpUpstreamPool, PooledHttpConnection,
@@ -289,6 +289,10 @@
     origin: &ConnectionOrigin,
     framing: ResponseFraming,
 ) -> AttemptOutcome<UpstreamBody> {
+    if !is_final_status(response.status()) {
+        log::debug!(target: "connection", "response with status {}", response.status().as_u16());
+        return AttemptOutcome::Unknown(UnknownCause::InvalidStatus);
+    }
     let accepts_close_delimited =
         framing == ResponseFraming::AllowCloseDelimited && is_close_delimited(&response);
     if !accepts_close_delimited && !is_delimited(method, &response) {
@@ -316,15 +320,12 @@
 fn is_close_delimited<B>(response: &Response<B>) -> bool {
     let headers = response.headers();
     let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-    !is_framed && !response.status().is_informational()
+    !is_framed
 }
 
 /// Whether the framing distinguishes the end of the response from a broken connection.
 fn is_delimited<B>(method: &Method, response: &Response<B>) -> bool {
     let (status, headers) = (response.status(), response.headers());
-    if status.is_informational() {
-        return false;
-    }
     if method == Method::HEAD
         || status == StatusCode::NO_CONTENT
         || status == StatusCode::NOT_MODIFIED
--- a/src/serve/pending_response.rs
+++ b/src/serve/pending_response.rs
@@ -20,7 +20,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::core::{HeaderNames, UpstreamState};
-use crate::request::record_late_response;
+use crate::request::{is_final_status, record_late_response};
 use crate::serve::connection_pool::PooledHttpConnection;
 use crate::serve::http_client::ConnectionOrigin;
 
@@ -111,7 +111,9 @@
             return origin.abandon(connection);
         };
         runtime.spawn(async move {
-            if let Ok(Ok(response)) = timeout_at(reader.wait_until(now), response).await {
+            if let Ok(Ok(response)) = timeout_at(reader.wait_until(now), response).await
+                && is_final_status(response.status())
+            {
                 reader.record(&response);
             }
             origin.abandon(connection);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -65,6 +65,7 @@
 mod repeat_window;
 mod request_execution;
 mod request_timeline;
+mod response_status;
 mod response_validation;
 mod result_codes;
 mod route_limits;
