fleet: read the rosters again when other zones are needed

After all machines had been replaced zone after zone, a zone that lost its path to the upstreams was served by no other one: its entries knew only those of other zones that were gone.

Cause: an entry read the rosters when it enrolled, once more 5 s later, and after a restore of the store.

Change: the rosters are read on request, at most once in 5 s: without a path, at a load update from an unknown entry of another zone, and when records of crashing requests are due to other zones. A peer that could not be reached is passed over for up to 16 s. A health check that is answered with an invalid status shows a path.

--- a/src/fleet/crash_exchange.rs
+++ b/src/fleet/crash_exchange.rs
@@ -44,6 +44,10 @@
             (table.recipients(MessageScope::All, now), gateways)
         };
         self.updates_sent += 1;
+        if !due.gateways.is_empty() {
+            // The records must also reach failure domains whose entries have all been replaced.
+            state.request_rosters();
+        }
         for datagram in encode_crash_updates(key, &due.domain) {
             send_all(socket, &datagram, &domain).await;
         }
--- a/src/fleet/enrolment.rs
+++ b/src/fleet/enrolment.rs
@@ -35,6 +35,10 @@
 /// at most a few seconds.
 const FINAL_LIST_DELAY: Duration = Duration::from_secs(5);
 
+/// Minimum time between two reads of the rosters that are requested. All entries of a failure domain
+/// without a path may request them at the same time.
+const ROSTER_READ_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Object kind of the registrations of former versions, one object an entry.
 const FORMER_ENTRY_KIND: &str = "heatherfall-entries";
 /// Object kind of the deployment's key.
@@ -62,6 +66,13 @@
     FinalList,
 }
 
+/// What happens after the enrolment.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum EnrolmentNotice {
+    StoreRestored,
+    RostersRequested,
+}
+
 /// Enrols one entry.
 pub(super) struct EntryEnrolment<'a, S, D> {
     pub(super) store: &'a S,
@@ -78,9 +89,12 @@
         self.repeat_until_done(EnrolmentStep::Enrol(ReadKind::Relaxed)).await;
         self.state.end_enrolment();
         let mut final_list_at = Some(Instant::now() + FINAL_LIST_DELAY);
+        let mut is_roster_requested = false;
+        let mut next_roster_read = Instant::now();
         loop {
-            let restored = timeout(WRITER_INTERVAL, self.state.restore_notice.notified()).await;
-            if restored.is_ok() {
+            let notice = timeout(WRITER_INTERVAL, self.notice()).await.ok();
+            is_roster_requested |= notice == Some(EnrolmentNotice::RostersRequested);
+            if notice == Some(EnrolmentNotice::StoreRestored) {
                 sleep(self.state.rank_delay(Instant::now())).await;
                 self.repeat_until_done(EnrolmentStep::Enrol(ReadKind::Latest)).await;
                 log::info!(target: "peer", "enrolled in the restored store");
@@ -91,12 +105,29 @@
                 self.repeat_until_done(EnrolmentStep::FinalList).await;
                 self.state.set_rosters_read();
             }
+            // Until then, entries that start together with this one are not listed yet.
+            let may_read = final_list_at.is_none() && next_roster_read <= Instant::now();
+            if is_roster_requested && may_read {
+                is_roster_requested = false;
+                next_roster_read = Instant::now() + ROSTER_READ_INTERVAL;
+                if let Err(error) = self.list_rosters(ReadKind::Relaxed).await {
+                    log::warn!(target: "peer", "cannot read the rosters again reason={error}");
+                }
+            }
             if let Err(error) = self.add_live_entries().await {
                 log::warn!(target: "peer", "cannot write the roster, retrying reason={error}");
             }
         }
     }
 
+    async fn notice(&self) -> EnrolmentNotice {
+        tokio::select! {
+            biased;
+            () = self.state.restore_notice.notified() => EnrolmentNotice::StoreRestored,
+            () = self.state.rosters_requested() => EnrolmentNotice::RostersRequested,
+        }
+    }
+
     /// Repeats a step until its store calls have succeeded.
     async fn repeat_until_done(&mut self, step: EnrolmentStep) {
         while let Err(error) = self.try_step(step).await {
--- a/src/fleet/path_check.rs
+++ b/src/fleet/path_check.rs
@@ -19,7 +19,9 @@
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::state::FleetState;
 use crate::kernel::{ServiceName, ServiceTask};
-use crate::request::{AttemptOutcome, AttemptRequest, ConnectionPolicy, UpstreamClient};
+use crate::request::{
+    AttemptOutcome, AttemptRequest, ConnectionPolicy, UnknownCause, UpstreamClient,
+};
 use crate::util::SeededRandom;
 
 /// Upstreams that a check asks. With a quarter of them down, one check in 250 finds only those.
@@ -80,6 +82,10 @@
         self.state.refresh_forwarding();
         let Some(verdict) = self.check_upstreams(&snapshot).await else { return };
         let change = self.monitor.conclude(verdict, began);
+        if self.monitor.is_cut() {
+            // Requests are forwarded to entries that may have started after this one.
+            self.state.request_rosters();
+        }
         match change {
             PathChange::Unchanged => {}
             PathChange::Cut { since } => {
@@ -171,6 +177,7 @@
     match timeout(limit, client.send(&upstream, request)).await {
         Ok(AttemptOutcome::Answered(_)) => CheckOutcome::Responded,
         Ok(AttemptOutcome::NotRun(_)) => CheckOutcome::NoConnection,
+        Ok(AttemptOutcome::Unknown(UnknownCause::InvalidStatus)) => CheckOutcome::Responded,
         Ok(AttemptOutcome::Unknown(_)) | Err(_) => CheckOutcome::NoResponse,
     }
 }
--- a/src/fleet/peer_service.rs
+++ b/src/fleet/peer_service.rs
@@ -165,6 +165,9 @@
             let is_local = table.is_local_address(from);
             if !is_local {
                 table.record_gateway(from, now);
+                if !table.knows_address(from) {
+                    self.state.request_rosters();
+                }
             }
             !is_local || table.rank(now) == 0
         };
--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -300,6 +300,11 @@
         self.local_peers().any(|peer| peer.record.peer_address == address)
     }
 
+    /// Whether an entry of any failure domain with this peer address is known.
+    pub fn knows_address(&self, address: SocketAddr) -> bool {
+        self.peers.values().any(|peer| peer.record.peer_address == address)
+    }
+
     /// Peer address of the leader; `None` if this entry is the leader.
     pub fn leader_address(&self, now: Instant) -> Option<SocketAddr> {
         let first = self.peers.iter().find(|(_, peer)| self.is_candidate(peer, now));
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -112,6 +112,8 @@
     pub(super) store_wakeup: Notify,
     /// Tells the enrolment that the store was restored.
     pub(super) restore_notice: Notify,
+    /// Tells the enrolment that entries of other failure domains may be unknown here.
+    roster_notice: Notify,
     /// Keys of the deployment, once one has been read from the store.
     keys: ArcSwapOption<MessageKeys>,
     /// Active configuration, read by the data plane.
@@ -161,6 +163,7 @@
             peer_wakeup: Notify::new(),
             store_wakeup: Notify::new(),
             restore_notice: Notify::new(),
+            roster_notice: Notify::new(),
             keys: ArcSwapOption::default(),
             snapshot,
             membership,
@@ -519,6 +522,17 @@
         self.has_read_rosters.store(true, Ordering::Relaxed);
     }
 
+    /// Has the rosters read again, because entries of other failure domains are needed, or one has been
+    /// heard of that is unknown here. The enrolment bounds how often that is done.
+    pub fn request_rosters(&self) {
+        self.roster_notice.notify_one();
+    }
+
+    /// Waits until the rosters are to be read again.
+    pub async fn rosters_requested(&self) {
+        self.roster_notice.notified().await;
+    }
+
     /// Whether this entry knows also those that started at the same time in other failure domains.
     /// One that does not enrol knows all it will.
     pub(super) fn has_read_rosters(&self) -> bool {
--- a/src/request/forward_attempt.rs
+++ b/src/request/forward_attempt.rs
@@ -36,7 +36,7 @@
 use crate::request::execution_state::{AttemptIndex, AttemptRole, StartRefusal};
 use crate::request::forward_gate::ForwardRefusal;
 use crate::request::forward_header::{AttemptOrder, ForwardedRequest, SignedParts};
-use crate::request::forward_table::{FORWARD_RETRY_AFTER, ForwardTable};
+use crate::request::forward_table::{FORWARD_RETRY_AFTER, ForwardTable, PassOverCause};
 use crate::request::request_decision::RequestDecision;
 use crate::request::upstream_selection::{AttemptHistory, PreparedAttempt};
 
@@ -213,9 +213,12 @@
         let sent = timeout_at(self.deadline, forwarder.client.send(peer, request)).await;
         let outcome = sent.unwrap_or(AttemptOutcome::Unknown(UnknownCause::TimedOut));
         let answered = match outcome {
-            AttemptOutcome::Answered(answered) => answered,
+            AttemptOutcome::Answered(answered) => {
+                forwarder.table.record_reached(peer.spec.address);
+                answered
+            }
             AttemptOutcome::NotRun(_) => {
-                pass_over(&forwarder.table, peer, "unreachable");
+                pass_over(&forwarder.table, peer, PassOverCause::Unreachable, "unreachable");
                 return Err(UntakenReason::NoPath);
             }
             AttemptOutcome::Unknown(cause) => {
@@ -238,7 +241,7 @@
                 Err(UntakenReason::OtherGeneration)
             }
             PeerAnswer::Refused(refusal) => {
-                pass_over(&forwarder.table, peer, refusal.as_str());
+                pass_over(&forwarder.table, peer, PassOverCause::Refused, refusal.as_str());
                 Err(UntakenReason::NoPath)
             }
             PeerAnswer::Upstream(mut answered) => {
@@ -367,9 +370,9 @@
     ctx.forwarder?.table.pick(tried)
 }
 
-fn pass_over(table: &ForwardTable, peer: &UpstreamState, reason: &str) {
+fn pass_over(table: &ForwardTable, peer: &UpstreamState, cause: PassOverCause, reason: &str) {
     log::info!(target: "path", "peer does not take requests vm={} reason={reason}", peer.name);
-    table.pass_over(peer.spec.address);
+    table.pass_over(peer.spec.address, cause);
 }
 
 fn read_answer<B>(answered: UpstreamResponse<B>) -> PeerAnswer<B> {
--- a/src/request/forward_table.rs
+++ b/src/request/forward_table.rs
@@ -12,8 +12,12 @@
 use crate::request::forward_header::ForwardKey;
 use crate::util::{FastMap, SeededRandom};
 
-/// Time for which a peer that could not be reached, or has no path itself, is passed over.
+/// Time for which a peer that could not be reached, or has no path itself, is passed over. Doubled each
+/// time that it could not be reached again, up to [`MAX_PEER_BACKOFF`].
 const PEER_BACKOFF: Duration = Duration::from_secs(1);
+/// Longest time for which a peer that could not be reached is passed over: it may have been removed for
+/// good, and each attempt to reach it delays a request.
+const MAX_PEER_BACKOFF: Duration = Duration::from_secs(16);
 /// Time after which a request that no peer has taken may be sent again.
 pub(super) const FORWARD_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -44,11 +48,27 @@
     state: Mutex<ForwardState>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct PeerBackoff {
+    until: Instant,
+    /// Time for which the peer is passed over.
+    time: Duration,
+}
+
+/// Why a peer is passed over for some time.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum PassOverCause {
+    /// No connection could be opened.
+    Unreachable,
+    /// It has refused a request.
+    Refused,
+}
+
 #[derive(Debug)]
 struct ForwardState {
     peers: ForwardPeers,
-    /// Peers that are passed over, and until when.
-    backoff: FastMap<SocketAddr, Instant>,
+    /// Peers that are passed over.
+    backoff: FastMap<SocketAddr, PeerBackoff>,
     random: SeededRandom,
 }
 
@@ -82,7 +102,7 @@
         let known = std::mem::take(&mut state.peers);
         state.peers =
             ForwardPeers { local: merge_peers(local, &known), remote: merge_peers(remote, &known) };
-        state.backoff.retain(|_, until| *until > now);
+        state.backoff.retain(|_, backoff| backoff.until + backoff.time > now);
     }
 
     /// Picks a peer that is not in `tried`: one of the local failure domain, because traffic between
@@ -96,7 +116,8 @@
             let mut best: Option<(u32, f64, &Arc<UpstreamState>)> = None;
             for peer in group {
                 let address = peer.spec.address;
-                let is_passed_over = backoff.get(&address).is_some_and(|until| *until > now);
+                let is_passed_over =
+                    backoff.get(&address).is_some_and(|backoff| backoff.until > now);
                 if is_passed_over || tried.contains(&address) {
                     continue;
                 }
@@ -112,9 +133,21 @@
         None
     }
 
-    /// Passes over a peer for some time.
-    pub(super) fn pass_over(&self, peer: SocketAddr) {
-        self.lock().backoff.insert(peer, Instant::now() + PEER_BACKOFF);
+    /// Passes over a peer for some time; longer if it could not be reached when that was last over.
+    pub(super) fn pass_over(&self, peer: SocketAddr, cause: PassOverCause) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let known = state.backoff.get(&peer).filter(|_| cause == PassOverCause::Unreachable);
+        let time = known.map_or(PEER_BACKOFF, |known| match known.until <= now {
+            true => (known.time * 2).min(MAX_PEER_BACKOFF),
+            false => known.time,
+        });
+        state.backoff.insert(peer, PeerBackoff { until: now + time, time });
+    }
+
+    /// Records that a peer was reached.
+    pub(super) fn record_reached(&self, peer: SocketAddr) {
+        self.lock().backoff.remove(&peer);
     }
 
     fn lock(&self) -> MutexGuard<'_, ForwardState> {
--- a/tests/testsuite/enrolment.rs
+++ b/tests/testsuite/enrolment.rs
@@ -244,6 +244,32 @@
     }
 }
 
+/// Guards against an entry that never learns of the entries that another failure domain gets later, and against
+/// requests for that which cost a store call each.
+#[tokio::test(start_paused = true)]
+async fn entries_that_other_failure_domains_get_later_are_learnt_on_request() {
+    let store = StandinPlatform::default();
+    put_config(&store, 1).await;
+    let running = start("entry-1", &store, 1);
+    tokio::time::sleep(ENROLMENT_TIME * 2).await;
+    let other = json!({ "entries": { "other-1": {
+        "failure_domain": "fd-b", "caller_address": "10.0.1.9:2", "peer_address": "10.0.1.9:3",
+    } } });
+    put(&store, ROSTER_KIND, "fd-b", other).await;
+    tokio::time::sleep(ENROLMENT_TIME).await;
+    assert_eq!(running.entry.known_entries(), 1, "rosters are not read without a reason");
+    running.entry.state.request_rosters();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(running.entry.known_entries(), 2);
+    let before = store.counts().relaxed;
+    for _ in 0..100 {
+        running.entry.state.request_rosters();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let reads = store.counts().relaxed - before;
+    assert!((1..=2).contains(&reads), "{reads} reads in 10 s");
+}
+
 /// Number of store calls other than relaxed reads within `time` of the paused clock.
 async fn count_non_relaxed_calls(store: &StandinPlatform, time: Duration) -> u64 {
     let non_relaxed = |counts: CallCounts| counts.total() - counts.relaxed;
--- a/tests/testsuite/path_check.rs
+++ b/tests/testsuite/path_check.rs
@@ -17,7 +17,7 @@
 use http::Response;
 use http_body_util::Full;
 use serde_json::json;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::support::fleet::TestEntry;
@@ -190,3 +190,15 @@
     assert_eq!((ejected(0), ejected(1)), (true, false));
     fixture.stop.cancel();
 }
+
+/// Guards against an entry without a path that offers its requests only to entries which have been removed
+/// since it started.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_loses_its_path_asks_who_the_others_are() {
+    let fixture = PathFixture::start(5);
+    fixture.set_reachable(1..=0);
+    fixture.suspect().await;
+    assert!(fixture.monitor.is_cut());
+    let state = &fixture.entry.state;
+    assert!(timeout(Duration::from_millis(1), state.rosters_requested()).await.is_ok());
+}
