request: watch the bodies of responses for upstreams that end

A request that crashed the upstreams while they sent their answers was never refused, and took along the at-most-once requests that were running there.

Cause: the run was over when the head of the response had arrived, which also cleared the crashes known so far; a body that broke off was not looked at.

Change: BodyWatch goes with the body. A whole one clears the request's records, a broken one has the run watched, so that the upstream is asked and the request blamed only if it has ended.

Two of the three tests of broken_bodies fail before the change.

--- a/src/request/crash_watch.rs
+++ b/src/request/crash_watch.rs
@@ -23,7 +23,7 @@
 
 use crate::balance::{PathResult, PathTrial};
 use crate::core::{HeaderNames, UpstreamState};
-use crate::limits::{RecordEffect, RequestFingerprint, RequestTraits};
+use crate::limits::{QuarantineTable, RecordEffect, RequestFingerprint, RequestTraits};
 use crate::request::attempt::{
     AttemptOutcome, AttemptRequest, ConnectionPolicy, NotRunProof, UnknownCause, UpstreamClient,
 };
@@ -69,11 +69,31 @@
         &self,
         ctx: &ExecutionContext<'_, C, P>,
     ) -> Option<RequestFingerprint> {
-        if ctx.quarantine.is_empty() {
+        self.recorded_fingerprint(ctx.quarantine, &ctx.settings.headers)
+    }
+
+    fn recorded_fingerprint(
+        &self,
+        quarantine: &QuarantineTable,
+        header_names: &HeaderNames,
+    ) -> Option<RequestFingerprint> {
+        if quarantine.is_empty() {
             return None;
         }
         let target = self.target_digest();
-        ctx.quarantine.has_target(target).then(|| self.fingerprint(target, &ctx.settings.headers))
+        quarantine.has_target(target).then(|| self.fingerprint(target, header_names))
+    }
+
+    /// Records that an upstream has answered the request, which shows that it does not crash those that
+    /// run it.
+    pub(super) fn record_whole_response(
+        &self,
+        quarantine: &QuarantineTable,
+        header_names: &HeaderNames,
+    ) {
+        if let Some(request) = self.recorded_fingerprint(quarantine, header_names) {
+            quarantine.record_response(request, Instant::now());
+        }
     }
 
     /// Whether an upstream has ended under this request, so that it is sent to one at a time.
@@ -105,12 +125,8 @@
         ctx: &ExecutionContext<'_, C, P>,
     ) -> RunKnowledge {
         match outcome {
-            OutcomeKind::Answered => {
-                if let Some(request) = self.suspect_fingerprint(ctx) {
-                    ctx.quarantine.record_response(request, Instant::now());
-                }
-                RunKnowledge::Known
-            }
+            // The run ends with the body of the response.
+            OutcomeKind::Answered => RunKnowledge::Known,
             OutcomeKind::Unknown(UnknownCause::ConnectionBroken) => {
                 if has_ended(upstream, ctx).await && self.reaches_another(upstream, ctx).await {
                     self.record_crash(upstream, ctx);
--- a/src/request/data_plane.rs
+++ b/src/request/data_plane.rs
@@ -10,14 +10,15 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TE, TRANSFER_ENCODING, UPGRADE};
 use http::request::Parts;
-use http::{HeaderMap, HeaderName, HeaderValue, Response, Uri};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, Uri};
 use http_body::Body;
 use tokio::sync::oneshot;
 use tokio_util::task::TaskTracker;
 
 use crate::balance::{PathMonitor, UpstreamPicker};
 use crate::core::{
-    Criticality, InflightGuard, PartIndex, ResultCode, SharedSnapshot, UPSTREAM_HEADER,
+    Criticality, HeaderNames, InflightGuard, PartIndex, ResultCode, SharedSnapshot,
+    UPSTREAM_HEADER, UpstreamState,
 };
 use crate::ledger::ClaimLedger;
 use crate::limits::{
@@ -29,6 +30,7 @@
 use crate::request::attempt::UpstreamClient;
 use crate::request::attempt_trace::AttemptTrace;
 use crate::request::authentication::set_tenant_headers;
+use crate::request::body_watch::BodyWatch;
 use crate::request::crash_watch::CallerAddress;
 use crate::request::execution::{
     ExecutionContext, ExecutionFailure, ExecutionOutcome, RepeatBudgetShare, RequestExecution,
@@ -41,8 +43,8 @@
 use crate::request::load_check::LoadChecker;
 use crate::request::refusal_log::RefusalLog;
 use crate::request::response::{
-    CallerResponse, RESERVED_RESPONSE_HEADERS, ResponseBody, ResponseStream, error_response,
-    error_response_retry_after, limit_claim_to_this_send, set_retry_after,
+    BodyObserver, CallerResponse, RESERVED_RESPONSE_HEADERS, ResponseBody, ResponseStream,
+    error_response, error_response_retry_after, limit_claim_to_this_send, set_retry_after,
     unclaimed_error_response,
 };
 use crate::request::run_watch::RunWatch;
@@ -66,6 +68,18 @@
 pub struct ResponseGuard {
     _inflight: InflightGuard,
     _permit: Option<GatePermit>,
+    /// None once the end of the body is known, and for responses of a peer, which watches the upstream.
+    watch: Option<Box<BodyWatch>>,
+}
+
+impl BodyObserver for ResponseGuard {
+    fn record_whole_body(&mut self) {
+        self.watch.record_whole_body();
+    }
+
+    fn record_broken_body(&mut self) {
+        self.watch.record_broken_body();
+    }
 }
 
 /// Components that run requests, shared with the tasks of keyed requests.
@@ -76,6 +90,8 @@
     active: SharedSnapshot,
     pub(super) freshness: Arc<ConfigFreshness>,
     pub(super) settings: ExecutionSettings,
+    /// Those of the settings, for what outlives the request.
+    header_names: Arc<HeaderNames>,
     load_checker: Option<LoadChecker>,
     quarantine: Arc<QuarantineTable>,
     runs: Arc<RunWatch>,
@@ -122,7 +138,9 @@
         settings: ExecutionSettings,
     ) -> Self {
         let load_checker = settings.load_checks.clone().map(LoadChecker::new);
+        let header_names = Arc::new(settings.headers.clone());
         let core = Arc::new(DataPlaneCore {
+            header_names,
             client,
             picker,
             active: Arc::clone(&snapshot),
@@ -258,9 +276,15 @@
         log_entry.write(&outcome);
         drop(log_entry);
         match outcome {
-            ExecutionOutcome::Answered { response: answered, inflight, upstream } => {
+            ExecutionOutcome::Answered { response: answered, inflight, upstream, is_forwarded } => {
                 record_transfer_size(&execution, &answered.response);
-                let guard = ResponseGuard { _inflight: inflight, _permit: permit };
+                let status = answered.response.status();
+                let mut watch =
+                    (!is_forwarded).then(|| self.watch_body(execution, &upstream, status));
+                if answered.response.body().is_end_stream() {
+                    watch.record_whole_body();
+                }
+                let guard = ResponseGuard { _inflight: inflight, _permit: permit, watch };
                 let mut response = answered
                     .response
                     .map(|body| ResponseBody::Stream(ResponseStream::new(body, deadline, guard)));
@@ -287,6 +311,23 @@
         }
     }
 
+    /// Watches the body of an upstream's response.
+    fn watch_body(
+        &self,
+        execution: RequestExecution,
+        upstream: &Arc<UpstreamState>,
+        status: StatusCode,
+    ) -> Box<BodyWatch> {
+        Box::new(BodyWatch {
+            execution,
+            upstream: Arc::clone(upstream),
+            quarantine: Arc::clone(&self.core.quarantine),
+            runs: Arc::clone(&self.core.runs),
+            header_names: Arc::clone(&self.core.header_names),
+            is_served: !status.is_server_error(),
+        })
+    }
+
     /// Waits for a permit of the route's limit; returns none at once if the limit is disabled.
     async fn acquire_permit(
         &self,
--- a/src/request/execution.rs
+++ b/src/request/execution.rs
@@ -128,6 +128,8 @@
         inflight: InflightGuard,
         /// The upstream, or the peer to which the request was forwarded.
         upstream: Arc<UpstreamState>,
+        /// Whether it is a peer.
+        is_forwarded: bool,
     },
     /// There is no response to forward.
     Failed(ExecutionFailure),
@@ -157,6 +159,8 @@
     pub(super) failure: Option<ExecutionFailure>,
     /// The upstream, or the peer.
     pub(super) upstream: Arc<UpstreamState>,
+    /// Whether it is a peer.
+    pub(super) is_forwarded: bool,
 }
 
 /// Why peers have not taken a forwarded attempt.
@@ -436,6 +440,7 @@
             untaken: None,
             failure: None,
             upstream: prepared.upstream,
+            is_forwarded: false,
         }
     }
 
@@ -528,8 +533,15 @@
 ) -> ExecutionOutcome<B> {
     match last_response {
         Some(FinishedAttempt {
-            index: last, response: Some(response), inflight, upstream, ..
-        }) if last == index => ExecutionOutcome::Answered { response, inflight, upstream },
+            index: last,
+            response: Some(response),
+            inflight,
+            upstream,
+            is_forwarded,
+            ..
+        }) if last == index => {
+            ExecutionOutcome::Answered { response, inflight, upstream, is_forwarded }
+        }
         _ => ExecutionOutcome::Failed(ExecutionFailure {
             code: ResultCode::OutcomeUnknown,
             retry_after: None,
--- a/src/request/forward_attempt.rs
+++ b/src/request/forward_attempt.rs
@@ -196,6 +196,7 @@
             untaken,
             failure,
             upstream: peer,
+            is_forwarded: true,
         }
     }
 
--- a/src/request/keyed.rs
+++ b/src/request/keyed.rs
@@ -116,6 +116,8 @@
                 self.ledger.finish(grant, claim_outcome).await;
             }
             ExecutionOutcome::Answered { response: upstream, inflight, .. } => {
+                let ctx = self.context();
+                execution.record_whole_response(ctx.quarantine, &ctx.settings.headers);
                 let (mut head, body) = upstream.response.into_parts();
                 sanitize_response_headers(&mut head.headers);
                 let (mut relay, relayed) = ResponseRelay::new(body, MAX_STORED_BODY_BYTES);
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -15,6 +15,7 @@
 mod attempt_reporter;
 mod attempt_trace;
 mod authentication;
+mod body_watch;
 mod classify;
 mod crash_watch;
 mod data_plane;
@@ -68,8 +69,9 @@
 pub use self::refusal_log::RefusalLog;
 pub use self::request_decision::RequestDecision;
 pub use self::response::{
-    CallerResponse, ResponseBody, ResponseBodyError, ResponseStream, RetryAfterFormat,
-    error_response, error_response_retry_after, is_not_run, unclaimed_error_response,
+    BodyObserver, CallerResponse, ResponseBody, ResponseBodyError, ResponseStream,
+    RetryAfterFormat, error_response, error_response_retry_after, is_not_run,
+    unclaimed_error_response,
 };
 pub use self::response_relay::RelayedBody;
 pub use self::run_watch::{RunCheck, RunId, RunWatch, WatchedRun};
--- a/src/request/response.rs
+++ b/src/request/response.rs
@@ -62,6 +62,21 @@
     Relayed(ResponseStream<RelayedBody<B>, ()>),
 }
 
+/// Observes how the body of a response ends.
+pub trait BodyObserver {
+    /// The upstream has sent all of it.
+    fn record_whole_body(&mut self);
+
+    /// The upstream has broken it off.
+    fn record_broken_body(&mut self);
+}
+
+impl BodyObserver for () {
+    fn record_whole_body(&mut self) {}
+
+    fn record_broken_body(&mut self) {}
+}
+
 /// Body of an upstream's response, streamed to the caller until the deadline of the request.
 #[derive(Debug)]
 pub struct ResponseStream<B, G> {
@@ -69,22 +84,28 @@
     deadline: Instant,
     /// Created when the stream first has to wait; most responses never do.
     timer: Option<Pin<Box<Sleep>>>,
-    _guard: G,
+    guard: G,
 }
 
 impl<B, G> ResponseStream<B, G> {
     /// Creates the stream of a response that must be complete by `deadline`.
     pub fn new(body: B, deadline: Instant, guard: G) -> Self {
-        Self { body, deadline, timer: None, _guard: guard }
+        Self { body, deadline, timer: None, guard }
     }
 }
 
-impl<B: Body<Data = Bytes> + Unpin, G> ResponseStream<B, G> {
+impl<B: Body<Data = Bytes> + Unpin, G: BodyObserver> ResponseStream<B, G> {
     fn poll_frame_or_deadline(
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<ResponseFrame<B::Error>>> {
         if let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) {
+            match &frame {
+                Some(Err(_)) => self.guard.record_broken_body(),
+                // The server does not ask for the end of a body whose length it knows.
+                Some(Ok(_)) if !self.body.is_end_stream() => {}
+                Some(Ok(_)) | None => self.guard.record_whole_body(),
+            }
             return Poll::Ready(frame.map(|frame| match frame {
                 Ok(frame) => Ok(strip_reserved_trailers(frame)),
                 Err(error) => Err(ResponseBodyError::Upstream(error)),
@@ -110,7 +131,7 @@
 impl<B, G> Body for ResponseBody<B, G>
 where
     B: Body<Data = Bytes> + Unpin,
-    G: Unpin,
+    G: BodyObserver + Unpin,
 {
     type Data = Bytes;
     type Error = ResponseBodyError<B::Error>;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::disallowed_methods, reason = "tests read what they have sent")]
 
 mod addresses;
+mod broken_bodies;
 mod caller_departure;
 mod classify;
 mod client;
