serve: free the future of a request when its response begins

Cause: hyper keeps the future of the service inline in the connection, so each connection had room for that of a whole request while a response was being read, and between requests.

Change: the future is boxed; its memory is freed when the response begins.

--- a/src/serve/caller_server.rs
+++ b/src/serve/caller_server.rs
@@ -169,7 +169,9 @@
             let mut request = Request::from_parts(parts, body);
             request.extensions_mut().insert(caller);
             let (proxy, queue) = (Arc::clone(&proxy), Arc::clone(&queue));
-            async move {
+            // Boxed, because the connection keeps room for this future for as long as it lives, also while
+            // a response is being read and between requests.
+            Box::pin(async move {
                 let mut response = Arc::clone(&proxy).serve_request(request, origin, early).await?;
                 // Upstreams already run the requests that were started ahead, so the last of them
                 // closes the connection of a leaving entry.
@@ -177,7 +179,7 @@
                     response.headers_mut().remove(CONNECTION);
                 }
                 Ok::<_, Infallible>(response)
-            }
+            })
         });
         let stream = WriteTimeoutStream::new(stream, self.settings.write_timeout);
         let builder = self.connection_builder();
