load: keep the refusing port of a test from other tests

Cause: the first test closed a listener and took its port for one that refuses connections. The second one, which ran at the same time, got the port for an upstream: seven requests of the first test ran there, and one was shed.

Change: the port stays bound by a socket that does not listen, so connections are refused and nobody else gets it. The checks are as they were.

--- a/tests/testsuite/load.rs
+++ b/tests/testsuite/load.rs
@@ -1,6 +1,6 @@
 //! Load tests against a deployment that runs in the test's process.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use heatherfall::ops::dev::{DevDeployment, DevSettings, ServiceSize};
@@ -8,6 +8,7 @@
     self, LoadTestComparison, LoadTestReport, LoadTestSettings, WorkloadMix, write_plot,
 };
 use heatherfall_standins::upstream::UpstreamBehaviour;
+use tokio::net::TcpSocket;
 
 async fn deployment() -> DevDeployment {
     let service = |app| ServiceSize { app, targets: 8, slots: 4 };
@@ -69,9 +70,10 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_caller_whose_address_refuses_connections_uses_the_next_one() {
     let deployment = deployment().await;
-    let closed = TcpListener::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).expect("binds");
+    // Bound until the end of the test, so that no other test listens on the port; not listening itself.
+    let closed = TcpSocket::new_v4().expect("a socket");
+    closed.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).expect("binds");
     let closed_addr = closed.local_addr().expect("address");
-    drop(closed);
     let settings = LoadTestSettings {
         targets: vec![closed_addr, deployment.nodes[0].caller_addr()],
         ..settings(&deployment)
@@ -80,6 +82,7 @@
     assert_eq!(report.failed(), 0, "{report}");
     assert!(report.answered() > 0);
     deployment.stop().await;
+    drop(closed);
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
