request: drop the content of a request when its response begins

Found while reading the diff: BodyWatch kept the whole request until its response had been read, with a content of up to the limit of a body, while the budget for bodies had been given back. A caller that uploads and reads slowly would have cost memory beyond the budget.

Change: the digest of the content is kept in its place.

Result: broken_bodies::the_content_of_a_request_is_dropped_when_its_response_begins fails before the change; 25 tests of crashes and broken bodies pass.

--- a/src/request/body_watch.rs
+++ b/src/request/body_watch.rs
@@ -20,7 +20,10 @@
 /// The run of a request whose response is being sent.
 #[derive(Debug)]
 pub(super) struct BodyWatch {
+    /// The request, without its content: a response may take much longer than the request.
     pub(super) execution: RequestExecution,
+    /// Digest of the content.
+    pub(super) content: u64,
     pub(super) upstream: Arc<UpstreamState>,
     pub(super) quarantine: Arc<QuarantineTable>,
     pub(super) runs: Arc<RunWatch>,
@@ -32,12 +35,13 @@
 impl BodyObserver for Option<Box<BodyWatch>> {
     fn record_whole_body(&mut self) {
         let Some(watch) = self.take().filter(|watch| watch.is_served) else { return };
-        watch.execution.record_whole_response(&watch.quarantine, &watch.header_names);
+        let BodyWatch { execution, content, quarantine, header_names, .. } = &*watch;
+        execution.record_whole_response(*content, quarantine, header_names);
     }
 
     fn record_broken_body(&mut self) {
         let Some(watch) = self.take() else { return };
-        let request = watch.execution.request_fingerprint(&watch.header_names);
+        let request = watch.execution.fingerprint_of_content(watch.content, &watch.header_names);
         let (upstream, began) = (Arc::clone(&watch.upstream), watch.execution.started);
         let ended_at = Some(Instant::now());
         watch.runs.insert(WatchedRun { request, upstream, began, ended_at });
--- a/src/request/crash_watch.rs
+++ b/src/request/crash_watch.rs
@@ -69,29 +69,30 @@
         &self,
         ctx: &ExecutionContext<'_, C, P>,
     ) -> Option<RequestFingerprint> {
-        self.recorded_fingerprint(ctx.quarantine, &ctx.settings.headers)
-    }
-
-    fn recorded_fingerprint(
-        &self,
-        quarantine: &QuarantineTable,
-        header_names: &HeaderNames,
-    ) -> Option<RequestFingerprint> {
-        if quarantine.is_empty() {
+        if ctx.quarantine.is_empty() {
             return None;
         }
-        let target = self.target_digest();
-        quarantine.has_target(target).then(|| self.fingerprint(target, header_names))
+        let (target, header_names) = (self.target_digest(), &ctx.settings.headers);
+        let is_recorded = ctx.quarantine.has_target(target);
+        is_recorded.then(|| self.fingerprint(target, content_digest(&self.body), header_names))
+    }
+
+    /// Drops the content of the request, and returns its digest.
+    pub(super) fn take_content(&mut self) -> u64 {
+        content_digest(&std::mem::take(&mut self.body))
     }
 
-    /// Records that an upstream has answered the request, which shows that it does not crash those that
-    /// run it.
+    /// Records that an upstream has answered the request, whose content has this digest. That shows that
+    /// it does not crash those that run it.
     pub(super) fn record_whole_response(
         &self,
+        content: u64,
         quarantine: &QuarantineTable,
         header_names: &HeaderNames,
     ) {
-        if let Some(request) = self.recorded_fingerprint(quarantine, header_names) {
+        let target = self.target_digest();
+        if !quarantine.is_empty() && quarantine.has_target(target) {
+            let request = self.fingerprint(target, content, header_names);
             quarantine.record_response(request, Instant::now());
         }
     }
@@ -103,17 +104,31 @@
 
     /// Fingerprint of the request.
     pub(super) fn request_fingerprint(&self, header_names: &HeaderNames) -> RequestFingerprint {
-        self.fingerprint(self.target_digest(), header_names)
+        self.fingerprint_of_content(content_digest(&self.body), header_names)
+    }
+
+    /// Fingerprint of the request, whose content has this digest.
+    pub(super) fn fingerprint_of_content(
+        &self,
+        content: u64,
+        header_names: &HeaderNames,
+    ) -> RequestFingerprint {
+        self.fingerprint(self.target_digest(), content, header_names)
     }
 
-    fn fingerprint(&self, target: u64, header_names: &HeaderNames) -> RequestFingerprint {
+    fn fingerprint(
+        &self,
+        target: u64,
+        content: u64,
+        header_names: &HeaderNames,
+    ) -> RequestFingerprint {
         let caller = self.caller.map(|caller| caller.0.to_string()).unwrap_or_default();
         let traits = RequestTraits {
             query: digest([self.uri.query().unwrap_or_default().as_bytes()]) as u32,
             caller: digest([caller.as_bytes()]) as u32,
             headers: self.headers_digest(header_names),
         };
-        RequestFingerprint { target, content: content_digest(&self.body), traits }
+        RequestFingerprint { target, content, traits }
     }
 
     /// Records whether the attempt at `upstream` ended with it, or showed that the request does not
@@ -188,7 +203,7 @@
     }
 
     fn record_crash<C, P>(&self, upstream: &UpstreamState, ctx: &ExecutionContext<'_, C, P>) {
-        let request = self.fingerprint(self.target_digest(), &ctx.settings.headers);
+        let request = self.request_fingerprint(&ctx.settings.headers);
         let digest = lifetime_digest(upstream);
         let effect = ctx.quarantine.record_crash(request, digest, Instant::now());
         let id = self.headers.get(&ctx.settings.headers.request_id);
@@ -233,7 +248,7 @@
     );
 }
 
-fn content_digest(body: &Bytes) -> u64 {
+pub(super) fn content_digest(body: &Bytes) -> u64 {
     let length = (body.len() as u64).to_be_bytes();
     digest([&length, &body[..body.len().min(MAX_DIGESTED_BYTES)]])
 }
--- a/src/request/data_plane.rs
+++ b/src/request/data_plane.rs
@@ -314,12 +314,14 @@
     /// Watches the body of an upstream's response.
     fn watch_body(
         &self,
-        execution: RequestExecution,
+        mut execution: RequestExecution,
         upstream: &Arc<UpstreamState>,
         status: StatusCode,
     ) -> Box<BodyWatch> {
+        let content = execution.take_content();
         Box::new(BodyWatch {
             execution,
+            content,
             upstream: Arc::clone(upstream),
             quarantine: Arc::clone(&self.core.quarantine),
             runs: Arc::clone(&self.core.runs),
--- a/src/request/keyed.rs
+++ b/src/request/keyed.rs
@@ -23,6 +23,7 @@
 use crate::membership::ConfigFreshness;
 use crate::request::attempt::{UpstreamClient, is_final_status};
 use crate::request::attempt_trace::AttemptTrace;
+use crate::request::crash_watch::content_digest;
 use crate::request::data_plane::{DataPlaneCore, PlaneResponse, sanitize_response_headers};
 use crate::request::execution::{ExecutionFailure, ExecutionOutcome, RequestExecution};
 use crate::request::response::{
@@ -117,7 +118,11 @@
             }
             ExecutionOutcome::Answered { response: upstream, inflight, .. } => {
                 let ctx = self.context();
-                execution.record_whole_response(ctx.quarantine, &ctx.settings.headers);
+                execution.record_whole_response(
+                    content_digest(&execution.body),
+                    ctx.quarantine,
+                    &ctx.settings.headers,
+                );
                 let (mut head, body) = upstream.response.into_parts();
                 sanitize_response_headers(&mut head.headers);
                 let (mut relay, relayed) = ResponseRelay::new(body, MAX_STORED_BODY_BYTES);
--- a/tests/testsuite/broken_bodies.rs
+++ b/tests/testsuite/broken_bodies.rs
@@ -138,6 +138,19 @@
     assert!(runs.is_idle());
 }
 
+/// Guards against memory that an upload takes until its response has been read, beyond the budget for
+/// bodies, which has been given back by then.
+#[tokio::test(start_paused = true)]
+async fn the_content_of_a_request_is_dropped_when_its_response_begins() {
+    let fixture = BrokenFixture::new();
+    let (parts, ()) = Request::post("/read").body(()).unwrap().into_parts();
+    let admitted = fixture.plane.admit(&parts).unwrap();
+    let content = Bytes::from(vec![b'a'; 1 << 20]);
+    let response = fixture.plane.run(admitted, parts, content.clone()).await;
+    assert!(content.is_unique(), "the content is kept");
+    assert!(response.into_body().collect().await.is_ok());
+}
+
 /// Guards against the head of a response that clears a request before its body has come.
 #[tokio::test(start_paused = true)]
 async fn only_a_whole_body_clears_a_request() {
