enrolment: let no other test decide when a test's entries broadcast

Cause: exchange_messages decides by a counter that all tests of the process share which round is a broadcast. Tests that run at the same time take numbers out of each other's count, so the broadcasts of one test may stay out for long, and its entries read for themselves.

Change: rounds are counted in each call. The sequence of the messages stays shared, since a later process of an entry must go on from the former one. The checks and bounds are as they were.

--- a/tests/testsuite/enrolment.rs
+++ b/tests/testsuite/enrolment.rs
@@ -88,8 +88,11 @@
         by_address.insert(running.registration.peer_address, running);
     }
     let until = Instant::now() + time;
+    // Of this call: the sequence also counts the messages of other tests, which run at the same time.
+    let mut round = 0_u64;
     while Instant::now() < until {
         tokio::time::sleep(MESSAGE_INTERVAL).await;
+        round += 1;
         let sequence = SEQUENCE.fetch_add(1, Ordering::Relaxed);
         for sender in entries {
             if sender.entry.state.message_keys().is_none() {
@@ -98,7 +101,7 @@
             let changes = sender.entry.state.take_changes();
             let has_announced = sender.has_announced.replace(sender.entry.state.is_enrolled());
             let is_news = !changes.is_empty() || sender.has_announced.get() != has_announced;
-            let is_broadcast = sequence.is_multiple_of(MESSAGES_PER_BROADCAST) || is_news;
+            let is_broadcast = round.is_multiple_of(MESSAGES_PER_BROADCAST) || is_news;
             let scope =
                 if is_broadcast { MessageScope::All } else { MessageScope::LeaderCandidates };
             let message = sender.message(sequence);
