--- a/src/request/forward_gate.rs
+++ b/src/request/forward_gate.rs
@@ -21,8 +21,8 @@
 pub enum ForwardRefusal {
     /// This entry has no path to the upstreams either.
     NoPath,
-    /// The request was admitted under another generation than the active one, which decides about it
-    /// otherwise or cannot tell.
+    /// The request was admitted under another generation than the active one. The two decide about it
+    /// differently, or the sender did not say what its generation decides.
     OtherGeneration,
     /// This entry is leaving, and may end before the request does.
     Leaving,
@@ -66,7 +66,7 @@
 pub enum ForwardAdmissionError {
     /// Another peer may take it.
     Refused(ForwardRefusal),
-    /// Its caller is refused, under the sender's generation.
+    /// The caller is refused with this code. Sender and receiver have the same generation.
     Failed(ResultCode),
 }
 
--- a/src/request/forward_table.rs
+++ b/src/request/forward_table.rs
@@ -133,7 +133,8 @@
         None
     }
 
-    /// Passes over a peer for some time; longer if it could not be reached when that was last over.
+    /// Passes over a peer for one second. One that is unreachable again after such a time is passed over
+    /// for twice as long, up to 16 seconds.
     pub(super) fn pass_over(&self, peer: SocketAddr, cause: PassOverCause) {
         let now = Instant::now();
         let mut state = self.lock();
--- a/src/serve/pipeline/read_ahead.rs
+++ b/src/serve/pipeline/read_ahead.rs
@@ -148,7 +148,8 @@
         lock(&self.queue).close();
     }
 
-    /// Drops what the server has not read: nobody waits for it.
+    /// Records that the caller has closed the connection, and drops the bytes that the server has not
+    /// read.
     fn end_connection(&mut self) {
         self.is_eof = true;
         self.buffer = BytesMut::new();
--- a/tests/testsuite/broken_bodies.rs
+++ b/tests/testsuite/broken_bodies.rs
@@ -102,7 +102,7 @@
         response.into_body().collect().await.is_ok()
     }
 
-    /// Lets all upstreams that are asked be found ended; the requests that they ran.
+    /// Reports all upstreams that are due for a check as ended; returns the requests of their runs.
     fn find_ended(&self) -> Vec<RequestFingerprint> {
         let (runs, now) = (self.plane.runs(), Instant::now());
         for upstream in runs.upstreams_to_check(now) {
