--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -1,6 +1,7 @@
 //! Cases of the third review, each with its stand-ins. Without dependencies.
 
 mod client;
+mod copy;
 mod entry;
 mod http;
 mod json;
@@ -24,6 +25,7 @@
     };
     let folder = PathBuf::from(folder);
     let verdict = match case.as_str() {
+        "copy" => copy::run(folder),
         "junk" => junk::run(folder),
         _ => return ExitCode::from(2),
     };
--- a/review/harness-3/target.rs
+++ b/review/harness-3/target.rs
@@ -13,6 +13,8 @@
 use crate::store::Store;
 
 pub const SLOTS: u32 = 4;
+/// Body of an answer without a length.
+pub const WHOLE_BYTES: usize = 4000;
 
 /// How a target treats requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -28,6 +30,9 @@
     Sheds(u32),
     /// Runs requests for 40 ms, and breaks off each answer of this number.
     BreaksOff(u32),
+    /// Answers one in so many requests without a length, with this version of HTTP, and resets the
+    /// connection halfway; runs the others for 20 ms.
+    ResetsUnframed(&'static str, u32),
 }
 
 /// One run of a request.
@@ -154,6 +159,23 @@
                 connection.write(&answer[..answer.len() - 2000])?;
                 Err(io::ErrorKind::ConnectionAborted.into())
             }
+            Mode::ResetsUnframed(version, every) => {
+                let number = self.served.fetch_add(1, Ordering::SeqCst) + 1;
+                if number % every != 0 {
+                    return self.run(connection, &mut message, &id, 20);
+                }
+                self.record.line(&format!("{} runs {id}, its answer is reset", self.instance));
+                let run = Run { instance: self.instance.clone(), at: Instant::now() };
+                self.runs.lock().unwrap().entry(id.clone()).or_default().push(run);
+                let head = format!(
+                    "{version} 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: 3e1b.07.5a2\r\n\r\n"
+                );
+                connection.write(head.as_bytes())?;
+                connection.write(&[b'x'; WHOLE_BYTES / 2])?;
+                thread::sleep(Duration::from_millis(50));
+                // A connection that is closed with unread bytes, here the request's body, is reset.
+                Err(io::ErrorKind::ConnectionReset.into())
+            }
             Mode::Sheds(percent) => {
                 let number = self.served.fetch_add(1, Ordering::SeqCst);
                 // Evenly spread over the requests.
@@ -183,9 +205,7 @@
                     _ => Ok(()),
                 }
             }
-            Mode::Sound(time) => {
-                self.run(connection, &mut message, &id, time)
-            }
+            Mode::Sound(time) => self.run(connection, &mut message, &id, time),
         }
     }
 
