--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod json;
 mod junk;
+mod pipe;
 mod record;
 mod store;
 mod target;
@@ -26,6 +27,7 @@
     let folder = PathBuf::from(folder);
     let verdict = match case.as_str() {
         "copy" => copy::run(folder),
+        "pipe" => pipe::run(folder),
         "junk" => junk::run(folder),
         _ => return ExitCode::from(2),
     };
