--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -1,5 +1,6 @@
 //! Cases of the third review, each with its stand-ins. Without dependencies.
 
+mod budget;
 mod client;
 mod copy;
 mod entry;
@@ -15,6 +16,8 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use crate::budget::Trouble;
+
 /// Whether a case kept its rule.
 pub type Verdict = std::io::Result<bool>;
 
@@ -27,6 +30,8 @@
     let folder = PathBuf::from(folder);
     let verdict = match case.as_str() {
         "copy" => copy::run(folder),
+        "moves" => budget::run(folder, Trouble::Moves),
+        "kill" => budget::run(folder, Trouble::Kill),
         "pipe" => pipe::run(folder),
         "junk" => junk::run(folder),
         _ => return ExitCode::from(2),
