review: case 15, a reset answer of HTTP/1.0 looks complete to its caller

Cause: the version of a target's response is kept up to the caller. A response of version 1.0 without a length is sent on without chunked coding, and ends with the orderly end of the caller's connection even if the target's connection was reset.

Change: a script with a target that answers 5% of the requests in that form and resets the connection.

--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -11,6 +11,7 @@
 mod record;
 mod store;
 mod target;
+mod unframed;
 mod world;
 
 use std::path::PathBuf;
@@ -33,6 +34,7 @@
         "moves" => budget::run(folder, Trouble::Moves),
         "kill" => budget::run(folder, Trouble::Kill),
         "pipe" => pipe::run(folder),
+        "unframed" => unframed::run(folder),
         "junk" => junk::run(folder),
         _ => return ExitCode::from(2),
     };
