--- a/review/harness-3/budget.rs
+++ b/review/harness-3/budget.rs
@@ -98,9 +98,8 @@
         let used = count(&mut repeats.iter().copied(), from);
         // All requests of the route count for the service here, which is more than the rule asks, in
         // the busiest of the three windows.
-        let requests = [0, 5, 10].map(|back| {
-            count(&mut sent.iter().copied(), from - Duration::from_secs(back))
-        });
+        let requests = [0, 5, 10]
+            .map(|back| count(&mut sent.iter().copied(), from - Duration::from_secs(back)));
         let allowed = RATIO * requests.into_iter().fold(0.0, f64::max) + EXTRA;
         if used - allowed > worst.2 {
             worst = (used, allowed, used - allowed);
--- a/review/harness-3/entry.rs
+++ b/review/harness-3/entry.rs
@@ -76,7 +76,11 @@
         let at = |port| address(index, port);
         let text = format!(
             "{{\"vm\":\"{name}\",\"failure_domain\":\"{zone}\",\"listen\":{{\"callers\":\"{}\",\"ready\":\"{}\",\"directory\":\"{}\",\"control\":\"{}\",\"peers\":\"{}\"}},\"store\":\"{store}\",{settings}}}",
-            at(0), at(1), at(2), at(3), at(4)
+            at(0),
+            at(1),
+            at(2),
+            at(3),
+            at(4)
         );
         std::fs::write(folder.join("boot.conf"), text)?;
         let child = Arc::new(Mutex::new(start(&folder, "log.txt")?));
@@ -157,4 +161,3 @@
         }
     }
 }
-
--- a/review/harness-3/junk.rs
+++ b/review/harness-3/junk.rs
@@ -19,7 +19,9 @@
 /// A registration whose slots are a list in place of a number.
 fn entry(address: &str) -> String {
     let (start, end) = (
-        format!("{{\"service\":\"lookup\",\"address\":\"{address}\",\"zone\":\"hcm-a\",\"slots\":["),
+        format!(
+            "{{\"service\":\"lookup\",\"address\":\"{address}\",\"zone\":\"hcm-a\",\"slots\":["
+        ),
         "{}],\"state\":\"ready\",\"sequence\":1}",
     );
     let item = "{\"t\":17,\"n\":3},";
--- a/review/harness-3/pipe.rs
+++ b/review/harness-3/pipe.rs
@@ -69,7 +69,10 @@
                         kept = Some(connection);
                         continue;
                     }
-                    record.line(&format!("client: closed before {:?} were answered", &ids[answered..]));
+                    record.line(&format!(
+                        "client: closed before {:?} were answered",
+                        &ids[answered..]
+                    ));
                     if is_kept {
                         unanswered.lock().unwrap().extend_from_slice(&ids[answered..]);
                     }
--- a/review/harness-3/store.rs
+++ b/review/harness-3/store.rs
@@ -183,7 +183,10 @@
             "GET" => {
                 let since = query(&path, "watch").and_then(|since| since.parse().ok());
                 let Some(since) = since else {
-                    return ("200 OK", state.list(kind, &query(&path, "after").unwrap_or_default()));
+                    return (
+                        "200 OK",
+                        state.list(kind, &query(&path, "after").unwrap_or_default()),
+                    );
                 };
                 if since > state.revision {
                     return ("410 Gone", "{}".to_owned());
--- a/review/harness-3/world.rs
+++ b/review/harness-3/world.rs
@@ -81,7 +81,11 @@
                 targets.push(target);
             }
         }
-        store.put("config", "main", &config(Routes { version: 7, look: "lookup", pay: "packs", attempts: 4 }));
+        store.put(
+            "config",
+            "main",
+            &config(Routes { version: 7, look: "lookup", pay: "packs", attempts: 4 }),
+        );
         let mut entries = Vec::new();
         for index in 0..size.entries {
             let plan = EntryPlan {
@@ -94,9 +98,8 @@
         let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
         let world = Self { record, store, targets, arrivals, runs, entries, has_trouble };
         world.record.line(&format!("trouble: {}", world.has_trouble));
-        let is_ready = wait_until(Duration::from_secs(20), || {
-            world.entries.iter().all(Entry::is_ready)
-        });
+        let is_ready =
+            wait_until(Duration::from_secs(20), || world.entries.iter().all(Entry::is_ready));
         if !is_ready {
             return Err(io::Error::other("the entries did not get ready"));
         }
