store: build only what is used of a stored object

Cause: the adapter turned the whole spec of each object into a tree of JSON values, dozens of times its text, and kept the trees of all pages until the list was complete, and with each change until other entries had it. A watch was read up to 64 MiB.

Change: each kind states the shape of what is used of it (SpecShape), and the one function that reads stored objects builds only that. The rest is checked as before and skipped; a value of another type stays one.

--- a/crates/heatherfall-platform-api/src/error.rs
+++ b/crates/heatherfall-platform-api/src/error.rs
@@ -24,6 +24,10 @@
     /// The call was sent and no response was received: a write may or may not have taken effect.
     #[error("response lost: {0}")]
     ResponseLost(String),
+    /// The response has more bytes than this and was not read to its end: a write may or may not have
+    /// taken effect.
+    #[error("response of more than {0} bytes")]
+    ResponseTooLong(usize),
     /// The platform rejected the call as malformed, or its response could not be parsed.
     #[error("protocol error: {0}")]
     Protocol(String),
@@ -32,7 +36,7 @@
 impl StoreError {
     /// Whether a write that failed with this error may have taken effect.
     pub fn is_effect_unknown(&self) -> bool {
-        matches!(self, Self::ResponseLost(_) | Self::Protocol(_))
+        matches!(self, Self::ResponseLost(_) | Self::ResponseTooLong(_) | Self::Protocol(_))
     }
 
     /// Whether the platform could not be reached, refused the call or did not respond.
--- a/crates/heatherfall-platform-api/src/lib.rs
+++ b/crates/heatherfall-platform-api/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod error;
 mod object;
+mod spec_shape;
 mod store;
 pub mod wire;
 
@@ -19,4 +20,5 @@
     LabelMap, ObjectDraft, ObjectEnvelope, ObjectList, Revision, StoreEra, StorePosition, VmList,
     VmRecord, VmState, WatchBatch, WatchEvent,
 };
+pub use crate::spec_shape::{FieldShape, SpecShape};
 pub use crate::store::{MAX_VALUE_BYTES, PlatformStore, Precondition, WatchRequest};
--- a/crates/heatherfall-standins/src/platform/http_api.rs
+++ b/crates/heatherfall-standins/src/platform/http_api.rs
@@ -162,7 +162,9 @@
         StoreError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
         StoreError::Compacted => StatusCode::GONE,
         StoreError::Protocol(_) => StatusCode::BAD_REQUEST,
-        StoreError::Unavailable(_) | StoreError::ResponseLost(_) => StatusCode::SERVICE_UNAVAILABLE,
+        StoreError::Unavailable(_)
+        | StoreError::ResponseLost(_)
+        | StoreError::ResponseTooLong(_) => StatusCode::SERVICE_UNAVAILABLE,
     };
     let body = match error {
         StoreError::Conflict(Some(object)) => serde_json::to_vec(&object).unwrap_or_default(),
--- a/src/fleet/enrolment.rs
+++ b/src/fleet/enrolment.rs
@@ -15,11 +15,13 @@
 use crate::fleet::codec::DeploymentCodec;
 use crate::fleet::fleet_metrics::StoreCall;
 use crate::fleet::peer_message::MessageKey;
-use crate::fleet::peer_table::EntryRegistration;
-use crate::fleet::roster::{DomainRoster, ROSTER_KIND, may_create};
+use crate::fleet::peer_table::{EntryRegistration, REGISTRATION_SHAPE};
+use crate::fleet::roster::{DomainRoster, ROSTER_KIND, ROSTER_SHAPE, may_create};
 use crate::fleet::state::FleetState;
 use crate::fleet::store_follower::MAX_BACKOFF;
-use crate::platform::{ObjectDraft, ObjectEnvelope, PlatformStore, Precondition, StoreError};
+use crate::platform::{
+    ObjectDraft, ObjectEnvelope, PlatformStore, Precondition, SpecShape, StoreError,
+};
 use crate::util::SeededRandom;
 
 /// Time from the message to the listed entries to the next look at the roster: time for the write,
@@ -48,6 +50,15 @@
 /// Length of a new key in words of 64 random bits.
 const KEY_WORDS: usize = 4;
 
+/// The part that entries use of the spec of an object of this kind: all of it unless they list the kind.
+pub fn spec_shape(kind: &str) -> SpecShape {
+    match kind {
+        ROSTER_KIND => ROSTER_SHAPE,
+        FORMER_ENTRY_KIND => REGISTRATION_SHAPE,
+        _ => SpecShape::Whole,
+    }
+}
+
 /// Consistency of a read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum ReadKind {
--- a/src/fleet/fleet_metrics.rs
+++ b/src/fleet/fleet_metrics.rs
@@ -239,7 +239,9 @@
             Err(StoreError::Compacted) => "compacted",
             Err(StoreError::Unavailable(_)) => "refused",
             Err(StoreError::ResponseLost(_)) => "lost",
-            Err(StoreError::TooLarge(_) | StoreError::Protocol(_)) => "error",
+            Err(
+                StoreError::TooLarge(_) | StoreError::ResponseTooLong(_) | StoreError::Protocol(_),
+            ) => "error",
         };
         self.calls.with_label_values(&[call.label(), outcome]).inc();
     }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -73,3 +73,5 @@
 mod view_gap;
 pub mod warm_up_shares;
 mod warm_ups;
+
+pub use self::enrolment::spec_shape;
--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -20,6 +20,7 @@
 use crate::fleet::roster::DomainRoster;
 use crate::fleet::warm_up_shares::WarmUpMembers;
 use crate::membership::{EntryRecord, EntryState, MembershipView, rendezvous_score};
+use crate::platform::{FieldShape, SpecShape};
 use crate::util::FastSet;
 
 pub use self::permit_peers::OwnPermitRole;
@@ -63,7 +64,14 @@
     All,
 }
 
-/// Registration of an entry in the store.
+/// Shape of an [`EntryRegistration`].
+pub(super) const REGISTRATION_SHAPE: SpecShape = SpecShape::Record(&[
+    FieldShape::scalar("failure_domain"),
+    FieldShape::scalar("caller_address"),
+    FieldShape::scalar("peer_address"),
+]);
+
+/// Registration of an entry in the store. [`REGISTRATION_SHAPE`] has its fields.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EntryRegistration {
     /// Failure domain of its VM.
--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -13,12 +13,18 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::load_update::name_digest;
-use crate::fleet::peer_table::EntryRegistration;
-use crate::platform::{ObjectEnvelope, Revision};
+use crate::fleet::peer_table::{EntryRegistration, REGISTRATION_SHAPE};
+use crate::platform::{FieldShape, ObjectEnvelope, Revision, SpecShape};
 
 /// Object kind of the rosters; their names are those of the failure domains.
 pub(super) const ROSTER_KIND: &str = "heatherfall-rosters";
 
+/// Shape of a [`RosterSpec`].
+pub(super) const ROSTER_SHAPE: SpecShape = SpecShape::Record(&[FieldShape {
+    name: "entries",
+    shape: SpecShape::Map(&REGISTRATION_SHAPE),
+}]);
+
 /// Binary logarithm of the number of groups that entries are divided into by their names.
 const CREATOR_GROUPS_LOG2: u32 = 5;
 
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -166,7 +166,7 @@
         };
         if let Err(error) = &result {
             self.record_failure(error);
-            if matches!(error, StoreError::Protocol(_)) {
+            if matches!(error, StoreError::Protocol(_) | StoreError::ResponseTooLong(_)) {
                 self.read_config_alone().await;
             }
         }
--- a/src/platform/json_client.rs
+++ b/src/platform/json_client.rs
@@ -20,9 +20,9 @@
 
 use heatherfall_platform_api::StoreError;
 
-use crate::util::read_limited;
+use crate::util::{LimitedBodyError, read_limited};
 
-/// Maximum size of a response body in bytes; a list holds many objects.
+/// Default maximum size of a response body in bytes; a list holds many objects.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
 /// A request to be sent.
@@ -91,13 +91,20 @@
     client: Arc<Mutex<HttpClient>>,
     address: SocketAddr,
     connect_timeout: Duration,
+    max_response_bytes: usize,
 }
 
 impl JsonClient {
     /// Creates a client, which connects on its first call.
     pub fn new(address: SocketAddr, connect_timeout: Duration) -> Self {
         let client = Arc::new(Mutex::new(new_client(connect_timeout)));
-        Self { client, address, connect_timeout }
+        Self { client, address, connect_timeout, max_response_bytes: MAX_RESPONSE_BYTES }
+    }
+
+    /// Sets the maximum size of a response body in bytes; without it, it is 64 MiB.
+    #[must_use]
+    pub fn with_max_response_bytes(self, max_response_bytes: usize) -> Self {
+        Self { max_response_bytes, ..self }
     }
 
     /// Sends a request and waits for the whole response.
@@ -108,7 +115,8 @@
     /// # Errors
     ///
     /// Returns [`StoreError::Unavailable`] if nothing was sent, and [`StoreError::ResponseLost`] if
-    /// the call may have had an effect.
+    /// the call may have had an effect, [`StoreError::ResponseTooLong`] also if the response is larger
+    /// than allowed.
     pub async fn call(
         &self,
         request: JsonRequest,
@@ -119,7 +127,8 @@
         let request = request.build(self.address)?;
         let client = self.client.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let mut reset = ConnectionReset { client: self, is_needed: true };
-        let result = match tokio::time::timeout(timeout, send(&client, request)).await {
+        let sent = send(&client, request, self.max_response_bytes);
+        let result = match tokio::time::timeout(timeout, sent).await {
             Ok(result) => result,
             Err(_) => Err(StoreError::ResponseLost(format!("no response within {timeout:?}"))),
         };
@@ -153,6 +162,7 @@
 async fn send(
     client: &HttpClient,
     request: Request<Full<Bytes>>,
+    max_response_bytes: usize,
 ) -> Result<JsonResponse, StoreError> {
     let response = client.request(request).await.map_err(|error| {
         if error.is_connect() {
@@ -162,8 +172,10 @@
         }
     })?;
     let (head, body) = response.into_parts();
-    let body = read_limited(body, MAX_RESPONSE_BYTES).await;
-    let body = body.map_err(|error| StoreError::ResponseLost(error.to_string()))?;
+    let body = read_limited(body, max_response_bytes).await.map_err(|error| match error {
+        LimitedBodyError::TooLong { max_bytes } => StoreError::ResponseTooLong(max_bytes),
+        LimitedBodyError::Broken(_) => StoreError::ResponseLost(error.to_string()),
+    })?;
     Ok(JsonResponse { status: head.status, headers: head.headers, body })
 }
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,9 +4,9 @@
 mod json_client;
 
 pub use heatherfall_platform_api::{
-    LabelMap, MAX_VALUE_BYTES, ObjectDraft, ObjectEnvelope, ObjectList, PlatformStore,
-    Precondition, Revision, StoreEra, StoreError, StorePosition, VmList, VmRecord, VmState,
-    WatchBatch, WatchEvent, WatchRequest,
+    FieldShape, LabelMap, MAX_VALUE_BYTES, ObjectDraft, ObjectEnvelope, ObjectList, PlatformStore,
+    Precondition, Revision, SpecShape, StoreEra, StoreError, StorePosition, VmList, VmRecord,
+    VmState, WatchBatch, WatchEvent, WatchRequest,
 };
 
 pub use self::http_store::{HttpStore, HttpStoreSettings};
