--- a/src/util/limited_body.rs
+++ b/src/util/limited_body.rs
@@ -12,6 +12,9 @@
 /// Largest body that a command-line tool reads, in bytes.
 pub const MAX_TOOL_BODY_BYTES: usize = 64 << 20;
 
+/// Most bytes that are allocated for a body before they have arrived.
+const MAX_RESERVED_BYTES: usize = 4 << 20;
+
 /// Why a body was not read to its end.
 #[derive(Debug, thiserror::Error)]
 pub enum LimitedBodyError {
@@ -35,7 +38,9 @@
 where
     B: Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>> + Unpin,
 {
-    let mut bytes = BytesMut::new();
+    // The announced length, so that a large body is not copied as its buffer grows.
+    let length = usize::try_from(body.size_hint().lower()).unwrap_or(max_bytes);
+    let mut bytes = BytesMut::with_capacity(length.min(max_bytes).min(MAX_RESERVED_BYTES));
     read_frames(body, max_bytes, |data| bytes.extend_from_slice(&data)).await?;
     Ok(bytes.freeze())
 }
