store: hold the timeout of a call for each page of a list

Callers saw: an entry that started beside 117 objects of 1 MB, most of them long texts, served nothing: it never read the upstreams (tried for 30 s in development and release builds, 39 pages).

Cause: the timeout of one call, 0.7 s, held for all pages of a list, so each try was given up though page after page arrived.

Change: PlatformStore counts the pages that it has received, and a list goes on while they come. A store that falls silent is given up as before.

--- a/crates/heatherfall-platform-api/src/store.rs
+++ b/crates/heatherfall-platform-api/src/store.rs
@@ -68,6 +68,12 @@
         self.list(kind, prefix)
     }
 
+    /// Number of pages of lists that have been received, by which a caller sees that a long list goes on.
+    /// A store that sends each list whole need not count them.
+    fn received_pages(&self) -> u64 {
+        0
+    }
+
     /// Writes labels and spec if `precondition` holds.
     fn put(
         &self,
--- a/src/fleet/enrolment.rs
+++ b/src/fleet/enrolment.rs
@@ -258,10 +258,11 @@
         let list = match kind {
             ReadKind::Relaxed => {
                 let list = self.store.list_relaxed(ROSTER_KIND, "");
-                self.state.call_store(StoreCall::Relaxed, list).await?
+                self.state.list_from_store(StoreCall::Relaxed, self.store, list).await?
             }
             ReadKind::Latest => {
-                self.state.call_store(StoreCall::List, self.store.list(ROSTER_KIND, "")).await?
+                let list = self.store.list(ROSTER_KIND, "");
+                self.state.list_from_store(StoreCall::List, self.store, list).await?
             }
         };
         if kind == ReadKind::Latest {
@@ -289,7 +290,7 @@
     /// Creates the roster with the live entries, and with those that a former version registered.
     async fn create_roster(&mut self) -> Result<(), StoreError> {
         let list = self.store.list_relaxed(FORMER_ENTRY_KIND, "");
-        let list = self.state.call_store(StoreCall::Relaxed, list).await?;
+        let list = self.state.list_from_store(StoreCall::Relaxed, self.store, list).await?;
         let mut entries = BTreeMap::new();
         for object in list.items {
             let Ok(registration) = serde_json::from_value::<EntryRegistration>(object.spec) else {
--- a/src/fleet/state/status.rs
+++ b/src/fleet/state/status.rs
@@ -1,7 +1,9 @@
 //! Store calls and positions as metrics and log lines.
 
+use std::pin::pin;
 use std::time::Duration;
 
+use tokio::time::error::Elapsed;
 use tokio::time::{Instant, timeout};
 
 use crate::fleet::codec::DeploymentCodec;
@@ -10,7 +12,7 @@
 use crate::fleet::state::{FleetState, lock};
 use crate::fleet::view::ViewChange;
 use crate::fleet::warm_ups::cold_upstreams;
-use crate::platform::{StoreError, StorePosition};
+use crate::platform::{ObjectList, PlatformStore, StoreError, StorePosition};
 
 /// How an entry has learned of a configuration.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -61,15 +63,47 @@
         self.call_store_within(call, self.read_schedule.call_timeout, response).await
     }
 
+    /// Awaits a list from `store`, with the timeout of the schedule for each of its pages, and counts it.
+    pub(in crate::fleet) async fn list_from_store<S: PlatformStore>(
+        &self,
+        call: StoreCall,
+        store: &S,
+        list: impl Future<Output = Result<ObjectList, StoreError>>,
+    ) -> Result<ObjectList, StoreError> {
+        let limit = self.read_schedule.call_timeout;
+        let mut list = pin!(list);
+        let mut pages = store.received_pages();
+        loop {
+            let ended = timeout(limit, list.as_mut()).await;
+            let is_going_on = store.received_pages() > pages;
+            pages = store.received_pages();
+            match ended {
+                Err(_) if is_going_on => {}
+                ended => return self.count_ended(call, limit, ended),
+            }
+        }
+    }
+
     /// Awaits a store call, with a timeout of `limit`, and counts it.
     pub(in crate::fleet) async fn call_store_within<T>(
         &self,
         call: StoreCall,
         limit: Duration,
         response: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let ended = timeout(limit, response).await;
+        self.count_ended(call, limit, ended)
+    }
+
+    /// Counts a store call that has ended or reached its timeout.
+    fn count_ended<T>(
+        &self,
+        call: StoreCall,
+        limit: Duration,
+        ended: Result<Result<T, StoreError>, Elapsed>,
     ) -> Result<T, StoreError> {
         let timed_out = || StoreError::ResponseLost(format!("no response within {limit:?}"));
-        let result = timeout(limit, response).await.unwrap_or_else(|_| Err(timed_out()));
+        let result = ended.unwrap_or_else(|_| Err(timed_out()));
         if let Some(metrics) = &self.metrics {
             metrics.count_call(call, &result);
         }
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -178,10 +178,8 @@
         let started = Instant::now();
         self.last_list_at = Some(started);
         let known = self.state.view().position();
-        let list = self
-            .state
-            .call_store(StoreCall::List, self.store.list(self.names().upstream_kind, ""))
-            .await?;
+        let list = self.store.list(self.names().upstream_kind, "");
+        let list = self.state.list_from_store(StoreCall::List, &*self.store, list).await?;
         self.record_success(started);
         self.state.record_store_position(list.position());
         if went_back(known, list.position()) {
@@ -218,7 +216,7 @@
     async fn list_relaxed(&mut self) -> Result<(), StoreError> {
         let names = self.names();
         let list = self.store.list_relaxed(names.upstream_kind, "");
-        let list = self.state.call_store(StoreCall::Relaxed, list).await?;
+        let list = self.state.list_from_store(StoreCall::Relaxed, &*self.store, list).await?;
         self.record_success(Instant::now());
         let known = self.state.view().position();
         if known.revision > 0 && list.era != known.era {
@@ -235,7 +233,8 @@
         let mut evacuations = None;
         if self.state.view().tracks_evacuations() {
             let list = self.store.list_relaxed(names.evacuation_kind, "");
-            evacuations = Some(self.state.call_store(StoreCall::Relaxed, list).await?);
+            evacuations =
+                Some(self.state.list_from_store(StoreCall::Relaxed, &*self.store, list).await?);
         }
         // The view changes only once all has been read: what a failed read leaves in the view is not
         // activated, and no later read finds it new.
--- a/src/fleet/store_follower/config_reads.rs
+++ b/src/fleet/store_follower/config_reads.rs
@@ -137,7 +137,7 @@
 
     async fn read_evacuations(&mut self, era: StoreEra) -> Result<(), StoreError> {
         let list = self.store.list(self.names().evacuation_kind, "");
-        let list = self.state.call_store(StoreCall::List, list).await?;
+        let list = self.state.list_from_store(StoreCall::List, &*self.store, list).await?;
         if list.era != era {
             return Err(restored_between_reads());
         }
