connection: never send a refused request on the same connection again

Cause: an upstream that has refused a request may send the refusal once more where the next response is expected. On the same connection it answers the second send of the request, since both sends have the same id.

Change: a pooled connection remembers the requests that were not answered by a success on it, and is not checked out for these again. Own attempts, hedges, requests of peers and keyed requests all use this pool. After 256 of them the connection is closed.

--- a/src/serve/http_client.rs
+++ b/src/serve/http_client.rs
@@ -29,6 +29,7 @@
     ConnectError, ConnectionPool, HttpUpstreamPool, PooledHttpConnection,
 };
 use crate::serve::pending_response::{LateResponseReader, PendingResponse};
+use crate::serve::upstream_pool::RequestDigest;
 
 /// The only transfer coding that delimits the body.
 const CHUNKED: &[u8] = b"chunked";
@@ -100,6 +101,10 @@
     fn is_echoed_by<B>(&self, response: &Response<B>) -> bool {
         response.headers().get(&self.header_names.request_id) == Some(&self.value)
     }
+
+    fn digest(&self) -> RequestDigest {
+        RequestDigest::of(self.value.as_bytes())
+    }
 }
 
 /// Pool that a connection was checked out of and is released to.
@@ -174,8 +179,13 @@
         match sent {
             Ok(response) => {
                 // The response to this request may still follow, so the connection must not be reused.
-                let is_own = request_id.is_none_or(|id| id.is_echoed_by(&response));
-                let held = held.filter(|_| is_own);
+                let is_own = request_id.as_ref().is_none_or(|id| id.is_echoed_by(&response));
+                let mut held = held.filter(|_| is_own);
+                if let Some((held, id)) = held.as_mut().zip(request_id)
+                    && !response.status().is_success()
+                {
+                    held.record_refusal(id.digest());
+                }
                 SendResult::Done(wrap_response(&method, response, held, origin, self.framing))
             }
             Err(mut error) => match error.take_message() {
@@ -236,9 +246,10 @@
         };
         let (connection_policy, deadline) = (request.connection, request.deadline);
         let mut request = http_request(request);
+        let digest = self.echoed_id(&request).map(|id| id.digest());
         let pooled = match connection_policy {
-            ConnectionPolicy::AnyPooled => origin.upstream_pool.checkout(),
-            ConnectionPolicy::NewOrVerified => origin.upstream_pool.checkout_verified(),
+            ConnectionPolicy::AnyPooled => origin.upstream_pool.checkout(digest),
+            ConnectionPolicy::NewOrVerified => origin.upstream_pool.checkout_verified(digest),
             ConnectionPolicy::New => None,
         };
         if let Some(held) = pooled {
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -33,5 +33,5 @@
 pub use self::proxy_service::{ProxyService, ProxySettings, RequestOrigin};
 pub use self::quota_metrics::QuotaMetrics;
 pub use self::upstream_pool::{
-    ConnectionPermit, Poolable, PooledConnection, UpstreamPool, UpstreamPoolSettings,
+    ConnectionPermit, Poolable, PooledConnection, RequestDigest, UpstreamPool, UpstreamPoolSettings,
 };
--- a/src/serve/upstream_pool.rs
+++ b/src/serve/upstream_pool.rs
@@ -4,6 +4,10 @@
 //! unresponsive without being closed, usually all that are open at that moment. So when one turns
 //! out to be unresponsive, all idle connections that have not been verified since its request was
 //! sent are closed together.
+//!
+//! An upstream may send a response once more where the next one is expected. A request that it has refused
+//! is therefore not sent again on the same connection: there, the copy of the refusal would look like
+//! the response to the second send, and has the same id.
 
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -11,10 +15,14 @@
 
 use tokio::time::Instant;
 
+use crate::util::fnv1a;
+
 /// Weight of the latest exchange in the moving average of exchange times.
 const EXCHANGE_TIME_WEIGHT: f64 = 0.1;
 /// A connection counts as unresponsive after this multiple of the average exchange time.
 const UNRESPONSIVE_FACTOR: f64 = 10.0;
+/// Refused requests that a connection remembers; with more it is closed. Each takes eight bytes.
+const MAX_REFUSED_REQUESTS: usize = 256;
 /// Number of steps over which the expiry of connections opened together is spread.
 const EXPIRY_STEPS: u32 = 16;
 
@@ -54,6 +62,17 @@
     fn is_open(&self) -> bool;
 }
 
+/// Identifies a request over all times that it is sent, by a digest of its id.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RequestDigest(u64);
+
+impl RequestDigest {
+    /// Digest of a request id (FNV-1a). That two requests share it costs a connection at most.
+    pub fn of(id: &[u8]) -> Self {
+        Self(fnv1a(id.iter().copied()))
+    }
+}
+
 /// Permit for one open connection; returned when dropped.
 #[derive(Debug)]
 pub struct ConnectionPermit {
@@ -76,10 +95,23 @@
     /// When its current or last exchange began.
     checked_out_at: Instant,
     expires: Instant,
+    /// Requests that the upstream has refused on this connection.
+    refused: Vec<RequestDigest>,
     _permit: ConnectionPermit,
 }
 
 impl<T> PooledConnection<T> {
+    /// Records that the upstream has refused a request on this connection, which must not be sent on it
+    /// again.
+    pub fn record_refusal(&mut self, request: RequestDigest) {
+        self.refused.push(request);
+    }
+
+    /// Whether `request` may be sent on this connection.
+    fn may_carry(&self, request: Option<RequestDigest>) -> bool {
+        request.is_none_or(|request| !self.refused.contains(&request))
+    }
+
     /// Whether the connection has completed an exchange.
     pub fn is_reused(&self) -> bool {
         self.verified_at.is_some()
@@ -136,36 +168,38 @@
         self.lock().idle.len()
     }
 
-    /// Checks out the most recently used idle connection that is open and has not expired.
-    pub fn checkout(&self) -> Option<PooledConnection<T>> {
+    /// Checks out the most recently used idle connection that is open, has not expired and may carry
+    /// `request`, if it has an id.
+    pub fn checkout(&self, request: Option<RequestDigest>) -> Option<PooledConnection<T>> {
         let now = Instant::now();
-        let mut closing = Vec::new();
         let mut state = self.lock();
-        let mut usable = None;
-        while let Some(mut pooled) = state.idle.pop() {
-            if pooled.connection.is_open() && self.is_unexpired(&pooled, now) {
-                pooled.checked_out_at = now;
-                usable = Some(pooled);
-                break;
-            }
-            closing.push(pooled);
-        }
+        let is_usable = |pooled: &PooledConnection<T>| {
+            pooled.connection.is_open() && self.is_unexpired(pooled, now)
+        };
+        let closing: Vec<_> = state.idle.extract_if(.., |pooled| !is_usable(pooled)).collect();
+        let position = state.idle.iter().rposition(|pooled| pooled.may_carry(request));
+        let mut usable = position.map(|position| state.idle.remove(position));
         drop(state);
+        drop(closing);
+        if let Some(pooled) = &mut usable {
+            pooled.checked_out_at = now;
+        }
         usable
     }
 
-    /// Checks out the most recently used idle connection if it completed an exchange within the
-    /// verified window.
-    pub fn checkout_verified(&self) -> Option<PooledConnection<T>> {
+    /// Checks out the most recently used idle connection that may carry `request`, if it completed an
+    /// exchange within the verified window.
+    pub fn checkout_verified(&self, request: Option<RequestDigest>) -> Option<PooledConnection<T>> {
         let now = Instant::now();
         let mut state = self.lock();
-        let latest = state.idle.last()?;
+        let position = state.idle.iter().rposition(|pooled| pooled.may_carry(request))?;
+        let latest = &state.idle[position];
         let is_verified =
             latest.verified_at.is_some_and(|at| now - at <= self.settings.verified_window);
         if !is_verified || !latest.connection.is_open() {
             return None;
         }
-        let mut pooled = state.idle.pop()?;
+        let mut pooled = state.idle.remove(position);
         pooled.checked_out_at = now;
         Some(pooled)
     }
@@ -200,19 +234,22 @@
             verified_at: None,
             checked_out_at: now,
             expires,
+            refused: Vec::new(),
             _permit: permit,
         }
     }
 
     /// Releases a connection to the pool after a complete exchange.
     ///
-    /// The connection is closed instead if more than `share` are open, if it has expired, or if
-    /// enough connections are idle.
+    /// The connection is closed instead if more than `share` are open, if it has expired, if it has
+    /// refused too many requests to remember, or if enough connections are idle.
     pub fn release(&self, mut pooled: PooledConnection<T>, share: u32) {
         let now = Instant::now();
         pooled.verified_at = Some(now);
         let latest = now.duration_since(pooled.checked_out_at).as_secs_f64();
-        let is_wanted = self.open_connections() <= share && now < pooled.expires;
+        let is_wanted = self.open_connections() <= share
+            && now < pooled.expires
+            && pooled.refused.len() < MAX_REFUSED_REQUESTS;
         let mut state = self.lock();
         state.mean_exchange_secs = match state.mean_exchange_secs {
             0.0 => latest,
--- a/tests/testsuite/connections.rs
+++ b/tests/testsuite/connections.rs
@@ -1,13 +1,15 @@
 //! Connection pool of an upstream: connection limit over all entries, expiry, and unresponsive
 //! connections.
 
-use std::sync::Arc;
+use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use heatherfall::limits::{EntryCountWindow, connection_share};
-use heatherfall::serve::{Poolable, UpstreamPool, UpstreamPoolSettings};
+use heatherfall::serve::{Poolable, RequestDigest, UpstreamPool, UpstreamPoolSettings};
 use heatherfall::util::SeededRandom;
+use proptest::prelude::*;
 use tokio::time::Instant;
 
 const MANY: u32 = 100;
@@ -45,8 +47,8 @@
     let pool = FakePool::new(UpstreamPoolSettings::default());
     fill(&pool, 6).await;
     tokio::time::advance(Duration::from_secs(5)).await;
-    let unresponsive = pool.checkout().expect("an idle connection");
-    let working = pool.checkout().expect("an idle connection");
+    let unresponsive = pool.checkout(None).expect("an idle connection");
+    let working = pool.checkout(None).expect("an idle connection");
     tokio::time::advance(Duration::from_millis(1)).await;
     pool.release(working, MANY);
     tokio::time::advance(Duration::from_millis(99)).await;
@@ -62,7 +64,7 @@
 async fn a_slow_response_or_a_new_connection_closes_no_others() {
     let pool = FakePool::new(UpstreamPoolSettings::default());
     fill(&pool, 3).await;
-    let cancelled = pool.checkout().expect("an idle connection");
+    let cancelled = pool.checkout(None).expect("an idle connection");
     tokio::time::advance(Duration::from_millis(20)).await;
     assert_eq!(pool.abandon(cancelled), 0);
     let permit = pool.reserve(MANY).expect("a permit");
@@ -81,7 +83,7 @@
     pool.trim(MANY);
     assert!((1..12).contains(&pool.idle_connections()), "{} left", pool.idle_connections());
     tokio::time::advance(settings.max_age.mul_f64(0.1)).await;
-    assert!(pool.checkout().is_none());
+    assert!(pool.checkout(None).is_none());
     assert_eq!(pool.open_connections(), 0);
 }
 
@@ -89,7 +91,7 @@
 async fn no_more_than_the_share_is_open_and_an_idle_connection_is_replaced() {
     let pool = FakePool::new(UpstreamPoolSettings::default());
     fill(&pool, 2).await;
-    let held = pool.checkout().expect("an idle connection");
+    let held = pool.checkout(None).expect("an idle connection");
     let permit = pool.reserve(2).expect("the idle connection is replaced");
     assert!(pool.reserve(2).is_none());
     assert_eq!(pool.open_connections(), 2);
@@ -110,10 +112,107 @@
     let held = pool.register(closed.clone(), pool.reserve(MANY).expect("a permit"));
     pool.release(held, MANY);
     closed.0.store(false, Ordering::Relaxed);
-    assert!(pool.checkout().is_none());
+    assert!(pool.checkout(None).is_none());
     assert_eq!(pool.open_connections(), 0);
 }
 
+/// What an upstream sends on a connection, and which send of which request it answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct SentRefusal {
+    request: u8,
+    send: usize,
+}
+
+/// A step of a request: it is sent and refused; it is sent and run; or a refusal that was sent earlier on
+/// one of the connections is sent once more where the next response is expected.
+#[derive(Clone, Copy, Debug)]
+enum SendStep {
+    Refused(u8),
+    Run(u8),
+    Copied(usize),
+}
+
+fn send_steps() -> impl Strategy<Value = Vec<SendStep>> {
+    let step = prop_oneof![
+        (0..3u8).prop_map(SendStep::Refused),
+        (0..3u8).prop_map(SendStep::Run),
+        (0..8usize).prop_map(SendStep::Copied),
+    ];
+    prop::collection::vec(step, 1..40)
+}
+
+/// A connection whose upstream repeats refusals; clones share its state.
+#[derive(Clone, Debug, Default)]
+struct RepeatingConnection {
+    /// Refusals that were sent on it.
+    sent: Arc<Mutex<Vec<SentRefusal>>>,
+    /// Bytes that come before the response to the next send.
+    copies: Arc<Mutex<VecDeque<SentRefusal>>>,
+}
+
+impl Poolable for RepeatingConnection {
+    fn is_open(&self) -> bool {
+        true
+    }
+}
+
+proptest! {
+    /// Guards against a copy of a refusal that is taken for the response to a later send of the same
+    /// request: the request would be called not run, or sent elsewhere, although it has run.
+    #[test]
+    fn a_refusal_is_credited_only_to_the_send_that_it_answers(
+        steps in send_steps(),
+        is_verified_only: bool,
+    ) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+        let _guard = runtime.enter();
+        let pool = UpstreamPool::new(UpstreamPoolSettings::default());
+        let mut connections: Vec<RepeatingConnection> = Vec::new();
+        let mut sends = 0;
+        for step in steps {
+            let (request, is_refused) = match step {
+                SendStep::Refused(request) => (request, true),
+                SendStep::Run(request) => (request, false),
+                SendStep::Copied(number) => {
+                    let sent = connections.iter().flat_map(|one| {
+                        one.sent.lock().unwrap().iter().map(|refusal| (one.clone(), *refusal))
+                            .collect::<Vec<_>>()
+                    });
+                    if let Some((one, refusal)) = sent.collect::<Vec<_>>().get(number) {
+                        one.copies.lock().unwrap().push_back(*refusal);
+                    }
+                    continue;
+                }
+            };
+            sends += 1;
+            let digest = RequestDigest::of(&[request]);
+            let pooled = if is_verified_only {
+                pool.checkout_verified(Some(digest))
+            } else {
+                pool.checkout(Some(digest))
+            };
+            let mut held = pooled.unwrap_or_else(|| {
+                connections.push(RepeatingConnection::default());
+                let connection = connections[connections.len() - 1].clone();
+                pool.register(connection, pool.reserve(MANY).expect("a permit"))
+            });
+            let own = SentRefusal { request, send: sends };
+            if is_refused {
+                held.connection.sent.lock().unwrap().push(own);
+            }
+            let copy = held.connection.copies.lock().unwrap().pop_front();
+            match copy {
+                // The response of another request: the connection is closed.
+                Some(copy) if copy.request != request => continue,
+                Some(copy) => prop_assert_eq!(copy, own, "the refusal of another send"),
+                None if !is_refused => {}
+                None => held.record_refusal(digest),
+            }
+            pool.release(held, MANY);
+        }
+    }
+}
+
 /// An entry that learns of joining and leaving entries with a delay.
 struct EntryModel {
     count: EntryCountWindow,
