limits: keep what a window counts when its service leaves the configuration

Cause: the budget of a service was dropped with the configuration that named it, and with it the repeats of the running window.

Change: a budget stays while it counts something within its window or a running request holds it, and an admission gate while a running request holds it.

--- a/src/limits/route_limits.rs
+++ b/src/limits/route_limits.rs
@@ -128,12 +128,15 @@
 }
 
 /// State that outlives a snapshot, so that a configuration change does not refill budgets.
+///
+/// What counts running requests, or repeats within a window, is kept until these have ended or left the
+/// window, also while no route of the configuration leads to it: the service may return before.
 #[derive(Debug, Default)]
 struct RetainedLimits {
     routes: FastMap<String, Arc<RouteLimits>>,
     /// By the name of the group.
     gates: FastMap<String, Arc<AdmissionGate>>,
-    /// By the upstream selector.
+    /// By the upstream selector. Bounded by the services that had requests within one window.
     window_budgets: FastMap<LabelSelector, Arc<WindowBudget>>,
     /// Allowance for repeats that replaced the one in the settings.
     allowance: Option<WindowAllowance>,
@@ -305,8 +308,9 @@
 }
 
 impl RetainedLimits {
-    /// Drops the state of routes, groups and services that `snapshot` does not have, and applies its
-    /// slots and the hedge allowance to the rest. Returns the indexes of the routes in use.
+    /// Drops the state of routes, groups and services that `snapshot` does not have, unless something
+    /// still counts there, and applies its slots and the hedge allowance to the rest. Returns the indexes
+    /// of the routes in use.
     fn retain_for(&mut self, snapshot: &ConfigSnapshot, groups: &[RouteGroup]) -> Vec<usize> {
         let mut used = Vec::new();
         let mut routes = FastMap::default();
@@ -325,7 +329,10 @@
                 gates.insert(name, gate);
             }
         }
-        (self.routes, self.gates) = (routes, gates);
+        // Requests that are running hold the limits of their routes, and these the gates.
+        self.routes = routes;
+        gates.extend(self.gates.extract_if(|_, gate| is_in_use(gate)));
+        self.gates = gates;
         if self.window_budgets.is_empty() && self.hedges.is_empty() {
             return used;
         }
@@ -335,12 +342,19 @@
             names.insert(&route.name);
             services.extend(service_selectors(route));
         }
-        self.window_budgets.retain(|selector, _| services.contains(selector));
+        self.window_budgets.retain(|selector, budget| {
+            services.contains(selector) || is_in_use(budget) || budget.has_counts()
+        });
         self.hedges.retain_for(&names, &services, self.hedging);
         used
     }
 }
 
+/// Whether someone else, such as a running request, holds the value.
+fn is_in_use<T>(value: &Arc<T>) -> bool {
+    Arc::strong_count(value) > 1
+}
+
 /// Upstream selectors of a route's parts, or of the route if it is not split. Routes with the same
 /// selector send to the same service.
 fn service_selectors(route: &RouteRecord) -> Vec<&LabelSelector> {
--- a/src/limits/window_budget.rs
+++ b/src/limits/window_budget.rs
@@ -98,6 +98,13 @@
         state.allows_another(entries)
     }
 
+    /// Whether a request or a repeat has been counted within the window.
+    pub fn has_counts(&self) -> bool {
+        let mut state = self.lock();
+        state.advance();
+        state.steps.iter().any(|step| step.requests > 0 || step.repeats > 0)
+    }
+
     fn lock(&self) -> MutexGuard<'_, WindowState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/tests/testsuite/route_limits.rs
+++ b/tests/testsuite/route_limits.rs
@@ -61,3 +61,64 @@
     table.set_hedge_allowance(None);
     assert!(last.hedge_limits(None).is_none(), "not in force for a request that is running");
 }
+
+/// How the configuration stops sending requests to the service, until it does so again.
+#[derive(Clone, Copy, Debug)]
+enum ServiceAbsence {
+    /// The route moves to another service.
+    RouteMoves,
+    /// No route is left.
+    RouteRemoved,
+    /// A request that was admitted under an older configuration asks for its limits.
+    OlderConfigAsks,
+}
+
+/// Guards against a service that gets repeats of a new budget while those of the old one are in the window,
+/// because no route led to it for a moment; and against a gate that forgets the requests behind it.
+#[tokio::test(start_paused = true)]
+async fn what_a_window_or_a_gate_counts_outlives_the_configuration_that_named_it() {
+    const WINDOW: Duration = Duration::from_secs(10);
+    let repeats = WindowAllowance { ratio: 0.0, extra: 10.0, window: WINDOW };
+    for absence in
+        [ServiceAbsence::RouteMoves, ServiceAbsence::RouteRemoved, ServiceAbsence::OlderConfigAsks]
+    {
+        let settings = RouteLimitSettings { repeats: Some(repeats), ..Default::default() };
+        let table = LimitTable::new(settings);
+        let home = snapshot_with(&["a"]);
+        let mut away = (*home).clone();
+        match absence {
+            ServiceAbsence::RouteRemoved => away.routes = Default::default(),
+            _ => {
+                let mut route = away.routes[0].clone();
+                Arc::make_mut(&mut route.spec).upstreams = "service=other".parse().unwrap();
+                away.routes = Default::default();
+                away.routes.push(route);
+            }
+        }
+        let away = Arc::new(away);
+        let leave = || drop(table.get(&away, RouteKey(0)));
+        let budget = || table.get(&home, RouteKey(0)).unwrap().window_budget(None).unwrap();
+        let mut spent = 0;
+        let running = table.get(&home, RouteKey(0)).unwrap();
+        for _ in 0..4 {
+            spent += (0..20).filter(|_| budget().try_spend(1)).count();
+            // A budget without counts is not enough to be kept, and one in use is kept without any.
+            leave();
+            leave();
+            tokio::time::advance(WINDOW / 10).await;
+        }
+        assert_eq!(spent, 8, "{absence:?}: repeats within one window");
+        let held = budget();
+        leave();
+        tokio::time::advance(WINDOW * 2).await;
+        leave();
+        assert!(Arc::ptr_eq(&held, &budget()), "{absence:?}: a running request counts elsewhere");
+        let gate = Arc::clone(&table.get(&home, RouteKey(0)).unwrap().gate);
+        assert!(Arc::ptr_eq(&running.gate, &gate), "{absence:?}: the group has two gates");
+        drop((held, running, gate));
+        leave();
+        leave();
+        tokio::time::advance(WINDOW * 2).await;
+        assert!(budget().try_spend(1), "{absence:?}: the window is over");
+    }
+}
