client: send the own version of HTTP to callers

Cause: the version of the upstream's response was passed on, and with it the framing: a response of HTTP/1.0 without a length ends with its connection, also when its body ended with an error.

Change: the client sets HTTP/1.1 and drops the extensions, among them the upstream's reason phrase, where it takes a response from a connection.

--- a/src/serve/http_client.rs
+++ b/src/serve/http_client.rs
@@ -309,7 +309,12 @@
     if !accepts_close_delimited && !is_delimited(method, &response) {
         return AttemptOutcome::Unknown(UnknownCause::AnswerNotWhole);
     }
-    let response = response.map(|incoming| {
+    let (mut head, incoming) = response.into_parts();
+    // They belong to the connection to the upstream. A response of HTTP/1.0 without a length would be sent
+    // on without chunked coding, by which callers see that it was cut off.
+    head.version = Version::HTTP_11;
+    head.extensions.clear();
+    let response = Response::from_parts(head, incoming).map(|incoming| {
         let mut body = UpstreamBody { incoming, connection, origin: origin.clone() };
         if body.incoming.is_end_stream() {
             body.release_connection();
