fleet: let an outage end when a peer reached the store

Cause: entries that were cut off for 12 s take the whole time without the store for an outage of it, and hold upstreams that are missing for 2.2 s more. Peers refute that only if they reached the store throughout; those of the same failure domain had been without a confirmation for 2.6 s at the start, just over the 2.5 s that count as an outage.

Change: the outage ends when a peer began its uninterrupted access. The grace period runs from then, and was over long before the entries returned.

The new test fails before.

--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -367,7 +367,7 @@
         if self.view().refute_outage(since, now) {
             log::info!(
                 target: "store",
-                "peers reached the store during the outage, removing held upstreams steady_ms={}",
+                "peers reached the store before the end of the outage, removing held upstreams steady_ms={}",
                 confirmation.steady_ms,
             );
             self.store_wakeup.notify_one();
@@ -389,11 +389,11 @@
         self.keys.store(Some(Arc::new(keys)));
     }
 
-    /// Whether a peer has recently reported uninterrupted store access since `began` or earlier.
-    pub(super) fn was_steady_for_peers(&self, began: Instant) -> bool {
+    /// Start of the longest uninterrupted store access that a peer has recently reported.
+    pub(super) fn peer_steady_since(&self) -> Option<Instant> {
         let known = *lock(&self.peer_steadiness);
         let recent = known.filter(|known| known.received_at.elapsed() < PEER_STEADINESS_TTL);
-        recent.is_some_and(|known| known.since <= began)
+        recent.map(|known| known.since)
     }
 
     /// When this entry noticed that it has missed changes, and how the views differ. `None` if it
--- a/src/fleet/store_follower.rs
+++ b/src/fleet/store_follower.rs
@@ -341,18 +341,21 @@
         self.failures = 0;
         let Some(lost_at) = self.lost_at.take() else { return };
         let unconfirmed = self.state.freshness.age().unwrap_or_default();
-        // If peers could reach the store meanwhile, only this entry was partitioned.
         let began = now.checked_sub(unconfirmed).unwrap_or(now);
-        let is_outage = unconfirmed >= self.state.read_schedule.min_outage
-            && !self.state.was_steady_for_peers(began);
+        // If peers could reach the store meanwhile, only this entry was partitioned, or still was when the
+        // store had returned.
+        let peer_since = self.state.peer_steady_since();
+        let ended = peer_since.map_or(now, |since| since.min(now));
+        let is_outage = unconfirmed >= self.state.read_schedule.min_outage && ended > began;
         log::info!(
             target: "store",
-            "regained after_ms={} view_age_ms={} outage={is_outage}",
+            "regained after_ms={} view_age_ms={} outage={is_outage} ended_ms={}",
             lost_at.elapsed().as_millis(),
             unconfirmed.as_millis(),
+            (now - ended).as_millis(),
         );
         if is_outage {
-            self.state.view().record_outage(StoreOutage { began, ended: now });
+            self.state.view().record_outage(StoreOutage { began, ended });
         }
     }
 }
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -66,10 +66,18 @@
 pub struct StoreOutage {
     /// Last confirmation of the view before the outage.
     pub began: Instant,
-    /// First successful store call after it.
+    /// First successful store call after it, of this entry or, if known, of a peer that has reached the
+    /// store ever since.
     pub ended: Instant,
 }
 
+impl StoreOutage {
+    /// Until when upstreams that are missing are held.
+    fn grace_end(&self) -> Instant {
+        self.ended + REREGISTRATION_GRACE
+    }
+}
+
 /// The configuration that is compiled, and the object that it was decoded from.
 #[derive(Debug)]
 struct ActiveConfig {
@@ -205,18 +213,25 @@
         self.outage = Some(outage);
     }
 
-    /// Drops the recorded outage if another entry reached the store throughout it, that is since
-    /// `steady_since`. Only this entry was partitioned then, and upstreams that are missing have
-    /// left. Returns whether held upstreams are to be removed.
+    /// Adapts the recorded outage to another entry that has reached the store since `steady_since`: the
+    /// outage had ended by then, or, if that was before it began, only this entry was partitioned, and
+    /// upstreams that are missing have left. Returns whether held upstreams are to be removed.
     pub fn refute_outage(&mut self, steady_since: Instant, now: Instant) -> bool {
-        if self.outage.is_none_or(|outage| outage.began < steady_since) {
+        let Some(outage) = self.outage else { return false };
+        if steady_since >= outage.ended {
             return false;
         }
-        self.outage = None;
+        let ended_earlier = StoreOutage { ended: steady_since, ..outage };
+        let is_refuted = steady_since <= outage.began;
+        self.outage = (!is_refuted).then_some(ended_earlier);
         for until in self.held.values_mut() {
-            *until = now;
+            if is_refuted {
+                *until = now;
+            } else if *until == outage.grace_end() {
+                *until = ended_earlier.grace_end();
+            }
         }
-        !self.held.is_empty()
+        self.held.values().any(|until| *until <= now)
     }
 
     /// Applies a complete list of the upstreams in the era of the view. A list older than the view
@@ -436,7 +451,7 @@
         if !self.upstreams.contains_key(name) {
             return;
         }
-        let held_until = self.outage.map(|outage| outage.ended + REREGISTRATION_GRACE);
+        let held_until = self.outage.map(|outage| outage.grace_end());
         if let Some(until) = held_until.filter(|until| *until > now) {
             self.held.entry(name.to_owned()).or_insert(until);
             change.held.push(name.to_owned());
--- a/tests/testsuite/fleet_store.rs
+++ b/tests/testsuite/fleet_store.rs
@@ -303,6 +303,35 @@
     assert_eq!(entry.upstreams(), ["a", "b"], "the peer had the outage too");
 }
 
+/// Guards against an entry that takes the rest of its own partition for an outage of the store that had
+/// ended long before, and sends requests to upstreams that have left meanwhile.
+#[tokio::test(start_paused = true)]
+async fn an_entry_partitioned_beyond_an_outage_holds_no_upstream_that_left() {
+    for (is_peer_heard_first, since_outage) in [(true, 4), (false, 4), (false, 1)] {
+        let store = store_with(1, &["a", "b"]).await;
+        let [mut peer, mut entry] = start_pair(&store, Duration::from_millis(1100)).await;
+        outage(&store, &mut peer).await;
+        for _ in 0..since_outage {
+            peer.run_for(Duration::from_secs(1)).await;
+        }
+        fail_all_calls(&store);
+        entry.run_for(Duration::from_millis(100)).await;
+        recover(&store);
+        delete_upstream(&store, "a").await;
+        peer.run_for(Duration::from_millis(100)).await;
+        if is_peer_heard_first {
+            send_confirmation(&peer, &entry);
+        }
+        entry.run_for(Duration::from_millis(700)).await;
+        peer.run_for(Duration::from_millis(10)).await;
+        send_confirmation(&peer, &entry);
+        entry.run_for(Duration::from_millis(10)).await;
+        // Registrations that expired in the outage may still return if it has ended just now.
+        let expected: &[&str] = if since_outage > 2 { &["b"] } else { &["a", "b"] };
+        assert_eq!(entry.upstreams(), expected, "{is_peer_heard_first} {since_outage}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_entry_that_missed_a_change_reads_only_that_and_does_not_send_it() {
     let names: Vec<String> = (0..60).map(|index| format!("u{index}")).collect();
