probe: take no copy of a refusal for the answer to a health check

Callers saw nothing directly: a copy of a refusal, sent where the answer to a health check is expected, paused the upstream once more, and the next request on the connection got the answer to the check, so that its outcome was unknown.

Cause: a health check has no id, so any response counted as its own.

Change: a response with the id of a request that was refused on the same connection closes the connection. The check counts as one without a report.

Evidence: the new test fails before (the pause counts once more).

--- a/src/request/load_check.rs
+++ b/src/request/load_check.rs
@@ -198,6 +198,10 @@
             AttemptOutcome::Unknown(UnknownCause::TimedOut) => {
                 return LoadProbeOutcome::Failed(AttemptResult::TimedOut);
             }
+            // The upstream was reached; it has repeated what it said to an earlier request.
+            AttemptOutcome::Unknown(UnknownCause::ForeignAnswer) => {
+                return LoadProbeOutcome::NoReport;
+            }
             AttemptOutcome::Unknown(_) => return LoadProbeOutcome::Failed(AttemptResult::Broken),
         };
         let headers = answered.response.headers();
--- a/src/serve/http_client.rs
+++ b/src/serve/http_client.rs
@@ -181,6 +181,9 @@
                 // The response to this request may still follow, so the connection must not be reused.
                 let is_own = request_id.as_ref().is_none_or(|id| id.is_echoed_by(&response));
                 let mut held = held.filter(|_| is_own);
+                if request_id.is_none() && self.is_repeated_refusal(held.as_ref(), &response) {
+                    return SendResult::Done(AttemptOutcome::Unknown(UnknownCause::ForeignAnswer));
+                }
                 if let Some((held, id)) = held.as_mut().zip(request_id)
                     && !response.status().is_success()
                 {
@@ -210,6 +213,17 @@
         Some(EchoedId { header_names: Arc::clone(header_names), value: value.clone() })
     }
 
+    /// Whether the response is that to a request which was refused on this connection before.
+    fn is_repeated_refusal<B>(
+        &self,
+        connection: Option<&PooledHttpConnection>,
+        response: &Response<B>,
+    ) -> bool {
+        let id = self.late_notices.as_ref().and_then(|it| response.headers().get(&it.request_id));
+        let digest = id.map(|id| RequestDigest::of(id.as_bytes()));
+        connection.zip(digest).is_some_and(|(held, digest)| held.has_refused(digest))
+    }
+
     /// Reader of a late response to a request; none for load checks, which have no identity.
     fn late_reader(
         &self,
--- a/src/serve/upstream_pool.rs
+++ b/src/serve/upstream_pool.rs
@@ -107,9 +107,14 @@
         self.refused.push(request);
     }
 
+    /// Whether the upstream has refused `request` on this connection.
+    pub fn has_refused(&self, request: RequestDigest) -> bool {
+        self.refused.contains(&request)
+    }
+
     /// Whether `request` may be sent on this connection.
     fn may_carry(&self, request: Option<RequestDigest>) -> bool {
-        request.is_none_or(|request| !self.refused.contains(&request))
+        request.is_none_or(|request| !self.has_refused(request))
     }
 
     /// Whether the connection has completed an exchange.
--- a/tests/testsuite/pauses.rs
+++ b/tests/testsuite/pauses.rs
@@ -16,7 +16,7 @@
 use heatherfall::membership::{ConfigFreshness, SharedMembership};
 use heatherfall::request::{
     AttemptOutcome, AttemptRequest, ConnectionPolicy, DataPlane, ExecutionSettings,
-    LoadCheckSettings, UpstreamClient, UpstreamResponse,
+    LoadCheckSettings, LoadProbeOutcome, UpstreamClient, UpstreamResponse, probe_load,
 };
 use heatherfall::serve::{ConnectionPool, HttpUpstreamClient, PoolSettings};
 use heatherfall::util::SeededRandom;
@@ -195,27 +195,42 @@
     assert_eq!(client.requests.load(Ordering::Relaxed), 0, "requests within a pause");
 }
 
-/// Sends a request, cancels it once it has arrived, lets the upstream respond, and returns whether
-/// the upstream is paused soon afterwards.
-async fn is_paused_by_late(response: &str) -> bool {
-    let raw = RawUpstream::start(vec![RawResponse::Held(response.as_bytes().to_vec())]).await;
+fn pausing_headers() -> HeaderNames {
+    HeaderNames { pause: Some(RETRY_AFTER), echoes_request_id: true, ..Default::default() }
+}
+
+fn client_of(raw: &RawUpstream) -> (HttpUpstreamClient, Arc<UpstreamState>) {
     let mut declared = declared("u", None);
     declared.spec.address = raw.addr;
     let upstream = Arc::new(UpstreamState::new("u", declared.spec, Default::default()));
     let pool = ConnectionPool::new(PoolSettings::default(), SharedMembership::default());
-    let client = HttpUpstreamClient::new(pool).with_late_notices(HeaderNames {
-        pause: Some(RETRY_AFTER),
-        echoes_request_id: true,
-        ..Default::default()
-    });
-    let request = AttemptRequest {
+    (HttpUpstreamClient::new(pool).with_late_notices(pausing_headers()), upstream)
+}
+
+fn request_with_id(id: &str) -> AttemptRequest {
+    AttemptRequest {
         method: Method::GET,
         uri: Uri::from_static("/"),
-        headers: HeaderMap::from_iter([("x-request-id".parse().unwrap(), "a".parse().unwrap())]),
+        headers: HeaderMap::from_iter([("x-request-id".parse().unwrap(), id.parse().unwrap())]),
         body: Bytes::new(),
         deadline: Instant::now() + PAUSE,
         connection: ConnectionPolicy::AnyPooled,
-    };
+    }
+}
+
+fn refusal(id: &str) -> String {
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\nx-request-id: {id}\r\nretry-after: 3\r\n\
+         content-length: 0\r\n\r\n"
+    )
+}
+
+/// Sends a request, cancels it once it has arrived, lets the upstream respond, and returns whether
+/// the upstream is paused soon afterwards.
+async fn is_paused_by_late(response: &str) -> bool {
+    let raw = RawUpstream::start(vec![RawResponse::Held(response.as_bytes().to_vec())]).await;
+    let (client, upstream) = client_of(&raw);
+    let request = request_with_id("a");
     let sending = tokio::spawn({
         let upstream = Arc::clone(&upstream);
         async move { client.send(&upstream, request).await }
@@ -236,12 +251,31 @@
 /// abandoned: another one had answered, or the caller had left.
 #[tokio::test]
 async fn a_pause_that_crosses_the_end_of_its_attempt_is_kept() {
-    let refusal = |id: &str| {
-        format!(
-            "HTTP/1.1 503 Service Unavailable\r\nx-request-id: {id}\r\nretry-after: 3\r\n\
-             content-length: 0\r\n\r\n"
-        )
-    };
     assert!(is_paused_by_late(&refusal("a")).await, "the pause was not recorded");
     assert!(!is_paused_by_late(&refusal("b")).await, "a response to another request counted");
 }
+
+/// Guards against a copy of a refusal that is taken for the answer to a health check, which has no id: its
+/// pause would count once more, and the next request would get the answer to the check.
+#[tokio::test]
+async fn a_copy_of_a_refusal_does_not_answer_a_health_check() {
+    let healthy = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    let repeated = format!("{}{healthy}", refusal("a"));
+    let responses = [refusal("a"), repeated].map(|text| RawResponse::keep_alive(&text));
+    let raw = RawUpstream::start(responses.to_vec()).await;
+    let (client, upstream) = client_of(&raw);
+    let AttemptOutcome::Answered(refused) = client.send(&upstream, request_with_id("a")).await
+    else {
+        panic!("the upstream refuses the request");
+    };
+    drop(refused);
+    let checked = probe_load(&client, &upstream, &pausing_headers(), PAUSE).await;
+    assert!(matches!(checked, LoadProbeOutcome::NoReport), "{checked:?}");
+    assert!(upstream.stats().pause_left(Instant::now()).is_zero(), "the pause counts once more");
+    // On a new connection, whose first answer is the refusal.
+    let AttemptOutcome::Answered(answered) = client.send(&upstream, request_with_id("a")).await
+    else {
+        panic!("the connection was reused");
+    };
+    assert_eq!(answered.response.status(), StatusCode::SERVICE_UNAVAILABLE);
+}
