--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -71,7 +71,7 @@
     FieldShape::scalar("peer_address"),
 ]);
 
-/// Registration of an entry in the store. [`REGISTRATION_SHAPE`] has its fields.
+/// Registration of an entry in the store. `REGISTRATION_SHAPE` has its fields.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EntryRegistration {
     /// Failure domain of its VM.
