--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -72,7 +72,7 @@
 }
 
 impl StoreOutage {
-    /// Until when upstreams that are missing are held.
+    /// End of the time for which missing upstreams are held.
     fn grace_end(&self) -> Instant {
         self.ended + REREGISTRATION_GRACE
     }
--- a/src/limits/route_limits.rs
+++ b/src/limits/route_limits.rs
@@ -329,7 +329,7 @@
                 gates.insert(name, gate);
             }
         }
-        // Requests that are running hold the limits of their routes, and these the gates.
+        // A running request holds the limits of its route, which hold the gate.
         self.routes = routes;
         gates.extend(self.gates.extract_if(|_, gate| is_in_use(gate)));
         self.gates = gates;
--- a/tests/testsuite/connections.rs
+++ b/tests/testsuite/connections.rs
@@ -146,7 +146,7 @@
 struct RepeatingConnection {
     /// Refusals that were sent on it.
     sent: Arc<Mutex<Vec<SentRefusal>>>,
-    /// Bytes that come before the response to the next send.
+    /// Copies that the upstream sends before its response to the next request.
     copies: Arc<Mutex<VecDeque<SentRefusal>>>,
 }
 
